--- /dev/null
+++ b/crates/adapter/src/lib.rs
@@ -0,0 +1,1 @@
+//! HTTP adapter for the platform's append-only log.
--- /dev/null
+++ b/crates/contract/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' text: services, calls, teams and keys.
--- /dev/null
+++ b/crates/graph/src/lib.rs
@@ -0,0 +1,1 @@
+//! Dependencies between services, critical paths and importance along them.
--- /dev/null
+++ b/crates/lentilshift/src/main.rs
@@ -0,0 +1,3 @@
+//! The lentilshift command.
+
+fn main() {}
--- /dev/null
+++ b/crates/limit/src/lib.rs
@@ -0,0 +1,1 @@
+//! Concurrency limits, queues and fair shedding in front of a backend server.
--- /dev/null
+++ b/crates/member/src/lib.rs
@@ -0,0 +1,1 @@
+//! Announcements, liveness and leaving.
--- /dev/null
+++ b/crates/model/src/names.rs
@@ -0,0 +1,76 @@
+use std::fmt;
+
+use crate::shared_name::shared_name;
+
+/// The longest name allowed, in bytes.
+const MAX_NAME_LEN: usize = 63;
+
+shared_name!(
+    /// The name of a service.
+    ServiceName
+);
+shared_name!(
+    /// The name of a kind of call within a service.
+    CallName
+);
+shared_name!(
+    /// The name of a team, the tenant that a key belongs to.
+    TeamName
+);
+shared_name!(
+    /// The name of a VM, new for every start of its node.
+    VmName
+);
+shared_name!(
+    /// The name of a data centre.
+    CentreName
+);
+
+/// What is wrong with a name.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum NameError {
+    /// The name is empty.
+    Empty,
+    /// The name is longer than 63 bytes; holds its length in bytes.
+    TooLong(usize),
+    /// The name holds a character that isn't allowed.
+    BadCharacter(char),
+    /// The name starts or ends with a hyphen.
+    OuterHyphen,
+}
+
+impl fmt::Display for NameError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Empty => formatter.write_str("a name can't be empty"),
+            Self::TooLong(len) => write!(
+                formatter,
+                "a name has at most {MAX_NAME_LEN} characters, this one has {len}"
+            ),
+            Self::BadCharacter(character) => write!(
+                formatter,
+                "a name has lower-case letters, digits and hyphens, not {character:?}"
+            ),
+            Self::OuterHyphen => formatter.write_str("a name can't start or end with a hyphen"),
+        }
+    }
+}
+
+impl std::error::Error for NameError {}
+
+fn check_name(name: &str) -> Result<(), NameError> {
+    if name.is_empty() {
+        return Err(NameError::Empty);
+    }
+    if name.len() > MAX_NAME_LEN {
+        return Err(NameError::TooLong(name.len()));
+    }
+    let is_allowed = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || c == '-';
+    if let Some(character) = name.chars().find(|c| !is_allowed(*c)) {
+        return Err(NameError::BadCharacter(character));
+    }
+    if name.starts_with('-') || name.ends_with('-') {
+        return Err(NameError::OuterHyphen);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,1 @@
+//! The node process beside each backend server.
--- /dev/null
+++ b/crates/once/src/lib.rs
@@ -0,0 +1,1 @@
+//! At-most-once claims.
--- /dev/null
+++ b/crates/rate/src/lib.rs
@@ -0,0 +1,1 @@
+//! Team rate and burst summed over all VMs.
--- /dev/null
+++ b/crates/retry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Retry allowance shared by every call of one request.
--- /dev/null
+++ b/crates/route/src/lib.rs
@@ -0,0 +1,1 @@
+//! Choice of VM, health and ramps.
--- /dev/null
+++ b/crates/trial/src/lib.rs
@@ -0,0 +1,1 @@
+//! Differential trials of the policy against baselines, in virtual time.
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Messages and links between nodes.
