feat(wire): links between nodes over h2 with bincode heads, and a stand-in backend server

A link proves the fleet's secret in both directions, streams bodies under flow control, probes itself, and tells a call that surely wasn't sent from one that may have run.

--- /dev/null
+++ b/crates/node/src/call_answer.rs
@@ -0,0 +1,97 @@
+use http::HeaderMap;
+use http::header::{CONTENT_TYPE, HeaderValue};
+use limit::LoadReport;
+use model::{RefusalReason, RunVerdict, ServiceName, ShedOrder};
+use wire::{AnswerHead, CallHead, HeaderList};
+
+use crate::answer_body::AnswerBody;
+use crate::call_body::CallBody;
+use crate::problem_body::problem_body;
+
+/// The load that a node tells when it has no backend server's load at hand.
+pub(crate) const NO_LOAD: LoadReport = LoadReport {
+    in_flight: 0,
+    limit: 0,
+    queued: 0,
+    threshold: ShedOrder::FIRST,
+    wait_ms: 0,
+};
+
+/// Why a node answers a call itself.
+#[derive(Clone, Debug)]
+pub(crate) struct CallRefusal {
+    pub(crate) reason: RefusalReason,
+    pub(crate) verdict: RunVerdict,
+    pub(crate) retry_after_ms: u64,
+    pub(crate) service: Option<ServiceName>,
+}
+
+impl CallRefusal {
+    /// Creates a refusal of a call that wasn't run.
+    pub(crate) const fn not_run(reason: RefusalReason) -> Self {
+        Self {
+            reason,
+            verdict: RunVerdict::NotRun,
+            retry_after_ms: 0,
+            service: None,
+        }
+    }
+
+    /// Creates a refusal of a call that may have run.
+    pub(crate) const fn may_have_run(reason: RefusalReason) -> Self {
+        Self {
+            verdict: RunVerdict::MayHaveRun,
+            ..Self::not_run(reason)
+        }
+    }
+
+    /// Tells when to come back.
+    #[must_use]
+    pub(crate) const fn after_ms(mut self, retry_after_ms: u64) -> Self {
+        self.retry_after_ms = retry_after_ms;
+        self
+    }
+
+    /// Names the service that refused.
+    #[must_use]
+    pub(crate) fn by(mut self, service: &ServiceName) -> Self {
+        self.service = Some(service.clone());
+        self
+    }
+}
+
+/// The answer to a call.
+pub(crate) struct CallAnswer {
+    pub(crate) head: AnswerHead,
+    pub(crate) body: AnswerBody,
+}
+
+impl CallAnswer {
+    /// Creates the answer to a call that a node refuses or gives up on.
+    pub(crate) fn refused(call: &CallHead, refusal: &CallRefusal, allowance_left: u16) -> Self {
+        let body = problem_body(call.request, refusal);
+        let mut headers = HeaderMap::new();
+        headers.insert(
+            CONTENT_TYPE,
+            HeaderValue::from_static("application/problem+json"),
+        );
+        Self {
+            head: AnswerHead {
+                request: call.request,
+                attempt: call.attempt,
+                verdict: refusal.verdict,
+                refusal: Some(refusal.reason),
+                refused_by: refusal.service.clone(),
+                retry_after_ms: u32::try_from(refusal.retry_after_ms).unwrap_or(u32::MAX),
+                allowance_left,
+                status: refusal.reason.status(),
+                headers: HeaderList::from(&headers),
+                body_bytes: Some(body.len() as u64),
+                load: NO_LOAD,
+                thresholds: Vec::new(),
+                run_ms: 0,
+            },
+            body: CallBody::Whole(body).into(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/call_body.rs
@@ -0,0 +1,80 @@
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use http_body::{Body, Frame, SizeHint};
+use hyper::body::Incoming;
+use thiserror::Error;
+use wire::{BodyError, LinkBody};
+
+/// The body of a call or an answer, wherever it comes from.
+pub(crate) enum CallBody {
+    /// No bytes.
+    Empty,
+    /// All bytes at hand.
+    Whole(Bytes),
+    /// A body that arrives by HTTP from a caller or the backend server.
+    Http(Incoming),
+    /// A body that arrives from another node.
+    Link(LinkBody),
+}
+
+/// A body that was cut.
+#[derive(Debug, Error)]
+pub(crate) enum CallBodyError {
+    /// The HTTP connection that it arrived on broke.
+    #[error("the HTTP body was cut: {0}")]
+    Http(#[from] hyper::Error),
+    /// The link that it arrived on broke.
+    #[error(transparent)]
+    Link(#[from] BodyError),
+}
+
+impl CallBody {
+    /// Returns the length in bytes, when it is known.
+    pub(crate) fn known_bytes(&self) -> Option<u64> {
+        match self {
+            Self::Empty => Some(0),
+            Self::Whole(bytes) => Some(bytes.len() as u64),
+            Self::Http(body) => body.size_hint().exact(),
+            Self::Link(_) => None,
+        }
+    }
+}
+
+impl From<Bytes> for CallBody {
+    fn from(bytes: Bytes) -> Self {
+        Self::Whole(bytes)
+    }
+}
+
+impl Body for CallBody {
+    type Data = Bytes;
+    type Error = CallBodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, CallBodyError>>> {
+        match &mut *self {
+            Self::Empty => Poll::Ready(None),
+            Self::Whole(bytes) => {
+                let bytes = std::mem::take(bytes);
+                *self = Self::Empty;
+                Poll::Ready((!bytes.is_empty()).then(|| Ok(Frame::data(bytes))))
+            }
+            Self::Http(body) => {
+                let frame = Pin::new(body).poll_frame(context);
+                frame.map(|frame| frame.map(|result| result.map_err(CallBodyError::from)))
+            }
+            Self::Link(body) => {
+                let frame = Pin::new(body).poll_frame(context);
+                frame.map(|frame| frame.map(|result| result.map_err(CallBodyError::from)))
+            }
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.known_bytes().map_or_else(SizeHint::default, SizeHint::with_exact)
+    }
+}
--- /dev/null
+++ b/crates/node/src/call_headers.rs
@@ -0,0 +1,121 @@
+use http::header::{AUTHORIZATION, CONNECTION, HeaderName, PROXY_AUTHORIZATION, TE};
+use http::header::{PROXY_AUTHENTICATE, TRAILER, TRANSFER_ENCODING, UPGRADE};
+use http::{HeaderMap, HeaderValue};
+use model::AttemptId;
+
+/// The header that carries a caller's key, beside `Authorization: Bearer`.
+pub(crate) const API_KEY: HeaderName = HeaderName::from_static("x-api-key");
+/// The header that tells a caller whether its request may have run.
+pub(crate) const VERDICT: HeaderName = HeaderName::from_static("lentilshift-verdict");
+/// The header that names the whole request, for logs.
+pub(crate) const REQUEST_ID: HeaderName = HeaderName::from_static("lentilshift-request-id");
+/// The header by which a backend server ties its own calls to the request that it serves.
+pub(crate) const CALL_ID: HeaderName = HeaderName::from_static("lentilshift-call-id");
+/// The header that gives the time left in milliseconds, from callers and to backend servers.
+pub(crate) const DEADLINE: HeaderName = HeaderName::from_static("lentilshift-deadline-ms");
+/// The header that tells when to come back, in milliseconds.
+pub(crate) const RETRY_AFTER_MS: HeaderName = HeaderName::from_static("lentilshift-retry-after-ms");
+/// The header that names a call which must run at most once.
+pub(crate) const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+
+/// The prefix of all header names of this project.
+const OWN_PREFIX: &str = "lentilshift-";
+
+/// Headers that concern one connection only.
+const HOP_HEADERS: [HeaderName; 8] = [
+    CONNECTION,
+    PROXY_AUTHENTICATE,
+    TE,
+    TRAILER,
+    TRANSFER_ENCODING,
+    UPGRADE,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+];
+
+/// Returns the key that came with a request.
+pub(crate) fn find_key(headers: &HeaderMap) -> Option<&[u8]> {
+    if let Some(key) = headers.get(API_KEY) {
+        return Some(key.as_bytes().trim_ascii());
+    }
+    let value = headers.get(AUTHORIZATION)?.as_bytes();
+    let (scheme, key) = value.split_at_checked(b"Bearer ".len())?;
+    scheme
+        .eq_ignore_ascii_case(b"Bearer ")
+        .then(|| key.trim_ascii())
+}
+
+/// Returns the headers that the backend server may see.
+///
+/// Credentials go, and so does every header whose value holds the caller's key.
+pub(crate) fn strip_request(headers: &HeaderMap, key: Option<&[u8]>) -> HeaderMap {
+    let mut kept = strip_hop(headers);
+    for name in [AUTHORIZATION, PROXY_AUTHORIZATION, API_KEY] {
+        kept.remove(name);
+    }
+    kept.into_iter()
+        .scan(None, |last: &mut Option<HeaderName>, (name, value)| {
+            *last = name.or_else(|| last.clone());
+            Some((last.clone()?, value))
+        })
+        .filter(|(name, value)| {
+            !name.as_str().starts_with(OWN_PREFIX) && !holds_key(value.as_bytes(), key)
+        })
+        .collect()
+}
+
+/// Returns headers without those that concern one connection only.
+pub(crate) fn strip_hop(headers: &HeaderMap) -> HeaderMap {
+    let mut kept = headers.clone();
+    let listed: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|names| names.split(','))
+        .filter_map(|name| HeaderName::from_bytes(name.trim().as_bytes()).ok())
+        .collect();
+    for name in HOP_HEADERS.iter().chain(&listed) {
+        kept.remove(name);
+    }
+    kept
+}
+
+/// Returns a path without the query parameters that hold the caller's key.
+pub(crate) fn strip_path(path: &str, key: Option<&[u8]>) -> String {
+    let Some((path, query)) = path.split_once('?') else {
+        return path.to_owned();
+    };
+    let kept: Vec<&str> = query
+        .split('&')
+        .filter(|pair| !is_key_parameter(pair) && !holds_key(pair.as_bytes(), key))
+        .collect();
+    if kept.is_empty() {
+        return path.to_owned();
+    }
+    format!("{path}?{}", kept.join("&"))
+}
+
+/// Adds what a backend server is told about the call that it runs.
+pub(crate) fn add_call(headers: &mut HeaderMap, attempt: AttemptId, deadline_left_ms: u64) {
+    if let Ok(value) = HeaderValue::from_str(&attempt.to_string()) {
+        headers.insert(CALL_ID, value);
+    }
+    headers.insert(DEADLINE, HeaderValue::from(deadline_left_ms));
+}
+
+/// Returns the time that the caller allows, in milliseconds.
+pub(crate) fn find_deadline_ms(headers: &HeaderMap) -> Option<u64> {
+    headers.get(DEADLINE)?.to_str().ok()?.trim().parse().ok()
+}
+
+fn is_key_parameter(pair: &str) -> bool {
+    let name = pair.split('=').next().unwrap_or_default();
+    ["api_key", "api-key", "apikey", "access_token", "key"].contains(&name)
+}
+
+fn holds_key(value: &[u8], key: Option<&[u8]>) -> bool {
+    let Some(key) = key.filter(|key| !key.is_empty()) else {
+        return false;
+    };
+    value.windows(key.len()).any(|window| window == key)
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,1 +1,32 @@
 //! The node process beside each backend server.
+//!
+//! A node plays three parts on one loop and one thread. The *entry* faces callers: it checks the
+//! key, the team's rate and the deadline, and strips the key. The *egress* faces the local
+//! backend server's own calls and ties each to the request that it serves. The *ingress* faces
+//! other nodes and runs calls on the backend server. The decisions are made by the crates without
+//! I/O; this crate moves bytes and time.
+
+mod admin_port;
+mod answer_body;
+mod backend_pool;
+mod call_answer;
+mod call_body;
+mod call_headers;
+mod dispatch;
+mod egress;
+mod entry;
+mod http_port;
+mod ingress;
+mod local_executor;
+mod node_clock;
+mod node_core;
+mod node_metrics;
+mod node_process;
+mod node_settings;
+mod peer_port;
+mod problem_body;
+mod running_calls;
+mod stop_signal;
+
+pub use node_process::{NodeError, NodeProcess};
+pub use node_settings::NodeSettings;
--- /dev/null
+++ b/crates/node/src/node_settings.rs
@@ -0,0 +1,64 @@
+use std::net::{Ipv4Addr, SocketAddr};
+
+use model::{CentreName, ServiceName, VmName};
+use wire::{FleetSecret, LinkSettings};
+
+/// Settings of a node.
+#[derive(Clone, Debug)]
+pub struct NodeSettings {
+    /// The name of this VM, new for every start.
+    pub vm: VmName,
+    /// The data centre of this VM.
+    pub centre: CentreName,
+    /// The service that the backend server of this VM offers.
+    pub service: ServiceName,
+    /// The address for callers.
+    pub caller_address: SocketAddr,
+    /// The loopback address for the backend server's own calls.
+    pub egress_address: SocketAddr,
+    /// The address for other nodes.
+    pub peer_address: SocketAddr,
+    /// The address that other nodes are told, when it isn't `peer_address`.
+    pub advertised_address: Option<SocketAddr>,
+    /// The address for metrics, dumps and readiness.
+    pub admin_address: SocketAddr,
+    /// The address of the backend server.
+    pub backend_address: SocketAddr,
+    /// The requests that the backend server can run at once.
+    pub backend_slots: u32,
+    /// The address of the platform's log.
+    pub platform_address: SocketAddr,
+    /// The addresses of nodes to learn from when the platform's log is down.
+    pub peers: Vec<SocketAddr>,
+    /// The secret that all nodes of the fleet hold.
+    pub secret: FleetSecret,
+    /// The longest time that a stop waits for running calls, in milliseconds.
+    pub stop_limit_ms: u64,
+    /// The settings of links to other nodes.
+    pub link: LinkSettings,
+}
+
+impl NodeSettings {
+    /// Creates settings for a node on loopback, with ports that the system picks.
+    #[must_use]
+    pub fn loopback(vm: VmName, service: ServiceName, secret: FleetSecret) -> Self {
+        let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        Self {
+            vm,
+            centre: CentreName::new("local"),
+            service,
+            caller_address: any_port,
+            egress_address: any_port,
+            peer_address: any_port,
+            advertised_address: None,
+            admin_address: any_port,
+            backend_address: any_port,
+            backend_slots: 64,
+            platform_address: any_port,
+            peers: Vec::new(),
+            secret,
+            stop_limit_ms: 60_000,
+            link: LinkSettings::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/backend_server.rs
@@ -0,0 +1,248 @@
+use std::cell::{Cell, RefCell};
+use std::convert::Infallible;
+use std::future::poll_fn;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use compio::net::{TcpListener, TcpStream};
+use compio::runtime::JoinHandle;
+use compio::time::sleep;
+use cyper_core::HyperStream;
+use futures_util::StreamExt;
+use futures_util::stream::{self, BoxStream};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
+use http_body::{Body, Frame};
+use http_body_util::StreamBody;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use serde_json::json;
+
+use crate::backend_query::BackendQuery;
+use crate::{BackendRecord, BackendSettings};
+
+/// The size of the pieces that large answers are sent in, in bytes.
+const PIECE_BYTES: u64 = 16 * 1024;
+/// The header by which calls are tied to the request that they serve.
+const CALL_ID: &str = "lentilshift-call-id";
+
+type AnswerBody = StreamBody<BoxStream<'static, Result<Frame<Bytes>, io::Error>>>;
+
+/// A stand-in for a backend server.
+///
+/// It runs each request for a time, makes the calls of its settings, records what it ran, and
+/// does what the query asks: `ms`, `bytes`, `status`, `crash` and `cut`.
+pub struct BackendServer {
+    settings: RefCell<BackendSettings>,
+    record: BackendRecord,
+    address: SocketAddr,
+    accepting: RefCell<Option<JoinHandle<()>>>,
+    connections: RefCell<Vec<JoinHandle<()>>>,
+    crashes: Cell<usize>,
+    client: cyper::Client,
+}
+
+impl BackendServer {
+    /// Starts a backend server on the loop of this thread.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the address can't be listened on.
+    pub async fn start(settings: BackendSettings) -> io::Result<Rc<Self>> {
+        let listener = TcpListener::bind(settings.address).await?;
+        let server = Rc::new(Self {
+            address: listener.local_addr()?,
+            settings: RefCell::new(settings),
+            record: BackendRecord::default(),
+            accepting: RefCell::new(None),
+            connections: RefCell::new(Vec::new()),
+            crashes: Cell::new(0),
+            client: cyper::Client::new().map_err(io::Error::other)?,
+        });
+        server.accept(listener);
+        Ok(server)
+    }
+
+    /// Returns the address that the backend server listens on.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns what the backend server has run.
+    #[must_use]
+    pub const fn record(&self) -> &BackendRecord {
+        &self.record
+    }
+
+    /// Returns how often a request has crashed the backend server.
+    #[must_use]
+    pub const fn crashes(&self) -> usize {
+        self.crashes.get()
+    }
+
+    /// Sets the time that a request runs, in milliseconds.
+    pub fn set_run_ms(&self, run_ms: u64) {
+        self.settings.borrow_mut().run_ms = run_ms;
+    }
+
+    /// Sets the address of the local node for calls to other services.
+    pub fn set_egress(&self, egress: SocketAddr) {
+        self.settings.borrow_mut().egress = Some(egress);
+    }
+
+    /// Cuts every connection and stops listening, as a crash does.
+    pub fn crash(&self) {
+        self.accepting.borrow_mut().take();
+        self.connections.borrow_mut().clear();
+    }
+
+    /// Listens again after a crash.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the address can't be listened on.
+    pub async fn restart(self: &Rc<Self>) -> io::Result<()> {
+        let listener = TcpListener::bind(self.address).await?;
+        self.accept(listener);
+        Ok(())
+    }
+
+    fn accept(self: &Rc<Self>, listener: TcpListener) {
+        let server = Rc::clone(self);
+        let task = compio::runtime::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let _ = stream.set_nodelay(true);
+                let task = compio::runtime::spawn(Rc::clone(&server).serve(stream));
+                let mut connections = server.connections.borrow_mut();
+                connections.retain(|connection| !connection.is_finished());
+                connections.push(task);
+            }
+        });
+        self.accepting.borrow_mut().replace(task);
+    }
+
+    async fn serve(self: Rc<Self>, stream: TcpStream) {
+        let service = service_fn(|request| {
+            let server = Rc::clone(&self);
+            async move { server.answer(request).await }
+        });
+        let stream = HyperStream::new_plain(stream);
+        let _ = http1::Builder::new()
+            .serve_connection(stream, service)
+            .await;
+    }
+
+    async fn answer(
+        self: Rc<Self>,
+        request: Request<Incoming>,
+    ) -> Result<Response<AnswerBody>, Infallible> {
+        let query = BackendQuery::parse(request.uri());
+        let run = self.record.start(trace_of(&request), head_of(&request));
+        if query.is_crash {
+            self.crashes.set(self.crashes.get() + 1);
+            let server = Rc::clone(&self);
+            compio::runtime::spawn(async move { server.crash() }).detach();
+            std::future::pending::<()>().await;
+        }
+        let call_id = request.headers().get(CALL_ID).cloned();
+        let uploaded = read_body(request.into_body()).await;
+        let run_ms = query.run_ms.unwrap_or(self.settings.borrow().run_ms);
+        if run_ms > 0 {
+            sleep(Duration::from_millis(run_ms)).await;
+        }
+        let below = self.call_below(call_id).await;
+        run.finish();
+        let settings = self.settings.borrow();
+        let text = json!({
+            "service": &*settings.service,
+            "uploaded_bytes": uploaded,
+            "below": below,
+        });
+        Ok(build_answer(query, &text.to_string()))
+    }
+
+    /// Makes the calls of the settings and returns their statuses.
+    async fn call_below(&self, call_id: Option<HeaderValue>) -> Vec<u16> {
+        let settings = self.settings.borrow().clone();
+        let Some(egress) = settings.egress else {
+            return Vec::new();
+        };
+        let mut headers = HeaderMap::new();
+        if let Some(id) = call_id.filter(|_| settings.passes_call_id) {
+            headers.insert(CALL_ID, id);
+        }
+        let mut statuses = Vec::new();
+        for call in &settings.calls {
+            let url = format!("http://{egress}{}", call.path);
+            let request = self.client.request(call.method.clone(), url);
+            let Ok(request) = request else { continue };
+            let status = match request.headers(headers.clone()).send().await {
+                Ok(response) => response.status().as_u16(),
+                Err(_) => 0,
+            };
+            statuses.push(status);
+        }
+        statuses
+    }
+}
+
+fn trace_of(request: &Request<Incoming>) -> String {
+    let trace = request.headers().get("x-trace");
+    let text = trace.and_then(|trace| trace.to_str().ok());
+    text.unwrap_or_default().to_owned()
+}
+
+fn head_of(request: &Request<Incoming>) -> String {
+    format!(
+        "{} {} {:?}",
+        request.method(),
+        request.uri(),
+        request.headers()
+    )
+}
+
+async fn read_body(mut body: Incoming) -> Option<u64> {
+    let mut length = 0;
+    while let Some(frame) = poll_fn(|context| Pin::new(&mut body).poll_frame(context)).await {
+        length += frame.ok()?.data_ref().map_or(0, Bytes::len) as u64;
+    }
+    Some(length)
+}
+
+fn build_answer(query: BackendQuery, text: &str) -> Response<AnswerBody> {
+    let status = query.status.and_then(|code| StatusCode::from_u16(code).ok());
+    let response = Response::builder().status(status.unwrap_or(StatusCode::OK));
+    let (length, pieces) = if let Some(bytes) = query.answer_bytes {
+        (bytes, large_pieces(bytes, query.is_cut))
+    } else {
+        let piece = Frame::data(Bytes::from(text.to_owned()));
+        (text.len() as u64, stream::iter([Ok(piece)]).boxed())
+    };
+    response
+        .header(http::header::CONTENT_LENGTH, length)
+        .body(StreamBody::new(pieces))
+        .expect("a fixed answer is valid")
+}
+
+/// Returns `bytes` bytes in pieces; a cut one fails after half of them.
+fn large_pieces(
+    bytes: u64,
+    is_cut: bool,
+) -> BoxStream<'static, Result<Frame<Bytes>, io::Error>> {
+    let piece = Bytes::from(vec![b'x'; usize::try_from(PIECE_BYTES).unwrap_or(1)]);
+    let end = if is_cut { bytes / 2 } else { bytes };
+    let starts = (0..end).step_by(usize::try_from(PIECE_BYTES).unwrap_or(1));
+    let pieces = starts.map(move |start| {
+        let length = PIECE_BYTES.min(end - start);
+        Ok(Frame::data(
+            piece.slice(..usize::try_from(length).unwrap_or(0)),
+        ))
+    });
+    let cut = is_cut.then(|| Err(io::Error::other("cut on request")));
+    stream::iter(pieces.chain(cut)).boxed()
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,10 @@
 //! Stand-ins for the platform and backend servers, for tests and the demo.
+
+mod backend_query;
+mod backend_record;
+mod backend_server;
+mod backend_settings;
+
+pub use backend_record::{BackendRecord, RunEntry};
+pub use backend_server::BackendServer;
+pub use backend_settings::{BackendCall, BackendSettings};
--- /dev/null
+++ b/crates/wire/src/call_head.rs
@@ -0,0 +1,117 @@
+use std::fmt;
+
+use model::{AttemptId, CallImportance, CallName, RequestId, ServiceName, TeamName};
+use serde::de::{self, SeqAccess, Visitor};
+use serde::ser::SerializeTuple;
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+
+use crate::HeaderList;
+
+/// The number of fields of a [`CallHead`] on the wire.
+const FIELDS: usize = 16;
+
+/// What a node tells the next about a call, ahead of the body.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CallHead {
+    /// The caller's whole request.
+    pub request: RequestId,
+    /// This attempt to run this call.
+    pub attempt: AttemptId,
+    /// The service called.
+    pub service: ServiceName,
+    /// The kind of call.
+    pub call: CallName,
+    /// The team that pays, unless the route is open to all or a service calls for itself.
+    pub team: Option<TeamName>,
+    /// The weight of the team when something must be shed.
+    pub team_weight: u32,
+    /// The importance, inherited from the call at the entry.
+    pub importance: CallImportance,
+    /// The number of calls above this one.
+    pub depth: u8,
+    /// The time left until the deadline, in milliseconds.
+    pub deadline_left_ms: u32,
+    /// The retries that may be spent on this call and below it.
+    pub allowance: u16,
+    /// Whether the call must run at most once.
+    pub once: bool,
+    /// Whether running the call again does no harm.
+    pub idempotent: bool,
+    /// The HTTP method.
+    pub method: String,
+    /// The path and query that the backend server sees.
+    pub path: String,
+    /// The HTTP headers that the backend server sees.
+    pub headers: HeaderList,
+    /// The length of the body in bytes, when it is known.
+    pub body_bytes: Option<u64>,
+}
+
+impl Serialize for CallHead {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let mut tuple = serializer.serialize_tuple(FIELDS)?;
+        tuple.serialize_element(&self.request)?;
+        tuple.serialize_element(&self.attempt)?;
+        tuple.serialize_element(&self.service)?;
+        tuple.serialize_element(&self.call)?;
+        tuple.serialize_element(&self.team)?;
+        tuple.serialize_element(&self.team_weight)?;
+        tuple.serialize_element(&self.importance)?;
+        tuple.serialize_element(&self.depth)?;
+        tuple.serialize_element(&self.deadline_left_ms)?;
+        tuple.serialize_element(&self.allowance)?;
+        tuple.serialize_element(&self.once)?;
+        tuple.serialize_element(&self.idempotent)?;
+        tuple.serialize_element(&self.method)?;
+        tuple.serialize_element(&self.path)?;
+        tuple.serialize_element(&self.headers)?;
+        tuple.serialize_element(&self.body_bytes)?;
+        tuple.end()
+    }
+}
+
+impl<'de> Deserialize<'de> for CallHead {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_tuple(FIELDS, HeadVisitor)
+    }
+}
+
+struct HeadVisitor;
+
+impl<'de> Visitor<'de> for HeadVisitor {
+    type Value = CallHead;
+
+    fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "a head of {FIELDS} fields")
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut fields: A) -> Result<Self::Value, A::Error> {
+        Ok(CallHead {
+            request: next_field(&mut fields, 0)?,
+            attempt: next_field(&mut fields, 1)?,
+            service: next_field(&mut fields, 2)?,
+            call: next_field(&mut fields, 3)?,
+            team: next_field(&mut fields, 4)?,
+            team_weight: next_field(&mut fields, 5)?,
+            importance: next_field(&mut fields, 6)?,
+            depth: next_field(&mut fields, 7)?,
+            deadline_left_ms: next_field(&mut fields, 8)?,
+            allowance: next_field(&mut fields, 9)?,
+            once: next_field(&mut fields, 10)?,
+            idempotent: next_field(&mut fields, 11)?,
+            method: next_field(&mut fields, 12)?,
+            path: next_field(&mut fields, 13)?,
+            headers: next_field(&mut fields, 14)?,
+            body_bytes: next_field(&mut fields, 15)?,
+        })
+    }
+}
+
+fn next_field<'de, A, T>(fields: &mut A, index: usize) -> Result<T, A::Error>
+where
+    A: SeqAccess<'de>,
+    T: Deserialize<'de>,
+{
+    let field = fields.next_element()?;
+    field.ok_or_else(|| de::Error::invalid_length(index, &HeadVisitor))
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,1 +1,36 @@
 //! Messages and links between nodes.
+//!
+//! A link is one HTTP/2 connection. Each call is a stream: a head in `bincode`, then the raw
+//! bytes of the body, with flow control in both directions. [`PeerLink`] is the calling end,
+//! [`PeerServer`] the answering end. Before anything else both ends prove that they hold the
+//! [`FleetSecret`].
+
+mod answer_head;
+mod body_pump;
+mod call_head;
+mod codec;
+mod fleet_secret;
+mod head_reader;
+mod header_list;
+mod hello_message;
+mod link_body;
+mod link_error;
+mod link_settings;
+mod peer_link;
+mod peer_server;
+mod service_threshold;
+
+pub use answer_head::AnswerHead;
+pub use call_head::CallHead;
+pub use codec::{CodecError, decode, encode};
+pub use fleet_secret::{FleetSecret, SecretError};
+pub use header_list::HeaderList;
+pub use link_body::{BodyError, LinkBody};
+pub use link_error::LinkError;
+pub use link_settings::LinkSettings;
+pub use peer_link::PeerLink;
+pub use peer_server::{PeerHandler, PeerServer};
+pub use service_threshold::ServiceThreshold;
+
+/// The version of the messages between nodes; nodes of different versions refuse each other.
+pub const WIRE_VERSION: u16 = 1;
--- /dev/null
+++ b/crates/wire/src/peer_link.rs
@@ -0,0 +1,264 @@
+use std::cell::{Cell, RefCell};
+use std::future::poll_fn;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use compio::net::TcpStream;
+use compio::time::{sleep, timeout};
+use cyper_core::HyperStream;
+use futures_channel::oneshot;
+use futures_util::future::{Either, FutureExt, Shared, select};
+use h2::client::{ResponseFuture, SendRequest};
+use h2::{Ping, PingPong, RecvStream, SendStream};
+use http::{Method, Request};
+use http_body::Body;
+use hyper_util::rt::TokioIo;
+use model::VmName;
+
+use crate::body_pump::{pump_body, send_all};
+use crate::head_reader::{frame_head, read_head, read_message};
+use crate::hello_message::{HelloAnswer, HelloMessage};
+use crate::{
+    AnswerHead, CallHead, FleetSecret, LinkBody, LinkError, LinkSettings, WIRE_VERSION, decode,
+    encode,
+};
+
+/// The most streams that a link holds open at once.
+pub(crate) const MAX_STREAMS: u32 = 8_192;
+
+/// The calling end of a link to another node.
+pub struct PeerLink {
+    sender: RefCell<SendRequest<Bytes>>,
+    down: Shared<oneshot::Receiver<()>>,
+    waiting: Rc<Cell<usize>>,
+}
+
+impl PeerLink {
+    /// Opens a link and proves the fleet's secret in both directions.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`LinkError`] when the node can't be reached in time, doesn't hold the secret,
+    /// or speaks another version.
+    pub async fn connect(
+        address: SocketAddr,
+        own: &VmName,
+        secret: &FleetSecret,
+        settings: &LinkSettings,
+    ) -> Result<Self, LinkError> {
+        let limit_ms = settings.connect_timeout_ms;
+        let opening = Self::open(address, own, secret, settings);
+        match timeout(Duration::from_millis(limit_ms), opening).await {
+            Ok(link) => link,
+            Err(_) => Err(LinkError::ConnectTimeout(limit_ms)),
+        }
+    }
+
+    async fn open(
+        address: SocketAddr,
+        own: &VmName,
+        secret: &FleetSecret,
+        settings: &LinkSettings,
+    ) -> Result<Self, LinkError> {
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        let stream = TokioIo::new(HyperStream::new_plain(stream));
+        let (sender, mut connection) = h2::client::Builder::new()
+            .initial_window_size(settings.stream_window_bytes)
+            .initial_connection_window_size(settings.link_window_bytes)
+            .initial_max_send_streams(MAX_STREAMS as usize)
+            .handshake::<_, Bytes>(stream)
+            .await
+            .map_err(LinkError::NotSent)?;
+        let pings = connection.ping_pong();
+        let (down_sender, down) = oneshot::channel();
+        let waiting = Rc::new(Cell::new(0));
+        let keeper = keep_alive(pings, Rc::clone(&waiting), *settings);
+        compio::runtime::spawn(async move {
+            let keeper = std::pin::pin!(keeper);
+            select(connection, keeper).await;
+            drop(down_sender);
+        })
+        .detach();
+        let link = Self {
+            sender: RefCell::new(sender),
+            down: down.shared(),
+            waiting,
+        };
+        link.prove(own, secret).await?;
+        Ok(link)
+    }
+
+    /// Returns whether the link broke or went silent.
+    #[must_use]
+    pub fn is_down(&self) -> bool {
+        self.down.peek().is_some() || self.down.clone().now_or_never().is_some()
+    }
+
+    /// Returns the number of calls and messages that wait for an answer.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.waiting.get()
+    }
+
+    /// Sends a call and returns the head of its answer with the body that follows.
+    ///
+    /// Dropping the future or the returned body cancels the call at the far end.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`LinkError`]; its verdict tells whether the call may have run.
+    pub async fn call<B>(
+        &self,
+        head: &CallHead,
+        body: B,
+    ) -> Result<(AnswerHead, LinkBody), LinkError>
+    where
+        B: Body<Data = Bytes> + Unpin + 'static,
+    {
+        let _guard = WaitGuard::new(&self.waiting);
+        let frame = frame_head(head)?;
+        let (response, mut stream) = self.send("/call").await?;
+        let sender = compio::runtime::spawn(async move {
+            if send_all(&mut stream, frame).await.is_ok() {
+                let _ = pump_body(body, &mut stream).await;
+            }
+        });
+        let mut answer = self.wait(response).await?;
+        let (answer_head, first) = self
+            .until_down(read_head::<AnswerHead>(&mut answer))
+            .await?;
+        if answer_head.attempt != head.attempt {
+            return Err(LinkError::WrongAnswer {
+                sent: head.attempt,
+                got: answer_head.attempt,
+            });
+        }
+        let told = answer_head.body_bytes;
+        let body = LinkBody::new(answer, first, told, Some(sender));
+        Ok((answer_head, body))
+    }
+
+    /// Sends a control message and returns the answer to it.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`LinkError`] when no whole answer came.
+    pub async fn exchange(&self, message: Bytes) -> Result<Bytes, LinkError> {
+        self.send_message("/control", message).await
+    }
+
+    async fn prove(&self, own: &VmName, secret: &FleetSecret) -> Result<(), LinkError> {
+        let nonce = rand::random();
+        let hello = HelloMessage {
+            version: WIRE_VERSION,
+            vm: own.clone(),
+            nonce,
+        };
+        let answer = self.send_message("/hello", encode(&hello)?.into()).await?;
+        let answer: HelloAnswer = decode(&answer)?;
+        if answer.version != WIRE_VERSION {
+            return Err(LinkError::Version {
+                ours: WIRE_VERSION,
+                theirs: answer.version,
+            });
+        }
+        if !secret.check("server", &[&nonce, &answer.nonce], &answer.proof) {
+            return Err(LinkError::Unproven);
+        }
+        let parts: [&[u8]; 3] = [&answer.nonce, &nonce, own.as_str().as_bytes()];
+        let proof = secret.prove("client", &parts);
+        self.send_message("/prove", proof.into()).await?;
+        Ok(())
+    }
+
+    async fn send_message(&self, path: &str, message: Bytes) -> Result<Bytes, LinkError> {
+        let _guard = WaitGuard::new(&self.waiting);
+        let (response, mut stream) = self.send(path).await?;
+        let sending = async move {
+            if send_all(&mut stream, message).await.is_ok() {
+                let _ = stream.send_data(Bytes::new(), true);
+            }
+            stream
+        };
+        let (_stream, answer) = futures_util::join!(sending, self.wait(response));
+        self.until_down(read_message(&mut answer?)).await
+    }
+
+    async fn send(&self, path: &str) -> Result<(ResponseFuture, SendStream<Bytes>), LinkError> {
+        let mut sender = self.sender.borrow().clone();
+        let ready = poll_fn(|context| sender.poll_ready(context));
+        ready.await.map_err(LinkError::NotSent)?;
+        let request = Request::builder()
+            .method(Method::POST)
+            .uri(format!("http://node{path}"))
+            .body(())
+            .expect("a fixed request is valid");
+        sender
+            .send_request(request, false)
+            .map_err(LinkError::NotSent)
+    }
+
+    async fn wait(&self, response: ResponseFuture) -> Result<RecvStream, LinkError> {
+        let response = response.map(|result| result.map_err(classify));
+        Ok(self.until_down(response).await?.into_body())
+    }
+
+    async fn until_down<T>(
+        &self,
+        work: impl Future<Output = Result<T, LinkError>>,
+    ) -> Result<T, LinkError> {
+        let work = std::pin::pin!(work);
+        match select(work, self.down.clone()).await {
+            Either::Left((result, _)) => result,
+            Either::Right(_) => Err(LinkError::Silent),
+        }
+    }
+}
+
+/// Tells a stream that the far end surely refused from one that broke.
+fn classify(error: h2::Error) -> LinkError {
+    if error.is_remote() && error.reason() == Some(h2::Reason::REFUSED_STREAM) {
+        return LinkError::NotSent(error);
+    }
+    LinkError::Broken(error)
+}
+
+/// Probes the link and returns when it doesn't answer in time.
+async fn keep_alive(pings: Option<PingPong>, waiting: Rc<Cell<usize>>, settings: LinkSettings) {
+    let Some(mut pings) = pings else {
+        return std::future::pending().await;
+    };
+    let mut idle_ms = 0;
+    loop {
+        sleep(Duration::from_millis(settings.busy_probe_ms)).await;
+        idle_ms += settings.busy_probe_ms;
+        if waiting.get() == 0 && idle_ms < settings.idle_probe_ms {
+            continue;
+        }
+        idle_ms = 0;
+        let probe = pings.ping(Ping::opaque());
+        let limit = Duration::from_millis(settings.probe_timeout_ms);
+        if !matches!(timeout(limit, probe).await, Ok(Ok(_))) {
+            return;
+        }
+    }
+}
+
+/// Counts a waiting call for as long as it lives.
+struct WaitGuard(Rc<Cell<usize>>);
+
+impl WaitGuard {
+    fn new(waiting: &Rc<Cell<usize>>) -> Self {
+        waiting.set(waiting.get() + 1);
+        Self(Rc::clone(waiting))
+    }
+}
+
+impl Drop for WaitGuard {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
