--- /dev/null
+++ b/crates/limit/src/admission_queue.rs
@@ -0,0 +1,277 @@
+use std::collections::BTreeMap;
+
+use clock::ClockTime;
+use model::{AttemptId, RefusalReason};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use crate::shed_control::QueueState;
+use crate::wait_line::WaitLine;
+use crate::{
+    ConcurrencyLimit, LoadReport, QueueAction, QueueDecision, QueueRefusal, QueueSettings,
+    QueueTicket, RunOutcome, ShedControl,
+};
+
+/// The slots assumed until the backend server announces its own.
+const DEFAULT_SLOTS: u32 = 16;
+/// The run time assumed until one is measured, in milliseconds.
+const DEFAULT_RUN_MS: f64 = 20.0;
+/// The weight of one run in the mean run time.
+const RUN_GAIN: f64 = 0.02;
+/// The shortest time after which a refused caller is told to come back, in milliseconds.
+const MIN_RETRY_MS: f64 = 100.0;
+/// The longest time after which a refused caller is told to come back, in milliseconds.
+const MAX_RETRY_MS: f64 = 10_000.0;
+/// The time after which a caller is told to come back, for each unit of overload, in
+/// milliseconds.
+const OVERLOAD_RETRY_MS: f64 = 500.0;
+
+/// Decides which requests run on a backend server, which wait and which are refused.
+///
+/// # Examples
+///
+/// ```
+/// use lentilshift_clock::ClockTime;
+/// use lentilshift_limit::{AdmissionQueue, QueueDecision, QueueSettings, QueueTicket};
+/// use lentilshift_model::{AttemptId, CallImportance, RequestId, ShedOrder};
+///
+/// let mut queue = AdmissionQueue::new(QueueSettings::default(), 1);
+/// queue.set_slots(25);
+/// let ticket = QueueTicket {
+///     id: AttemptId::from_random(1),
+///     order: ShedOrder::new(CallImportance::Normal, RequestId::from_random(2)),
+///     team: None,
+///     team_weight: 1,
+///     deadline: ClockTime::from_ms(1_000),
+///     depth: 0,
+///     expected_ms: 50,
+/// };
+/// assert_eq!(queue.offer(ClockTime::ZERO, ticket), QueueDecision::Start);
+/// ```
+#[derive(Clone, Debug)]
+pub struct AdmissionQueue {
+    settings: QueueSettings,
+    limit: ConcurrencyLimit,
+    shed: ShedControl,
+    line: WaitLine,
+    running: BTreeMap<AttemptId, ClockTime>,
+    run_ms: f64,
+    random: SmallRng,
+}
+
+impl AdmissionQueue {
+    /// Creates an empty queue.
+    #[must_use]
+    pub fn new(settings: QueueSettings, seed: u64) -> Self {
+        Self {
+            settings,
+            limit: ConcurrencyLimit::new(settings.limit, DEFAULT_SLOTS),
+            shed: ShedControl::new(settings.shed),
+            line: WaitLine::default(),
+            running: BTreeMap::new(),
+            run_ms: DEFAULT_RUN_MS,
+            random: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Sets the slots that the backend server announces.
+    pub fn set_slots(&mut self, slots: u32) {
+        self.limit.set_slots(slots);
+    }
+
+    /// Forgets what was measured, for a backend server that has restarted.
+    ///
+    /// Requests that wait stay; runs that are still to finish stay counted.
+    pub fn reset(&mut self) {
+        self.limit.reset();
+        self.shed = ShedControl::new(self.settings.shed);
+        self.run_ms = DEFAULT_RUN_MS;
+    }
+
+    /// Decides on a request.
+    pub fn offer(&mut self, now: ClockTime, ticket: QueueTicket) -> QueueDecision {
+        let team = ticket.team.as_ref();
+        let is_admitted = self.shed.arrive(ticket.order, team, ticket.team_weight);
+        let is_sheltered = self.settings.favors_begun && ticket.is_begun();
+        if !is_admitted && !is_sheltered {
+            return QueueDecision::Refuse(self.refuse_shed(&ticket));
+        }
+        if self.settings.checks_deadlines && !ticket.fits(now) {
+            return QueueDecision::Refuse(self.refusal(RefusalReason::TooLate));
+        }
+        if self.has_slot() && self.line.len() == 0 {
+            self.start(now, ticket.id);
+            self.line.charge(&ticket);
+            return QueueDecision::Start;
+        }
+        let wait = self.wait_behind(self.line.ahead_of(&ticket, &self.settings) + 1);
+        if self.settings.checks_deadlines && !ticket.fits(now.plus_ms(wait)) {
+            return QueueDecision::Refuse(self.refusal(RefusalReason::TooLate));
+        }
+        if wait > self.settings.max_wait_ms && !is_sheltered {
+            return QueueDecision::Refuse(self.refusal(RefusalReason::Overloaded));
+        }
+        self.line.push(ticket, now);
+        QueueDecision::Wait
+    }
+
+    /// Notes the end of a run and starts what waits.
+    pub fn finish(
+        &mut self,
+        now: ClockTime,
+        id: AttemptId,
+        outcome: RunOutcome,
+        actions: &mut Vec<QueueAction>,
+    ) {
+        let in_flight = self.in_flight();
+        let Some(started) = self.running.remove(&id) else {
+            return;
+        };
+        if let RunOutcome::Completed { own_ms } = outcome {
+            self.limit.record(own_ms, in_flight);
+            let run_ms = to_float(now.since_ms(started));
+            self.run_ms += RUN_GAIN * (run_ms.max(0.5) - self.run_ms);
+        }
+        self.advance(now, actions);
+    }
+
+    /// Drops a request whose caller has left, whether it waits or runs.
+    pub fn cancel(&mut self, now: ClockTime, id: AttemptId, actions: &mut Vec<QueueAction>) {
+        if self.line.remove(id) {
+            return;
+        }
+        if self.running.remove(&id).is_some() {
+            self.advance(now, actions);
+        }
+    }
+
+    /// Refuses what has waited too long, changes the cuts and starts what may run.
+    pub fn tick(&mut self, now: ClockTime, actions: &mut Vec<QueueAction>) {
+        self.advance(now, actions);
+    }
+
+    /// Returns the moment by which [`tick`](Self::tick) must be called, if any.
+    #[must_use]
+    pub fn next_tick(&self) -> Option<ClockTime> {
+        let is_idle = self.running.is_empty() && self.line.len() == 0;
+        let is_open = self.shed.cuts().is_open();
+        (!is_idle || !is_open).then(|| self.shed.next_update())
+    }
+
+    /// Returns the load to send back with an answer.
+    #[must_use]
+    pub fn load(&self, _now: ClockTime) -> LoadReport {
+        LoadReport {
+            in_flight: self.in_flight(),
+            limit: self.limit.current(),
+            queued: u32::try_from(self.line.len()).unwrap_or(u32::MAX),
+            wait_ms: u32::try_from(self.wait_now()).unwrap_or(u32::MAX),
+            cuts: self.shed.cuts().clone(),
+        }
+    }
+
+    fn advance(&mut self, now: ClockTime, actions: &mut Vec<QueueAction>) {
+        self.refuse_late(now, actions);
+        let is_late = self.is_late(now);
+        while self.has_slot() {
+            let Some(entry) = self.line.pop(&self.settings, is_late) else {
+                break;
+            };
+            self.start(now, entry.ticket.id);
+            actions.push(QueueAction::Start(entry.ticket.id));
+        }
+        let state = QueueState {
+            wait_ms: to_float(self.wait_now()),
+            capacity: self.capacity(),
+        };
+        self.shed.update(now, state);
+    }
+
+    fn refuse_late(&mut self, now: ClockTime, actions: &mut Vec<QueueAction>) {
+        let settings = self.settings;
+        let late = self.line.drain_late(|entry| {
+            let is_sheltered = settings.favors_begun && entry.ticket.is_begun();
+            let has_waited = now.since_ms(entry.arrived) > settings.max_wait_ms;
+            let is_hopeless = settings.checks_deadlines && !entry.ticket.fits(now);
+            is_hopeless || (has_waited && !is_sheltered)
+        });
+        for entry in late {
+            let reason = if entry.ticket.fits(now) {
+                RefusalReason::Overloaded
+            } else {
+                RefusalReason::TooLate
+            };
+            let refusal = self.refusal(reason);
+            actions.push(QueueAction::Refuse(entry.ticket.id, refusal));
+        }
+    }
+
+    fn start(&mut self, now: ClockTime, id: AttemptId) {
+        self.running.insert(id, now);
+    }
+
+    fn in_flight(&self) -> u32 {
+        u32::try_from(self.running.len()).unwrap_or(u32::MAX)
+    }
+
+    fn has_slot(&self) -> bool {
+        self.in_flight() < self.limit.current()
+    }
+
+    fn is_late(&self, now: ClockTime) -> bool {
+        let target = self.settings.shed.target_wait_ms;
+        self.line
+            .oldest()
+            .is_some_and(|oldest| now.since_ms(oldest) > target)
+    }
+
+    /// Returns the requests a second that the backend server can run.
+    fn capacity(&self) -> f64 {
+        f64::from(self.limit.current()) * 1_000.0 / self.run_ms
+    }
+
+    fn wait_now(&self) -> u64 {
+        if self.has_slot() {
+            return 0;
+        }
+        self.wait_behind(self.line.len())
+    }
+
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        clippy::cast_precision_loss,
+        reason = "queue lengths and waits are small and never negative"
+    )]
+    fn wait_behind(&self, requests: usize) -> u64 {
+        (requests as f64 * 1_000.0 / self.capacity()) as u64
+    }
+
+    fn refuse_shed(&mut self, ticket: &QueueTicket) -> QueueRefusal {
+        let is_over_share = ticket.order >= self.shed.cuts().threshold;
+        self.refusal(if is_over_share {
+            RefusalReason::OverShare
+        } else {
+            RefusalReason::Overloaded
+        })
+    }
+
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the span is clamped"
+    )]
+    fn refusal(&mut self, reason: RefusalReason) -> QueueRefusal {
+        let span = OVERLOAD_RETRY_MS * self.shed.overload() + to_float(self.wait_now());
+        let span = span.clamp(MIN_RETRY_MS, MAX_RETRY_MS) * self.random.random_range(0.75..1.25);
+        QueueRefusal {
+            reason,
+            retry_after_ms: span as u64,
+        }
+    }
+}
+
+#[expect(clippy::cast_precision_loss, reason = "spans are far below 2^52 ms")]
+const fn to_float(span_ms: u64) -> f64 {
+    span_ms as f64
+}
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -1,1 +1,25 @@
 //! Concurrency limits, queues and fair shedding in front of a backend server.
+//!
+//! An [`AdmissionQueue`] decides for each request whether it starts, waits or is refused. It
+//! holds a [`ConcurrencyLimit`], which adapts to measured latency, and a [`ShedControl`], which
+//! sets the [`ShedCuts`] below which new requests are refused at once. The cuts travel back on
+//! every answer in a [`LoadReport`], so that the first node of a chain can refuse a request that
+//! a service below would refuse.
+
+mod admission_queue;
+mod concurrency_limit;
+mod load_report;
+mod queue_settings;
+mod queue_ticket;
+mod shed_control;
+mod shed_cuts;
+mod team_demand;
+mod wait_line;
+
+pub use admission_queue::AdmissionQueue;
+pub use concurrency_limit::{ConcurrencyLimit, LimitSettings};
+pub use load_report::LoadReport;
+pub use queue_settings::QueueSettings;
+pub use queue_ticket::{QueueAction, QueueDecision, QueueRefusal, QueueTicket, RunOutcome};
+pub use shed_control::{QueueState, ShedControl, ShedSettings};
+pub use shed_cuts::{ShedCuts, TeamCut};
--- /dev/null
+++ b/crates/limit/src/queue_settings.rs
@@ -0,0 +1,41 @@
+use crate::{LimitSettings, ShedSettings};
+
+/// The settings of an [`AdmissionQueue`](crate::AdmissionQueue).
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each switch turns off one independent part"
+)]
+pub struct QueueSettings {
+    /// The settings of the concurrency limit.
+    pub limit: LimitSettings,
+    /// The settings of the shedding control.
+    pub shed: ShedSettings,
+    /// The longest that a new request waits, in milliseconds.
+    pub max_wait_ms: u64,
+    /// Whether requests that can't end before their deadline are refused before they start.
+    pub checks_deadlines: bool,
+    /// Whether more important requests start first.
+    pub orders_by_class: bool,
+    /// Whether teams take turns by weight within a class.
+    pub shares_by_team: bool,
+    /// Whether work that was begun upstream goes first and is never cut.
+    pub favors_begun: bool,
+    /// Whether the shedding order replaces arrival order once requests wait too long.
+    pub orders_by_rank: bool,
+}
+
+impl Default for QueueSettings {
+    fn default() -> Self {
+        Self {
+            limit: LimitSettings::default(),
+            shed: ShedSettings::default(),
+            max_wait_ms: 400,
+            checks_deadlines: true,
+            orders_by_class: true,
+            shares_by_team: true,
+            favors_begun: true,
+            orders_by_rank: true,
+        }
+    }
+}
--- /dev/null
+++ b/crates/limit/src/shed_control.rs
@@ -0,0 +1,131 @@
+use clock::ClockTime;
+use model::{ShedOrder, TeamName};
+
+use crate::ShedCuts;
+use crate::team_demand::DemandTable;
+
+/// The settings of a [`ShedControl`].
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ShedSettings {
+    /// Whether new requests are cut at all.
+    pub is_enabled: bool,
+    /// Whether teams get max-min shares when something is cut.
+    pub shares_by_team: bool,
+    /// The wait that is held while requests are cut, in milliseconds.
+    pub target_wait_ms: u64,
+    /// The time in which a wait above the target should be worked off, in milliseconds.
+    pub horizon_ms: u64,
+    /// The time between two changes of the cuts, in milliseconds.
+    pub update_ms: u64,
+    /// The time over which demand is smoothed, in milliseconds.
+    pub smooth_ms: u64,
+}
+
+impl Default for ShedSettings {
+    fn default() -> Self {
+        Self {
+            is_enabled: true,
+            shares_by_team: true,
+            target_wait_ms: 80,
+            horizon_ms: 300,
+            update_ms: 40,
+            smooth_ms: 200,
+        }
+    }
+}
+
+/// The smallest part of capacity that is let in.
+const MIN_CAPACITY_SHARE: f64 = 0.3;
+
+/// What the control is told about the queue.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct QueueState {
+    /// The time that a request joining now would wait, in milliseconds.
+    pub wait_ms: f64,
+    /// The requests a second that the backend server can run.
+    pub capacity: f64,
+}
+
+/// Sets the thresholds below which new requests are refused, from measured demand and waits.
+#[derive(Clone, Debug)]
+pub struct ShedControl {
+    settings: ShedSettings,
+    demand: DemandTable,
+    cuts: ShedCuts,
+    updated: ClockTime,
+    overload: f64,
+}
+
+impl ShedControl {
+    /// Creates a control that lets everything in.
+    #[must_use]
+    pub fn new(settings: ShedSettings) -> Self {
+        Self {
+            settings,
+            demand: DemandTable::default(),
+            cuts: ShedCuts::default(),
+            updated: ClockTime::ZERO,
+            overload: 1.0,
+        }
+    }
+
+    /// Returns the cuts in force.
+    #[must_use]
+    pub const fn cuts(&self) -> &ShedCuts {
+        &self.cuts
+    }
+
+    /// Returns the measured demand over capacity, at least 1.
+    #[must_use]
+    pub const fn overload(&self) -> f64 {
+        self.overload
+    }
+
+    /// Returns the moment of the next change.
+    #[must_use]
+    pub const fn next_update(&self) -> ClockTime {
+        self.updated.plus_ms(self.settings.update_ms)
+    }
+
+    /// Counts an arrival and returns whether a new request is let in.
+    pub fn arrive(&mut self, order: ShedOrder, team: Option<&TeamName>, weight: u32) -> bool {
+        let is_admitted = self.cuts.admits(order, team);
+        if is_admitted {
+            self.demand.count(order, team, weight);
+        }
+        is_admitted
+    }
+
+    /// Changes the cuts when it is time to.
+    pub fn update(&mut self, now: ClockTime, state: QueueState) {
+        let span = now.since_ms(self.updated);
+        if span < self.settings.update_ms {
+            return;
+        }
+        self.updated = now;
+        let span = to_float(span.min(self.settings.update_ms * 4));
+        self.demand.fold(span, to_float(self.settings.smooth_ms));
+        if !self.settings.is_enabled {
+            return;
+        }
+        let target = to_float(self.settings.target_wait_ms);
+        if self.cuts.is_open() && state.wait_ms < target {
+            self.overload = 1.0;
+            return;
+        }
+        let correction = (target - state.wait_ms) / to_float(self.settings.horizon_ms);
+        let share = (1.0 + correction).max(MIN_CAPACITY_SHARE);
+        self.overload = (self.demand.total() / state.capacity).max(1.0);
+        self.cuts = self
+            .demand
+            .divide(state.capacity * share, self.settings.shares_by_team);
+        if self.cuts.is_open() {
+            self.demand.open();
+        }
+    }
+}
+
+#[expect(clippy::cast_precision_loss, reason = "spans are far below 2^52 ms")]
+const fn to_float(span_ms: u64) -> f64 {
+    span_ms as f64
+}
--- /dev/null
+++ b/crates/limit/src/wait_line.rs
@@ -0,0 +1,133 @@
+use std::collections::BTreeMap;
+
+use clock::ClockTime;
+use model::{AttemptId, CallImportance, ShedOrder, TeamName};
+
+use crate::{QueueSettings, QueueTicket};
+
+/// A request that waits, with the moment it came.
+#[derive(Clone, Debug)]
+pub(crate) struct WaitEntry {
+    pub(crate) ticket: QueueTicket,
+    pub(crate) arrived: ClockTime,
+    sequence: u64,
+}
+
+/// The place of a waiting request; the greatest starts first.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct StartRank {
+    importance: CallImportance,
+    turn: std::cmp::Reverse<u64>,
+    is_begun: bool,
+    order: ShedOrder,
+    age: std::cmp::Reverse<u64>,
+}
+
+/// A span of turns that a team of weight 1 uses up with one request.
+const TURN_LEN: u64 = 1 << 20;
+
+/// The requests that wait for a slot.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct WaitLine {
+    entries: Vec<WaitEntry>,
+    turns: BTreeMap<Option<TeamName>, u64>,
+    turn_now: u64,
+    sequence: u64,
+}
+
+impl WaitLine {
+    pub(crate) fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    pub(crate) fn push(&mut self, ticket: QueueTicket, now: ClockTime) {
+        self.sequence += 1;
+        self.entries.push(WaitEntry {
+            ticket,
+            arrived: now,
+            sequence: self.sequence,
+        });
+    }
+
+    pub(crate) fn remove(&mut self, id: AttemptId) -> bool {
+        let len = self.entries.len();
+        self.entries.retain(|entry| entry.ticket.id != id);
+        self.entries.len() < len
+    }
+
+    /// Returns how many requests would start before a new one.
+    pub(crate) fn ahead_of(&self, ticket: &QueueTicket, settings: &QueueSettings) -> usize {
+        if !settings.orders_by_class {
+            return self.entries.len();
+        }
+        let importance = ticket.order.importance();
+        self.entries
+            .iter()
+            .filter(|entry| entry.ticket.order.importance() >= importance)
+            .count()
+    }
+
+    /// Takes out every request for which `is_late` holds.
+    pub(crate) fn drain_late(&mut self, is_late: impl Fn(&WaitEntry) -> bool) -> Vec<WaitEntry> {
+        self.entries
+            .extract_if(.., |entry| is_late(entry))
+            .collect()
+    }
+
+    /// Returns the moment that the oldest request came.
+    pub(crate) fn oldest(&self) -> Option<ClockTime> {
+        self.entries.iter().map(|entry| entry.arrived).min()
+    }
+
+    /// Takes out the request that starts next.
+    pub(crate) fn pop(&mut self, settings: &QueueSettings, is_late: bool) -> Option<WaitEntry> {
+        let position = self
+            .entries
+            .iter()
+            .enumerate()
+            .max_by_key(|(_, entry)| self.rank(entry, settings, is_late))
+            .map(|(position, _)| position)?;
+        let entry = self.entries.swap_remove(position);
+        self.charge(&entry.ticket);
+        Some(entry)
+    }
+
+    /// Charges a team for a request that starts.
+    pub(crate) fn charge(&mut self, ticket: &QueueTicket) {
+        let turn = self.turn_of(ticket.team.as_ref());
+        self.turn_now = self.turn_now.max(turn.min(self.turn_now + TURN_LEN));
+        let next = turn + TURN_LEN / u64::from(ticket.team_weight.max(1));
+        self.turns.insert(ticket.team.clone(), next);
+        let turn_now = self.turn_now;
+        self.turns.retain(|_, turn| *turn > turn_now);
+    }
+
+    fn turn_of(&self, team: Option<&TeamName>) -> u64 {
+        let turn = self.turns.get(&team.cloned()).copied().unwrap_or(0);
+        turn.max(self.turn_now)
+    }
+
+    fn rank(&self, entry: &WaitEntry, settings: &QueueSettings, is_late: bool) -> StartRank {
+        let ticket = &entry.ticket;
+        let turn = if settings.shares_by_team {
+            self.turn_of(ticket.team.as_ref())
+        } else {
+            0
+        };
+        StartRank {
+            importance: if settings.orders_by_class {
+                ticket.order.importance()
+            } else {
+                CallImportance::Normal
+            },
+            turn: std::cmp::Reverse(turn),
+            is_begun: settings.favors_begun && ticket.is_begun(),
+            order: if settings.orders_by_rank && is_late {
+                ticket.order
+            } else {
+                ShedOrder::FIRST
+            },
+            age: std::cmp::Reverse(entry.sequence),
+        }
+    }
+}
