--- a/crates/limit/src/admission_queue.rs
+++ b/crates/limit/src/admission_queue.rs
@@ -31,9 +31,9 @@
 /// # Examples
 ///
 /// ```
-/// use lentilshift_clock::ClockTime;
+/// use clock::ClockTime;
 /// use lentilshift_limit::{AdmissionQueue, QueueDecision, QueueSettings, QueueTicket};
-/// use lentilshift_model::{AttemptId, CallImportance, RequestId, ShedOrder};
+/// use model::{AttemptId, CallImportance, RequestId, ShedOrder};
 ///
 /// let mut queue = AdmissionQueue::new(QueueSettings::default(), 1);
 /// queue.set_slots(25);
--- a/crates/limit/src/shed_cuts.rs
+++ b/crates/limit/src/shed_cuts.rs
@@ -16,7 +16,7 @@
 ///
 /// ```
 /// use lentilshift_limit::ShedCuts;
-/// use lentilshift_model::{CallImportance, RequestId, ShedOrder};
+/// use model::{CallImportance, RequestId, ShedOrder};
 ///
 /// let order = ShedOrder::new(CallImportance::Normal, RequestId::from_random(7));
 /// assert!(ShedCuts::default().admits(order, None));
--- /dev/null
+++ b/crates/route/src/vm_health.rs
@@ -0,0 +1,54 @@
+use clock::ClockTime;
+
+use crate::{RouteOutcome, RouteSettings};
+
+/// The failures of one VM, and until when it is ejected for them.
+#[derive(Clone, Debug)]
+pub(crate) struct VmHealth {
+    failures: u32,
+    ejections: u32,
+    ejected_until: Option<ClockTime>,
+}
+
+impl VmHealth {
+    pub(crate) const fn new() -> Self {
+        Self {
+            failures: 0,
+            ejections: 0,
+            ejected_until: None,
+        }
+    }
+
+    /// Notes an outcome and returns whether the VM has failed often enough to be ejected.
+    pub(crate) fn note(&mut self, outcome: RouteOutcome, settings: &RouteSettings) -> bool {
+        match outcome {
+            RouteOutcome::Succeeded { .. } | RouteOutcome::Refused => {
+                self.failures = 0;
+                if self.ejected_until.is_none() {
+                    self.ejections = 0;
+                }
+            }
+            RouteOutcome::Failed => self.failures += 1,
+            RouteOutcome::Abandoned => {}
+        }
+        self.ejected_until.is_none() && self.failures >= settings.eject_failures
+    }
+
+    pub(crate) fn eject(&mut self, now: ClockTime, settings: &RouteSettings) {
+        let factor = 1_u64 << self.ejections.min(16);
+        let span = (settings.eject_ms * factor).min(settings.max_eject_ms);
+        self.ejected_until = Some(now.plus_ms(span));
+        self.ejections += 1;
+        self.failures = settings.eject_failures.saturating_sub(1);
+    }
+
+    pub(crate) fn readmit(&mut self, now: ClockTime) {
+        if self.ejected_until.is_some_and(|until| until <= now) {
+            self.ejected_until = None;
+        }
+    }
+
+    pub(crate) const fn is_ejected(&self) -> bool {
+        self.ejected_until.is_some()
+    }
+}
