feat(contract): parse and check the operators' text with all faults at once

The text is TOML. It is read as the spanned tree of the toml library and checked field by field, because serde alone stops at the first fault; the rest of the text is then unseen. Every fault is a typed value with its line, its message and what is allowed, and the whole is one miette diagnostic.

find_call refuses paths that a backend server might read otherwise (dot and empty segments, escaped letters, ; parameters): a prefix match alone would let such a path through an open call without a key. Tests hold find_call against a naive scan, the dependency order against a naive search, and each fault against its exact message.

--- /dev/null
+++ b/crates/contract/examples/contract_size.rs
@@ -0,0 +1,85 @@
+//! Prints the time and memory that a contract of the size to design for takes.
+//!
+//! Run it with `cargo run --release -p lentilshift-contract --example contract_size`.
+
+use std::fmt::Write;
+use std::hint::black_box;
+use std::time::Instant;
+
+use lentilshift_contract::FleetContract;
+
+const SERVICES: usize = 530;
+const CALLS_PER_SERVICE: usize = 6;
+const TEAMS: usize = 400;
+const DEPTH: usize = 11;
+const PARSES: u32 = 50;
+const LOOKUPS: u32 = 1_000_000;
+
+fn main() {
+    let text = contract_text();
+    let before_kb = resident_kb();
+    let contract = parse(&text);
+    let after_kb = resident_kb();
+    let kept: Vec<_> = (0..PARSES).map(|_| contract.clone()).collect();
+    let kept_kb = (resident_kb() - after_kb) / u64::from(PARSES);
+    drop(kept);
+
+    let start = Instant::now();
+    for _ in 0..PARSES {
+        black_box(parse(&text));
+    }
+    let parse_us = start.elapsed().as_micros() / u128::from(PARSES);
+
+    let start = Instant::now();
+    for _ in 0..LOOKUPS {
+        let call = contract.find_call("service-number-0400", "GET", "/resource-3/items/17");
+        black_box(call);
+    }
+    let lookup_ns = start.elapsed().as_nanos() / u128::from(LOOKUPS);
+
+    println!("services={SERVICES} calls_per_service={CALLS_PER_SERVICE} teams={TEAMS}");
+    println!("text_bytes={} parse_us={parse_us}", text.len());
+    println!("first_parse_kb={} kept_kb={kept_kb}", after_kb - before_kb);
+    println!("find_call_ns={lookup_ns}");
+}
+
+fn parse(text: &str) -> FleetContract {
+    FleetContract::parse("fleet.toml", text).expect("the text is valid")
+}
+
+fn contract_text() -> String {
+    let mut text = String::new();
+    for service in 0..SERVICES {
+        write_service(service, &mut text);
+    }
+    for team in 0..TEAMS {
+        let head = format!("[teams.team-number-{team:04}]");
+        writeln!(text, "{head}\nrate_per_s = 200\nburst = 400\n").expect("a string takes text");
+    }
+    text
+}
+
+fn write_service(service: usize, text: &mut String) {
+    let name = format!("service-number-{service:04}");
+    writeln!(text, "[services.{name}]").expect("a string takes text");
+    if service % DEPTH > 0 {
+        let below = format!("service-number-{:04}", service - 1);
+        writeln!(text, "depends_on = [\"{below}\"]").expect("a string takes text");
+    }
+    for call in 0..CALLS_PER_SERVICE {
+        writeln!(
+            text,
+            "[services.{name}.calls.call-{call}]\nmethod = \"GET\"\npath = \"/resource-{call}\"\n\
+             importance = \"high\"\ndeadline_ms = 800\n"
+        )
+        .expect("a string takes text");
+    }
+}
+
+/// Returns the memory that the process holds, in KB, or 0 where the system doesn't tell.
+fn resident_kb() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let number = line.and_then(|line| line.split_whitespace().next());
+    number.and_then(|number| number.parse().ok()).unwrap_or(0)
+}
--- /dev/null
+++ b/crates/contract/src/call_contract.rs
@@ -0,0 +1,74 @@
+use std::sync::Arc;
+
+use model::CallImportance;
+use serde::Serialize;
+
+/// What the operators promise and ask for one kind of call.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct CallContract {
+    /// The HTTP method, or `None` for any.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub method: Option<Arc<str>>,
+    /// The prefix of the request's path, in whole segments.
+    pub path: Arc<str>,
+    /// The class of a request that enters the fleet by this call.
+    pub importance: CallImportance,
+    /// Whether a request runs at most once, under its idempotency key.
+    pub once: bool,
+    /// Whether running a request twice does the same as running it once.
+    pub idempotent: bool,
+    /// Whether the call is open to all, without a key.
+    pub open: bool,
+    /// The time from entry to answer, in milliseconds.
+    pub deadline_ms: u64,
+}
+
+impl CallContract {
+    /// The deadline of a call that names none, in milliseconds.
+    pub const DEFAULT_DEADLINE_MS: u64 = 10_000;
+
+    /// The path of a call that names none: every path.
+    pub const DEFAULT_PATH: &str = "/";
+
+    /// Returns whether a request that may have run can be sent again.
+    #[must_use]
+    pub const fn may_retry(&self) -> bool {
+        self.idempotent && !self.once
+    }
+
+    /// Returns whether a call takes requests with this method.
+    #[must_use]
+    pub fn takes_method(&self, method: &str) -> bool {
+        self.method.as_deref().is_none_or(|own| own == method)
+    }
+
+    /// Returns whether a path lies at or below the call's path.
+    #[must_use]
+    pub fn takes_path(&self, path: &str) -> bool {
+        if &*self.path == Self::DEFAULT_PATH {
+            return path.starts_with('/');
+        }
+        path.strip_prefix(&*self.path)
+            .is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
+    }
+
+    /// Returns whether a method is safe, so that its calls are idempotent by default.
+    pub(crate) fn is_safe_method(method: Option<&str>) -> bool {
+        matches!(method, Some("GET" | "HEAD" | "OPTIONS"))
+    }
+}
+
+impl Default for CallContract {
+    /// Returns a call that takes every request and promises nothing.
+    fn default() -> Self {
+        Self {
+            method: None,
+            path: Self::DEFAULT_PATH.into(),
+            importance: CallImportance::default(),
+            once: false,
+            idempotent: false,
+            open: false,
+            deadline_ms: Self::DEFAULT_DEADLINE_MS,
+        }
+    }
+}
--- /dev/null
+++ b/crates/contract/src/call_reader.rs
@@ -0,0 +1,104 @@
+use std::ops::Range;
+use std::sync::Arc;
+
+use model::{CallImportance, CallName};
+use toml::de::DeTable;
+
+use crate::fault_list::{FaultList, shorten};
+use crate::field_reader::FieldReader;
+use crate::text_bounds::{KNOWN_METHODS, MAX_DEADLINE_MS, MAX_PATH_LEN};
+use crate::{CallContract, FaultKind, is_plain_path};
+
+const FIELDS: &[&str] = &[
+    "method",
+    "path",
+    "importance",
+    "idempotent",
+    "once",
+    "open",
+    "deadline_ms",
+];
+
+/// Reads one call, or returns `None` when its method or path is at fault.
+pub(crate) fn read_call<'t>(
+    name: &CallName,
+    table: &'t DeTable<'t>,
+    span: Range<usize>,
+    faults: &mut FaultList<'_>,
+) -> Option<CallContract> {
+    let place = format!("call \"{name}\"");
+    let reader = FieldReader::new(table, place, span.clone(), FIELDS, faults);
+    let method = read_method(&reader, faults);
+    let path = read_path(&reader, faults);
+    let importance = read_importance(&reader, faults);
+    let once = reader.flag("once", faults).unwrap_or(false);
+    let open = reader.flag("open", faults).unwrap_or(false);
+    let idempotent = reader.flag("idempotent", faults);
+    let deadline_ms = reader.number("deadline_ms", 1..=MAX_DEADLINE_MS, faults);
+    if once && idempotent == Some(true) {
+        faults.push(FaultKind::OnceAndIdempotent(name.to_string()), span.clone());
+    }
+    if once && open {
+        faults.push(FaultKind::OnceAndOpen(name.to_string()), span);
+    }
+    let method = method?;
+    let is_safe = CallContract::is_safe_method(method.as_deref());
+    Some(CallContract {
+        method,
+        path: path?,
+        importance,
+        once,
+        idempotent: idempotent.unwrap_or(is_safe && !once),
+        open,
+        deadline_ms: deadline_ms.unwrap_or(CallContract::DEFAULT_DEADLINE_MS),
+    })
+}
+
+/// Reads the method: `Some(None)` when it is left out, `None` when it is at fault.
+#[expect(clippy::option_option, reason = "left out and at fault differ")]
+fn read_method(reader: &FieldReader<'_>, faults: &mut FaultList<'_>) -> Option<Option<Arc<str>>> {
+    let Some(method) = reader.text("method", faults) else {
+        return Some(None);
+    };
+    if KNOWN_METHODS.contains(&method.text) {
+        return Some(Some(method.text.into()));
+    }
+    faults.push(FaultKind::UnknownMethod(shorten(method.text)), method.span);
+    None
+}
+
+fn read_path(reader: &FieldReader<'_>, faults: &mut FaultList<'_>) -> Option<Arc<str>> {
+    let Some(path) = reader.text("path", faults) else {
+        return Some(CallContract::DEFAULT_PATH.into());
+    };
+    if is_call_path(path.text) {
+        return Some(path.text.into());
+    }
+    faults.push(FaultKind::BadPath(shorten(path.text)), path.span);
+    None
+}
+
+fn is_call_path(path: &str) -> bool {
+    let is_whole = path == "/" || !path.ends_with('/');
+    let is_segment_byte =
+        |byte: u8| byte.is_ascii_alphanumeric() || b"/-._~!$&'()*+,=:@".contains(&byte);
+    path.len() <= MAX_PATH_LEN
+        && is_whole
+        && path.bytes().all(is_segment_byte)
+        && is_plain_path(path)
+}
+
+fn read_importance(reader: &FieldReader<'_>, faults: &mut FaultList<'_>) -> CallImportance {
+    let Some(field) = reader.text("importance", faults) else {
+        return CallImportance::default();
+    };
+    let mut classes = CallImportance::ALL.into_iter();
+    if let Some(importance) = classes.find(|class| class.as_str() == field.text) {
+        return importance;
+    }
+    faults.push(
+        FaultKind::UnknownImportance(shorten(field.text)),
+        field.span,
+    );
+    CallImportance::default()
+}
--- /dev/null
+++ b/crates/contract/src/dependency_check.rs
@@ -0,0 +1,96 @@
+use std::collections::BTreeMap;
+use std::ops::Range;
+
+use model::ServiceName;
+
+use crate::fault_list::FaultList;
+use crate::text_bounds::MAX_CHAIN_DEPTH;
+use crate::{DependencyOrder, FaultKind, ServiceContract};
+
+/// Where each dependency of each service stands in the text.
+type DependencySpans = BTreeMap<ServiceName, BTreeMap<ServiceName, Range<usize>>>;
+
+/// Reports unknown services, dependency cycles and chains that are too deep.
+pub(crate) fn check_dependencies(
+    services: &BTreeMap<ServiceName, ServiceContract>,
+    spans: &DependencySpans,
+    faults: &mut FaultList<'_>,
+) {
+    check_known(services, spans, faults);
+    let order = DependencyOrder::of(services);
+    for cycle in &order.cycles {
+        let names = cycle.services();
+        let next = names.get(1).unwrap_or(&names[0]);
+        let span = spans[&names[0]][next].clone();
+        faults.push(FaultKind::DependencyCycle(cycle.to_string()), span);
+    }
+    check_depth(services, &order, spans, faults);
+}
+
+fn check_known(
+    services: &BTreeMap<ServiceName, ServiceContract>,
+    spans: &DependencySpans,
+    faults: &mut FaultList<'_>,
+) {
+    for (service, dependencies) in spans {
+        for (dependency, span) in dependencies {
+            if services.contains_key(dependency) {
+                continue;
+            }
+            let fault = FaultKind::UnknownService {
+                service: service.to_string(),
+                dependency: dependency.to_string(),
+            };
+            faults.push(fault, span.clone());
+        }
+    }
+}
+
+/// Reports the deepest chain when it is too deep.
+fn check_depth(
+    services: &BTreeMap<ServiceName, ServiceContract>,
+    order: &DependencyOrder,
+    spans: &DependencySpans,
+    faults: &mut FaultList<'_>,
+) {
+    let mut chains: BTreeMap<&ServiceName, ChainStep<'_>> = BTreeMap::new();
+    for service in &order.services {
+        let below = services[service].depends_on.iter();
+        let below = below.filter_map(|name| Some((chains.get(name)?.depth, name)));
+        let deepest = below.max_by_key(|(depth, _)| *depth);
+        let step = ChainStep {
+            depth: deepest.map_or(1, |(depth, _)| depth + 1),
+            next: deepest.map(|(_, name)| name),
+        };
+        chains.insert(service, step);
+    }
+    let Some((service, step)) = chains.iter().max_by_key(|(_, step)| step.depth) else {
+        return;
+    };
+    if step.depth <= MAX_CHAIN_DEPTH {
+        return;
+    }
+    let fault = FaultKind::ChainTooDeep {
+        path: chain_path(service, &chains),
+        depth: step.depth,
+    };
+    let span = step.next.map_or(0..0, |next| spans[*service][next].clone());
+    faults.push(fault, span);
+}
+
+/// The deepest chain that starts at a service.
+struct ChainStep<'c> {
+    depth: usize,
+    next: Option<&'c ServiceName>,
+}
+
+/// Writes the start of a chain, as many services as are allowed.
+fn chain_path(start: &ServiceName, chains: &BTreeMap<&ServiceName, ChainStep<'_>>) -> String {
+    let next = |service: &&ServiceName| chains.get(*service).and_then(|step| step.next);
+    let services = std::iter::successors(Some(start), next);
+    let names: Vec<&str> = services
+        .take(MAX_CHAIN_DEPTH + 1)
+        .map(ServiceName::as_str)
+        .collect();
+    names.join(" -> ")
+}
--- /dev/null
+++ b/crates/contract/src/fault_kind.rs
@@ -0,0 +1,188 @@
+use model::NameError;
+use thiserror::Error;
+
+use crate::text_bounds::{
+    KNOWN_METHODS, MAX_CALLS_PER_SERVICE, MAX_CHAIN_DEPTH, MAX_PATH_LEN, MAX_SERVICES, MAX_TEAMS,
+    MAX_TEXT_LEN,
+};
+
+/// What is wrong at one place of the text.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[non_exhaustive]
+pub enum FaultKind {
+    /// The text isn't TOML.
+    #[error("not valid TOML: {0}")]
+    Syntax(String),
+    /// The text has nothing but white space and comments.
+    #[error("the text is empty")]
+    EmptyText,
+    /// The text is longer than allowed; holds its length in bytes.
+    #[error("the text has {0} bytes, at most {MAX_TEXT_LEN} are allowed")]
+    TextTooLong(usize),
+    /// The text lists no service.
+    #[error("the text lists no service")]
+    NoService,
+    /// There are too many services; holds their number.
+    #[error("the text lists {0} services, at most {MAX_SERVICES} are allowed")]
+    TooManyServices(usize),
+    /// There are too many teams; holds their number.
+    #[error("the text lists {0} teams, at most {MAX_TEAMS} are allowed")]
+    TooManyTeams(usize),
+    /// A service has too many calls.
+    #[error("service \"{service}\" has {count} calls, at most {MAX_CALLS_PER_SERVICE} are allowed")]
+    TooManyCalls {
+        /// The service.
+        service: String,
+        /// The number of its calls.
+        count: usize,
+    },
+    /// A field doesn't exist.
+    #[error("unknown field \"{field}\" in {place}")]
+    UnknownField {
+        /// The field.
+        field: String,
+        /// Where it stands.
+        place: String,
+        /// The fields that exist there.
+        allowed: &'static [&'static str],
+    },
+    /// A required field isn't there.
+    #[error("{place} has no \"{field}\"")]
+    MissingField {
+        /// The field.
+        field: &'static str,
+        /// Where it is missing.
+        place: String,
+    },
+    /// A value has the wrong type.
+    #[error("{place} must be {expected}, not {found}")]
+    WrongType {
+        /// What has the value.
+        place: String,
+        /// The type that is expected.
+        expected: &'static str,
+        /// The type that was found.
+        found: &'static str,
+    },
+    /// A number is out of its range.
+    #[error("{place} must be a whole number from {min} to {max}, not {found}")]
+    OutOfRange {
+        /// What has the value.
+        place: String,
+        /// The lowest number allowed.
+        min: u64,
+        /// The highest number allowed.
+        max: u64,
+        /// The number that was found.
+        found: String,
+    },
+    /// A name breaks the rules for names.
+    #[error("bad {kind} name \"{name}\": {error}")]
+    BadName {
+        /// What the name names.
+        kind: &'static str,
+        /// The name.
+        name: String,
+        /// The rule that it breaks.
+        error: NameError,
+    },
+    /// A service depends on one that the text doesn't list.
+    #[error("service \"{service}\" depends on \"{dependency}\", which the text doesn't list")]
+    UnknownService {
+        /// The service.
+        service: String,
+        /// The service that isn't listed.
+        dependency: String,
+    },
+    /// A service lists a dependency twice.
+    #[error("service \"{service}\" lists its dependency \"{dependency}\" twice")]
+    DuplicateDependency {
+        /// The service.
+        service: String,
+        /// The dependency.
+        dependency: String,
+    },
+    /// Services depend on each other in a ring.
+    #[error("dependency cycle: {0}")]
+    DependencyCycle(String),
+    /// A chain of dependencies is too long.
+    #[error("the chain {path} has {depth} services, at most {MAX_CHAIN_DEPTH} are allowed")]
+    ChainTooDeep {
+        /// The chain.
+        path: String,
+        /// The number of its services.
+        depth: usize,
+    },
+    /// Two calls of a service take the same requests.
+    #[error(
+        "calls \"{first}\" and \"{second}\" of service \"{service}\" have the same method and path"
+    )]
+    DuplicateCall {
+        /// The service.
+        service: String,
+        /// The call whose name comes first.
+        first: String,
+        /// The other call.
+        second: String,
+    },
+    /// An importance isn't one of the four.
+    #[error("unknown importance \"{0}\"")]
+    UnknownImportance(String),
+    /// A method isn't known.
+    #[error("unknown method \"{0}\"")]
+    UnknownMethod(String),
+    /// A path breaks the rules for paths.
+    #[error("bad path \"{0}\"")]
+    BadPath(String),
+    /// A call is marked both once and idempotent.
+    #[error("call \"{0}\" is both once and idempotent")]
+    OnceAndIdempotent(String),
+    /// A call is marked both once and open to all.
+    #[error("call \"{0}\" is both once and open")]
+    OnceAndOpen(String),
+}
+
+impl FaultKind {
+    /// Returns what is allowed in place of the fault.
+    #[must_use]
+    pub fn help(&self) -> String {
+        match self {
+            Self::Syntax(_) => "a name may stand only once; text values need quotes".into(),
+            Self::EmptyText | Self::NoService => {
+                "list at least one service, such as [services.registry]".into()
+            }
+            Self::TextTooLong(_)
+            | Self::TooManyServices(_)
+            | Self::TooManyTeams(_)
+            | Self::TooManyCalls { .. } => "remove what is no longer used".into(),
+            Self::UnknownField { allowed, .. } => format!("allowed: {}", allowed.join(", ")),
+            Self::MissingField { field, .. } => format!("add a line {field} = …"),
+            Self::WrongType { expected, .. } => format!("write {expected}"),
+            Self::OutOfRange { min, max, .. } => format!("allowed: {min} to {max}"),
+            Self::BadName { .. } => {
+                "allowed: 1 to 63 lower-case letters, digits and inner hyphens".into()
+            }
+            Self::UnknownService { dependency, .. } => {
+                format!("add [services.{dependency}], or correct the name")
+            }
+            Self::DuplicateDependency { .. } => "remove one of the two".into(),
+            Self::DependencyCycle(_) => "remove one of these dependencies".into(),
+            Self::ChainTooDeep { .. } => "shorten the chain of dependencies".into(),
+            Self::DuplicateCall { .. } => {
+                "give the calls different paths or methods, or remove one".into()
+            }
+            Self::UnknownImportance(_) => "allowed: background, normal, high, critical".into(),
+            Self::UnknownMethod(_) => format!("allowed: {}", KNOWN_METHODS.join(", ")),
+            Self::BadPath(_) => format!(
+                "allowed: \"/\", or segments such as \"/records/recent\" of letters, digits and \
+                 -._~!$&'()*+,=:@ with no slash at the end, {MAX_PATH_LEN} bytes at most"
+            ),
+            Self::OnceAndIdempotent(_) => {
+                "keep once = true for what may not be repeated, else idempotent = true".into()
+            }
+            Self::OnceAndOpen(_) => {
+                "a once call belongs to the team whose key came with it: remove open".into()
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/contract/src/fault_list.rs
@@ -0,0 +1,40 @@
+use std::ops::Range;
+
+use crate::{ContractError, ContractFault, FaultKind};
+
+/// The faults found so far in one text.
+pub(crate) struct FaultList<'t> {
+    text: &'t str,
+    faults: Vec<ContractFault>,
+}
+
+impl<'t> FaultList<'t> {
+    pub(crate) const fn new(text: &'t str) -> Self {
+        Self {
+            text,
+            faults: Vec::new(),
+        }
+    }
+
+    pub(crate) fn push(&mut self, kind: FaultKind, span: Range<usize>) {
+        self.faults.push(ContractFault::new(kind, span, self.text));
+    }
+
+    pub(crate) const fn is_empty(&self) -> bool {
+        self.faults.is_empty()
+    }
+
+    pub(crate) fn into_error(self, source_name: &str) -> ContractError {
+        ContractError::new(source_name, self.text, self.faults)
+    }
+}
+
+/// Shortens what an operator wrote to a length that an error line can hold.
+pub(crate) fn shorten(text: &str) -> String {
+    const MAX_SHOWN_CHARS: usize = 80;
+    let mut shown: String = text.chars().take(MAX_SHOWN_CHARS).collect();
+    if shown.len() < text.len() {
+        shown.push('…');
+    }
+    shown
+}
--- a/crates/contract/src/lib.rs
+++ b/crates/contract/src/lib.rs
@@ -1,1 +1,43 @@
 //! The operators' text: services, calls, teams and keys.
+//!
+//! Operators publish one TOML text. [`FleetContract::parse`] checks all of it and returns either
+//! the contract or a [`ContractError`] that lists every fault with the line it stands on.
+//! [`FleetContract::find_call`] tells which call of the contract a request is.
+//!
+//! Keys aren't part of the text: a key is granted and withdrawn by records of its own, which hold
+//! only its [`KeyDigest`].
+
+mod call_contract;
+mod call_match;
+mod call_reader;
+mod contract_error;
+mod contract_fault;
+mod contract_reader;
+mod dependency_check;
+mod dependency_order;
+mod fault_kind;
+mod fault_list;
+mod field_reader;
+mod fleet_contract;
+mod key_digest;
+mod request_path;
+mod service_contract;
+mod service_reader;
+mod team_contract;
+mod text_bounds;
+
+pub use call_contract::CallContract;
+pub use call_match::CallMatch;
+pub use contract_error::ContractError;
+pub use contract_fault::ContractFault;
+pub use dependency_order::{DependencyCycle, DependencyOrder};
+pub use fault_kind::FaultKind;
+pub use fleet_contract::FleetContract;
+pub use key_digest::{DigestError, KeyDigest};
+pub use request_path::is_plain_path;
+pub use service_contract::ServiceContract;
+pub use team_contract::TeamContract;
+pub use text_bounds::{
+    KNOWN_METHODS, MAX_BURST, MAX_CALLS_PER_SERVICE, MAX_CHAIN_DEPTH, MAX_DEADLINE_MS,
+    MAX_PATH_LEN, MAX_RATE_PER_S, MAX_SERVICES, MAX_TEAMS, MAX_TEXT_LEN,
+};
