--- /dev/null
+++ b/crates/node/src/admin_port.rs
@@ -0,0 +1,55 @@
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http::header::{CONTENT_TYPE, HeaderValue};
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+
+use crate::answer_body::AnswerBody;
+use crate::call_body::CallBody;
+use crate::node_core::NodeCore;
+use crate::state_dump::dump_state;
+
+/// Answers a request for metrics, the dump of the node's state, or readiness.
+pub(crate) async fn answer_admin(
+    core: Rc<NodeCore>,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    match request.uri().path() {
+        "/metrics" => {
+            let load = core.gate.load(core.now());
+            core.metrics.running.set(i64::from(load.in_flight));
+            core.metrics.queued.set(i64::from(load.queued));
+            core.metrics.limit.set(i64::from(load.limit));
+            text_response(
+                StatusCode::OK,
+                "text/plain; version=0.0.4",
+                core.metrics.to_text(),
+            )
+        }
+        "/dump" => {
+            let dump = serde_json::to_string_pretty(&dump_state(&core)).unwrap_or_default();
+            text_response(StatusCode::OK, "application/json", dump)
+        }
+        "/ready" if core.is_ready() => {
+            text_response(StatusCode::OK, "text/plain", "ready\n".to_owned())
+        }
+        "/ready" => {
+            let text = "not ready: no contract is in force, or the node is leaving\n".to_owned();
+            text_response(StatusCode::SERVICE_UNAVAILABLE, "text/plain", text)
+        }
+        path => {
+            let text = format!("\"{path}\" does not exist; try /metrics, /dump or /ready\n");
+            text_response(StatusCode::NOT_FOUND, "text/plain", text)
+        }
+    }
+}
+
+fn text_response(status: StatusCode, kind: &'static str, text: String) -> Response<AnswerBody> {
+    let body = CallBody::Whole(Bytes::from(text));
+    let mut response = Response::new(AnswerBody::from(body));
+    *response.status_mut() = status;
+    let kind = HeaderValue::from_static(kind);
+    response.headers_mut().insert(CONTENT_TYPE, kind);
+    response
+}
--- a/crates/node/src/answer_body.rs
+++ b/crates/node/src/answer_body.rs
@@ -55,6 +55,7 @@
     }
 
     fn size_hint(&self) -> SizeHint {
-        self.told.map_or_else(SizeHint::default, SizeHint::with_exact)
+        self.told
+            .map_or_else(SizeHint::default, SizeHint::with_exact)
     }
 }
--- a/crates/node/src/call_answer.rs
+++ b/crates/node/src/call_answer.rs
@@ -1,22 +1,13 @@
 use http::HeaderMap;
 use http::header::{CONTENT_TYPE, HeaderValue};
 use limit::LoadReport;
-use model::{RefusalReason, RunVerdict, ServiceName, ShedOrder};
+use model::{RefusalReason, RunVerdict, ServiceName};
 use wire::{AnswerHead, CallHead, HeaderList};
 
 use crate::answer_body::AnswerBody;
 use crate::call_body::CallBody;
 use crate::problem_body::problem_body;
 
-/// The load that a node tells when it has no backend server's load at hand.
-pub(crate) const NO_LOAD: LoadReport = LoadReport {
-    in_flight: 0,
-    limit: 0,
-    queued: 0,
-    threshold: ShedOrder::FIRST,
-    wait_ms: 0,
-};
-
 /// Why a node answers a call itself.
 #[derive(Clone, Debug)]
 pub(crate) struct CallRefusal {
@@ -40,8 +31,10 @@
     /// Creates a refusal of a call that may have run.
     pub(crate) const fn may_have_run(reason: RefusalReason) -> Self {
         Self {
+            reason,
             verdict: RunVerdict::MayHaveRun,
-            ..Self::not_run(reason)
+            retry_after_ms: 0,
+            service: None,
         }
     }
 
@@ -87,7 +80,7 @@
                 status: refusal.reason.status(),
                 headers: HeaderList::from(&headers),
                 body_bytes: Some(body.len() as u64),
-                load: NO_LOAD,
+                load: LoadReport::default(),
                 thresholds: Vec::new(),
                 run_ms: 0,
             },
--- a/crates/node/src/call_body.rs
+++ b/crates/node/src/call_body.rs
@@ -75,6 +75,7 @@
     }
 
     fn size_hint(&self) -> SizeHint {
-        self.known_bytes().map_or_else(SizeHint::default, SizeHint::with_exact)
+        self.known_bytes()
+            .map_or_else(SizeHint::default, SizeHint::with_exact)
     }
 }
--- /dev/null
+++ b/crates/node/src/egress.rs
@@ -0,0 +1,122 @@
+use std::rc::Rc;
+
+use clock::ClockTime;
+use http::{HeaderMap, Request, Response};
+use hyper::body::Incoming;
+use model::{AttemptId, RefusalReason, RequestId};
+use wire::CallHead;
+
+use crate::answer_body::AnswerBody;
+use crate::call_answer::{CallAnswer, CallRefusal};
+use crate::call_headers::{CALL_ID, find_deadline_ms};
+use crate::dispatch::dispatch_call;
+use crate::entry::{EntryCall, call_headers, find_call};
+use crate::http_answer::{build_response, refuse_response};
+use crate::node_core::NodeCore;
+use crate::request_body::read_small;
+use crate::running_calls::RunningCall;
+
+/// The retries that a service's own request may spend, one that serves no caller.
+const OWN_ALLOWANCE: u16 = 1;
+
+/// Answers a call that the local backend server makes.
+pub(crate) async fn answer_backend(
+    core: Rc<NodeCore>,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let parent = match find_parent(&core, request.headers()) {
+        Ok(parent) => parent,
+        Err(refusal) => {
+            let request_id = core.new_request_id();
+            return refuse_response(&core, request_id, "egress", &refusal);
+        }
+    };
+    let request_id = parent
+        .as_ref()
+        .map_or_else(|| core.new_request_id(), |parent| parent.request);
+    let Some(entry) = find_call(&core, &request, None) else {
+        let refusal = CallRefusal::not_run(RefusalReason::NoSuchCall);
+        return refuse_response(&core, request_id, "egress", &refusal);
+    };
+    let deadline = find_deadline(&core, &request, &entry, parent.as_deref());
+    let head = build_head(&core, request_id, entry, &request, parent.as_deref());
+    let started = core.now();
+    let service = head.service.clone();
+    let answer = match read_small(&core, request.into_body(), deadline).await {
+        Ok(body) => {
+            let body_bytes = body.known_bytes();
+            let head = CallHead { body_bytes, ..head };
+            dispatch_call(&core, head, body, deadline).await
+        }
+        Err(refusal) => return refuse_response(&core, request_id, "egress", &refusal),
+    };
+    core.metrics
+        .observe_call("egress", &service, started, core.now(), &answer.head);
+    if let Some(parent) = &parent {
+        settle_with(parent, &answer, core.now().since_ms(started));
+    }
+    build_response(request_id, answer)
+}
+
+/// Returns the running call that a backend server's call serves, if it names one.
+fn find_parent(
+    core: &NodeCore,
+    headers: &HeaderMap,
+) -> Result<Option<Rc<RunningCall>>, CallRefusal> {
+    let Some(id) = headers.get(CALL_ID) else {
+        return Ok(None);
+    };
+    let id = id.to_str().ok().and_then(AttemptId::parse);
+    let id = id.ok_or_else(|| CallRefusal::not_run(RefusalReason::BadRequest))?;
+    let parent = core.running.get(id);
+    let parent = parent.ok_or_else(|| CallRefusal::not_run(RefusalReason::DeadlinePassed))?;
+    Ok(Some(parent))
+}
+
+fn find_deadline(
+    core: &NodeCore,
+    request: &Request<Incoming>,
+    entry: &EntryCall,
+    parent: Option<&RunningCall>,
+) -> ClockTime {
+    let allowed_ms = entry.contract.deadline_ms;
+    let wanted_ms = find_deadline_ms(request.headers()).unwrap_or(allowed_ms);
+    let own = core.now().plus_ms(wanted_ms.min(allowed_ms));
+    parent.map_or(own, |parent| own.min(parent.deadline))
+}
+
+fn build_head(
+    core: &NodeCore,
+    request_id: RequestId,
+    entry: EntryCall,
+    request: &Request<Incoming>,
+    parent: Option<&RunningCall>,
+) -> CallHead {
+    let own_importance = entry.contract.importance;
+    let allowance = parent.map_or(OWN_ALLOWANCE, |parent| parent.allowance.take());
+    CallHead {
+        request: request_id,
+        attempt: core.new_attempt_id(),
+        service: entry.service,
+        call: entry.call,
+        team: parent.and_then(|parent| parent.team.clone()),
+        team_weight: parent.map_or(1, |parent| parent.team_weight),
+        importance: parent.map_or(own_importance, |parent| parent.importance),
+        depth: parent.map_or(0, |parent| parent.depth.saturating_add(1)),
+        deadline_left_ms: 0,
+        allowance,
+        once: entry.contract.once,
+        idempotent: entry.contract.idempotent,
+        method: request.method().as_str().to_owned(),
+        path: entry.path,
+        headers: call_headers(request.headers()),
+        body_bytes: None,
+    }
+}
+
+/// Gives a running call back what the call below it didn't spend, and notes what it told.
+fn settle_with(parent: &RunningCall, answer: &CallAnswer, below_ms: u64) {
+    let allowance = parent.allowance.get();
+    parent.allowance.set(allowance + answer.head.allowance_left);
+    parent.below_ms.set(parent.below_ms.get() + below_ms);
+}
--- /dev/null
+++ b/crates/node/src/entry.rs
@@ -0,0 +1,133 @@
+use std::rc::Rc;
+
+use contract::{CallContract, KeyDigest};
+use http::{HeaderMap, Request, Response};
+use hyper::body::Incoming;
+use model::{CallName, RefusalReason, ServiceName, TeamName};
+use wire::{CallHead, HeaderList};
+
+use crate::answer_body::AnswerBody;
+use crate::call_answer::CallRefusal;
+use crate::call_headers::{find_deadline_ms, find_key, strip_path, strip_request};
+use crate::dispatch::dispatch_call;
+use crate::http_answer::{build_response, refuse_response};
+use crate::node_core::NodeCore;
+use crate::request_body::read_small;
+
+/// The retries that a caller's request may spend over its whole chain.
+const ENTRY_ALLOWANCE: u16 = 3;
+
+/// A request as it entered, with what its call's contract says.
+pub(crate) struct EntryCall {
+    pub(crate) service: ServiceName,
+    pub(crate) call: CallName,
+    pub(crate) contract: CallContract,
+    /// The path and query that the backend server sees.
+    pub(crate) path: String,
+}
+
+/// Answers a request that came from a caller.
+pub(crate) async fn answer_caller(
+    core: Rc<NodeCore>,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let request_id = core.new_request_id();
+    let key = find_key(request.headers()).map(<[u8]>::to_vec);
+    let key = key.as_deref();
+    let entry = find_call(&core, &request, key);
+    let (entry, team) = match check_key(&core, entry, key) {
+        Ok(checked) => checked,
+        Err(refusal) => return refuse_response(&core, request_id, "entry", &refusal),
+    };
+    let weight = team_weight(&core, team.as_ref());
+    let allowed_ms = entry.contract.deadline_ms;
+    let wanted_ms = find_deadline_ms(request.headers()).unwrap_or(allowed_ms);
+    let deadline = core.now().plus_ms(wanted_ms.min(allowed_ms));
+    let (parts, body) = request.into_parts();
+    let head = CallHead {
+        request: request_id,
+        attempt: core.new_attempt_id(),
+        service: entry.service,
+        call: entry.call,
+        team,
+        team_weight: weight,
+        importance: entry.contract.importance,
+        depth: 0,
+        deadline_left_ms: 0,
+        allowance: ENTRY_ALLOWANCE,
+        once: entry.contract.once,
+        idempotent: entry.contract.idempotent,
+        method: parts.method.as_str().to_owned(),
+        path: entry.path,
+        headers: HeaderList::from(&strip_request(&parts.headers, key)),
+        body_bytes: None,
+    };
+    let started = core.now();
+    let service = head.service.clone();
+    let answer = match read_small(&core, body, deadline).await {
+        Ok(body) => {
+            let body_bytes = body.known_bytes();
+            let head = CallHead { body_bytes, ..head };
+            dispatch_call(&core, head, body, deadline).await
+        }
+        Err(refusal) => return refuse_response(&core, request_id, "entry", &refusal),
+    };
+    core.metrics
+        .observe_call("entry", &service, started, core.now(), &answer.head);
+    build_response(request_id, answer)
+}
+
+/// Returns the call of the contract that a request is.
+pub(crate) fn find_call(
+    core: &NodeCore,
+    request: &Request<Incoming>,
+    key: Option<&[u8]>,
+) -> Option<EntryCall> {
+    let path = request.uri().path_and_query()?.as_str();
+    let rest = path.strip_prefix('/')?;
+    let split = rest.find(['/', '?']).unwrap_or(rest.len());
+    let (service, path) = rest.split_at(split);
+    let path = if path.starts_with('/') {
+        strip_path(path, key)
+    } else {
+        strip_path(&format!("/{path}"), key)
+    };
+    let contract = core.contract();
+    let found = contract.find_call(service, request.method().as_str(), &path)?;
+    Some(EntryCall {
+        service: found.service.clone(),
+        call: found.call.clone(),
+        contract: found.contract.clone(),
+        path,
+    })
+}
+
+/// Returns the weight of a team when something must be shed.
+pub(crate) fn team_weight(core: &NodeCore, team: Option<&TeamName>) -> u32 {
+    let contract = core.contract();
+    let team = team.and_then(|team| contract.teams.get(team));
+    team.map_or(1, |team| team.rate_per_s.max(1))
+}
+
+/// Returns the headers of a call that the backend server may see.
+pub(crate) fn call_headers(headers: &HeaderMap) -> HeaderList {
+    HeaderList::from(&strip_request(headers, None))
+}
+
+/// Checks the key of a request, unless its call is open to all.
+fn check_key(
+    core: &NodeCore,
+    entry: Option<EntryCall>,
+    key: Option<&[u8]>,
+) -> Result<(EntryCall, Option<TeamName>), CallRefusal> {
+    let team = key.and_then(|key| core.keys.borrow().get(&KeyDigest::of(key)).cloned());
+    if let Some(entry) = entry.as_ref().filter(|entry| entry.contract.open) {
+        log::trace!("event=open-call call={}", entry.call);
+    } else if key.is_none() {
+        return Err(CallRefusal::not_run(RefusalReason::KeyMissing));
+    } else if team.is_none() {
+        return Err(CallRefusal::not_run(RefusalReason::KeyUnknown));
+    }
+    let entry = entry.ok_or_else(|| CallRefusal::not_run(RefusalReason::NoSuchCall))?;
+    Ok((entry, team))
+}
--- /dev/null
+++ b/crates/node/src/http_port.rs
@@ -0,0 +1,112 @@
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use compio::net::{TcpListener, TcpStream};
+use cyper_core::{CompioTimer, HyperStream};
+use futures_util::future::{Either, select};
+use http::{Request, Response};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::server::conn::auto;
+
+use crate::answer_body::AnswerBody;
+use crate::local_executor::LocalExecutor;
+use crate::node_core::NodeCore;
+
+/// The largest head of an HTTP/1.1 request, in bytes.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// The largest head of an HTTP/2 request, in bytes.
+const MAX_HEADER_LIST_BYTES: u32 = 64 * 1024;
+/// The time in which a head must arrive whole.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// The time between probes of an HTTP/2 connection.
+const PROBE_INTERVAL: Duration = Duration::from_secs(20);
+/// The time after which an HTTP/2 connection that doesn't answer a probe is closed.
+const PROBE_TIMEOUT: Duration = Duration::from_secs(10);
+/// The requests that one HTTP/2 connection may have open.
+const MAX_STREAMS: u32 = 1_000;
+
+/// Answers HTTP/1.1 and HTTP/2 requests on a port until the node stops.
+pub(crate) async fn serve_port<A, F>(core: Rc<NodeCore>, listener: TcpListener, answer: A)
+where
+    A: Fn(Rc<NodeCore>, Request<Incoming>) -> F + Clone + 'static,
+    F: Future<Output = Response<AnswerBody>> + 'static,
+{
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let connection = serve_connection(Rc::clone(&core), stream, answer.clone());
+                compio::runtime::spawn(connection).detach();
+            }
+            Err(error) => {
+                log::warn!("event=accept-failed error={:?}", error.to_string());
+                compio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection<A, F>(core: Rc<NodeCore>, stream: TcpStream, answer: A)
+where
+    A: Fn(Rc<NodeCore>, Request<Incoming>) -> F + 'static,
+    F: Future<Output = Response<AnswerBody>> + 'static,
+{
+    let _ = stream.set_nodelay(true);
+    let _open = CountGuard::new(&core.open_connections);
+    let service_core = Rc::clone(&core);
+    let service = service_fn(move |request| {
+        let work = answer(Rc::clone(&service_core), request);
+        async move { Ok::<_, Infallible>(work.await) }
+    });
+    let mut builder = auto::Builder::new(LocalExecutor);
+    builder
+        .http1()
+        .timer(CompioTimer)
+        .header_read_timeout(HEAD_TIMEOUT)
+        .max_buf_size(MAX_HEAD_BYTES);
+    builder
+        .http2()
+        .timer(CompioTimer)
+        .keep_alive_interval(PROBE_INTERVAL)
+        .keep_alive_timeout(PROBE_TIMEOUT)
+        .max_concurrent_streams(MAX_STREAMS)
+        .max_header_list_size(MAX_HEADER_LIST_BYTES);
+    let connection = builder.serve_connection(HyperStream::new_plain(stream), service);
+    let mut connection = pin!(connection);
+    let stopping = match select(connection.as_mut(), pin!(core.stop.wait())).await {
+        Either::Left((result, _)) => {
+            log_end(result);
+            false
+        }
+        Either::Right(_) => true,
+    };
+    if stopping {
+        connection.as_mut().graceful_shutdown();
+        log_end(connection.await);
+    }
+}
+
+fn log_end(result: Result<(), Box<dyn std::error::Error + Send + Sync>>) {
+    if let Err(error) = result {
+        log::debug!("event=connection-ended error={:?}", error.to_string());
+    }
+}
+
+/// Counts an open connection for as long as it lives.
+struct CountGuard(Rc<Cell<usize>>);
+
+impl CountGuard {
+    fn new(count: &Rc<Cell<usize>>) -> Self {
+        count.set(count.get() + 1);
+        Self(Rc::clone(count))
+    }
+}
+
+impl Drop for CountGuard {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
--- /dev/null
+++ b/crates/node/src/ingress_gate.rs
@@ -0,0 +1,120 @@
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+
+use clock::ClockTime;
+use futures_channel::oneshot;
+use limit::{
+    AdmissionQueue, LoadReport, QueueAction, QueueDecision, QueueRefusal, QueueSettings,
+    QueueTicket, RunOutcome,
+};
+use model::AttemptId;
+
+/// The queue in front of the backend server, with the calls that wait in it.
+pub(crate) struct IngressGate {
+    queue: RefCell<AdmissionQueue>,
+    waiting: RefCell<BTreeMap<AttemptId, oneshot::Sender<Result<(), QueueRefusal>>>>,
+}
+
+impl IngressGate {
+    pub(crate) fn new(seed: u64) -> Self {
+        Self {
+            queue: RefCell::new(AdmissionQueue::new(QueueSettings::default(), seed)),
+            waiting: RefCell::default(),
+        }
+    }
+
+    pub(crate) fn set_slots(&mut self, slots: u32) {
+        self.queue.get_mut().set_slots(slots);
+    }
+
+    /// Forgets what was measured, for a backend server that has restarted.
+    pub(crate) fn reset(&self) {
+        self.queue.borrow_mut().reset();
+    }
+
+    pub(crate) fn load(&self, now: ClockTime) -> LoadReport {
+        self.queue.borrow().load(now)
+    }
+
+    /// Waits until a call may run; a call that is dropped while it waits leaves the queue.
+    pub(crate) async fn enter(
+        &self,
+        clock: impl Fn() -> ClockTime,
+        ticket: QueueTicket,
+    ) -> Result<(), QueueRefusal> {
+        let id = ticket.id;
+        let decision = self.queue.borrow_mut().offer(clock(), ticket);
+        match decision {
+            QueueDecision::Start => Ok(()),
+            QueueDecision::Refuse(refusal) => Err(refusal),
+            QueueDecision::Wait => {
+                let (sender, receiver) = oneshot::channel();
+                self.waiting.borrow_mut().insert(id, sender);
+                let mut leave = LeaveGuard {
+                    gate: self,
+                    clock,
+                    id: Some(id),
+                };
+                let fate = receiver.await;
+                leave.id = None;
+                fate.expect("the sender lives until the call's fate is known")
+            }
+        }
+    }
+
+    /// Frees the place of a call that ran.
+    pub(crate) fn finish(&self, now: ClockTime, id: AttemptId, outcome: RunOutcome) {
+        let mut actions = Vec::new();
+        self.queue
+            .borrow_mut()
+            .finish(now, id, outcome, &mut actions);
+        self.act(actions);
+    }
+
+    /// Frees the place of a call that was given up.
+    pub(crate) fn cancel(&self, now: ClockTime, id: AttemptId) {
+        self.waiting.borrow_mut().remove(&id);
+        let mut actions = Vec::new();
+        self.queue.borrow_mut().cancel(now, id, &mut actions);
+        self.act(actions);
+    }
+
+    /// Lets time pass.
+    pub(crate) fn tick(&self, now: ClockTime) {
+        let mut actions = Vec::new();
+        self.queue.borrow_mut().tick(now, &mut actions);
+        self.act(actions);
+    }
+
+    /// Returns the moment by which [`tick`](Self::tick) must be called, if any.
+    pub(crate) fn next_tick(&self) -> Option<ClockTime> {
+        self.queue.borrow().next_tick()
+    }
+
+    fn act(&self, actions: Vec<QueueAction>) {
+        for action in actions {
+            let (id, fate) = match action {
+                QueueAction::Start(id) => (id, Ok(())),
+                QueueAction::Refuse(id, refusal) => (id, Err(refusal)),
+            };
+            if let Some(sender) = self.waiting.borrow_mut().remove(&id) {
+                let _ = sender.send(fate);
+            }
+        }
+    }
+}
+
+/// Takes a call out of the queue when it is dropped while it waits.
+struct LeaveGuard<'g, C: Fn() -> ClockTime> {
+    gate: &'g IngressGate,
+    clock: C,
+    id: Option<AttemptId>,
+}
+
+impl<C: Fn() -> ClockTime> Drop for LeaveGuard<'_, C> {
+    fn drop(&mut self) {
+        if let Some(id) = self.id {
+            self.gate.cancel((self.clock)(), id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/node_metrics.rs
@@ -0,0 +1,147 @@
+use clock::ClockTime;
+use model::{RefusalReason, ServiceName};
+use prometheus::{
+    HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+};
+use wire::AnswerHead;
+
+/// The bounds of the latency buckets, in seconds.
+const LATENCY_BUCKETS: [f64; 13] = [
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0,
+];
+/// The number of milliseconds in a second.
+const SECOND_MS: f64 = 1_000.0;
+
+/// The metrics of a node.
+pub(crate) struct NodeMetrics {
+    registry: Registry,
+    calls: IntCounterVec,
+    refusals: IntCounterVec,
+    latency: HistogramVec,
+    retries: IntCounter,
+    backend_failures: IntCounter,
+    pub(crate) running: IntGauge,
+    pub(crate) queued: IntGauge,
+    pub(crate) limit: IntGauge,
+}
+
+impl NodeMetrics {
+    pub(crate) fn new() -> Self {
+        let registry = Registry::new();
+        let metrics = Self {
+            calls: counters(
+                "lentilshift_calls_total",
+                "Calls answered, by part of the node, service and verdict.",
+                &["part", "service", "verdict"],
+            ),
+            refusals: counters(
+                "lentilshift_refusals_total",
+                "Calls refused or given up by a node, by part of the node and reason.",
+                &["part", "reason"],
+            ),
+            latency: HistogramVec::new(
+                HistogramOpts::new(
+                    "lentilshift_call_seconds",
+                    "Time from a call's arrival to the head of its answer, in seconds.",
+                )
+                .buckets(LATENCY_BUCKETS.to_vec()),
+                &["part"],
+            )
+            .expect("the histogram's name is valid"),
+            retries: counter(
+                "lentilshift_retries_total",
+                "Calls sent again to another VM.",
+            ),
+            backend_failures: counter(
+                "lentilshift_backend_failures_total",
+                "Calls that the backend server failed while they ran.",
+            ),
+            running: gauge(
+                "lentilshift_running_calls",
+                "Calls that the backend server runs now.",
+            ),
+            queued: gauge(
+                "lentilshift_queued_calls",
+                "Calls that wait for the backend server.",
+            ),
+            limit: gauge(
+                "lentilshift_concurrency_limit_calls",
+                "Calls that the backend server may run at once.",
+            ),
+            registry,
+        };
+        metrics.register();
+        metrics
+    }
+
+    /// Returns all metrics in the text format of Prometheus.
+    pub(crate) fn to_text(&self) -> String {
+        let families = self.registry.gather();
+        TextEncoder::new()
+            .encode_to_string(&families)
+            .unwrap_or_default()
+    }
+
+    pub(crate) fn count_refusal(&self, part: &str, reason: RefusalReason) {
+        self.refusals
+            .with_label_values(&[part, reason.as_str()])
+            .inc();
+    }
+
+    pub(crate) fn count_retry(&self) {
+        self.retries.inc();
+    }
+
+    pub(crate) fn count_backend_failure(&self) {
+        self.backend_failures.inc();
+    }
+
+    /// Counts a call and the time it took.
+    pub(crate) fn observe_call(
+        &self,
+        part: &str,
+        service: &ServiceName,
+        started: ClockTime,
+        now: ClockTime,
+        answer: &AnswerHead,
+    ) {
+        let labels = [part, service.as_str(), answer.verdict.as_str()];
+        self.calls.with_label_values(&labels).inc();
+        if let Some(reason) = answer.refusal {
+            self.count_refusal(part, reason);
+        }
+        let span_ms = u32::try_from(now.since_ms(started)).unwrap_or(u32::MAX);
+        let latency = self.latency.with_label_values(&[part]);
+        latency.observe(f64::from(span_ms) / SECOND_MS);
+    }
+
+    fn register(&self) {
+        let collectors: [Box<dyn prometheus::core::Collector>; 8] = [
+            Box::new(self.calls.clone()),
+            Box::new(self.refusals.clone()),
+            Box::new(self.latency.clone()),
+            Box::new(self.retries.clone()),
+            Box::new(self.backend_failures.clone()),
+            Box::new(self.running.clone()),
+            Box::new(self.queued.clone()),
+            Box::new(self.limit.clone()),
+        ];
+        for collector in collectors {
+            self.registry
+                .register(collector)
+                .expect("each metric has a name of its own");
+        }
+    }
+}
+
+fn counters(name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+    IntCounterVec::new(Opts::new(name, help), labels).expect("the counter's name is valid")
+}
+
+fn counter(name: &str, help: &str) -> IntCounter {
+    IntCounter::new(name, help).expect("the counter's name is valid")
+}
+
+fn gauge(name: &str, help: &str) -> IntGauge {
+    IntGauge::new(name, help).expect("the gauge's name is valid")
+}
--- /dev/null
+++ b/crates/node/src/node_process.rs
@@ -0,0 +1,161 @@
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use compio::net::TcpListener;
+use compio::runtime::spawn;
+use compio::time::sleep;
+use thiserror::Error;
+use wire::PeerServer;
+
+use crate::admin_port::answer_admin;
+use crate::egress::answer_backend;
+use crate::entry::answer_caller;
+use crate::http_port::serve_port;
+use crate::node_core::NodeCore;
+use crate::node_settings::NodeSettings;
+use crate::peer_port::PeerPort;
+
+/// The time between two looks at what has become due, in milliseconds.
+const TICK_MS: u64 = 10;
+/// The time for which a stop lets callers and nodes move away, in milliseconds.
+const LEAVE_MS: u64 = 3_000;
+
+/// Why a node can't run.
+#[derive(Debug, Error)]
+pub enum NodeError {
+    /// An address can't be listened on.
+    #[error("the {port} address {address} can't be listened on: {error}")]
+    Listen {
+        /// The port's part in the node.
+        port: &'static str,
+        /// The address.
+        address: SocketAddr,
+        /// What the system says.
+        error: io::Error,
+    },
+}
+
+/// A running node.
+pub struct NodeProcess {
+    core: Rc<NodeCore>,
+    caller_address: SocketAddr,
+    egress_address: SocketAddr,
+    peer_address: SocketAddr,
+    admin_address: SocketAddr,
+}
+
+impl NodeProcess {
+    /// Starts a node on the loop of this thread.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`NodeError::Listen`] when an address can't be listened on.
+    pub async fn start(settings: NodeSettings) -> Result<Self, NodeError> {
+        let callers = listen("caller", settings.caller_address).await?;
+        let egress = listen("egress", settings.egress_address).await?;
+        let peers = listen("peer", settings.peer_address).await?;
+        let admin = listen("admin", settings.admin_address).await?;
+        let node = Self {
+            caller_address: address_of(&callers, settings.caller_address),
+            egress_address: address_of(&egress, settings.egress_address),
+            peer_address: address_of(&peers, settings.peer_address),
+            admin_address: address_of(&admin, settings.admin_address),
+            core: Rc::new(NodeCore::new(settings)),
+        };
+        let core = &node.core;
+        spawn(serve_port(Rc::clone(core), callers, answer_caller)).detach();
+        spawn(serve_port(Rc::clone(core), egress, answer_backend)).detach();
+        spawn(serve_port(Rc::clone(core), admin, answer_admin)).detach();
+        spawn(serve_peers(Rc::clone(core), peers)).detach();
+        spawn(keep_time(Rc::clone(core))).detach();
+        Ok(node)
+    }
+
+    /// Returns the address for callers.
+    #[must_use]
+    pub const fn caller_address(&self) -> SocketAddr {
+        self.caller_address
+    }
+
+    /// Returns the address for the backend server's own calls.
+    #[must_use]
+    pub const fn egress_address(&self) -> SocketAddr {
+        self.egress_address
+    }
+
+    /// Returns the address for other nodes.
+    #[must_use]
+    pub const fn peer_address(&self) -> SocketAddr {
+        self.peer_address
+    }
+
+    /// Returns the address for metrics, dumps and readiness.
+    #[must_use]
+    pub const fn admin_address(&self) -> SocketAddr {
+        self.admin_address
+    }
+
+    /// Stops the node gracefully: it takes no new calls, and those that run come to their end.
+    pub async fn stop(&self) {
+        let limit_ms = self.core.settings.stop_limit_ms;
+        let deadline = self.core.now().plus_ms(limit_ms);
+        self.core.stop.give();
+        sleep(Duration::from_millis(LEAVE_MS)).await;
+        while self.is_busy() && self.core.now() < deadline {
+            sleep(Duration::from_millis(TICK_MS)).await;
+        }
+    }
+
+    fn is_busy(&self) -> bool {
+        self.core.running.len() > 0 || self.core.open_connections.get() > 0
+    }
+}
+
+async fn listen(port: &'static str, address: SocketAddr) -> Result<TcpListener, NodeError> {
+    let listener = TcpListener::bind(address).await;
+    listener.map_err(|error| NodeError::Listen {
+        port,
+        address,
+        error,
+    })
+}
+
+fn address_of(listener: &TcpListener, wanted: SocketAddr) -> SocketAddr {
+    listener.local_addr().unwrap_or(wanted)
+}
+
+async fn serve_peers(core: Rc<NodeCore>, listener: TcpListener) {
+    let port = Rc::new(PeerPort::new(Rc::clone(&core)));
+    let settings = &core.settings;
+    let server = PeerServer::new(port, settings.secret.clone(), settings.link);
+    let server = Rc::new(server);
+    loop {
+        let Ok((stream, from)) = listener.accept().await else {
+            sleep(Duration::from_millis(TICK_MS)).await;
+            continue;
+        };
+        let server = Rc::clone(&server);
+        spawn(async move {
+            if let Err(error) = server.serve(stream).await {
+                log::info!("event=link-ended from={from} error={:?}", error.to_string());
+            }
+        })
+        .detach();
+    }
+}
+
+/// Lets time pass for everything that decides by time.
+async fn keep_time(core: Rc<NodeCore>) {
+    loop {
+        sleep(Duration::from_millis(TICK_MS)).await;
+        let now = core.now();
+        if core.gate.next_tick().is_some_and(|due| due <= now) {
+            core.gate.tick(now);
+        }
+        for router in core.routers.borrow_mut().values_mut() {
+            router.tick(now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/peer_links.rs
@@ -0,0 +1,67 @@
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use futures_util::lock::Mutex;
+use model::VmName;
+use wire::{LinkError, PeerLink};
+
+use crate::node_settings::NodeSettings;
+
+/// The links to other nodes, by VM; opened when first needed.
+#[derive(Default)]
+pub(crate) struct PeerLinks(RefCell<BTreeMap<VmName, Rc<LinkSlot>>>);
+
+/// One other node: its address, and the link once it is open.
+struct LinkSlot {
+    address: SocketAddr,
+    link: Mutex<Option<Rc<PeerLink>>>,
+}
+
+impl PeerLinks {
+    /// Notes the address of a VM.
+    pub(crate) fn upsert(&self, vm: VmName, address: SocketAddr) {
+        let mut slots = self.0.borrow_mut();
+        if slots.get(&vm).is_some_and(|slot| slot.address == address) {
+            return;
+        }
+        let slot = LinkSlot {
+            address,
+            link: Mutex::new(None),
+        };
+        slots.insert(vm, Rc::new(slot));
+    }
+
+    /// Forgets a VM.
+    pub(crate) fn remove(&self, vm: &VmName) {
+        self.0.borrow_mut().remove(vm);
+    }
+
+    /// Returns the names of the known VMs.
+    pub(crate) fn names(&self) -> Vec<VmName> {
+        self.0.borrow().keys().cloned().collect()
+    }
+
+    /// Returns the link to a VM, opened anew when the last one broke.
+    pub(crate) async fn get(
+        &self,
+        settings: &NodeSettings,
+        vm: &VmName,
+    ) -> Result<Rc<PeerLink>, LinkError> {
+        let slot = self.0.borrow().get(vm).cloned();
+        let slot = slot.ok_or_else(|| {
+            let text = format!("VM \"{vm}\" has announced no address");
+            LinkError::Connect(std::io::Error::new(std::io::ErrorKind::NotFound, text))
+        })?;
+        let mut link = slot.link.lock().await;
+        if let Some(link) = link.as_ref().filter(|link| !link.is_down()) {
+            return Ok(Rc::clone(link));
+        }
+        let opened =
+            PeerLink::connect(slot.address, &settings.vm, &settings.secret, &settings.link);
+        let opened = Rc::new(opened.await?);
+        *link = Some(Rc::clone(&opened));
+        Ok(opened)
+    }
+}
--- /dev/null
+++ b/crates/node/src/request_body.rs
@@ -0,0 +1,51 @@
+use std::future::poll_fn;
+use std::pin::Pin;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use clock::ClockTime;
+use compio::time::timeout;
+use http_body::Body;
+use hyper::body::Incoming;
+use model::RefusalReason;
+
+use crate::call_answer::CallRefusal;
+use crate::call_body::CallBody;
+use crate::node_core::NodeCore;
+
+/// The largest body that is read whole before it is sent on, in bytes.
+const SMALL_BODY_BYTES: u64 = 64 * 1024;
+
+/// Reads a small body whole, so that it can be sent again; a large one stays a stream.
+///
+/// # Errors
+///
+/// Returns a refusal when the body is cut or doesn't arrive before the deadline.
+pub(crate) async fn read_small(
+    core: &NodeCore,
+    body: Incoming,
+    deadline: ClockTime,
+) -> Result<CallBody, CallRefusal> {
+    match body.size_hint().exact() {
+        Some(0) => return Ok(CallBody::Empty),
+        Some(bytes) if bytes <= SMALL_BODY_BYTES => {}
+        _ => return Ok(CallBody::Http(body)),
+    }
+    let left = Duration::from_millis(core.now().until_ms(deadline));
+    match timeout(left, read_whole(body)).await {
+        Ok(Ok(bytes)) => Ok(CallBody::Whole(bytes)),
+        Ok(Err(_)) => Err(CallRefusal::not_run(RefusalReason::BadRequest)),
+        Err(_) => Err(CallRefusal::not_run(RefusalReason::DeadlinePassed)),
+    }
+}
+
+/// Reads a body to its end.
+pub(crate) async fn read_whole(mut body: Incoming) -> Result<Bytes, hyper::Error> {
+    let mut whole = BytesMut::new();
+    while let Some(frame) = poll_fn(|context| Pin::new(&mut body).poll_frame(context)).await {
+        if let Ok(data) = frame?.into_data() {
+            whole.extend_from_slice(&data);
+        }
+    }
+    Ok(whole.freeze())
+}
--- a/crates/node/src/running_calls.rs
+++ b/crates/node/src/running_calls.rs
@@ -15,6 +15,7 @@
     pub(crate) depth: u8,
     pub(crate) deadline: ClockTime,
     pub(crate) allowance: Cell<u16>,
+    pub(crate) below_ms: Cell<u64>,
     pub(crate) thresholds: RefCell<Vec<ServiceThreshold>>,
 }
 
--- /dev/null
+++ b/crates/node/src/state_dump.rs
@@ -0,0 +1,40 @@
+use std::net::SocketAddr;
+
+use limit::LoadReport;
+use model::{CentreName, ServiceName, VmName};
+use serde::Serialize;
+
+use crate::node_core::NodeCore;
+
+/// The state of a node, without secrets.
+#[derive(Serialize)]
+pub(crate) struct StateDump {
+    vm: VmName,
+    centre: CentreName,
+    service: ServiceName,
+    is_ready: bool,
+    is_leaving: bool,
+    backend_address: SocketAddr,
+    load: LoadReport,
+    running_calls: usize,
+    open_connections: usize,
+    links: Vec<VmName>,
+    services: Vec<ServiceName>,
+}
+
+/// Returns the state of a node.
+pub(crate) fn dump_state(core: &NodeCore) -> StateDump {
+    StateDump {
+        vm: core.settings.vm.clone(),
+        centre: core.settings.centre.clone(),
+        service: core.settings.service.clone(),
+        is_ready: core.is_ready(),
+        is_leaving: core.stop.is_given(),
+        backend_address: core.settings.backend_address,
+        load: core.gate.load(core.now()),
+        running_calls: core.running.len(),
+        open_connections: core.open_connections.get(),
+        links: core.links.names(),
+        services: core.contract().services.keys().cloned().collect(),
+    }
+}
--- a/crates/standin/src/backend_server.rs
+++ b/crates/standin/src/backend_server.rs
@@ -215,7 +215,9 @@
 }
 
 fn build_answer(query: BackendQuery, text: &str) -> Response<AnswerBody> {
-    let status = query.status.and_then(|code| StatusCode::from_u16(code).ok());
+    let status = query
+        .status
+        .and_then(|code| StatusCode::from_u16(code).ok());
     let response = Response::builder().status(status.unwrap_or(StatusCode::OK));
     let (length, pieces) = if let Some(bytes) = query.answer_bytes {
         (bytes, large_pieces(bytes, query.is_cut))
@@ -230,10 +232,7 @@
 }
 
 /// Returns `bytes` bytes in pieces; a cut one fails after half of them.
-fn large_pieces(
-    bytes: u64,
-    is_cut: bool,
-) -> BoxStream<'static, Result<Frame<Bytes>, io::Error>> {
+fn large_pieces(bytes: u64, is_cut: bool) -> BoxStream<'static, Result<Frame<Bytes>, io::Error>> {
     let piece = Bytes::from(vec![b'x'; usize::try_from(PIECE_BYTES).unwrap_or(1)]);
     let end = if is_cut { bytes / 2 } else { bytes };
     let starts = (0..end).step_by(usize::try_from(PIECE_BYTES).unwrap_or(1));
