--- /dev/null
+++ b/crates/platform/src/config_fold.rs
@@ -0,0 +1,293 @@
+use std::sync::Arc;
+
+use crate::{
+    ChangeError, ConfigRecord, ConfigSnapshot, ConfigVersion, KeyFold, LogOffset, LogRecord,
+    RecordOutcome, TextChange, TextDigest,
+};
+
+/// The most records kept while a snapshot is waited for.
+const MAX_WAITING: usize = 65_536;
+
+/// Judges contract texts.
+pub trait TextCheck {
+    /// Checks a contract text.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is wrong with the text.
+    fn check(&self, text: &str) -> Result<(), String>;
+}
+
+impl<F: Fn(&str) -> Result<(), String>> TextCheck for F {
+    fn check(&self, text: &str) -> Result<(), String> {
+        self(text)
+    }
+}
+
+/// A contract text and its version.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct VersionedText {
+    /// The version, [`ConfigVersion::NONE`] before the first text.
+    pub version: ConfigVersion,
+    /// The text.
+    pub text: Arc<str>,
+}
+
+/// Why the newest text isn't in force.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TextFault {
+    /// The version of the text.
+    pub version: ConfigVersion,
+    /// What is wrong with it.
+    pub reason: String,
+}
+
+/// The state of the configuration stream: contract text and keys.
+///
+/// Which record becomes which version depends on the stream's order alone, never on the check,
+/// so that nodes of different releases agree on versions. A text that the check refuses stays
+/// out of force, and the last one it allowed stays in force.
+///
+/// # Examples
+///
+/// ```
+/// use lentilshift_platform::{ConfigFold, ConfigRecord, ConfigVersion, RecordOutcome};
+///
+/// let mut fold = ConfigFold::new(|_: &str| Ok(()));
+/// let record = ConfigRecord::publish(ConfigVersion::NONE, "", "first text");
+/// let outcome = fold.apply_change(&record);
+/// assert_eq!(outcome, RecordOutcome::Accepted { version: ConfigVersion::new(1) });
+/// assert_eq!(&*fold.in_force().text, "first text");
+/// ```
+#[derive(Clone, Debug)]
+pub struct ConfigFold<C> {
+    check: C,
+    newest: VersionedText,
+    in_force: VersionedText,
+    fault: Option<TextFault>,
+    keys: KeyFold,
+    next: LogOffset,
+    waiting: Option<WaitingRecords>,
+}
+
+/// The records after a gap, kept until a snapshot tells what the gap held.
+#[derive(Clone, Debug)]
+struct WaitingRecords {
+    from: LogOffset,
+    records: Vec<LogRecord>,
+}
+
+impl WaitingRecords {
+    const fn new(from: LogOffset) -> Self {
+        let records = Vec::new();
+        Self { from, records }
+    }
+
+    fn push(&mut self, record: LogRecord) {
+        if self.records.len() == MAX_WAITING {
+            self.from = self.records.remove(0).offset.next();
+        }
+        self.records.push(record);
+    }
+}
+
+impl<C: TextCheck> ConfigFold<C> {
+    /// Creates the state before the first record.
+    pub fn new(check: C) -> Self {
+        Self {
+            check,
+            newest: VersionedText::default(),
+            in_force: VersionedText::default(),
+            fault: None,
+            keys: KeyFold::default(),
+            next: LogOffset::ZERO,
+            waiting: None,
+        }
+    }
+
+    /// Returns the text in force.
+    #[must_use]
+    pub const fn in_force(&self) -> &VersionedText {
+        &self.in_force
+    }
+
+    /// Returns the newest text, the one that the next publication has to name as its base.
+    #[must_use]
+    pub const fn newest(&self) -> &VersionedText {
+        &self.newest
+    }
+
+    /// Returns why the newest text isn't in force, or `None` when it is.
+    #[must_use]
+    pub const fn fault(&self) -> Option<&TextFault> {
+        self.fault.as_ref()
+    }
+
+    /// Returns the keys.
+    #[must_use]
+    pub const fn keys(&self) -> &KeyFold {
+        &self.keys
+    }
+
+    /// Returns the offset of the first record not yet applied.
+    #[must_use]
+    pub const fn next(&self) -> LogOffset {
+        self.next
+    }
+
+    /// Returns whether the state is whole, rather than waiting for a snapshot.
+    #[must_use]
+    pub const fn is_whole(&self) -> bool {
+        self.waiting.is_none()
+    }
+
+    /// Returns the state as a snapshot, or `None` while it isn't whole.
+    #[must_use]
+    pub fn snapshot(&self) -> Option<ConfigSnapshot> {
+        let valid_text =
+            (self.in_force.version != self.newest.version).then(|| self.in_force.text.to_string());
+        self.is_whole().then(|| ConfigSnapshot {
+            covers: self.next,
+            version: self.newest.version,
+            text: self.newest.text.to_string(),
+            valid_version: self.in_force.version,
+            valid_text,
+            keys: self.keys.clone(),
+        })
+    }
+
+    /// Tells the fold that records before `first` are gone, so that some may be missing.
+    pub fn lose_before(&mut self, first: LogOffset) {
+        if first > self.next {
+            self.next = first;
+            self.waiting = Some(WaitingRecords::new(first));
+        }
+    }
+
+    /// Applies the next record; one that was applied before changes nothing.
+    pub fn apply(&mut self, record: &LogRecord) -> RecordOutcome {
+        if record.offset > self.next {
+            self.lose_before(record.offset);
+        }
+        let is_new = record.offset == self.next;
+        if is_new {
+            self.next = record.offset.next();
+        }
+        let Ok(change) = record.body.decode::<ConfigRecord>() else {
+            return RecordOutcome::Unreadable;
+        };
+        if let ConfigRecord::Snapshot(snapshot) = &change {
+            self.adopt(snapshot);
+            return RecordOutcome::Repeated;
+        }
+        if is_new && self.waiting.is_some() {
+            return self.wait_with(record, &change);
+        }
+        self.apply_change(&change)
+    }
+
+    /// Applies the content of a record.
+    pub fn apply_change(&mut self, change: &ConfigRecord) -> RecordOutcome {
+        match change {
+            ConfigRecord::Publish {
+                base,
+                digest,
+                change,
+            } => self.publish(*base, digest, change),
+            ConfigRecord::Grant { digest, team } => self.keys.grant(*digest, team),
+            ConfigRecord::Withdraw { digest } => self.keys.withdraw(*digest),
+            ConfigRecord::Snapshot(snapshot) => {
+                self.adopt(snapshot);
+                RecordOutcome::Repeated
+            }
+        }
+    }
+
+    /// Takes in a snapshot, from the log or from a peer; nothing is ever reverted.
+    pub fn adopt(&mut self, snapshot: &ConfigSnapshot) {
+        self.keys.merge_withdrawn(&snapshot.keys);
+        let is_news = match &self.waiting {
+            Some(waiting) => snapshot.covers >= waiting.from,
+            None => snapshot.covers > self.next,
+        };
+        if !is_news {
+            return;
+        }
+        self.keys.merge(&snapshot.keys);
+        if snapshot.version > self.newest.version {
+            self.adopt_text(snapshot);
+        }
+        self.next = self.next.max(snapshot.covers);
+        if let Some(waiting) = self.waiting.take() {
+            self.replay(&waiting, snapshot.covers);
+        }
+    }
+
+    fn replay(&mut self, waiting: &WaitingRecords, from: LogOffset) {
+        let later = waiting
+            .records
+            .iter()
+            .filter(|record| record.offset >= from);
+        for change in later.filter_map(|record| record.body.decode().ok()) {
+            self.apply_change(&change);
+        }
+    }
+
+    fn wait_with(&mut self, record: &LogRecord, change: &ConfigRecord) -> RecordOutcome {
+        if let ConfigRecord::Withdraw { digest } = change {
+            self.keys.withdraw(*digest);
+        }
+        if let Some(waiting) = &mut self.waiting {
+            waiting.push(record.clone());
+        }
+        RecordOutcome::Waiting
+    }
+
+    fn publish(
+        &mut self,
+        base: ConfigVersion,
+        digest: &TextDigest,
+        change: &TextChange,
+    ) -> RecordOutcome {
+        let now = self.newest.version;
+        if base != now {
+            return RecordOutcome::Stale { base, now };
+        }
+        let text = match change.apply(&self.newest.text) {
+            Ok(text) => text,
+            Err(error) => return RecordOutcome::Broken { error },
+        };
+        if TextDigest::of_text(&text) != *digest {
+            let error = ChangeError::WrongDigest;
+            return RecordOutcome::Broken { error };
+        }
+        self.put_newest(now.next(), &text)
+    }
+
+    fn put_newest(&mut self, version: ConfigVersion, text: &str) -> RecordOutcome {
+        let text = Arc::from(text);
+        self.newest = VersionedText { version, text };
+        match self.check.check(&self.newest.text) {
+            Ok(()) => {
+                self.in_force = self.newest.clone();
+                self.fault = None;
+                RecordOutcome::Accepted { version }
+            }
+            Err(reason) => {
+                let fault = TextFault { version, reason };
+                let reason = fault.reason.clone();
+                self.fault = Some(fault);
+                RecordOutcome::Invalid { version, reason }
+            }
+        }
+    }
+
+    fn adopt_text(&mut self, snapshot: &ConfigSnapshot) {
+        if let Some(text) = &snapshot.valid_text
+            && snapshot.valid_version > self.in_force.version
+        {
+            self.put_newest(snapshot.valid_version, text);
+        }
+        self.put_newest(snapshot.version, &snapshot.text);
+    }
+}
--- /dev/null
+++ b/crates/platform/src/key_fold.rs
@@ -0,0 +1,79 @@
+use std::collections::{BTreeMap, BTreeSet};
+
+use model::TeamName;
+use serde::{Deserialize, Serialize};
+
+use crate::{KeyDigest, RecordOutcome};
+
+/// The keys granted and withdrawn so far.
+///
+/// A withdrawn key stays withdrawn for good: a grant that is appended again, or that a stale
+/// node sends, can't bring it back. A team that is to be let in again gets a new key.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeyFold {
+    granted: BTreeMap<KeyDigest, TeamName>,
+    withdrawn: BTreeSet<KeyDigest>,
+}
+
+impl KeyFold {
+    /// Returns the team that a key belongs to, or `None` when it is unknown or withdrawn.
+    #[must_use]
+    pub fn team(&self, digest: &KeyDigest) -> Option<&TeamName> {
+        self.granted.get(digest)
+    }
+
+    /// Returns whether a key was withdrawn.
+    #[must_use]
+    pub fn is_withdrawn(&self, digest: &KeyDigest) -> bool {
+        self.withdrawn.contains(digest)
+    }
+
+    /// Returns the number of keys in force.
+    #[must_use]
+    pub fn granted_count(&self) -> usize {
+        self.granted.len()
+    }
+
+    /// Returns the number of withdrawn keys.
+    #[must_use]
+    pub fn withdrawn_count(&self) -> usize {
+        self.withdrawn.len()
+    }
+
+    /// Grants a key to a team, unless it was withdrawn or belongs to another team.
+    pub fn grant(&mut self, digest: KeyDigest, team: &TeamName) -> RecordOutcome {
+        if self.is_withdrawn(&digest) {
+            return RecordOutcome::KeyWithdrawnBefore;
+        }
+        let owner = self.granted.entry(digest).or_insert_with(|| team.clone());
+        if owner == team {
+            RecordOutcome::KeyGranted
+        } else {
+            RecordOutcome::KeyTaken {
+                team: owner.clone(),
+            }
+        }
+    }
+
+    /// Withdraws a key for good, also one that was never granted.
+    pub fn withdraw(&mut self, digest: KeyDigest) -> RecordOutcome {
+        self.granted.remove(&digest);
+        self.withdrawn.insert(digest);
+        RecordOutcome::KeyWithdrawn
+    }
+
+    /// Takes in the withdrawals that another fold of the same stream knows.
+    pub fn merge_withdrawn(&mut self, other: &Self) {
+        for digest in &other.withdrawn {
+            self.withdraw(*digest);
+        }
+    }
+
+    /// Takes in what a later fold of the same stream knows; nothing is ever reverted.
+    pub fn merge(&mut self, other: &Self) {
+        self.merge_withdrawn(other);
+        for (digest, team) in &other.granted {
+            self.grant(*digest, team);
+        }
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,1 +1,43 @@
 //! The platform's append-only log: client trait, records, folds and snapshots.
+//!
+//! Everything that nodes have to agree on is a deterministic fold over the order of a
+//! [`LogStream`]. [`ConfigFold`] holds the contract text and the callers' keys,
+//! [`StreamFollower`] decides whom to ask for news, [`RecordRelay`] hands news on to other
+//! nodes, [`RecordAttempt`] learns what became of an append, and [`KeyTrust`] says for how
+//! long the news may be relied on. Nothing here does I/O.
+
+mod config_fold;
+mod config_record;
+mod config_snapshot;
+mod key_digest;
+mod key_fold;
+mod key_trust;
+mod log_record;
+mod log_stream;
+mod platform_log;
+mod record_attempt;
+mod record_body;
+mod record_relay;
+mod relay_message;
+mod relay_plan;
+mod snapshot_timer;
+mod stream_follower;
+mod text_change;
+
+pub use config_fold::{ConfigFold, TextCheck, TextFault, VersionedText};
+pub use config_record::{ConfigRecord, ConfigVersion, RecordOutcome};
+pub use config_snapshot::ConfigSnapshot;
+pub use key_digest::KeyDigest;
+pub use key_fold::KeyFold;
+pub use key_trust::{KeyTrust, TrustSettings, TrustState};
+pub use log_record::{LogOffset, LogRecord, NewRecord};
+pub use log_stream::LogStream;
+pub use platform_log::{AppendError, AppendReceipt, PlatformLog, ReadBatch, ReadError};
+pub use record_attempt::{AttemptAction, AttemptSettings, AttemptStatus, RecordAttempt};
+pub use record_body::{BodyError, RecordBody};
+pub use record_relay::{RecordRelay, RelaySettings};
+pub use relay_message::{CentreOutage, RelayBatch, RelayPull, RelaySnapshot};
+pub use relay_plan::{PlanSettings, RelayPlan};
+pub use snapshot_timer::{SnapshotSettings, SnapshotTimer};
+pub use stream_follower::{FollowAction, FollowFault, FollowNews, FollowSettings, StreamFollower};
+pub use text_change::{ChangeError, TextChange, TextDigest};
--- /dev/null
+++ b/crates/platform/src/log_stream.rs
@@ -0,0 +1,45 @@
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// A stream of the platform's log, ordered by itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum LogStream {
+    /// Contract texts, key grants and key withdrawals.
+    Config,
+    /// Announcements of nodes.
+    Members,
+    /// Division of the teams' rates between data centres, and leases of allocators.
+    Rates,
+    /// Claims of calls that must run at most once.
+    Claims,
+}
+
+impl LogStream {
+    /// All streams.
+    pub const ALL: [Self; 4] = [Self::Config, Self::Members, Self::Rates, Self::Claims];
+
+    /// Returns the name used in addresses and metrics.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Config => "config",
+            Self::Members => "members",
+            Self::Rates => "rates",
+            Self::Claims => "claims",
+        }
+    }
+
+    /// Parses a name, or returns `None` when there is no such stream.
+    #[must_use]
+    pub fn parse(name: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|stream| stream.as_str() == name)
+    }
+}
+
+impl fmt::Display for LogStream {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(self.as_str())
+    }
+}
--- /dev/null
+++ b/crates/platform/src/relay_message.rs
@@ -0,0 +1,55 @@
+use model::CentreName;
+use serde::{Deserialize, Serialize};
+
+use crate::{LogOffset, LogRecord, LogStream, RecordBody};
+
+/// A node's question to another: what follows `from` in a stream?
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RelayPull {
+    /// The stream.
+    pub stream: LogStream,
+    /// The offset of the first record that the asker lacks.
+    pub from: LogOffset,
+    /// Whether the asker lacks the state before `from`.
+    pub needs_snapshot: bool,
+    /// How long the answer may wait for news, in milliseconds.
+    pub wait_ms: u64,
+}
+
+/// The answer to a [`RelayPull`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RelayBatch {
+    /// The stream.
+    pub stream: LogStream,
+    /// The state up to some offset, for an asker that is too far behind for records.
+    pub snapshot: Option<RelaySnapshot>,
+    /// The records after what the asker has, or after the snapshot.
+    pub records: Vec<LogRecord>,
+    /// The offset that the answering node has got to.
+    pub next: LogOffset,
+    /// The time since some node read the log's end and the answering node was not behind it, in
+    /// milliseconds; `None` when that never was.
+    pub fresh_ms: Option<u64>,
+    /// The data centres where a node lately failed to read the log.
+    pub outages: Vec<CentreOutage>,
+    /// The time since a snapshot was last seen on the stream, in milliseconds.
+    pub snapshot_age_ms: Option<u64>,
+}
+
+/// A whole state, covering the records before an offset.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RelaySnapshot {
+    /// The offset of the first record that isn't part of the state.
+    pub covers: LogOffset,
+    /// The state, as the stream's snapshot records hold it.
+    pub body: RecordBody,
+}
+
+/// A data centre where a node lately failed to read the log.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CentreOutage {
+    /// The data centre.
+    pub centre: CentreName,
+    /// The time since the failure, in milliseconds.
+    pub age_ms: u64,
+}
