--- a/crates/platform/src/stream_follower.rs
+++ b/crates/platform/src/stream_follower.rs
@@ -115,6 +115,7 @@
     read_failures: u32,
     read_at: ClockTime,
     pull_turn: usize,
+    asked_turn: usize,
     pull_failures: u32,
     pull_at: ClockTime,
     direct_at: Option<ClockTime>,
@@ -137,6 +138,7 @@
             read_failures: 0,
             read_at: ClockTime::ZERO,
             pull_turn: 0,
+            asked_turn: 0,
             pull_failures: 0,
             pull_at: ClockTime::ZERO,
             direct_at: None,
@@ -176,6 +178,9 @@
 
     /// Sets whom to ask.
     pub fn set_plan(&mut self, plan: RelayPlan) {
+        if self.plan != plan {
+            self.pull_turn = 0;
+        }
         self.plan = plan;
     }
 
@@ -210,6 +215,7 @@
         let Some(peer) = sources.get(turn).filter(|_| is_wanted).cloned() else {
             return FollowAction::Wait(now.plus_ms(IDLE_CHECK_MS));
         };
+        self.asked_turn = turn;
         if is_late {
             self.pull_turn = turn + 1;
         }
@@ -252,7 +258,7 @@
             self.set_fresh(asked.minus_ms(age));
         }
         if self.age_ms(now) < self.settings.pull_after_ms {
-            self.pull_turn = self.pull_turn.saturating_sub(1);
+            self.pull_turn = self.asked_turn;
         }
         news
     }
@@ -261,7 +267,7 @@
     pub fn on_pull_failure<R: Rng>(&mut self, now: ClockTime, rng: &mut R) {
         self.pull_at = now.plus_ms(self.backoff_ms(self.pull_failures, rng));
         self.pull_failures = self.pull_failures.saturating_add(1);
-        self.pull_turn = self.pull_turn.wrapping_add(1);
+        self.pull_turn = self.asked_turn.wrapping_add(1);
     }
 
     fn on_log_batch<R: Rng>(
