--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -36,13 +36,11 @@
         };
         tried.push(vm.clone());
         let sending = send_to(core, &vm, &head, body.take());
-        let answer = match timeout(Duration::from_millis(left_ms), sending).await {
-            Ok(answer) => answer,
-            Err(_) => {
-                let refusal = CallRefusal::may_have_run(RefusalReason::DeadlinePassed);
-                CallAnswer::refused(&head, &refusal, 0)
-            }
-        };
+        let in_time = timeout(Duration::from_millis(left_ms), sending).await;
+        let answer = in_time.unwrap_or_else(|_| {
+            let refusal = CallRefusal::may_have_run(RefusalReason::DeadlinePassed);
+            CallAnswer::refused(&head, &refusal, 0)
+        });
         head.allowance = answer.head.allowance_left;
         if !may_retry(&head, &answer.head) || !body.is_whole() {
             return answer;
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -1,6 +1,6 @@
 use std::rc::Rc;
 
-use contract::{CallContract, KeyDigest};
+use contract::CallContract;
 use http::{HeaderMap, Request, Response};
 use hyper::body::Incoming;
 use model::{CallName, RefusalReason, ServiceName, TeamName};
@@ -9,6 +9,7 @@
 use crate::answer_body::AnswerBody;
 use crate::call_answer::CallRefusal;
 use crate::call_headers::{find_deadline_ms, find_key, strip_path, strip_request};
+use crate::config_watch::key_trust;
 use crate::dispatch::dispatch_call;
 use crate::http_answer::{build_response, refuse_response};
 use crate::node_core::NodeCore;
@@ -17,6 +18,9 @@
 /// The retries that a caller's request may spend over its whole chain.
 const ENTRY_ALLOWANCE: u16 = 3;
 
+/// The time after which callers come back to a node that trusts no key, in milliseconds.
+const KEYS_STALE_MS: u64 = 2_000;
+
 /// A request as it entered, with what its call's contract says.
 pub(crate) struct EntryCall {
     pub(crate) service: ServiceName,
@@ -120,11 +124,14 @@
     entry: Option<EntryCall>,
     key: Option<&[u8]>,
 ) -> Result<(EntryCall, Option<TeamName>), CallRefusal> {
-    let team = key.and_then(|key| core.keys.borrow().get(&KeyDigest::of(key)).cloned());
+    let team = key.and_then(|key| core.find_team(key));
     if let Some(entry) = entry.as_ref().filter(|entry| entry.contract.open) {
         log::trace!("event=open-call call={}", entry.call);
     } else if key.is_none() {
         return Err(CallRefusal::not_run(RefusalReason::KeyMissing));
+    } else if !key_trust(core).is_trusted() {
+        let refusal = CallRefusal::not_run(RefusalReason::KeysStale);
+        return Err(refusal.after_ms(KEYS_STALE_MS));
     } else if team.is_none() {
         return Err(CallRefusal::not_run(RefusalReason::KeyUnknown));
     }
--- /dev/null
+++ b/crates/node/src/news_bell.rs
@@ -0,0 +1,27 @@
+use std::cell::RefCell;
+
+use futures_channel::oneshot;
+
+/// Wakes all tasks that wait for news.
+#[derive(Default)]
+pub(crate) struct NewsBell(RefCell<Vec<oneshot::Sender<()>>>);
+
+impl NewsBell {
+    /// Waits until the bell rings next.
+    pub(crate) async fn wait(&self) {
+        let (sender, receiver) = oneshot::channel();
+        self.add(sender);
+        let _ = receiver.await;
+    }
+
+    fn add(&self, sender: oneshot::Sender<()>) {
+        let mut senders = self.0.borrow_mut();
+        senders.retain(|sender| !sender.is_canceled());
+        senders.push(sender);
+    }
+
+    /// Wakes all who wait.
+    pub(crate) fn ring(&self) {
+        self.0.borrow_mut().clear();
+    }
+}
--- a/crates/node/src/node_core.rs
+++ b/crates/node/src/node_core.rs
@@ -2,14 +2,17 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
+use adapter::{HttpLog, HttpSettings};
 use clock::ClockTime;
-use contract::{FleetContract, KeyDigest};
+use contract::FleetContract;
 use model::{AttemptId, RequestId, ServiceName, TeamName, VmName};
+use platform::{KeyDigest, KeyTrust, LogStream, TrustSettings};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use route::VmRouter;
+use route::{RouteSettings, VmRouter};
 
 use crate::backend_pool::BackendPool;
+use crate::config_state::ConfigState;
 use crate::ingress_gate::IngressGate;
 use crate::node_clock::NodeClock;
 use crate::node_metrics::NodeMetrics;
@@ -17,13 +20,16 @@
 use crate::peer_links::PeerLinks;
 use crate::running_calls::RunningCalls;
 use crate::stop_signal::StopSignal;
+use crate::stream_host::StreamHost;
 
 /// All that the tasks of a node share, on one thread.
 pub(crate) struct NodeCore {
     pub(crate) settings: NodeSettings,
     pub(crate) clock: NodeClock,
     pub(crate) contract: RefCell<Rc<FleetContract>>,
-    pub(crate) keys: RefCell<BTreeMap<KeyDigest, TeamName>>,
+    pub(crate) log: HttpLog,
+    pub(crate) config: StreamHost<ConfigState>,
+    pub(crate) trust: RefCell<KeyTrust>,
     pub(crate) routers: RefCell<BTreeMap<ServiceName, VmRouter>>,
     pub(crate) links: PeerLinks,
     pub(crate) backend: Rc<BackendPool>,
@@ -36,14 +42,26 @@
 }
 
 impl NodeCore {
-    pub(crate) fn new(settings: NodeSettings) -> Self {
+    /// Creates the shared state.
+    ///
+    /// # Errors
+    ///
+    /// Returns the library's error when no client of the log can be made.
+    pub(crate) fn new(settings: NodeSettings) -> Result<Self, cyper::Error> {
         let mut random = StdRng::from_os_rng();
         let mut gate = IngressGate::new(random.random());
         gate.set_slots(settings.backend_slots);
-        Self {
-            clock: NodeClock::start(),
+        let clock = NodeClock::start();
+        let base = format!("http://{}", settings.platform_address);
+        let log = HttpLog::new(base, HttpSettings::default())?;
+        let trust = KeyTrust::new(settings.centre.clone(), TrustSettings::default());
+        let trust = RefCell::new(trust);
+        Ok(Self {
+            clock,
             contract: RefCell::default(),
-            keys: RefCell::default(),
+            log,
+            config: StreamHost::new(clock, LogStream::Config, ConfigState::new()),
+            trust,
             routers: RefCell::default(),
             links: PeerLinks::default(),
             backend: Rc::new(BackendPool::new(settings.backend_address)),
@@ -54,7 +72,7 @@
             open_connections: Rc::default(),
             random: RefCell::new(random),
             settings,
-        }
+        })
     }
 
     pub(crate) fn now(&self) -> ClockTime {
@@ -87,6 +105,26 @@
         }
     }
 
+    /// Puts a contract in force.
+    pub(crate) fn put_contract(&self, _now: ClockTime, contract: Rc<FleetContract>) {
+        let mut routers = self.routers.borrow_mut();
+        routers.retain(|service, _| contract.services.contains_key(service));
+        for service in contract.services.keys() {
+            let centre = self.settings.centre.clone();
+            routers
+                .entry(service.clone())
+                .or_insert_with(|| VmRouter::new(RouteSettings::default(), centre));
+        }
+        self.contract.replace(contract);
+    }
+
+    /// Returns the team that a key stands for.
+    pub(crate) fn find_team(&self, key: &[u8]) -> Option<TeamName> {
+        let digest = KeyDigest::of_key(key);
+        self.config
+            .with_state(|state| state.fold.keys().team(&digest).cloned())
+    }
+
     /// Returns whether the node can serve callers.
     pub(crate) fn is_ready(&self) -> bool {
         !self.contract.borrow().services.is_empty() && !self.stop.is_given()
--- a/crates/node/src/node_process.rs
+++ b/crates/node/src/node_process.rs
@@ -10,6 +10,7 @@
 use wire::PeerServer;
 
 use crate::admin_port::answer_admin;
+use crate::config_watch::ConfigWatch;
 use crate::egress::answer_backend;
 use crate::entry::answer_caller;
 use crate::http_port::serve_port;
@@ -25,6 +26,9 @@
 /// Why a node can't run.
 #[derive(Debug, Error)]
 pub enum NodeError {
+    /// No client of the platform's log can be made.
+    #[error("no client of the platform's log can be made: {0}")]
+    Client(#[source] cyper::Error),
     /// An address can't be listened on.
     #[error("the {port} address {address} can't be listened on: {error}")]
     Listen {
@@ -62,7 +66,7 @@
             egress_address: address_of(&egress, settings.egress_address),
             peer_address: address_of(&peers, settings.peer_address),
             admin_address: address_of(&admin, settings.admin_address),
-            core: Rc::new(NodeCore::new(settings)),
+            core: Rc::new(NodeCore::new(settings).map_err(NodeError::Client)?),
         };
         let core = &node.core;
         spawn(serve_port(Rc::clone(core), callers, answer_caller)).detach();
@@ -70,6 +74,7 @@
         spawn(serve_port(Rc::clone(core), admin, answer_admin)).detach();
         spawn(serve_peers(Rc::clone(core), peers)).detach();
         spawn(keep_time(Rc::clone(core))).detach();
+        spawn(follow_config(Rc::clone(core))).detach();
         Ok(node)
     }
 
@@ -146,6 +151,14 @@
     }
 }
 
+/// Follows the configuration stream, from the log and from other nodes.
+async fn follow_config(core: Rc<NodeCore>) {
+    let watch = ConfigWatch(Rc::clone(&core));
+    let reading = core.config.read_log(&core.log, &watch);
+    let pulling = core.config.pull_peers(&watch);
+    futures_util::join!(reading, pulling);
+}
+
 /// Lets time pass for everything that decides by time.
 async fn keep_time(core: Rc<NodeCore>) {
     loop {
--- a/crates/node/src/peer_port.rs
+++ b/crates/node/src/peer_port.rs
@@ -6,8 +6,10 @@
 
 use crate::answer_body::AnswerBody;
 use crate::call_body::CallBody;
+use crate::config_watch::ConfigWatch;
 use crate::ingress::run_call;
 use crate::node_core::NodeCore;
+use crate::node_message::{NodeMessage, NodeReply};
 
 /// What a node does with the calls and messages of other nodes.
 pub(crate) struct PeerPort(Rc<NodeCore>);
@@ -18,6 +20,18 @@
     }
 }
 
+impl PeerPort {
+    async fn answer(&self, message: NodeMessage) -> NodeReply {
+        let core = &self.0;
+        match message {
+            NodeMessage::Pull(pull) => {
+                let watch = ConfigWatch(Rc::clone(core));
+                NodeReply::Batch(core.config.answer(&pull, &watch).await)
+            }
+        }
+    }
+}
+
 impl PeerHandler for PeerPort {
     type Body = AnswerBody;
 
@@ -32,7 +46,16 @@
     }
 
     async fn exchange(&self, from: &VmName, message: Bytes) -> Bytes {
-        log::debug!("event=unknown-message vm={from} bytes={}", message.len());
-        Bytes::new()
+        let reply = match wire::decode::<NodeMessage>(&message) {
+            Ok(message) => self.answer(message).await,
+            Err(error) => {
+                log::warn!(
+                    "event=message-unreadable vm={from} error={:?}",
+                    error.to_string()
+                );
+                NodeReply::Nothing
+            }
+        };
+        wire::encode(&reply).unwrap_or_default().into()
     }
 }
