--- a/crates/contract/examples/contract_size.rs
+++ b/crates/contract/examples/contract_size.rs
@@ -62,7 +62,7 @@
 fn write_service(service: usize, text: &mut String) {
     let name = format!("service-number-{service:04}");
     writeln!(text, "[services.{name}]").expect("a string takes text");
-    if service % DEPTH > 0 {
+    if !service.is_multiple_of(DEPTH) {
         let below = format!("service-number-{:04}", service - 1);
         writeln!(text, "depends_on = [\"{below}\"]").expect("a string takes text");
     }
--- a/crates/contract/tests/dependency_order.rs
+++ b/crates/contract/tests/dependency_order.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use lentilshift_contract::{DependencyOrder, ServiceContract};
+use lentilshift_contract::{DependencyCycle, DependencyOrder, ServiceContract};
 use model::ServiceName;
 use proptest::prelude::*;
 
@@ -57,7 +57,7 @@
         }
         let in_cycles: usize = order.cycles.iter().map(|cycle| cycle.services().len()).sum();
         let all: BTreeSet<_> = order.services.iter()
-            .chain(order.cycles.iter().flat_map(|cycle| cycle.services())).collect();
+            .chain(order.cycles.iter().flat_map(DependencyCycle::services)).collect();
         prop_assert_eq!(all.len(), count);
         prop_assert_eq!(order.services.len() + in_cycles, count);
         for (place, service) in order.services.iter().enumerate() {
--- a/crates/contract/tests/faults.rs
+++ b/crates/contract/tests/faults.rs
@@ -3,7 +3,8 @@
 use std::fmt::Write;
 
 use lentilshift_contract::{
-    ContractError, FleetContract, MAX_CALLS_PER_SERVICE, MAX_SERVICES, MAX_TEAMS, MAX_TEXT_LEN,
+    ContractError, ContractFault, FleetContract, MAX_CALLS_PER_SERVICE, MAX_SERVICES, MAX_TEAMS,
+    MAX_TEXT_LEN,
 };
 use miette::Diagnostic;
 use rstest::rstest;
@@ -162,7 +163,7 @@
     let text = "[services.a]\ndepends_on = [\"x\"]\n[services.a.calls.c]\nmethod = \"FETCH\"\n\
                 [teams.t]\nrate_per_s = 0\nburst = 0\nweight = 1";
     let error = parse_error(text);
-    let lines: Vec<usize> = error.faults().iter().map(|fault| fault.line()).collect();
+    let lines: Vec<usize> = error.faults().iter().map(ContractFault::line).collect();
     assert_eq!(lines, [2, 4, 6, 7, 8]);
     assert!(
         error
@@ -175,7 +176,7 @@
 #[test]
 fn every_syntax_fault_is_reported() {
     let error = parse_error("[services.a]\nx = \n[services.b]\ny = @\n");
-    let lines: Vec<usize> = error.faults().iter().map(|fault| fault.line()).collect();
+    let lines: Vec<usize> = error.faults().iter().map(ContractFault::line).collect();
     assert_eq!(lines, [2, 4]);
 }
 
@@ -230,9 +231,11 @@
 }
 
 fn many(prefix: &str, count: usize, body: &str) -> String {
-    (0..count)
-        .map(|index| format!("[{prefix}{index}]\n{body}"))
-        .collect()
+    let mut text = String::new();
+    for index in 0..count {
+        writeln!(text, "[{prefix}{index}]\n{body}").unwrap();
+    }
+    text
 }
 
 #[test]
