--- a/crates/limit/src/admission_queue.rs
+++ b/crates/limit/src/admission_queue.rs
@@ -14,9 +14,7 @@
 
 /// The slots assumed until the backend server announces its own.
 const DEFAULT_SLOTS: u32 = 16;
-/// The run time assumed until one is measured, in milliseconds.
-const DEFAULT_RUN_MS: f64 = 20.0;
-/// The weight of one run in the mean run time.
+/// The weight of one run in the mean of measured over expected run times.
 const RUN_GAIN: f64 = 0.02;
 /// The shortest time after which a refused caller is told to come back, in milliseconds.
 const MIN_RETRY_MS: f64 = 100.0;
@@ -26,6 +24,13 @@
 /// milliseconds.
 const OVERLOAD_RETRY_MS: f64 = 500.0;
 
+/// A run that hasn't ended.
+#[derive(Clone, Copy, Debug)]
+struct RunStart {
+    started: ClockTime,
+    work_ms: f64,
+}
+
 /// Decides which requests run on a backend server, which wait and which are refused.
 ///
 /// # Examples
@@ -54,8 +59,9 @@
     limit: ConcurrencyLimit,
     shed: ShedControl,
     line: WaitLine,
-    running: BTreeMap<AttemptId, ClockTime>,
+    running: BTreeMap<AttemptId, RunStart>,
     run_ms: f64,
+    work_ms: f64,
     random: SmallRng,
 }
 
@@ -69,7 +75,8 @@
             shed: ShedControl::new(settings.shed),
             line: WaitLine::default(),
             running: BTreeMap::new(),
-            run_ms: DEFAULT_RUN_MS,
+            run_ms: 1.0,
+            work_ms: 1.0,
             random: SmallRng::seed_from_u64(seed),
         }
     }
@@ -85,13 +92,13 @@
     pub fn reset(&mut self) {
         self.limit.reset();
         self.shed = ShedControl::new(self.settings.shed);
-        self.run_ms = DEFAULT_RUN_MS;
+        self.run_ms = 1.0;
+        self.work_ms = 1.0;
     }
 
     /// Decides on a request.
     pub fn offer(&mut self, now: ClockTime, ticket: QueueTicket) -> QueueDecision {
-        let team = ticket.team.as_ref();
-        let is_admitted = self.shed.arrive(ticket.order, team, ticket.team_weight);
+        let is_admitted = self.shed.arrive(&ticket);
         let is_sheltered = self.settings.favors_begun && ticket.is_begun();
         if !is_admitted && !is_sheltered {
             return QueueDecision::Refuse(self.refuse_shed(&ticket));
@@ -100,11 +107,12 @@
             return QueueDecision::Refuse(self.refusal(RefusalReason::TooLate));
         }
         if self.has_slot() && self.line.len() == 0 {
-            self.start(now, ticket.id);
+            self.start(now, &ticket);
             self.line.charge(&ticket);
             return QueueDecision::Start;
         }
-        let wait = self.wait_behind(self.line.ahead_of(&ticket, &self.settings) + 1);
+        let wait =
+            self.wait_behind(self.line.work_before(&ticket, &self.settings) + ticket.work_ms());
         if self.settings.checks_deadlines && !ticket.fits(now.plus_ms(wait)) {
             return QueueDecision::Refuse(self.refusal(RefusalReason::TooLate));
         }
@@ -124,13 +132,14 @@
         actions: &mut Vec<QueueAction>,
     ) {
         let in_flight = self.in_flight();
-        let Some(started) = self.running.remove(&id) else {
+        let Some(run) = self.running.remove(&id) else {
             return;
         };
         if let RunOutcome::Completed { own_ms } = outcome {
             self.limit.record(own_ms, in_flight);
-            let run_ms = to_float(now.since_ms(started));
-            self.run_ms += RUN_GAIN * (run_ms.max(0.5) - self.run_ms);
+            let run_ms = to_float(now.since_ms(run.started)).max(0.5);
+            self.run_ms += RUN_GAIN * (run_ms - self.run_ms);
+            self.work_ms += RUN_GAIN * (run.work_ms - self.work_ms);
         }
         self.advance(now, actions);
     }
@@ -177,7 +186,7 @@
             let Some(entry) = self.line.pop(&self.settings, is_late) else {
                 break;
             };
-            self.start(now, entry.ticket.id);
+            self.start(now, &entry.ticket);
             actions.push(QueueAction::Start(entry.ticket.id));
         }
         let state = QueueState {
@@ -206,8 +215,12 @@
         }
     }
 
-    fn start(&mut self, now: ClockTime, id: AttemptId) {
-        self.running.insert(id, now);
+    fn start(&mut self, now: ClockTime, ticket: &QueueTicket) {
+        let run = RunStart {
+            started: now,
+            work_ms: ticket.work_ms(),
+        };
+        self.running.insert(ticket.id, run);
     }
 
     fn in_flight(&self) -> u32 {
@@ -225,26 +238,26 @@
             .is_some_and(|oldest| now.since_ms(oldest) > target)
     }
 
-    /// Returns the requests a second that the backend server can run.
+    /// Returns the work that the backend server can do, in milliseconds of expected run time a
+    /// second.
     fn capacity(&self) -> f64 {
-        f64::from(self.limit.current()) * 1_000.0 / self.run_ms
+        f64::from(self.limit.current()) * 1_000.0 * self.work_ms / self.run_ms
     }
 
     fn wait_now(&self) -> u64 {
         if self.has_slot() {
             return 0;
         }
-        self.wait_behind(self.line.len())
+        self.wait_behind(self.line.work_ms())
     }
 
     #[expect(
         clippy::cast_possible_truncation,
         clippy::cast_sign_loss,
-        clippy::cast_precision_loss,
-        reason = "queue lengths and waits are small and never negative"
+        reason = "waits are small and never negative"
     )]
-    fn wait_behind(&self, requests: usize) -> u64 {
-        (requests as f64 * 1_000.0 / self.capacity()) as u64
+    fn wait_behind(&self, work_ms: f64) -> u64 {
+        (work_ms * 1_000.0 / self.capacity()) as u64
     }
 
     fn refuse_shed(&mut self, ticket: &QueueTicket) -> QueueRefusal {
--- a/crates/limit/src/queue_ticket.rs
+++ b/crates/limit/src/queue_ticket.rs
@@ -27,6 +27,16 @@
         self.depth > 0
     }
 
+    /// Returns the expected run time as a measure of work, in milliseconds, at least 1.
+    #[must_use]
+    #[expect(clippy::cast_precision_loss, reason = "spans are far below 2^52 ms")]
+    pub const fn work_ms(&self) -> f64 {
+        if self.expected_ms == 0 {
+            return 1.0;
+        }
+        self.expected_ms as f64
+    }
+
     /// Returns whether the request, started now, is expected to end in time.
     #[must_use]
     pub const fn fits(&self, start: ClockTime) -> bool {
--- a/crates/limit/src/shed_control.rs
+++ b/crates/limit/src/shed_control.rs
@@ -1,8 +1,7 @@
 use clock::ClockTime;
-use model::{ShedOrder, TeamName};
 
-use crate::ShedCuts;
 use crate::team_demand::DemandTable;
+use crate::{QueueTicket, ShedCuts};
 
 /// The settings of a [`ShedControl`].
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -42,7 +41,7 @@
 pub struct QueueState {
     /// The time that a request joining now would wait, in milliseconds.
     pub wait_ms: f64,
-    /// The requests a second that the backend server can run.
+    /// The work that the backend server can do, in milliseconds of expected run time a second.
     pub capacity: f64,
 }
 
@@ -88,10 +87,10 @@
     }
 
     /// Counts an arrival and returns whether a new request is let in.
-    pub fn arrive(&mut self, order: ShedOrder, team: Option<&TeamName>, weight: u32) -> bool {
-        let is_admitted = self.cuts.admits(order, team);
+    pub fn arrive(&mut self, ticket: &QueueTicket) -> bool {
+        let is_admitted = self.cuts.admits(ticket.order, ticket.team.as_ref());
         if is_admitted {
-            self.demand.count(order, team, weight);
+            self.demand.count(ticket);
         }
         is_admitted
     }
@@ -116,9 +115,12 @@
         let correction = (target - state.wait_ms) / to_float(self.settings.horizon_ms);
         let share = (1.0 + correction).max(MIN_CAPACITY_SHARE);
         self.overload = (self.demand.total() / state.capacity).max(1.0);
-        self.cuts = self
-            .demand
-            .divide(state.capacity * share, self.settings.shares_by_team);
+        let capacity = state.capacity * share;
+        self.cuts = if self.settings.shares_by_team {
+            self.demand.divide_by_team(capacity)
+        } else {
+            self.demand.divide_by_class(capacity)
+        };
         if self.cuts.is_open() {
             self.demand.open();
         }
--- a/crates/limit/src/team_demand.rs
+++ b/crates/limit/src/team_demand.rs
@@ -2,14 +2,18 @@
 
 use model::{CallImportance, ShedOrder, TeamName};
 
-use crate::{ShedCuts, TeamCut};
+use crate::{QueueTicket, ShedCuts, TeamCut};
 
 /// The ranks within a class.
 const RANKS: f64 = 65_536.0;
 /// The smallest admitted part from which demand is worked out.
 const MIN_FRACTION: f64 = 0.004;
-/// Demand below this rate a second is forgotten.
+/// Demand below this rate, in milliseconds of work a second, is forgotten.
 const FORGET_RATE: f64 = 0.01;
+/// The steps in which a share level is searched.
+const LEVEL_STEPS: u32 = 40;
+/// Shares are compared with this factor, so that rounding cuts nothing.
+const ROUNDING: f64 = 1.000_001;
 
 /// The demand of one team in one class.
 #[derive(Clone, Debug)]
@@ -22,7 +26,7 @@
 }
 
 impl TeamFlow {
-    /// Returns the requests a second that would come if none were cut.
+    /// Returns the work a second that would come if none were cut.
     fn demand(&self) -> f64 {
         self.rate / self.smooth_fraction.max(MIN_FRACTION)
     }
@@ -37,11 +41,11 @@
 }
 
 impl DemandTable {
-    /// Counts an arrival that the cuts let in.
-    pub(crate) fn count(&mut self, order: ShedOrder, team: Option<&TeamName>, weight: u32) {
+    /// Counts an arrival that the cuts let in, with the work that it brings.
+    pub(crate) fn count(&mut self, ticket: &QueueTicket) {
         let flow = self
             .flows
-            .entry((order.importance(), team.cloned()))
+            .entry((ticket.order.importance(), ticket.team.clone()))
             .or_insert(TeamFlow {
                 weight: 1.0,
                 arrivals: 0.0,
@@ -49,8 +53,8 @@
                 fraction: 1.0,
                 smooth_fraction: 1.0,
             });
-        flow.weight = f64::from(weight.max(1));
-        flow.arrivals += 1.0;
+        flow.weight = f64::from(ticket.team_weight.max(1));
+        flow.arrivals += ticket.work_ms();
     }
 
     /// Folds the arrivals of the last `span_ms` into the rates.
@@ -65,7 +69,7 @@
         self.flows.retain(|_, flow| flow.rate > FORGET_RATE);
     }
 
-    /// Returns the whole demand in requests a second.
+    /// Returns the whole demand in work a second.
     pub(crate) fn total(&self) -> f64 {
         self.flows.values().map(TeamFlow::demand).sum()
     }
@@ -77,104 +81,133 @@
         }
     }
 
-    /// Divides a capacity in requests a second, and returns the cuts that enforce it.
+    /// Divides a capacity in work a second, and returns the cuts that enforce it.
     ///
-    /// Classes are served from the top. Within the class where capacity ends, teams get max-min
-    /// shares by weight, or the same fraction each when `is_shared` is false.
-    pub(crate) fn divide(&mut self, capacity: f64, is_shared: bool) -> ShedCuts {
-        let mut left = capacity;
-        let mut cuts = None;
-        for class in CallImportance::ALL.into_iter().rev() {
-            let demand = self.class_demand(class);
-            if demand <= left {
-                left -= demand;
-                self.admit_class(class);
-                continue;
-            }
-            if cuts.is_none() {
-                cuts = Some(self.cut_class(class, left, is_shared));
-                left = 0.0;
-            } else {
-                self.close_class(class);
+    /// Critical calls come first, whoever sends them. What is left goes to the teams in max-min
+    /// shares by weight of all that they send, and within a team to its classes from the top.
+    pub(crate) fn divide_by_team(&mut self, capacity: f64) -> ShedCuts {
+        let critical = self.class_demand(CallImportance::Critical);
+        if critical >= capacity {
+            return self.divide_by_class(capacity);
+        }
+        let teams = self.team_totals();
+        let level = share_level(&teams, capacity);
+        let mut cuts = ShedCuts::default();
+        for (team, total) in &teams {
+            let share = total.share(level);
+            let threshold = self.cut_team(team.as_ref(), share);
+            if threshold > ShedOrder::FIRST {
+                cuts.over_share.push(TeamCut {
+                    team: team.clone(),
+                    threshold,
+                });
             }
         }
-        cuts.unwrap_or_default()
+        cuts
     }
 
-    fn class_demand(&self, class: CallImportance) -> f64 {
-        self.class_flows(class).map(|(_, flow)| flow.demand()).sum()
+    /// Divides a capacity by class alone, the same for every team.
+    pub(crate) fn divide_by_class(&mut self, capacity: f64) -> ShedCuts {
+        let threshold = self.cut_flows(capacity, |_| true);
+        ShedCuts {
+            threshold,
+            over_share: Vec::new(),
+        }
     }
 
-    fn class_flows(
-        &self,
-        class: CallImportance,
-    ) -> impl Iterator<Item = (&Option<TeamName>, &TeamFlow)> {
-        self.flows
-            .iter()
-            .filter(move |((importance, _), _)| *importance == class)
-            .map(|((_, team), flow)| (team, flow))
+    fn cut_team(&mut self, team: Option<&TeamName>, capacity: f64) -> ShedOrder {
+        self.cut_flows(capacity, |other| other == team)
     }
 
-    fn admit_class(&mut self, class: CallImportance) {
-        self.set_fractions(class, |_| 1.0);
+    /// Serves the classes of the flows chosen from the top, and returns where capacity ends.
+    fn cut_flows(
+        &mut self,
+        capacity: f64,
+        is_chosen: impl Fn(Option<&TeamName>) -> bool,
+    ) -> ShedOrder {
+        let mut left = capacity;
+        let mut threshold = ShedOrder::FIRST;
+        for class in CallImportance::ALL.into_iter().rev() {
+            let mut flows: Vec<&mut TeamFlow> = self
+                .flows
+                .iter_mut()
+                .filter(|((other, team), _)| *other == class && is_chosen(team.as_ref()))
+                .map(|(_, flow)| flow)
+                .collect();
+            let demand: f64 = flows.iter().map(|flow| flow.demand()).sum();
+            let fraction = if demand <= left * ROUNDING {
+                1.0
+            } else {
+                left / demand
+            };
+            left = (left - demand).max(0.0);
+            for flow in &mut flows {
+                flow.fraction = fraction;
+            }
+            if fraction < 1.0 {
+                threshold = threshold.max(place(class, fraction));
+            }
+        }
+        threshold
     }
 
-    fn close_class(&mut self, class: CallImportance) {
-        self.set_fractions(class, |_| 0.0);
+    fn class_demand(&self, class: CallImportance) -> f64 {
+        self.flows
+            .iter()
+            .filter(|((importance, _), _)| *importance == class)
+            .map(|(_, flow)| flow.demand())
+            .sum()
     }
 
-    fn set_fractions(&mut self, class: CallImportance, fraction: impl Fn(&TeamFlow) -> f64) {
-        for ((importance, _), flow) in &mut self.flows {
-            if *importance == class {
-                flow.fraction = fraction(flow);
+    fn team_totals(&self) -> BTreeMap<Option<TeamName>, TeamTotal> {
+        let mut totals: BTreeMap<Option<TeamName>, TeamTotal> = BTreeMap::new();
+        for ((class, team), flow) in &self.flows {
+            let total = totals.entry(team.clone()).or_default();
+            total.weight = flow.weight;
+            total.demand += flow.demand();
+            if *class == CallImportance::Critical {
+                total.critical += flow.demand();
             }
         }
+        totals
     }
+}
 
-    fn cut_class(&mut self, class: CallImportance, capacity: f64, is_shared: bool) -> ShedCuts {
-        if !is_shared {
-            let fraction = capacity / self.class_demand(class);
-            self.set_fractions(class, |_| fraction);
-            return ShedCuts {
-                threshold: place(class, fraction),
-                over_share: Vec::new(),
-            };
-        }
-        let level = self.water_level(class, capacity);
-        self.set_fractions(class, |flow| (level * flow.weight / flow.demand()).min(1.0));
-        let over_share = self
-            .class_flows(class)
-            .filter(|(_, flow)| flow.fraction < 1.0)
-            .map(|(team, flow)| TeamCut {
-                team: team.clone(),
-                threshold: place(class, flow.fraction),
-            })
-            .collect();
-        ShedCuts {
-            threshold: place(class, 1.0),
-            over_share,
-        }
+/// All that one team sends, in work a second.
+#[derive(Clone, Copy, Debug, Default)]
+struct TeamTotal {
+    weight: f64,
+    demand: f64,
+    critical: f64,
+}
+
+impl TeamTotal {
+    /// Returns the team's share when each unit of weight is given `level`.
+    fn share(&self, level: f64) -> f64 {
+        (level * self.weight).min(self.demand).max(self.critical)
     }
+}
 
-    /// Returns the rate for each unit of weight at which the teams' shares use up a capacity.
-    fn water_level(&self, class: CallImportance, capacity: f64) -> f64 {
-        let mut wants: Vec<(f64, f64)> = self
-            .class_flows(class)
-            .map(|(_, flow)| (flow.demand(), flow.weight))
-            .collect();
-        wants.sort_by(|a, b| (a.0 / a.1).total_cmp(&(b.0 / b.1)));
-        let mut weights: f64 = wants.iter().map(|(_, weight)| weight).sum();
-        let mut left = capacity;
-        for (demand, weight) in wants {
-            let level = left / weights;
-            if demand > level * weight {
-                return level;
-            }
-            left -= demand;
-            weights -= weight;
+/// Returns the level for each unit of weight at which the shares use up a capacity.
+fn share_level(teams: &BTreeMap<Option<TeamName>, TeamTotal>, capacity: f64) -> f64 {
+    let mut low = 0.0;
+    let mut high = teams
+        .values()
+        .map(|total| total.demand / total.weight)
+        .fold(0.0, f64::max);
+    let used = |level: f64| -> f64 { teams.values().map(|total| total.share(level)).sum() };
+    if used(high) <= capacity {
+        return high;
+    }
+    for _ in 0..LEVEL_STEPS {
+        let middle = f64::midpoint(low, high);
+        if used(middle) > capacity {
+            high = middle;
+        } else {
+            low = middle;
         }
-        f64::MAX
     }
+    low
 }
 
 #[expect(
--- a/crates/limit/src/wait_line.rs
+++ b/crates/limit/src/wait_line.rs
@@ -55,16 +55,25 @@
         self.entries.len() < len
     }
 
-    /// Returns how many requests would start before a new one.
-    pub(crate) fn ahead_of(&self, ticket: &QueueTicket, settings: &QueueSettings) -> usize {
+    /// Returns the work that waits, in milliseconds.
+    pub(crate) fn work_ms(&self) -> f64 {
+        self.entries
+            .iter()
+            .map(|entry| entry.ticket.work_ms())
+            .sum()
+    }
+
+    /// Returns the work that would start before a new request, in milliseconds.
+    pub(crate) fn work_before(&self, ticket: &QueueTicket, settings: &QueueSettings) -> f64 {
         if !settings.orders_by_class {
-            return self.entries.len();
+            return self.work_ms();
         }
         let importance = ticket.order.importance();
         self.entries
             .iter()
             .filter(|entry| entry.ticket.order.importance() >= importance)
-            .count()
+            .map(|entry| entry.ticket.work_ms())
+            .sum()
     }
 
     /// Takes out every request for which `is_late` holds.
