feat(once,retry,quarantine): claims, a conserved retry allowance and suspects as state machines

The first claim of a key by offset owns the key, and only its attempt may run. What ran in a crash runs alone, on one VM.

--- /dev/null
+++ b/crates/once/src/claim_upkeep.rs
@@ -0,0 +1,93 @@
+use std::collections::VecDeque;
+
+use clock::ClockTime;
+
+use crate::{OnceSettings, SnapshotMark};
+
+/// The number of marks in one horizon.
+const MARKS_PER_HORIZON: u64 = 16;
+
+/// An offset, and when everything below it was on the log already.
+#[derive(Clone, Copy, Debug)]
+struct AgeMark {
+    offset: u64,
+    /// When everything below the offset has outlived the horizon.
+    expires_at: ClockTime,
+}
+
+/// When to append snapshots and expiries.
+///
+/// Ages are counted on the node's own monotonic clock from the moment a record was read, so
+/// they are never larger than the real age.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ClaimUpkeep {
+    marks: VecDeque<AgeMark>,
+    next_mark: ClockTime,
+    pub(crate) snapshot_at: ClockTime,
+    pub(crate) complete_at: ClockTime,
+}
+
+impl ClaimUpkeep {
+    /// Notes that every record below `offset` is on the log by now.
+    pub(crate) fn mark(&mut self, now: ClockTime, settings: &OnceSettings, offset: u64) {
+        if now < self.next_mark {
+            return;
+        }
+        self.next_mark = now.plus_ms(settings.horizon_ms / MARKS_PER_HORIZON);
+        self.marks.push_back(AgeMark {
+            offset,
+            expires_at: now.plus_ms(settings.horizon_ms),
+        });
+    }
+
+    /// Returns the offset below which everything has outlived the horizon.
+    pub(crate) fn take_expired(&mut self, now: ClockTime) -> Option<u64> {
+        let mut below = None;
+        while self
+            .marks
+            .front()
+            .is_some_and(|mark| mark.expires_at <= now)
+        {
+            below = self.marks.pop_front().map(|mark| mark.offset);
+        }
+        below
+    }
+
+    pub(crate) fn adopt(
+        &mut self,
+        now: ClockTime,
+        settings: &OnceSettings,
+        marks: &[SnapshotMark],
+    ) {
+        for mark in marks {
+            let left_ms = settings.horizon_ms.saturating_sub(mark.age_ms);
+            self.marks.push_back(AgeMark {
+                offset: mark.offset,
+                expires_at: now.plus_ms(left_ms),
+            });
+        }
+        self.marks
+            .make_contiguous()
+            .sort_by_key(|mark| mark.expires_at);
+    }
+
+    pub(crate) fn copy_marks(&self, now: ClockTime, settings: &OnceSettings) -> Vec<SnapshotMark> {
+        let age_ms = |mark: &AgeMark| {
+            settings
+                .horizon_ms
+                .saturating_sub(now.until_ms(mark.expires_at))
+        };
+        self.marks
+            .iter()
+            .map(|mark| SnapshotMark {
+                offset: mark.offset,
+                age_ms: age_ms(mark),
+            })
+            .collect()
+    }
+
+    pub(crate) fn next_poll(&self) -> ClockTime {
+        let expiry = self.marks.front().map(|mark| mark.expires_at);
+        expiry.map_or(self.snapshot_at, |expiry| expiry.min(self.snapshot_at))
+    }
+}
--- /dev/null
+++ b/crates/quarantine/src/lib.rs
@@ -0,0 +1,23 @@
+//! Quarantine of requests that crash backend servers.
+//!
+//! What ran when a backend server crashed is *suspect*: it runs alone, on the one VM that the
+//! crash assigned to it, and is never retried. A second crash puts it in quarantine. The news
+//! goes to the peers before the failure is answered, so a caller that sends the request again
+//! meets nodes that know.
+//!
+//! [`SuspectBook`] decides for the node beside one backend server.
+
+mod request_fingerprint;
+mod run_gate;
+mod suspect_action;
+mod suspect_book;
+mod suspect_list;
+mod suspect_news;
+mod suspect_settings;
+
+pub use request_fingerprint::{RequestFingerprint, home_vm};
+pub use suspect_action::{SuspectAction, SuspectDecision};
+pub use suspect_book::SuspectBook;
+pub use suspect_list::{SuspectEntry, SuspectList};
+pub use suspect_news::{NewsId, SuspectNews};
+pub use suspect_settings::SuspectSettings;
