feat(rate): grant team tokens by escrow under leases on the log

Cause: a team's rate and burst must hold over all VMs in every window, with no coordinator and no store of our own. Change: tables, leases with successors and promises, grants counted by both sides on the safe side, shares as the minimum over tables not yet confirmed.

--- /dev/null
+++ b/crates/rate/src/lease_fold.rs
@@ -0,0 +1,113 @@
+use std::collections::BTreeMap;
+
+use clock::ClockTime;
+use model::{CentreName, TeamName, VmName};
+
+use crate::team_share::TeamShare;
+use crate::{LeaseRecord, RateRecord, TableRecord};
+
+/// The lease in force for a slot in a data centre.
+#[derive(Clone, Debug)]
+pub(crate) struct LeaseState {
+    pub(crate) record: LeaseRecord,
+    pub(crate) offset: u64,
+    pub(crate) read_at: ClockTime,
+}
+
+/// What the log says of one slot.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct LeaseFold {
+    tables: BTreeMap<u64, (TableRecord, ClockTime)>,
+    leases: BTreeMap<CentreName, LeaseState>,
+}
+
+impl LeaseFold {
+    /// Folds a record in and tells whether it is valid.
+    pub(crate) fn apply(&mut self, now: ClockTime, offset: u64, record: &RateRecord) -> bool {
+        match record {
+            RateRecord::Table(table) => self.apply_table(now, table),
+            RateRecord::Lease(lease) => self.apply_lease(now, offset, lease),
+        }
+    }
+
+    fn apply_table(&mut self, now: ClockTime, table: &TableRecord) -> bool {
+        let is_next = self.table().is_none_or(|last| {
+            table.epoch == last.epoch + 1 && table.contract_version >= last.contract_version
+        });
+        if is_next {
+            self.tables.insert(table.epoch, (table.clone(), now));
+        }
+        is_next
+    }
+
+    fn apply_lease(&mut self, now: ClockTime, offset: u64, lease: &LeaseRecord) -> bool {
+        let last = self.leases.get(&lease.centre);
+        let follows = last.map(|state| state.offset) == lease.base;
+        let is_renewal = last.is_some_and(|state| {
+            state.record.holder == lease.holder && lease.epoch >= state.record.epoch
+        });
+        let is_current = self.table().is_some_and(|table| table.epoch == lease.epoch);
+        if !follows || !(is_renewal || is_current) {
+            return false;
+        }
+        let state = LeaseState {
+            record: lease.clone(),
+            offset,
+            read_at: now,
+        };
+        self.leases.insert(lease.centre.clone(), state);
+        let oldest = self.agreed_epoch();
+        self.tables.retain(|epoch, _| *epoch >= oldest);
+        true
+    }
+
+    /// Returns the newest table.
+    pub(crate) fn table(&self) -> Option<&TableRecord> {
+        self.tables.values().next_back().map(|(table, _)| table)
+    }
+
+    /// Returns the newest epoch that has been known for `age_ms`.
+    pub(crate) fn settled_epoch(&self, now: ClockTime, age_ms: u64) -> u64 {
+        let is_settled = |at: ClockTime| now.since_ms(at) >= age_ms;
+        let settled = self
+            .tables
+            .iter()
+            .rev()
+            .find(|(_, (_, at))| is_settled(*at));
+        settled.map_or(0, |(epoch, _)| *epoch)
+    }
+
+    /// Returns the lease of a data centre.
+    pub(crate) fn lease(&self, centre: &CentreName) -> Option<&LeaseState> {
+        self.leases.get(centre)
+    }
+
+    /// Returns all leases.
+    pub(crate) const fn leases(&self) -> &BTreeMap<CentreName, LeaseState> {
+        &self.leases
+    }
+
+    /// Returns the allocator of a data centre.
+    pub(crate) fn holder(&self, centre: &CentreName) -> Option<&VmName> {
+        self.leases.get(centre)?.record.holder.as_ref()
+    }
+
+    /// Returns the share that is safe whichever table the other allocators abide by.
+    pub(crate) fn share(&self, team: &TeamName, centre: &CentreName) -> TeamShare {
+        let shares = self
+            .tables
+            .values()
+            .map(|(table, _)| TeamShare::of(table, team, centre));
+        shares.reduce(TeamShare::min).unwrap_or_default()
+    }
+
+    /// Returns the oldest epoch that an allocator may abide by.
+    fn agreed_epoch(&self) -> u64 {
+        let held = self
+            .leases
+            .values()
+            .filter(|state| state.record.holder.is_some());
+        let newest = self.table().map_or(0, |table| table.epoch);
+        held.map(|state| state.record.epoch).min().unwrap_or(newest)
+    }
+}
--- /dev/null
+++ b/crates/rate/src/rate_action.rs
@@ -0,0 +1,12 @@
+use model::VmName;
+
+use crate::{RateMessage, RateRecord};
+
+/// What the caller has to carry out for the limiter.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RateAction {
+    /// Sends a message to another node.
+    Send(VmName, RateMessage),
+    /// Appends a record to the stream of rate records.
+    Append(RateRecord),
+}
--- /dev/null
+++ b/crates/rate/src/team_limiter.rs
@@ -0,0 +1,399 @@
+use std::collections::{BTreeMap, BTreeSet};
+
+use clock::ClockTime;
+use model::{CentreName, TeamName, VmName};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::lease_fold::LeaseFold;
+use crate::rate_allocator::RateAllocator;
+use crate::team_share::slot_of;
+use crate::token_holder::TokenHolder;
+use crate::{
+    LeaseRecord, RateAction, RateDecision, RateMessage, RateRecord, RateSettings, TableRecord,
+    TeamEntry, TeamRate,
+};
+
+/// The time between two looks at leases and tables, in milliseconds.
+const CONTROL_PERIOD_MS: u64 = 100;
+/// The time between two looks at outstanding asks and tokens, in milliseconds.
+const BUSY_PERIOD_MS: u64 = 4;
+/// The head start of a node over the next in rank when a lease is vacant, in milliseconds.
+const RANK_STEP_MS: u64 = 2_000;
+
+/// Keeps the teams to their rates on one node.
+#[derive(Clone, Debug)]
+pub struct TeamLimiter {
+    vm: VmName,
+    centre: CentreName,
+    settings: RateSettings,
+    folds: BTreeMap<u16, LeaseFold>,
+    allocators: BTreeMap<u16, RateAllocator>,
+    holder: TokenHolder,
+    members: BTreeMap<VmName, CentreName>,
+    ranks: BTreeMap<u16, Vec<VmName>>,
+    teams: BTreeMap<u16, Vec<TeamEntry>>,
+    version: Option<u64>,
+    caught_up_at: Option<ClockTime>,
+    tables_tried: BTreeMap<u16, ClockTime>,
+    polled_at: ClockTime,
+    control_at: ClockTime,
+}
+
+impl TeamLimiter {
+    /// Creates the limiter of the node on `vm` in `centre`.
+    #[must_use]
+    pub fn new(vm: VmName, centre: CentreName, settings: RateSettings) -> Self {
+        let allocator = |slot| (slot, RateAllocator::new(slot, vm.clone(), centre.clone()));
+        Self {
+            allocators: (0..settings.slots).map(allocator).collect(),
+            folds: (0..settings.slots)
+                .map(|slot| (slot, LeaseFold::default()))
+                .collect(),
+            holder: TokenHolder::new(centre.clone()),
+            vm,
+            centre,
+            settings,
+            members: BTreeMap::new(),
+            ranks: BTreeMap::new(),
+            teams: BTreeMap::new(),
+            version: None,
+            caught_up_at: None,
+            tables_tried: BTreeMap::new(),
+            polled_at: ClockTime::ZERO,
+            control_at: ClockTime::ZERO,
+        }
+    }
+
+    /// Decides on a new request of `team`.
+    pub fn admit(&mut self, now: ClockTime, team: &TeamName) -> RateDecision {
+        self.holder.admit(now, team, true, &self.settings)
+    }
+
+    /// Decides again on a request that was told to ask.
+    pub fn admit_again(&mut self, now: ClockTime, team: &TeamName) -> RateDecision {
+        self.holder.admit(now, team, false, &self.settings)
+    }
+
+    /// Takes in the rates of all teams; an older version than the present one is ignored.
+    pub fn set_contract(
+        &mut self,
+        teams: impl IntoIterator<Item = (TeamName, TeamRate)>,
+        version: u64,
+    ) {
+        if self.version.is_some_and(|last| version <= last) {
+            return;
+        }
+        self.version = Some(version);
+        self.teams.clear();
+        let teams: BTreeMap<TeamName, TeamRate> = teams.into_iter().collect();
+        let names: Vec<TeamName> = teams.keys().cloned().collect();
+        self.holder.set_teams(&names);
+        for (team, rate) in teams {
+            let slot = slot_of(&team, self.settings.slots);
+            self.teams
+                .entry(slot)
+                .or_default()
+                .push(TeamEntry { team, rate });
+        }
+    }
+
+    /// Replaces the list of live nodes, this one included.
+    pub fn set_members(&mut self, members: impl IntoIterator<Item = (VmName, CentreName)>) {
+        self.members = members.into_iter().collect();
+        let is_near = |(_, centre): &(&VmName, &CentreName)| **centre == self.centre;
+        let near: Vec<VmName> = self
+            .members
+            .iter()
+            .filter(is_near)
+            .map(|(vm, _)| vm.clone())
+            .collect();
+        for slot in 0..self.settings.slots {
+            let mut ranked = near.clone();
+            ranked.sort_by_key(|vm| xxh3_64_with_seed(vm.as_str().as_bytes(), u64::from(slot)));
+            self.ranks.insert(slot, ranked);
+        }
+    }
+
+    /// Notes that the stream of rate records has been read up to its end.
+    pub fn log_caught_up(&mut self, now: ClockTime) {
+        self.caught_up_at.get_or_insert(now);
+    }
+
+    /// Folds in a record of the stream; records come in order of offset, from the first one on.
+    pub fn receive_record(&mut self, now: ClockTime, offset: u64, record: &RateRecord) {
+        let slot = match record {
+            RateRecord::Table(table) => table.slot,
+            RateRecord::Lease(lease) => lease.slot,
+        };
+        let Some(fold) = self.folds.get_mut(&slot) else {
+            return;
+        };
+        if !fold.apply(now, offset, record) {
+            return;
+        }
+        let RateRecord::Lease(lease) = record else {
+            return;
+        };
+        self.holder
+            .set_allocator((slot, lease.centre.clone()), fold.holder(&lease.centre));
+        if lease.centre != self.centre {
+            return;
+        }
+        if let (Some(allocator), Some(state)) =
+            (self.allocators.get_mut(&slot), fold.lease(&self.centre))
+        {
+            allocator.observe(state, &self.settings);
+        }
+    }
+
+    /// Does what is due at `now`.
+    pub fn poll(&mut self, now: ClockTime, actions: &mut Vec<RateAction>) {
+        self.polled_at = now;
+        let mut raised = Vec::new();
+        if now >= self.control_at {
+            self.control_at = now.plus_ms(CONTROL_PERIOD_MS);
+            self.poll_allocators(now, &mut raised);
+            self.propose_tables(now, &mut raised);
+            self.vacate_leases(now, &mut raised);
+        }
+        self.holder.poll(now, &self.settings, &mut raised);
+        self.dispatch(now, raised, actions);
+    }
+
+    /// Returns when [`TeamLimiter::poll`] is due.
+    #[must_use]
+    pub fn next_poll(&self) -> ClockTime {
+        if self.holder.is_dirty() {
+            return self.polled_at;
+        }
+        if self.holder.is_busy() {
+            return self.polled_at.plus_ms(BUSY_PERIOD_MS).min(self.control_at);
+        }
+        self.control_at
+    }
+
+    /// Takes in a message from the node `from`.
+    pub fn receive(
+        &mut self,
+        now: ClockTime,
+        from: &VmName,
+        message: RateMessage,
+        actions: &mut Vec<RateAction>,
+    ) {
+        let mut raised = Vec::new();
+        self.handle(now, from, message, &mut raised);
+        if self.holder.is_dirty() {
+            self.holder.poll(now, &self.settings, &mut raised);
+        }
+        self.dispatch(now, raised, actions);
+    }
+
+    /// Counts the slots that this node allocates at `now`.
+    #[must_use]
+    pub fn allocated_slots(&self, now: ClockTime) -> usize {
+        let held = self.allocators.iter().filter(|(slot, allocator)| {
+            let fold = self.folds.get(slot);
+            fold.is_some_and(|fold| allocator.may_grant(now, fold))
+        });
+        held.count()
+    }
+
+    /// Counts the grants of this node's allocators that may still be spent.
+    #[must_use]
+    pub fn open_grants(&self) -> usize {
+        self.allocators
+            .values()
+            .map(RateAllocator::open_grants)
+            .sum()
+    }
+
+    /// Hands messages from this node to itself over at once and passes on the rest.
+    fn dispatch(
+        &mut self,
+        now: ClockTime,
+        mut raised: Vec<RateAction>,
+        actions: &mut Vec<RateAction>,
+    ) {
+        let vm = self.vm.clone();
+        while let Some(action) = raised.pop() {
+            match action {
+                RateAction::Send(to, message) if to == vm => {
+                    self.handle(now, &vm, message, &mut raised);
+                }
+                action => actions.push(action),
+            }
+        }
+    }
+
+    fn handle(
+        &mut self,
+        now: ClockTime,
+        from: &VmName,
+        message: RateMessage,
+        raised: &mut Vec<RateAction>,
+    ) {
+        let settings = &self.settings;
+        match message {
+            RateMessage::Ask { slot, seq, wants } => {
+                if let Some((allocator, fold)) = pool(&mut self.allocators, &self.folds, slot) {
+                    let answer = allocator.grant(now, from, seq, &wants, fold, settings);
+                    raised.extend(answer.map(|answer| RateAction::Send(from.clone(), answer)));
+                }
+            }
+            RateMessage::Close {
+                slot,
+                closes,
+                abandoned,
+            } => {
+                if let Some((allocator, fold)) = pool(&mut self.allocators, &self.folds, slot) {
+                    allocator.close(now, from, &closes, &abandoned, fold, settings);
+                }
+            }
+            RateMessage::AskPromise { slot, seq } => {
+                if let Some((allocator, fold)) = pool(&mut self.allocators, &self.folds, slot) {
+                    allocator.promise(now, from.clone(), seq, fold, settings, raised);
+                }
+            }
+            RateMessage::Promise { slot, seq, by } => {
+                if let Some((allocator, _)) = pool(&mut self.allocators, &self.folds, slot) {
+                    allocator.receive_promise(by, seq, settings);
+                }
+            }
+            RateMessage::Grant {
+                seq,
+                life_ms,
+                grants,
+                ..
+            } => self
+                .holder
+                .receive(now, from, seq, life_ms, grants, settings),
+        }
+    }
+
+    fn poll_allocators(&mut self, now: ClockTime, raised: &mut Vec<RateAction>) {
+        if self.caught_up_at.is_none() {
+            return;
+        }
+        for slot in 0..self.settings.slots {
+            let begin_at = self.begin_at(slot);
+            let ranked = self.ranks.get(&slot).into_iter().flatten();
+            let others = ranked.filter(|vm| **vm != self.vm).cloned();
+            let successors: Vec<VmName> = others.take(self.settings.successors).collect();
+            if let Some((allocator, fold)) = pool(&mut self.allocators, &self.folds, slot) {
+                allocator.poll(now, fold, &successors, begin_at, &self.settings, raised);
+            }
+        }
+    }
+
+    /// Returns when this node may begin a vacant lease, the first in rank before the others.
+    fn begin_at(&self, slot: u16) -> Option<ClockTime> {
+        let rank = self
+            .ranks
+            .get(&slot)?
+            .iter()
+            .position(|vm| *vm == self.vm)?;
+        let caught_up_at = self.caught_up_at?;
+        Some(caught_up_at.plus_ms(RANK_STEP_MS * rank as u64))
+    }
+
+    /// Appends a table where the contract or the data centres changed.
+    fn propose_tables(&mut self, now: ClockTime, raised: &mut Vec<RateAction>) {
+        let Some(version) = self.version else {
+            return;
+        };
+        for slot in 0..self.settings.slots {
+            let tried_at = self.tables_tried.get(&slot);
+            if tried_at.is_some_and(|time| now.since_ms(*time) < RANK_STEP_MS) {
+                continue;
+            }
+            if let Some(table) = self.next_table(now, slot, version) {
+                self.tables_tried.insert(slot, now);
+                raised.push(RateAction::Append(RateRecord::Table(table)));
+            }
+        }
+    }
+
+    fn next_table(&self, now: ClockTime, slot: u16, version: u64) -> Option<TableRecord> {
+        let fold = self.folds.get(&slot)?;
+        let teams = self.teams.get(&slot).cloned().unwrap_or_default();
+        let Some(last) = fold.table() else {
+            let may_begin = self.begin_at(slot).is_some_and(|time| time <= now);
+            return (may_begin && !teams.is_empty()).then(|| TableRecord {
+                slot,
+                epoch: 1,
+                contract_version: version,
+                centres: self.live_centres(),
+                teams,
+            });
+        };
+        if !self.allocators.get(&slot)?.may_grant(now, fold) {
+            return None;
+        }
+        let is_newer = version > last.contract_version;
+        let next = TableRecord {
+            slot,
+            epoch: last.epoch + 1,
+            contract_version: version.max(last.contract_version),
+            centres: self.next_centres(fold, last),
+            teams: if is_newer { teams } else { last.teams.clone() },
+        };
+        (next.teams != last.teams || next.centres != last.centres).then_some(next)
+    }
+
+    fn live_centres(&self) -> Vec<CentreName> {
+        let centres: BTreeSet<&CentreName> = self.members.values().collect();
+        centres.into_iter().cloned().collect()
+    }
+
+    /// Returns the live data centres and those whose share is still held.
+    fn next_centres(&self, fold: &LeaseFold, last: &TableRecord) -> Vec<CentreName> {
+        let mut centres: BTreeSet<CentreName> = self.live_centres().into_iter().collect();
+        let held = last
+            .centres
+            .iter()
+            .filter(|centre| fold.holder(centre).is_some());
+        centres.extend(held.cloned());
+        centres.into_iter().collect()
+    }
+
+    /// Ends the leases of data centres without nodes once nobody can be using them.
+    fn vacate_leases(&self, now: ClockTime, raised: &mut Vec<RateAction>) {
+        let live = self.live_centres();
+        let settings = &self.settings;
+        let life_ms =
+            settings.longer_ms(settings.abandon_ms) + settings.longer_ms(settings.grant_ms);
+        for (slot, fold) in &self.folds {
+            let is_ours = self
+                .allocators
+                .get(slot)
+                .is_some_and(|a| a.may_grant(now, fold));
+            let Some(epoch) = fold.table().map(|table| table.epoch).filter(|_| is_ours) else {
+                continue;
+            };
+            for (centre, state) in fold.leases() {
+                let is_over = now.since_ms(state.read_at) >= life_ms;
+                if live.contains(centre) || state.record.holder.is_none() || !is_over {
+                    continue;
+                }
+                raised.push(RateAction::Append(RateRecord::Lease(LeaseRecord {
+                    slot: *slot,
+                    centre: centre.clone(),
+                    base: Some(state.offset),
+                    holder: None,
+                    successors: Vec::new(),
+                    renewal: 0,
+                    epoch,
+                })));
+            }
+        }
+    }
+}
+
+/// Returns the allocator of a slot with what the log says of it.
+fn pool<'a>(
+    allocators: &'a mut BTreeMap<u16, RateAllocator>,
+    folds: &'a BTreeMap<u16, LeaseFold>,
+    slot: u16,
+) -> Option<(&'a mut RateAllocator, &'a LeaseFold)> {
+    Some((allocators.get_mut(&slot)?, folds.get(&slot)?))
+}
