--- a/crates/graph/src/shed_report.rs
+++ b/crates/graph/src/shed_report.rs
@@ -1,4 +1,5 @@
 use model::{CallImportance, ServiceName, ShedOrder};
+use serde::{Deserialize, Serialize};
 
 use crate::AdmissionSettings;
 
@@ -9,7 +10,7 @@
 ///
 /// A report is passed on as it was made, with its age, so that it expires after the same time
 /// however many hops it has travelled.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ShedReport {
     /// The service that sheds.
     pub service: ServiceName,
--- a/crates/wire/src/answer_head.rs
+++ b/crates/wire/src/answer_head.rs
@@ -1,12 +1,13 @@
 use std::fmt;
 
+use graph::ShedReport;
 use limit::LoadReport;
 use model::{AttemptId, RefusalReason, RequestId, RunVerdict, ServiceName};
 use serde::de::{self, SeqAccess, Visitor};
 use serde::ser::SerializeTuple;
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
-use crate::{HeaderList, ServiceThreshold};
+use crate::HeaderList;
 
 /// The number of fields of a [`AnswerHead`] on the wire.
 const FIELDS: usize = 13;
@@ -27,7 +28,7 @@
     /// The time after which asking again makes sense, in milliseconds; 0 when it doesn't matter.
     pub retry_after_ms: u32,
     /// The retries of the call's share that weren't spent.
-    pub allowance_left: u16,
+    pub allowance_left: u32,
     /// The HTTP status.
     pub status: u16,
     /// The HTTP headers.
@@ -36,8 +37,8 @@
     pub body_bytes: Option<u64>,
     /// The load of the backend server.
     pub load: LoadReport,
-    /// The thresholds of services further down the chain.
-    pub thresholds: Vec<ServiceThreshold>,
+    /// What the service, or one that it needs, sheds.
+    pub report: Option<ShedReport>,
     /// The time for which the backend server ran the call, in milliseconds.
     pub run_ms: u32,
 }
@@ -56,7 +57,7 @@
         tuple.serialize_element(&self.headers)?;
         tuple.serialize_element(&self.body_bytes)?;
         tuple.serialize_element(&self.load)?;
-        tuple.serialize_element(&self.thresholds)?;
+        tuple.serialize_element(&self.report)?;
         tuple.serialize_element(&self.run_ms)?;
         tuple.end()
     }
@@ -90,7 +91,7 @@
             headers: next_field(&mut fields, 8)?,
             body_bytes: next_field(&mut fields, 9)?,
             load: next_field(&mut fields, 10)?,
-            thresholds: next_field(&mut fields, 11)?,
+            report: next_field(&mut fields, 11)?,
             run_ms: next_field(&mut fields, 12)?,
         })
     }
--- a/crates/wire/src/call_head.rs
+++ b/crates/wire/src/call_head.rs
@@ -32,7 +32,7 @@
     /// The time left until the deadline, in milliseconds.
     pub deadline_left_ms: u32,
     /// The retries that may be spent on this call and below it.
-    pub allowance: u16,
+    pub allowance: u32,
     /// Whether the call must run at most once.
     pub once: bool,
     /// Whether running the call again does no harm.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -18,7 +18,6 @@
 mod link_settings;
 mod peer_link;
 mod peer_server;
-mod service_threshold;
 
 pub use answer_head::AnswerHead;
 pub use call_head::CallHead;
@@ -30,7 +29,6 @@
 pub use link_settings::LinkSettings;
 pub use peer_link::PeerLink;
 pub use peer_server::{PeerHandler, PeerServer};
-pub use service_threshold::ServiceThreshold;
 
 /// The version of the messages between nodes; nodes of different versions refuse each other.
 pub const WIRE_VERSION: u16 = 1;
