--- /dev/null
+++ b/crates/member/src/announce_timer.rs
@@ -0,0 +1,66 @@
+use clock::ClockTime;
+use rand::Rng;
+
+use crate::{MemberAnnouncement, MemberSettings, MemberState};
+
+/// Tells when a node announces itself.
+///
+/// An append whose outcome isn't known is repeated; the receiver keeps the newest only.
+#[derive(Clone, Debug)]
+pub struct AnnounceTimer {
+    settings: MemberSettings,
+    own: MemberAnnouncement,
+    due_at: Option<ClockTime>,
+}
+
+impl AnnounceTimer {
+    /// Creates the timer of a node that has to announce itself at once.
+    #[must_use]
+    pub const fn new(settings: MemberSettings, own: MemberAnnouncement) -> Self {
+        Self {
+            settings,
+            own,
+            due_at: None,
+        }
+    }
+
+    /// Returns what the node last told, or is to tell.
+    #[must_use]
+    pub const fn own(&self) -> &MemberAnnouncement {
+        &self.own
+    }
+
+    /// Sets the state; a change is due at once and also goes to all peers directly.
+    pub fn set_state(&mut self, state: MemberState) -> bool {
+        let is_change = self.own.state != state;
+        if is_change {
+            self.own.state = state;
+            self.own.sequence += 1;
+            self.due_at = None;
+        }
+        is_change
+    }
+
+    /// Returns the announcement to append now, or `None` when none is due.
+    pub fn take_due<R: Rng>(
+        &mut self,
+        now: ClockTime,
+        members: usize,
+        rng: &mut R,
+    ) -> Option<MemberAnnouncement> {
+        if self.due_at.is_some_and(|time| now < time) {
+            return None;
+        }
+        let refresh = self.settings.refresh_ms(members);
+        self.due_at = Some(now.plus_ms(rng.random_range(refresh * 4 / 5..=refresh)));
+        self.own.sequence += 1;
+        self.own.valid_ms = self.settings.valid_ms(members);
+        Some(self.own.clone())
+    }
+
+    /// Takes in that an append failed, so that it is repeated after `wait_ms`.
+    pub fn on_failure(&mut self, now: ClockTime, wait_ms: u64) {
+        let again = now.plus_ms(wait_ms);
+        self.due_at = self.due_at.map(|time| time.min(again));
+    }
+}
--- a/crates/platform/src/relay_plan.rs
+++ b/crates/platform/src/relay_plan.rs
@@ -13,7 +13,7 @@
     fn default() -> Self {
         Self {
             readers: 3,
-            fan_out: 8,
+            fan_out: 4,
         }
     }
 }
--- /dev/null
+++ b/crates/standin/src/log_server.rs
@@ -0,0 +1,260 @@
+use std::{
+    cell::{Cell, RefCell},
+    future::pending,
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use clock::ClockTime;
+use compio::{
+    net::{TcpListener, TcpStream},
+    runtime::spawn,
+    time::sleep,
+};
+use cyper_core::HyperStream;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use platform::{LogOffset, LogStream, NewRecord, ReadError};
+use serde::{Deserialize, Serialize};
+
+use crate::{LogFaults, LogOutage, LogStore};
+
+/// How often a read that waits looks for records, in milliseconds.
+const POLL_MS: u64 = 5;
+
+/// The longest wait of a read, in milliseconds.
+const MAX_WAIT_MS: u64 = 30_000;
+
+/// A stand-in for the platform's log, over HTTP and in memory.
+///
+/// `GET /control` gives its faults, and `POST /control` sets them, as JSON of [`LogFaults`].
+#[derive(Debug)]
+pub struct LogServer {
+    listener: TcpListener,
+    control: LogControl,
+}
+
+impl LogServer {
+    /// Binds the stand-in to an address; port 0 picks a free one.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error when the address can't be had.
+    pub async fn bind(addr: SocketAddr) -> io::Result<Self> {
+        let listener = TcpListener::bind(addr).await?;
+        let control = LogControl::new();
+        Ok(Self { listener, control })
+    }
+
+    /// Returns the address.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error when the address isn't known.
+    pub fn addr(&self) -> io::Result<SocketAddr> {
+        self.listener.local_addr()
+    }
+
+    /// Returns a handle that switches faults.
+    #[must_use]
+    pub fn control(&self) -> LogControl {
+        self.control.clone()
+    }
+
+    /// Serves until the task is dropped.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error when no connection can be taken any more.
+    pub async fn run(self) -> io::Result<()> {
+        loop {
+            let (stream, _) = self.listener.accept().await?;
+            spawn(serve(stream, self.control.clone())).detach();
+        }
+    }
+}
+
+/// Switches the faults of a [`LogServer`] and looks into its records.
+#[derive(Clone, Debug)]
+pub struct LogControl {
+    store: Rc<RefCell<LogStore>>,
+    faults: Rc<Cell<LogFaults>>,
+    started: Instant,
+}
+
+impl LogControl {
+    fn new() -> Self {
+        Self {
+            store: Rc::default(),
+            faults: Rc::default(),
+            started: Instant::now(),
+        }
+    }
+
+    /// Returns the present faults.
+    #[must_use]
+    pub fn faults(&self) -> LogFaults {
+        self.faults.get()
+    }
+
+    /// Sets the faults.
+    pub fn set_faults(&self, faults: LogFaults) {
+        self.faults.set(faults);
+        self.expire();
+    }
+
+    /// Calls a function with the records.
+    pub fn with_store<T>(&self, function: impl FnOnce(&mut LogStore) -> T) -> T {
+        function(&mut self.store.borrow_mut())
+    }
+
+    fn now(&self) -> ClockTime {
+        let ms = self.started.elapsed().as_millis();
+        ClockTime::from_ms(u64::try_from(ms).unwrap_or(u64::MAX))
+    }
+
+    fn expire(&self) {
+        let faults = self.faults.get();
+        let mut store = self.store.borrow_mut();
+        if let Some(retention_ms) = faults.retention_ms {
+            store.expire(self.now(), retention_ms);
+        }
+        if let Some(max_records) = faults.retained_records {
+            store.retain(max_records);
+        }
+    }
+}
+
+type TextResponse = Response<Full<Bytes>>;
+
+#[derive(Deserialize)]
+struct AppendBody {
+    records: Vec<NewRecord>,
+}
+
+#[derive(Serialize)]
+struct GoneBody {
+    first: LogOffset,
+}
+
+async fn serve(stream: TcpStream, control: LogControl) {
+    let service = service_fn(|request| answer(request, &control));
+    let stream = HyperStream::new_plain(stream);
+    let connection = http1::Builder::new().serve_connection(stream, service);
+    // A connection that ends early is what some of the faults are for.
+    let _ = connection.await;
+}
+
+async fn answer(request: Request<Incoming>, control: &LogControl) -> io::Result<TextResponse> {
+    if request.uri().path() == "/control" {
+        return Ok(answer_control(request, control).await);
+    }
+    match control.faults().outage {
+        LogOutage::None => {}
+        LogOutage::Refuse => return Ok(text(StatusCode::SERVICE_UNAVAILABLE, "outage")),
+        LogOutage::Hang => pending().await,
+    }
+    let Some(stream) = stream_of(request.uri().path()) else {
+        return Ok(text(StatusCode::NOT_FOUND, "no such stream"));
+    };
+    let response = match *request.method() {
+        Method::GET => answer_read(&request, stream, control).await,
+        Method::POST => answer_append(request, stream, control).await?,
+        _ => text(StatusCode::METHOD_NOT_ALLOWED, "use GET or POST"),
+    };
+    if control.faults().garble_answers {
+        return Ok(text(StatusCode::OK, "<html>not what was asked for"));
+    }
+    Ok(response)
+}
+
+async fn answer_control(request: Request<Incoming>, control: &LogControl) -> TextResponse {
+    if request.method() == Method::POST {
+        let faults = body_of(request).await;
+        let faults = faults.and_then(|body| serde_json::from_slice(&body).ok());
+        let Some(faults) = faults else {
+            return text(StatusCode::BAD_REQUEST, "no faults in JSON");
+        };
+        control.set_faults(faults);
+    }
+    json(StatusCode::OK, &control.faults())
+}
+
+async fn answer_append(
+    request: Request<Incoming>,
+    stream: LogStream,
+    control: &LogControl,
+) -> io::Result<TextResponse> {
+    let body = body_of(request).await;
+    let body = body.and_then(|body| serde_json::from_slice::<AppendBody>(&body).ok());
+    let Some(body) = body else {
+        return Ok(text(StatusCode::BAD_REQUEST, "no records in JSON"));
+    };
+    wait_ms(control.faults().append_delay_ms).await;
+    let now = control.now();
+    let receipt = control.with_store(|store| store.append(now, stream, body.records));
+    control.expire();
+    wait_ms(control.faults().reply_delay_ms).await;
+    if control.faults().lose_append_replies {
+        return Err(io::Error::other("the reply is lost by order"));
+    }
+    Ok(json(StatusCode::OK, &receipt))
+}
+
+async fn answer_read(
+    request: &Request<Incoming>,
+    stream: LogStream,
+    control: &LogControl,
+) -> TextResponse {
+    let query = request.uri().query().unwrap_or_default();
+    let from = LogOffset::new(query_number(query, "from").unwrap_or(0));
+    let wait = query_number(query, "wait_ms").unwrap_or(0).min(MAX_WAIT_MS);
+    let until = control.now().plus_ms(wait);
+    while control.with_store(|store| store.end(stream)) <= from && control.now() < until {
+        wait_ms(POLL_MS).await;
+    }
+    control.expire();
+    let result = control.with_store(|store| store.read(stream, from));
+    wait_ms(control.faults().read_delay_ms).await;
+    match result {
+        Ok(batch) => json(StatusCode::OK, &batch),
+        Err(ReadError::Gone { first }) => json(StatusCode::GONE, &GoneBody { first }),
+        Err(error) => text(StatusCode::INTERNAL_SERVER_ERROR, &error.to_string()),
+    }
+}
+
+async fn wait_ms(ms: u64) {
+    if ms > 0 {
+        sleep(Duration::from_millis(ms)).await;
+    }
+}
+
+async fn body_of(request: Request<Incoming>) -> Option<Bytes> {
+    let body = request.into_body().collect().await.ok()?;
+    Some(body.to_bytes())
+}
+
+fn stream_of(path: &str) -> Option<LogStream> {
+    let name = path.strip_prefix("/streams/")?;
+    LogStream::parse(name.strip_suffix("/records")?)
+}
+
+fn query_number(query: &str, name: &str) -> Option<u64> {
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.find(|(key, _)| *key == name)?.1.parse().ok()
+}
+
+fn text(status: StatusCode, text: &str) -> TextResponse {
+    let mut response = Response::new(Full::from(text.to_owned()));
+    *response.status_mut() = status;
+    response
+}
+
+fn json<T: Serialize>(status: StatusCode, value: &T) -> TextResponse {
+    let body = serde_json::to_string(value).unwrap_or_default();
+    text(status, &body)
+}
--- /dev/null
+++ b/crates/standin/src/log_store.rs
@@ -0,0 +1,120 @@
+use std::collections::{BTreeMap, VecDeque};
+
+use clock::ClockTime;
+use platform::{AppendReceipt, LogOffset, LogRecord, LogStream, NewRecord, ReadBatch, ReadError};
+
+/// The most records in one answer.
+const MAX_BATCH_RECORDS: usize = 1_000;
+
+/// A log in memory, in virtual or real time.
+///
+/// # Examples
+///
+/// ```
+/// use clock::ClockTime;
+/// use lentilshift_standin::LogStore;
+/// use model::RecordId;
+/// use platform::{LogOffset, LogStream, NewRecord, RecordBody};
+///
+/// let mut store = LogStore::default();
+/// let record = NewRecord { id: RecordId::from_random(1), body: RecordBody::new("{}") };
+/// store.append(ClockTime::ZERO, LogStream::Config, vec![record]);
+/// let batch = store.read(LogStream::Config, LogOffset::ZERO).unwrap();
+/// assert_eq!(batch.records.len(), 1);
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct LogStore {
+    streams: BTreeMap<LogStream, StoredStream>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct StoredStream {
+    first: u64,
+    records: VecDeque<(ClockTime, LogRecord)>,
+}
+
+impl StoredStream {
+    fn end(&self) -> u64 {
+        self.first + self.records.len() as u64
+    }
+
+    fn drop_oldest(&mut self) {
+        if self.records.pop_front().is_some() {
+            self.first += 1;
+        }
+    }
+}
+
+impl LogStore {
+    /// Appends records.
+    pub fn append(
+        &mut self,
+        now: ClockTime,
+        stream: LogStream,
+        records: Vec<NewRecord>,
+    ) -> AppendReceipt {
+        let stored = self.streams.entry(stream).or_default();
+        let first = LogOffset::new(stored.end());
+        for NewRecord { id, body } in records {
+            let offset = LogOffset::new(stored.end());
+            stored
+                .records
+                .push_back((now, LogRecord { offset, id, body }));
+        }
+        AppendReceipt { first }
+    }
+
+    /// Reads records from an offset on.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ReadError::Gone`] when the offset is no longer kept.
+    pub fn read(&self, stream: LogStream, from: LogOffset) -> Result<ReadBatch, ReadError> {
+        let Some(stored) = self.streams.get(&stream) else {
+            return Ok(ReadBatch::default());
+        };
+        let first = LogOffset::new(stored.first);
+        if from < first {
+            return Err(ReadError::Gone { first });
+        }
+        let skipped = usize::try_from(from.get() - stored.first).unwrap_or(usize::MAX);
+        let later = stored.records.iter().skip(skipped).take(MAX_BATCH_RECORDS);
+        Ok(ReadBatch {
+            first,
+            end: LogOffset::new(stored.end()),
+            records: later.map(|(_, record)| record.clone()).collect(),
+        })
+    }
+
+    /// Returns the offset after the newest record of a stream.
+    #[must_use]
+    pub fn end(&self, stream: LogStream) -> LogOffset {
+        let end = self.streams.get(&stream).map_or(0, StoredStream::end);
+        LogOffset::new(end)
+    }
+
+    /// Drops all records that are older than `retention_ms`.
+    pub fn expire(&mut self, now: ClockTime, retention_ms: u64) {
+        for stored in self.streams.values_mut() {
+            while let Some((time, _)) = stored.records.front()
+                && now.since_ms(*time) > retention_ms
+            {
+                stored.drop_oldest();
+            }
+        }
+    }
+
+    /// Drops the oldest records until no stream has more than `max_records`.
+    pub fn retain(&mut self, max_records: usize) {
+        for stored in self.streams.values_mut() {
+            while stored.records.len() > max_records {
+                stored.drop_oldest();
+            }
+        }
+    }
+
+    /// Drops all records and starts anew at offset 0, as a log that was lost and made again.
+    pub fn recreate(&mut self) {
+        self.streams.clear();
+    }
+}
