feat(node): members, retry allowance and chain admission on the request path

A caller reaches any node; the call crosses at most two nodes; a backend server's own calls are tied to their request and share its retry allowance.

--- /dev/null
+++ b/crates/node/src/announce.rs
@@ -0,0 +1,90 @@
+use std::rc::Rc;
+use std::time::Duration;
+
+use compio::time::{sleep, timeout};
+use member::{AnnounceTimer, MemberAnnouncement, MemberSettings, MemberState};
+use model::VmName;
+use platform::{LogStream, NewRecord, PlatformLog, RecordBody};
+
+use crate::node_core::NodeCore;
+use crate::node_message::NodeMessage;
+use crate::peer_talk::ask_peer;
+
+/// The time between two looks at whether an announcement is due, in milliseconds.
+const LOOK_MS: u64 = 50;
+/// The time after which an announcement that failed is repeated, in milliseconds.
+const AGAIN_MS: u64 = 500;
+/// The time that a peer has to take an announcement, in milliseconds.
+const TELL_MS: u64 = 1_000;
+
+/// Announces the node for as long as it runs.
+pub(crate) async fn announce_node(core: Rc<NodeCore>, own: MemberAnnouncement) {
+    let mut timer = AnnounceTimer::new(MemberSettings::default(), own);
+    loop {
+        let state = present_state(&core).await;
+        if timer.set_state(state) {
+            log::info!(
+                "event=state-changed vm={} state={state:?}",
+                core.settings.vm
+            );
+        }
+        let now = core.now();
+        let members = core.fleet.with_state(|fleet| fleet.view.len());
+        let due = core.with_random(|random| timer.take_due(now, members, random));
+        if let Some(announcement) = due {
+            core.fleet
+                .with_state(|fleet| fleet.view.apply(&announcement));
+            crate::fleet_watch::put_members(&core, now);
+            if state >= MemberState::Leaving {
+                tell_peers(&core, &announcement);
+            }
+            if !append(&core, &announcement).await {
+                timer.on_failure(core.now(), AGAIN_MS);
+            }
+        }
+        sleep(Duration::from_millis(LOOK_MS)).await;
+    }
+}
+
+/// Returns whether the node takes work now.
+async fn present_state(core: &NodeCore) -> MemberState {
+    if core.stop.is_given() {
+        return MemberState::Leaving;
+    }
+    if core.is_up.get() {
+        return MemberState::Ready;
+    }
+    if core.is_ready() && core.backend.connect().await.is_ok() {
+        core.is_up.set(true);
+        return MemberState::Ready;
+    }
+    MemberState::Starting
+}
+
+async fn append(core: &NodeCore, announcement: &MemberAnnouncement) -> bool {
+    let record = NewRecord {
+        id: core.new_record_id(),
+        body: RecordBody::encode(announcement),
+    };
+    match core.log.append(LogStream::Members, vec![record]).await {
+        Ok(_) => true,
+        Err(error) => {
+            log::warn!("event=announcement-failed error={:?}", error.to_string());
+            false
+        }
+    }
+}
+
+/// Tells all linked nodes directly, without waiting for them.
+fn tell_peers(core: &Rc<NodeCore>, announcement: &MemberAnnouncement) {
+    for vm in core.links.names() {
+        let core = Rc::clone(core);
+        let message = NodeMessage::Member(announcement.clone());
+        compio::runtime::spawn(async move { tell_peer(&core, &vm, &message).await }).detach();
+    }
+}
+
+async fn tell_peer(core: &NodeCore, vm: &VmName, message: &NodeMessage) {
+    let telling = ask_peer(core, vm, message);
+    let _ = timeout(Duration::from_millis(TELL_MS), telling).await;
+}
--- a/crates/node/src/call_answer.rs
+++ b/crates/node/src/call_answer.rs
@@ -61,7 +61,7 @@
 
 impl CallAnswer {
     /// Creates the answer to a call that a node refuses or gives up on.
-    pub(crate) fn refused(call: &CallHead, refusal: &CallRefusal, allowance_left: u16) -> Self {
+    pub(crate) fn refused(call: &CallHead, refusal: &CallRefusal, allowance_left: u32) -> Self {
         let body = problem_body(call.request, refusal);
         let mut headers = HeaderMap::new();
         headers.insert(
@@ -81,7 +81,7 @@
                 headers: HeaderList::from(&headers),
                 body_bytes: Some(body.len() as u64),
                 load: LoadReport::default(),
-                thresholds: Vec::new(),
+                report: None,
                 run_ms: 0,
             },
             body: CallBody::Whole(body).into(),
--- /dev/null
+++ b/crates/node/src/chain_watch.rs
@@ -0,0 +1,68 @@
+use std::collections::BTreeSet;
+
+use clock::ClockTime;
+use graph::{CallTarget, ShedReport};
+use model::{RunVerdict, ShedOrder, VmName};
+use wire::{AnswerHead, CallHead};
+
+use crate::call_answer::CallRefusal;
+use crate::node_core::NodeCore;
+
+/// Refuses a call that a service on its way would shed, or that can't be finished in time.
+///
+/// Only a call that enters the fleet is refused: work already begun goes on.
+pub(crate) fn check_chain(
+    core: &NodeCore,
+    head: &CallHead,
+    deadline: ClockTime,
+) -> Result<(), CallRefusal> {
+    if head.depth > 0 {
+        return Ok(());
+    }
+    let now = core.now();
+    let order = ShedOrder::new(head.importance, head.request);
+    let admission = core.chain.borrow();
+    let admitted = admission.admit(now, &target_of(head), order, now.until_ms(deadline));
+    admitted.map_err(|refusal| {
+        CallRefusal::not_run(refusal.reason)
+            .after_ms(refusal.retry_after_ms)
+            .by(&refusal.service)
+    })
+}
+
+/// Learns from an answer that another node or the local ingress gave.
+pub(crate) fn note_answer(
+    core: &NodeCore,
+    head: &CallHead,
+    vm: &VmName,
+    answer: &AnswerHead,
+    span_ms: u64,
+) {
+    let now = core.now();
+    let target = target_of(head);
+    let mut admission = core.chain.borrow_mut();
+    if answer.refusal.is_none() || answer.load.limit > 0 {
+        admission.observe_report(now, &target, vm, answer.report.clone());
+    }
+    match answer.verdict {
+        RunVerdict::Ran => admission.observe_duration(now, &target, span_ms),
+        RunVerdict::MayHaveRun => admission.observe_unfinished(now, &target, span_ms),
+        RunVerdict::NotRun => {}
+    }
+}
+
+/// Learns which lower calls a complete run made.
+pub(crate) fn note_uses(core: &NodeCore, head: &CallHead, used: &BTreeSet<CallTarget>) {
+    core.chain.borrow_mut().observe_uses(&target_of(head), used);
+}
+
+/// Returns the report that goes with an answer of the local backend server.
+pub(crate) fn report_for(core: &NodeCore, head: &CallHead) -> Option<ShedReport> {
+    let now = core.now();
+    let own = core.gate.load(now).cuts.threshold;
+    core.chain.borrow().report_for(now, &target_of(head), own)
+}
+
+fn target_of(head: &CallHead) -> CallTarget {
+    CallTarget::new(head.service.clone(), head.call.clone())
+}
--- a/crates/node/src/config_watch.rs
+++ b/crates/node/src/config_watch.rs
@@ -7,6 +7,7 @@
 use platform::{CentreOutage, RelayBatch, RelayPull, TrustState};
 
 use crate::config_state::ConfigState;
+use crate::fleet_watch::put_members;
 use crate::node_core::NodeCore;
 use crate::node_message::{NodeMessage, NodeReply};
 use crate::peer_talk::ask_peer;
@@ -39,6 +40,7 @@
         let core = &self.0;
         let contract = core.config.with_state(ConfigState::contract);
         core.put_contract(now, contract);
+        put_members(core, now);
     }
 
     async fn pull(&self, peer: &VmName, pull: RelayPull) -> Option<RelayBatch> {
@@ -56,7 +58,7 @@
     let message = NodeMessage::Pull(pull);
     let asking = ask_peer(core, peer, &message);
     match timeout(limit, asking).await {
-        Ok(Some(NodeReply::Batch(batch))) => Some(batch),
+        Ok(Some(NodeReply::Batch(batch))) => batch,
         _ => None,
     }
 }
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -2,62 +2,141 @@
 use std::time::Duration;
 
 use clock::ClockTime;
-use compio::time::timeout;
-use model::{RefusalReason, RunVerdict, ServiceName, VmName};
-use route::{LoadSample, RouteOutcome};
+use compio::time::{sleep, timeout};
+use model::{RefusalReason, RunVerdict, VmName};
+use retry::{
+    AllowanceShare, RatioSettings, RetryAllowance, RetryDecision, RetryPolicy, RetryQuestion,
+    RetryRatio,
+};
 use wire::{AnswerHead, CallHead};
 
 use crate::answer_body::AnswerBody;
 use crate::call_answer::{CallAnswer, CallRefusal};
 use crate::call_body::CallBody;
+use crate::chain_watch::check_chain;
 use crate::ingress::run_call;
 use crate::node_core::NodeCore;
 use crate::replay_body::ReplayBody;
+use crate::route_guard::RouteGuard;
 
 /// The time after which callers come back when no backend server is known, in milliseconds.
 const NO_BACKEND_MS: u64 = 1_000;
 
 /// Sends a call to a VM of its service, again where that is safe, until its deadline.
+///
+/// The retries come out of the head's allowance; what is left is told in the answer.
 pub(crate) async fn dispatch_call(
     core: &Rc<NodeCore>,
-    mut head: CallHead,
+    head: CallHead,
     body: CallBody,
     deadline: ClockTime,
 ) -> CallAnswer {
-    let mut body = ReplayBody::new(body);
-    let mut tried = Vec::new();
-    loop {
-        head.attempt = core.new_attempt_id();
-        let left_ms = core.now().until_ms(deadline);
-        head.deadline_left_ms = u32::try_from(left_ms).unwrap_or(u32::MAX);
-        let Some(vm) = core.choose_vm(&head.service, &tried) else {
+    if let Err(refusal) = check_chain(core, &head, deadline) {
+        return CallAnswer::refused(&head, &refusal, head.allowance);
+    }
+    let allowance = RetryAllowance::new(AllowanceShare::new(head.allowance));
+    let sending = CallSending {
+        core,
+        body: ReplayBody::new(body),
+        deadline,
+        allowance,
+        tried: Vec::new(),
+        retries: 0,
+        head,
+    };
+    sending.run().await
+}
+
+/// One call on its way, over all its attempts.
+struct CallSending<'c> {
+    core: &'c Rc<NodeCore>,
+    head: CallHead,
+    body: ReplayBody,
+    deadline: ClockTime,
+    allowance: RetryAllowance,
+    tried: Vec<VmName>,
+    retries: u32,
+}
+
+impl CallSending<'_> {
+    async fn run(mut self) -> CallAnswer {
+        loop {
+            let mut answer = self.try_once().await;
+            let wait_ms = match self.decide(&answer.head) {
+                RetryDecision::Retry { wait_ms } => wait_ms,
+                RetryDecision::Stop(stop) => {
+                    log::trace!(
+                        "event=call-ends request={} stop={stop:?}",
+                        self.head.request
+                    );
+                    answer.head.allowance_left = self.allowance.left();
+                    return answer;
+                }
+            };
+            self.retries += 1;
+            self.core.metrics.count_retry();
+            sleep(Duration::from_millis(wait_ms)).await;
+        }
+    }
+
+    /// Makes one attempt, and hands down a share of the allowance with it.
+    async fn try_once(&mut self) -> CallAnswer {
+        self.head.attempt = self.core.new_attempt_id();
+        let left_ms = self.core.now().until_ms(self.deadline);
+        self.head.deadline_left_ms = u32::try_from(left_ms).unwrap_or(u32::MAX);
+        let Some(vm) = self.choose_vm() else {
             let refusal = CallRefusal::not_run(RefusalReason::NoBackend).after_ms(NO_BACKEND_MS);
-            return CallAnswer::refused(&head, &refusal.by(&head.service), head.allowance);
+            return CallAnswer::refused(&self.head, &refusal.by(&self.head.service), 0);
         };
-        tried.push(vm.clone());
-        let sending = send_to(core, &vm, &head, body.take());
+        let share = self.allowance.hand_down(self.head.attempt, 1);
+        self.head.allowance = share.retries();
+        let sending = send_to(self.core, &vm, &self.head, self.body.take());
         let in_time = timeout(Duration::from_millis(left_ms), sending).await;
         let answer = in_time.unwrap_or_else(|_| {
             let refusal = CallRefusal::may_have_run(RefusalReason::DeadlinePassed);
-            CallAnswer::refused(&head, &refusal, 0)
+            CallAnswer::refused(&self.head, &refusal, 0)
         });
-        head.allowance = answer.head.allowance_left;
-        if !may_retry(&head, &answer.head) || !body.is_whole() {
-            return answer;
+        let unspent = AllowanceShare::new(answer.head.allowance_left);
+        self.allowance.take_back(self.head.attempt, unspent);
+        answer
+    }
+
+    /// Chooses a VM that wasn't tried, or any when all were.
+    fn choose_vm(&mut self) -> Option<VmName> {
+        let service = &self.head.service;
+        let fresh = self.core.choose_vm(service, &self.tried);
+        let vm = fresh.or_else(|| self.core.choose_vm(service, &[]))?;
+        self.tried.push(vm.clone());
+        Some(vm)
+    }
+
+    fn decide(&mut self, answer: &AnswerHead) -> RetryDecision {
+        let question = RetryQuestion {
+            verdict: answer.verdict,
+            is_idempotent: self.head.idempotent && !self.head.once,
+            is_service_shedding: is_shedding(answer) || !self.body.is_whole(),
+            is_suspect: answer.refusal == Some(RefusalReason::Quarantined),
+            retries: self.retries,
+            retry_after_ms: None,
+            left_ms: self.core.now().until_ms(self.deadline),
+            expected_ms: u64::from(answer.run_ms),
+        };
+        let mut ratios = self.core.ratios.borrow_mut();
+        let ratio = ratios.entry(self.head.service.clone());
+        let ratio = ratio.or_insert_with(|| RetryRatio::new(RatioSettings::default()));
+        if answer.verdict == RunVerdict::Ran {
+            ratio.succeed();
         }
-        head.allowance -= 1;
-        core.metrics.count_retry();
+        let policy = RetryPolicy::default();
+        let allowance = &mut self.allowance;
+        self.core
+            .with_random(|random| policy.may_retry(&question, allowance, ratio, random))
     }
 }
 
-/// Returns whether a call may be sent to another VM.
-fn may_retry(call: &CallHead, answer: &AnswerHead) -> bool {
-    let is_safe = match answer.verdict {
-        RunVerdict::NotRun => true,
-        RunVerdict::MayHaveRun => call.idempotent && !call.once,
-        RunVerdict::Ran => false,
-    };
-    let is_local_fault = matches!(
+/// Returns whether a refusal would be the same at every VM of the service.
+fn is_shedding(answer: &AnswerHead) -> bool {
+    !matches!(
         answer.refusal,
         Some(
             RefusalReason::NoBackend
@@ -65,12 +144,11 @@
                 | RefusalReason::BackendFailed
                 | RefusalReason::NotReady
         )
-    );
-    is_safe && is_local_fault && call.allowance > 0
+    )
 }
 
 async fn send_to(core: &Rc<NodeCore>, vm: &VmName, head: &CallHead, body: CallBody) -> CallAnswer {
-    let mut route = RouteGuard::begin(core, &head.service, vm);
+    let mut route = RouteGuard::begin(core, head, vm);
     let answer = if *vm == core.settings.vm {
         run_call(core, head.clone(), body).await
     } else {
@@ -91,88 +169,29 @@
         Ok(link) => link.call(head, body).await,
         Err(error) => Err(error),
     };
-    match result {
+    let error = match result {
         Ok((answer, body)) => {
             let told = answer.body_bytes;
             let body = AnswerBody::new(CallBody::Link(body), told);
-            CallAnswer { head: answer, body }
+            return CallAnswer { head: answer, body };
         }
-        Err(error) => {
-            log::warn!(
-                "event=link-failed request={} attempt={} vm={} verdict={} error={:?}",
-                head.request,
-                head.attempt,
-                vm,
-                error.verdict().as_str(),
-                error.to_string(),
-            );
-            let refusal = CallRefusal {
-                verdict: error.verdict(),
-                ..CallRefusal::not_run(RefusalReason::LinkBroken)
-            };
-            let allowance_left = match error.verdict() {
-                RunVerdict::NotRun => head.allowance,
-                _ => 0,
-            };
-            CallAnswer::refused(head, &refusal, allowance_left)
-        }
-    }
-}
-
-/// Tells the router of a service how a call that was sent ended.
-struct RouteGuard<'c> {
-    core: &'c NodeCore,
-    service: &'c ServiceName,
-    vm: &'c VmName,
-    started: ClockTime,
-    is_done: bool,
-}
-
-impl<'c> RouteGuard<'c> {
-    fn begin(core: &'c NodeCore, service: &'c ServiceName, vm: &'c VmName) -> Self {
-        core.with_router(service, |router| router.begin(vm));
-        Self {
-            core,
-            service,
-            vm,
-            started: core.now(),
-            is_done: false,
-        }
-    }
-
-    fn finish(&mut self, answer: &AnswerHead) {
-        let latency_ms = self.core.now().since_ms(self.started);
-        let outcome = match (answer.verdict, answer.refusal) {
-            (RunVerdict::Ran, _) => RouteOutcome::Succeeded { latency_ms },
-            (_, Some(RefusalReason::LinkBroken | RefusalReason::BackendFailed)) => {
-                RouteOutcome::Failed
-            }
-            (RunVerdict::NotRun, Some(RefusalReason::NoBackend)) => RouteOutcome::Failed,
-            (RunVerdict::NotRun, _) => RouteOutcome::Refused,
-            _ => RouteOutcome::Abandoned,
-        };
-        let sample = LoadSample {
-            in_flight: answer.load.in_flight,
-            limit: answer.load.limit,
-            queued: answer.load.queued,
-        };
-        let sample = (sample.limit > 0).then_some(sample);
-        self.tell(outcome, sample);
-    }
-
-    fn tell(&mut self, outcome: RouteOutcome, sample: Option<LoadSample>) {
-        self.is_done = true;
-        let now = self.core.now();
-        self.core.with_router(self.service, |router| {
-            router.finish(now, self.vm, outcome, sample);
-        });
-    }
-}
-
-impl Drop for RouteGuard<'_> {
-    fn drop(&mut self) {
-        if !self.is_done {
-            self.tell(RouteOutcome::Abandoned, None);
-        }
-    }
+        Err(error) => error,
+    };
+    let verdict = error.verdict();
+    log::warn!(
+        "event=link-failed request={} attempt={} vm={vm} verdict={} error={:?}",
+        head.request,
+        head.attempt,
+        verdict.as_str(),
+        error.to_string(),
+    );
+    let refusal = CallRefusal {
+        verdict,
+        ..CallRefusal::not_run(RefusalReason::LinkBroken)
+    };
+    let unspent = match verdict {
+        RunVerdict::NotRun => head.allowance,
+        _ => 0,
+    };
+    CallAnswer::refused(head, &refusal, unspent)
 }
--- a/crates/node/src/egress.rs
+++ b/crates/node/src/egress.rs
@@ -1,13 +1,17 @@
 use std::rc::Rc;
 
 use clock::ClockTime;
+use graph::CallTarget;
 use http::{HeaderMap, Request, Response};
 use hyper::body::Incoming;
 use model::{AttemptId, RefusalReason, RequestId};
+use retry::{AllowanceShare, RepeatDecision};
 use wire::CallHead;
+use xxhash_rust::xxh3::Xxh3Default;
 
 use crate::answer_body::AnswerBody;
 use crate::call_answer::{CallAnswer, CallRefusal};
+use crate::call_body::CallBody;
 use crate::call_headers::{CALL_ID, find_deadline_ms};
 use crate::dispatch::dispatch_call;
 use crate::entry::{EntryCall, call_headers, find_call};
@@ -17,7 +21,11 @@
 use crate::running_calls::RunningCall;
 
 /// The retries that a service's own request may spend, one that serves no caller.
-const OWN_ALLOWANCE: u16 = 1;
+const OWN_ALLOWANCE: u32 = 1;
+
+/// The time after which a backend server may repeat a call whose retries are spent, in
+/// milliseconds.
+const REPEATS_SPENT_MS: u64 = 1_000;
 
 /// Answers a call that the local backend server makes.
 pub(crate) async fn answer_backend(
@@ -40,20 +48,26 @@
     };
     let deadline = find_deadline(&core, &request, &entry, parent.as_deref());
     let head = build_head(&core, request_id, entry, &request, parent.as_deref());
-    let started = core.now();
-    let service = head.service.clone();
-    let answer = match read_small(&core, request.into_body(), deadline).await {
-        Ok(body) => {
-            let body_bytes = body.known_bytes();
-            let head = CallHead { body_bytes, ..head };
-            dispatch_call(&core, head, body, deadline).await
-        }
+    let body = match read_small(&core, request.into_body(), deadline).await {
+        Ok(body) => body,
         Err(refusal) => return refuse_response(&core, request_id, "egress", &refusal),
     };
+    let body_bytes = body.known_bytes();
+    let mut head = CallHead { body_bytes, ..head };
+    if let Some(parent) = &parent
+        && !take_share(parent, &mut head, &body)
+    {
+        let refusal = CallRefusal::not_run(RefusalReason::Overloaded).after_ms(REPEATS_SPENT_MS);
+        return refuse_response(&core, request_id, "egress", &refusal);
+    }
+    let started = core.now();
+    let (service, attempt) = (head.service.clone(), head.attempt);
+    let answer = dispatch_call(&core, head, body, deadline).await;
+    let now = core.now();
     core.metrics
-        .observe_call("egress", &service, started, core.now(), &answer.head);
+        .observe_call("egress", &service, started, now, &answer.head);
     if let Some(parent) = &parent {
-        settle_with(parent, &answer, core.now().since_ms(started));
+        settle_with(parent, attempt, &answer, now.since_ms(started));
     }
     build_response(request_id, answer)
 }
@@ -93,7 +107,6 @@
     parent: Option<&RunningCall>,
 ) -> CallHead {
     let own_importance = entry.contract.importance;
-    let allowance = parent.map_or(OWN_ALLOWANCE, |parent| parent.allowance.take());
     CallHead {
         request: request_id,
         attempt: core.new_attempt_id(),
@@ -104,7 +117,7 @@
         importance: parent.map_or(own_importance, |parent| parent.importance),
         depth: parent.map_or(0, |parent| parent.depth.saturating_add(1)),
         deadline_left_ms: 0,
-        allowance,
+        allowance: OWN_ALLOWANCE,
         once: entry.contract.once,
         idempotent: entry.contract.idempotent,
         method: request.method().as_str().to_owned(),
@@ -114,9 +127,41 @@
     }
 }
 
-/// Gives a running call back what the call below it didn't spend, and notes what it told.
-fn settle_with(parent: &RunningCall, answer: &CallAnswer, below_ms: u64) {
-    let allowance = parent.allowance.get();
-    parent.allowance.set(allowance + answer.head.allowance_left);
+/// Takes a share of the running call's allowance for a call that serves it.
+///
+/// A repeated call is a retry, spent from the allowance; returns `false` when none is left.
+fn take_share(parent: &RunningCall, head: &mut CallHead, body: &CallBody) -> bool {
+    let mut allowance = parent.allowance.borrow_mut();
+    let decision = parent
+        .repeats
+        .borrow_mut()
+        .judge(call_digest(head, body), &mut allowance);
+    if decision == RepeatDecision::Exhausted {
+        return false;
+    }
+    let target = CallTarget::new(head.service.clone(), head.call.clone());
+    parent.used.borrow_mut().insert(target);
+    head.allowance = allowance.hand_down(head.attempt, 1).retries();
+    true
+}
+
+/// Returns a digest by which a repeated call is recognised.
+fn call_digest(head: &CallHead, body: &CallBody) -> u64 {
+    let mut hasher = Xxh3Default::new();
+    let parts = [head.service.as_str(), &head.method, &head.path];
+    for part in parts {
+        hasher.update(part.as_bytes());
+        hasher.update(&[0]);
+    }
+    if let CallBody::Whole(bytes) = body {
+        hasher.update(bytes);
+    }
+    hasher.digest()
+}
+
+/// Gives a running call back what the call below it didn't spend.
+fn settle_with(parent: &RunningCall, attempt: AttemptId, answer: &CallAnswer, below_ms: u64) {
+    let unspent = AllowanceShare::new(answer.head.allowance_left);
+    parent.allowance.borrow_mut().take_back(attempt, unspent);
     parent.below_ms.set(parent.below_ms.get() + below_ms);
 }
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -16,7 +16,7 @@
 use crate::request_body::read_small;
 
 /// The retries that a caller's request may spend over its whole chain.
-const ENTRY_ALLOWANCE: u16 = 3;
+const ENTRY_ALLOWANCE: u32 = 3;
 
 /// The time after which callers come back to a node that trusts no key, in milliseconds.
 const KEYS_STALE_MS: u64 = 2_000;
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -1,4 +1,4 @@
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -15,6 +15,7 @@
 use crate::call_answer::{CallAnswer, CallRefusal};
 use crate::call_body::CallBody;
 use crate::call_headers::{add_call, strip_hop};
+use crate::chain_watch::{note_uses, report_for};
 use crate::node_core::NodeCore;
 use crate::running_calls::RunningCall;
 
@@ -61,7 +62,7 @@
     let run = RunGuard::start(core, head, deadline);
     let left = Duration::from_millis(core.now().until_ms(deadline));
     match timeout(left, send_call(core, head, body, deadline)).await {
-        Ok(Ok(response)) => Ok(wrap_answer(head, response, run)),
+        Ok(Ok(response)) => Ok(wrap_answer(core, head, response, run)),
         Ok(Err(error)) => Err(refuse_failed(core, head, &error)),
         Err(_) => Err(CallRefusal::may_have_run(RefusalReason::DeadlinePassed).by(&head.service)),
     }
@@ -104,12 +105,19 @@
     }
 }
 
-fn wrap_answer(head: &CallHead, response: Response<Incoming>, run: RunGuard) -> CallAnswer {
+fn wrap_answer(
+    core: &NodeCore,
+    head: &CallHead,
+    response: Response<Incoming>,
+    run: RunGuard,
+) -> CallAnswer {
+    if response.status().is_success() {
+        note_uses(core, head, &run.call.used.borrow());
+    }
     let (parts, body) = response.into_parts();
     let body = CallBody::Http(body);
     let body_bytes = body.known_bytes();
     let headers = HeaderList::from(&strip_hop(&parts.headers));
-    let thresholds = run.call.thresholds.borrow().clone();
     CallAnswer {
         head: AnswerHead {
             request: head.request,
@@ -118,12 +126,12 @@
             refusal: None,
             refused_by: None,
             retry_after_ms: 0,
-            allowance_left: run.call.allowance.get(),
+            allowance_left: run.take_allowance(),
             status: parts.status.as_u16(),
             headers,
             body_bytes,
             load: limit::LoadReport::default(),
-            thresholds,
+            report: None,
             run_ms: run.mark_answered(),
         },
         body: AnswerBody::new(body, body_bytes).with_run(run),
@@ -133,6 +141,7 @@
 /// Adds what every answer tells of the node that gives it.
 fn finish_answer(core: &NodeCore, head: &CallHead, mut answer: CallAnswer) -> CallAnswer {
     answer.head.load = core.gate.load(core.now());
+    answer.head.report = report_for(core, head);
     log::debug!(
         "event=call-run request={} attempt={} call={} verdict={} status={} run_ms={}",
         head.request,
@@ -156,17 +165,7 @@
 
 impl RunGuard {
     fn start(core: &Rc<NodeCore>, head: &CallHead, deadline: ClockTime) -> Self {
-        let call = Rc::new(RunningCall {
-            request: head.request,
-            team: head.team.clone(),
-            team_weight: head.team_weight,
-            importance: head.importance,
-            depth: head.depth,
-            deadline,
-            allowance: Cell::new(head.allowance),
-            below_ms: Cell::new(0),
-            thresholds: RefCell::default(),
-        });
+        let call = Rc::new(RunningCall::new(head, deadline));
         core.running.insert(head.attempt, Rc::clone(&call));
         Self {
             core: Rc::clone(core),
@@ -177,6 +176,11 @@
         }
     }
 
+    /// Takes what is left of the call's allowance, to go back with the answer.
+    fn take_allowance(&self) -> u32 {
+        self.call.allowance.take().close().retries()
+    }
+
     /// Notes that the answer's head has come and returns the time since the start, in
     /// milliseconds.
     fn mark_answered(&self) -> u32 {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,16 +7,20 @@
 //! I/O; this crate moves bytes and time.
 
 mod admin_port;
+mod announce;
 mod answer_body;
 mod backend_pool;
 mod call_answer;
 mod call_body;
 mod call_headers;
+mod chain_watch;
 mod config_state;
 mod config_watch;
 mod dispatch;
 mod egress;
 mod entry;
+mod fleet_state;
+mod fleet_watch;
 mod http_answer;
 mod http_port;
 mod ingress;
@@ -35,6 +39,7 @@
 mod problem_body;
 mod replay_body;
 mod request_body;
+mod route_guard;
 mod running_calls;
 mod state_dump;
 mod stop_signal;
--- a/crates/node/src/node_core.rs
+++ b/crates/node/src/node_core.rs
@@ -5,14 +5,18 @@
 use adapter::{HttpLog, HttpSettings};
 use clock::ClockTime;
 use contract::FleetContract;
-use model::{AttemptId, RequestId, ServiceName, TeamName, VmName};
+use graph::{AdmissionSettings, ChainAdmission};
+use member::MemberSettings;
+use model::{AttemptId, RecordId, RequestId, ServiceName, TeamName, VmName};
 use platform::{KeyDigest, KeyTrust, LogStream, TrustSettings};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
+use retry::RetryRatio;
 use route::{RouteSettings, VmRouter};
 
 use crate::backend_pool::BackendPool;
 use crate::config_state::ConfigState;
+use crate::fleet_state::FleetState;
 use crate::ingress_gate::IngressGate;
 use crate::node_clock::NodeClock;
 use crate::node_metrics::NodeMetrics;
@@ -29,7 +33,12 @@
     pub(crate) contract: RefCell<Rc<FleetContract>>,
     pub(crate) log: HttpLog,
     pub(crate) config: StreamHost<ConfigState>,
+    pub(crate) fleet: StreamHost<FleetState>,
     pub(crate) trust: RefCell<KeyTrust>,
+    pub(crate) chain: RefCell<ChainAdmission>,
+    pub(crate) ratios: RefCell<BTreeMap<ServiceName, RetryRatio>>,
+    /// Whether the backend server has accepted a connection since the start.
+    pub(crate) is_up: Cell<bool>,
     pub(crate) routers: RefCell<BTreeMap<ServiceName, VmRouter>>,
     pub(crate) links: PeerLinks,
     pub(crate) backend: Rc<BackendPool>,
@@ -56,12 +65,17 @@
         let log = HttpLog::new(base, HttpSettings::default())?;
         let trust = KeyTrust::new(settings.centre.clone(), TrustSettings::default());
         let trust = RefCell::new(trust);
+        let fleet = FleetState::new(MemberSettings::default());
         Ok(Self {
             clock,
             contract: RefCell::default(),
             log,
             config: StreamHost::new(clock, LogStream::Config, ConfigState::new()),
+            fleet: StreamHost::new(clock, LogStream::Members, fleet),
             trust,
+            chain: RefCell::new(ChainAdmission::new(AdmissionSettings::default())),
+            ratios: RefCell::default(),
+            is_up: Cell::new(false),
             routers: RefCell::default(),
             links: PeerLinks::default(),
             backend: Rc::new(BackendPool::new(settings.backend_address)),
@@ -91,6 +105,15 @@
         AttemptId::from_random(self.random.borrow_mut().random())
     }
 
+    pub(crate) fn new_record_id(&self) -> RecordId {
+        RecordId::from_random(self.random.borrow_mut().random())
+    }
+
+    /// Calls a function with the random numbers of this node.
+    pub(crate) fn with_random<T>(&self, draw: impl FnOnce(&mut StdRng) -> T) -> T {
+        draw(&mut self.random.borrow_mut())
+    }
+
     /// Chooses a VM of a service that hasn't been tried yet.
     pub(crate) fn choose_vm(&self, service: &ServiceName, tried: &[VmName]) -> Option<VmName> {
         let mut routers = self.routers.borrow_mut();
@@ -115,6 +138,8 @@
                 .entry(service.clone())
                 .or_insert_with(|| VmRouter::new(RouteSettings::default(), centre));
         }
+        drop(routers);
+        self.chain.borrow_mut().forget_absent(&contract);
         self.contract.replace(contract);
     }
 
--- a/crates/node/src/node_message.rs
+++ b/crates/node/src/node_message.rs
@@ -1,3 +1,4 @@
+use member::MemberAnnouncement;
 use platform::{RelayBatch, RelayPull};
 use serde::{Deserialize, Serialize};
 
@@ -6,13 +7,15 @@
 pub(crate) enum NodeMessage {
     /// Asks for what follows in a stream of the platform's log.
     Pull(RelayPull),
+    /// Tells that a member changed its state.
+    Member(MemberAnnouncement),
 }
 
 /// The answer to a control message.
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) enum NodeReply {
-    /// What follows in the stream.
-    Batch(RelayBatch),
+    /// What follows in the stream, unless the node doesn't follow it.
+    Batch(Option<RelayBatch>),
     /// The message was taken, or wasn't understood.
     Nothing,
 }
--- a/crates/node/src/node_process.rs
+++ b/crates/node/src/node_process.rs
@@ -6,13 +6,16 @@
 use compio::net::TcpListener;
 use compio::runtime::spawn;
 use compio::time::sleep;
+use member::{MemberAnnouncement, MemberState};
 use thiserror::Error;
 use wire::PeerServer;
 
 use crate::admin_port::answer_admin;
+use crate::announce::announce_node;
 use crate::config_watch::ConfigWatch;
 use crate::egress::answer_backend;
 use crate::entry::answer_caller;
+use crate::fleet_watch::{FleetWatch, seed_plan};
 use crate::http_port::serve_port;
 use crate::node_core::NodeCore;
 use crate::node_settings::NodeSettings;
@@ -74,10 +77,36 @@
         spawn(serve_port(Rc::clone(core), admin, answer_admin)).detach();
         spawn(serve_peers(Rc::clone(core), peers)).detach();
         spawn(keep_time(Rc::clone(core))).detach();
-        spawn(follow_config(Rc::clone(core))).detach();
+        node.follow_log();
         Ok(node)
     }
 
+    fn follow_log(&self) {
+        let core = &self.core;
+        let plan = seed_plan(core);
+        core.config.set_plan(plan.clone());
+        core.fleet.set_plan(plan);
+        spawn(follow_config(Rc::clone(core))).detach();
+        spawn(follow_fleet(Rc::clone(core))).detach();
+        let own = self.announcement();
+        spawn(announce_node(Rc::clone(core), own)).detach();
+    }
+
+    fn announcement(&self) -> MemberAnnouncement {
+        let settings = &self.core.settings;
+        MemberAnnouncement {
+            vm: settings.vm.clone(),
+            centre: settings.centre.clone(),
+            service: settings.service.clone(),
+            peer_addr: settings.advertised_address.unwrap_or(self.peer_address),
+            slots: settings.backend_slots,
+            incarnation: 1,
+            sequence: 0,
+            state: MemberState::Starting,
+            valid_ms: 0,
+        }
+    }
+
     /// Returns the address for callers.
     #[must_use]
     pub const fn caller_address(&self) -> SocketAddr {
@@ -151,6 +180,14 @@
     }
 }
 
+/// Follows the members stream, from the log and from other nodes.
+async fn follow_fleet(core: Rc<NodeCore>) {
+    let watch = FleetWatch(Rc::clone(&core));
+    let reading = core.fleet.read_log(&core.log, &watch);
+    let pulling = core.fleet.pull_peers(&watch);
+    futures_util::join!(reading, pulling);
+}
+
 /// Follows the configuration stream, from the log and from other nodes.
 async fn follow_config(core: Rc<NodeCore>) {
     let watch = ConfigWatch(Rc::clone(&core));
@@ -167,6 +204,9 @@
         if core.gate.next_tick().is_some_and(|due| due <= now) {
             core.gate.tick(now);
         }
+        if let Some(fresh_at) = core.fleet.fresh_at() {
+            core.fleet.with_state(|fleet| fleet.view.on_fresh(fresh_at));
+        }
         for router in core.routers.borrow_mut().values_mut() {
             router.tick(now);
         }
--- a/crates/node/src/peer_port.rs
+++ b/crates/node/src/peer_port.rs
@@ -2,11 +2,13 @@
 
 use bytes::Bytes;
 use model::VmName;
+use platform::{LogStream, RelayBatch, RelayPull};
 use wire::{AnswerHead, CallHead, LinkBody, PeerHandler};
 
 use crate::answer_body::AnswerBody;
 use crate::call_body::CallBody;
 use crate::config_watch::ConfigWatch;
+use crate::fleet_watch::{FleetWatch, put_members};
 use crate::ingress::run_call;
 use crate::node_core::NodeCore;
 use crate::node_message::{NodeMessage, NodeReply};
@@ -24,14 +26,31 @@
     async fn answer(&self, message: NodeMessage) -> NodeReply {
         let core = &self.0;
         match message {
-            NodeMessage::Pull(pull) => {
-                let watch = ConfigWatch(Rc::clone(core));
-                NodeReply::Batch(core.config.answer(&pull, &watch).await)
+            NodeMessage::Pull(pull) => NodeReply::Batch(answer_pull(core, &pull).await),
+            NodeMessage::Member(announcement) => {
+                core.fleet
+                    .with_state(|fleet| fleet.view.apply(&announcement));
+                put_members(core, core.now());
+                NodeReply::Nothing
             }
         }
     }
 }
 
+async fn answer_pull(core: &Rc<NodeCore>, pull: &RelayPull) -> Option<RelayBatch> {
+    match pull.stream {
+        LogStream::Config => {
+            let watch = ConfigWatch(Rc::clone(core));
+            Some(core.config.answer(pull, &watch).await)
+        }
+        LogStream::Members => {
+            let watch = FleetWatch(Rc::clone(core));
+            Some(core.fleet.answer(pull, &watch).await)
+        }
+        LogStream::Rates | LogStream::Claims => None,
+    }
+}
+
 impl PeerHandler for PeerPort {
     type Body = AnswerBody;
 
--- /dev/null
+++ b/crates/node/src/route_guard.rs
@@ -0,0 +1,63 @@
+use clock::ClockTime;
+use model::{RefusalReason, RunVerdict, VmName};
+use route::{LoadSample, RouteOutcome};
+use wire::{AnswerHead, CallHead};
+
+use crate::chain_watch::note_answer;
+use crate::node_core::NodeCore;
+
+/// Tells the router of a service how a call that was sent ended, also when it is dropped.
+pub(crate) struct RouteGuard<'c> {
+    core: &'c NodeCore,
+    head: &'c CallHead,
+    vm: &'c VmName,
+    started: ClockTime,
+    is_done: bool,
+}
+
+impl<'c> RouteGuard<'c> {
+    pub(crate) fn begin(core: &'c NodeCore, head: &'c CallHead, vm: &'c VmName) -> Self {
+        core.with_router(&head.service, |router| router.begin(vm));
+        Self {
+            core,
+            head,
+            vm,
+            started: core.now(),
+            is_done: false,
+        }
+    }
+
+    pub(crate) fn finish(&mut self, answer: &AnswerHead) {
+        let latency_ms = self.core.now().since_ms(self.started);
+        note_answer(self.core, self.head, self.vm, answer, latency_ms);
+        let outcome = match (answer.verdict, answer.refusal) {
+            (RunVerdict::Ran, _) => RouteOutcome::Succeeded { latency_ms },
+            (_, Some(RefusalReason::LinkBroken | RefusalReason::BackendFailed))
+            | (RunVerdict::NotRun, Some(RefusalReason::NoBackend)) => RouteOutcome::Failed,
+            (RunVerdict::NotRun, _) => RouteOutcome::Refused,
+            _ => RouteOutcome::Abandoned,
+        };
+        let sample = LoadSample {
+            in_flight: answer.load.in_flight,
+            limit: answer.load.limit,
+            queued: answer.load.queued,
+        };
+        self.tell(outcome, (sample.limit > 0).then_some(sample));
+    }
+
+    fn tell(&mut self, outcome: RouteOutcome, sample: Option<LoadSample>) {
+        self.is_done = true;
+        let now = self.core.now();
+        self.core.with_router(&self.head.service, |router| {
+            router.finish(now, self.vm, outcome, sample);
+        });
+    }
+}
+
+impl Drop for RouteGuard<'_> {
+    fn drop(&mut self) {
+        if !self.is_done {
+            self.tell(RouteOutcome::Abandoned, None);
+        }
+    }
+}
--- a/crates/node/src/running_calls.rs
+++ b/crates/node/src/running_calls.rs
@@ -1,10 +1,15 @@
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
 use clock::ClockTime;
+use graph::CallTarget;
 use model::{AttemptId, CallImportance, RequestId, TeamName};
-use wire::ServiceThreshold;
+use retry::{AllowanceShare, CallRepeats, RetryAllowance};
+use wire::CallHead;
+
+/// The different calls that are remembered for one running call.
+const MAX_REMEMBERED_CALLS: usize = 1_000;
 
 /// A call that the local backend server runs now.
 pub(crate) struct RunningCall {
@@ -14,9 +19,29 @@
     pub(crate) importance: CallImportance,
     pub(crate) depth: u8,
     pub(crate) deadline: ClockTime,
-    pub(crate) allowance: Cell<u16>,
+    pub(crate) allowance: RefCell<RetryAllowance>,
+    pub(crate) repeats: RefCell<CallRepeats>,
+    pub(crate) used: RefCell<BTreeSet<CallTarget>>,
+    /// The time spent waiting for calls below, in milliseconds.
     pub(crate) below_ms: Cell<u64>,
-    pub(crate) thresholds: RefCell<Vec<ServiceThreshold>>,
+}
+
+impl RunningCall {
+    pub(crate) fn new(head: &CallHead, deadline: ClockTime) -> Self {
+        let share = AllowanceShare::new(head.allowance);
+        Self {
+            request: head.request,
+            team: head.team.clone(),
+            team_weight: head.team_weight,
+            importance: head.importance,
+            depth: head.depth,
+            deadline,
+            allowance: RefCell::new(RetryAllowance::new(share)),
+            repeats: RefCell::new(CallRepeats::new(MAX_REMEMBERED_CALLS)),
+            used: RefCell::default(),
+            below_ms: Cell::new(0),
+        }
+    }
 }
 
 /// The calls that the local backend server runs now, by attempt.
--- a/crates/node/src/state_dump.rs
+++ b/crates/node/src/state_dump.rs
@@ -18,6 +18,7 @@
     load: LoadReport,
     running_calls: usize,
     open_connections: usize,
+    ready_members: usize,
     links: Vec<VmName>,
     services: Vec<ServiceName>,
 }
@@ -34,6 +35,9 @@
         load: core.gate.load(core.now()),
         running_calls: core.running.len(),
         open_connections: core.open_connections.get(),
+        ready_members: core
+            .fleet
+            .with_state(|fleet| fleet.view.ready_by_centre().values().map(Vec::len).sum()),
         links: core.links.names(),
         services: core.contract().services.keys().cloned().collect(),
     }
--- /dev/null
+++ b/crates/node/tests/fleet/mod.rs
@@ -0,0 +1,144 @@
+//! A small fleet on one loop: the log's stand-in, backend servers and their nodes.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use compio::time::sleep;
+use lentilshift_node::{NodeProcess, NodeSettings};
+use model::{RecordId, TeamName, VmName};
+use platform::{
+    ConfigRecord, ConfigVersion, KeyDigest, LogStream, NewRecord, PlatformLog, RecordBody,
+};
+use standin::{BackendServer, BackendSettings, LogControl, LogServer};
+use wire::FleetSecret;
+
+/// The key that the tests' callers use.
+pub const KEY: &str = "sesame-opens-nothing-else";
+
+/// The contract of the tests: `filings` calls `registry`.
+pub const CONTRACT: &str = r#"
+[services.registry]
+[services.registry.calls.look-up]
+path = "/records"
+method = "GET"
+
+[services.filings]
+depends_on = ["registry"]
+[services.filings.calls.file]
+path = "/filings"
+method = "POST"
+importance = "critical"
+[services.filings.calls.read]
+path = "/filings"
+method = "GET"
+[services.filings.calls.status]
+path = "/status"
+open = true
+
+[teams.clubs]
+rate_per_s = 1000
+burst = 2000
+"#;
+
+/// A backend server with its node.
+pub struct Pair {
+    pub backend: Rc<BackendServer>,
+    pub node: NodeProcess,
+}
+
+/// The log's stand-in and some pairs.
+pub struct Fleet {
+    pub log: LogControl,
+    pub log_address: SocketAddr,
+    pub pairs: Vec<Pair>,
+    pub client: cyper::Client,
+}
+
+impl Fleet {
+    /// Starts the log's stand-in with a contract and a key on it.
+    pub async fn start() -> Self {
+        let server = LogServer::bind("127.0.0.1:0".parse().unwrap())
+            .await
+            .unwrap();
+        let log_address = server.addr().unwrap();
+        let log = server.control();
+        compio::runtime::spawn(server.run()).detach();
+        let fleet = Self {
+            log,
+            log_address,
+            pairs: Vec::new(),
+            client: cyper::Client::new().unwrap(),
+        };
+        let publish = ConfigRecord::publish(ConfigVersion::NONE, "", CONTRACT);
+        let grant = ConfigRecord::Grant {
+            digest: KeyDigest::of_key(KEY.as_bytes()),
+            team: TeamName::new("clubs"),
+        };
+        fleet.append(&publish, 1).await;
+        fleet.append(&grant, 2).await;
+        fleet
+    }
+
+    /// Appends a record of the configuration stream.
+    pub async fn append(&self, record: &ConfigRecord, id: u128) {
+        let base = format!("http://{}", self.log_address);
+        let log = adapter::HttpLog::new(base, adapter::HttpSettings::default()).unwrap();
+        let record = NewRecord {
+            id: RecordId::from_random(id),
+            body: RecordBody::encode(record),
+        };
+        log.append(LogStream::Config, vec![record]).await.unwrap();
+    }
+
+    /// Starts a backend server with its node.
+    pub async fn add(&mut self, name: &str, service: &str, backend: BackendSettings) {
+        let backend = BackendSettings {
+            service: service.into(),
+            ..backend
+        };
+        let backend = BackendServer::start(backend).await.unwrap();
+        let secret = FleetSecret::new("a secret for tests only").unwrap();
+        let settings = NodeSettings {
+            backend_address: backend.address(),
+            platform_address: self.log_address,
+            ..NodeSettings::loopback(VmName::new(name), service.into(), secret)
+        };
+        let node = NodeProcess::start(settings).await.unwrap();
+        backend.set_egress(node.egress_address());
+        self.pairs.push(Pair { backend, node });
+    }
+
+    /// Waits until every node is ready and knows all the others.
+    pub async fn settle(&self) {
+        for _ in 0..500 {
+            if self.is_settled().await {
+                return;
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+        panic!("the fleet isn't ready after 10 s");
+    }
+
+    async fn is_settled(&self) -> bool {
+        for pair in &self.pairs {
+            let url = format!("http://{}/dump", pair.node.admin_address());
+            let answer = self.client.get(url).unwrap().send().await.unwrap();
+            let dump: serde_json::Value =
+                serde_json::from_str(&answer.text().await.unwrap()).unwrap();
+            let ready = dump["ready_members"].as_u64().unwrap_or(0);
+            if dump["is_ready"] != true || ready != self.pairs.len() as u64 {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Sends a request to a node's caller port with the tests' key.
+    pub async fn send(&self, node: usize, method: &str, path: &str) -> cyper::Response {
+        let url = format!("http://{}{path}", self.pairs[node].node.caller_address());
+        let request = self.client.request(method.parse().unwrap(), url).unwrap();
+        let request = request.header("authorization", format!("Bearer {KEY}"));
+        request.unwrap().send().await.unwrap()
+    }
+}
--- a/crates/route/src/vm_router.rs
+++ b/crates/route/src/vm_router.rs
@@ -51,10 +51,13 @@
         }
     }
 
-    /// Adds a VM, or changes what is known of it.
+    /// Adds a VM, or changes what is known of it; the start of a known one stays as it was.
     pub fn upsert(&mut self, vm: VmName, target: RouteTarget) {
         match self.states.get_mut(&vm) {
-            Some(state) => state.target = target,
+            Some(state) => {
+                let started = state.target.started;
+                state.target = RouteTarget { started, ..target };
+            }
             None => {
                 self.states.insert(vm, VmState::new(target));
             }
@@ -73,6 +76,11 @@
         }
     }
 
+    /// Returns the names of the VMs, in order.
+    pub fn names(&self) -> impl Iterator<Item = &VmName> {
+        self.states.keys()
+    }
+
     /// Returns the number of VMs that may be chosen.
     #[must_use]
     pub fn open_count(&self) -> usize {
