test(rate): check every window against one exact bucket under seeded faults

The first run overflowed the count of waiting requests in the holder: each ask without answer added its whole want again for every data centre.

--- a/crates/rate/src/token_holder.rs
+++ b/crates/rate/src/token_holder.rs
@@ -24,8 +24,7 @@
 #[derive(Clone, Debug, Default)]
 struct TeamUse {
     grants: VecDeque<HeldGrant>,
-    waiting: u32,
-    waiting_since: ClockTime,
+    waiting: VecDeque<ClockTime>,
     used_now: u32,
     used_before: u32,
     period_at: ClockTime,
@@ -123,6 +122,9 @@
         }
         using.used_at = now;
         if let Some(spent) = using.spend(now) {
+            if !is_first {
+                using.waiting.pop_front();
+            }
             if spent.left == 0 {
                 let closing = self.closes.entry((spent.from, slot)).or_default();
                 closing.closes.push(close(spent.seq, team, 0));
@@ -147,14 +149,15 @@
         };
         let is_open = pools.iter().any(|centre| !using.is_dry(now, centre));
         if !is_asked && !is_open {
-            using.waiting = 0;
+            if !is_first {
+                using.waiting.pop_front();
+            }
             return RateDecision::Refuse {
                 retry_after_ms: using.next_ms(now).unwrap_or(settings.lease_ms),
             };
         }
         if is_first {
-            using.waiting += 1;
-            using.waiting_since = now;
+            using.waiting.push_back(now);
             self.is_dirty = true;
         }
         RateDecision::Ask {
@@ -197,11 +200,6 @@
             if age_ms >= settings.hedge_ms && !ask.is_hedged {
                 ask.is_hedged = true;
                 self.slow_pools.insert(ask.pool.clone(), now);
-                for want in &ask.wants {
-                    if let Some(using) = self.teams.get_mut(&want.team) {
-                        using.wait_more(now, want.tokens, settings.wait_ms);
-                    }
-                }
             }
             if age_ms >= settings.ask_timeout_ms {
                 given_up.push(*seq);
@@ -299,25 +297,36 @@
         slot: u16,
         settings: &RateSettings,
     ) -> Vec<(CentreName, u32)> {
-        let Some(using) = self.teams.get(team) else {
+        let Some(using) = self.teams.get_mut(team) else {
             return Vec::new();
         };
-        let ahead = using.used_before;
+        using.drop_waiting(now, settings.wait_ms);
         let held = using.held(now);
-        let top_up = if held * 2 < ahead { ahead - held } else { 0 };
-        let need = using.waiting + top_up;
-        if need == 0 || (using.waiting == 0 && self.is_asked(team)) {
+        let waiting = u32::try_from(using.waiting.len()).unwrap_or(u32::MAX);
+        let ahead = if held * 2 < using.used_before {
+            using.used_before
+        } else {
+            0
+        };
+        let need = waiting
+            .max(ahead)
+            .saturating_sub(held + self.asked_tokens(team));
+        if need == 0 {
             return Vec::new();
         }
         let centres = self.places(now, team, slot, settings);
-        if let Some(using) = self.teams.get_mut(team) {
-            if !centres.is_empty() {
-                using.waiting = 0;
-            }
-        }
         centres.into_iter().map(|centre| (centre, need)).collect()
     }
 
+    /// Counts the tokens of a team asked for and likely to be answered.
+    fn asked_tokens(&self, team: &TeamName) -> u32 {
+        let prompt = self.asks.values().filter(|ask| !ask.is_hedged);
+        let wants = prompt
+            .flat_map(|ask| &ask.wants)
+            .filter(|want| want.team == *team);
+        wants.map(|want| want.tokens).sum()
+    }
+
     /// Returns the data centres to ask: the own one, or all others when it is dry or slow.
     fn places(
         &self,
@@ -385,10 +394,7 @@
                 using
                     .dry_until
                     .insert(ask.pool.1.clone(), now.plus_ms(dry_ms));
-                if ask.pool.1 == self.centre {
-                    using.wait_more(ask.asked_at, wanted - grant.tokens, settings.wait_ms);
-                    self.is_dirty = true;
-                }
+                self.is_dirty = true;
             }
             if grant.tokens > 0 && now < lapses_at {
                 using.grants.push_back(HeldGrant {
@@ -447,9 +453,12 @@
             .min()
     }
 
-    fn wait_more(&mut self, now: ClockTime, tokens: u32, _wait_ms: u64) {
-        self.waiting += tokens;
-        self.waiting_since = now;
+    /// Forgets requests that have waited for longer than they may.
+    fn drop_waiting(&mut self, now: ClockTime, wait_ms: u64) {
+        let is_over = |since: &ClockTime| now.since_ms(*since) > wait_ms;
+        while self.waiting.front().is_some_and(is_over) {
+            self.waiting.pop_front();
+        }
     }
 }
 
--- /dev/null
+++ b/crates/rate/tests/support/world.rs
@@ -0,0 +1,534 @@
+use std::collections::{BTreeMap, BTreeSet};
+
+use clock::ClockTime;
+use lentilshift_rate::{RateDecision, RateRecord, TeamRate};
+use model::{CentreName, TeamName, VmName};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use super::{Contract, ExactBucket, Members, SimAction, SimNode, excess};
+
+/// The time for leases to be taken before traffic is measured, in milliseconds.
+pub const WARM_UP_MS: u64 = 12_000;
+
+/// Faults, each as chances in a million per millisecond or per message.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Faults {
+    pub lost: u32,
+    pub doubled: u32,
+    pub late: u32,
+    pub pauses: u32,
+    pub kills: u32,
+    pub cuts: u32,
+    pub node_log_cuts: u32,
+    pub log_outages: u32,
+    pub contract_changes: u32,
+    pub false_members: u32,
+}
+
+impl Faults {
+    pub const ALL: Self = Self {
+        lost: 30_000,
+        doubled: 30_000,
+        late: 20_000,
+        pauses: 300,
+        kills: 100,
+        cuts: 60,
+        node_log_cuts: 200,
+        log_outages: 60,
+        contract_changes: 100,
+        false_members: 100_000,
+    };
+}
+
+/// How a team sends.
+#[derive(Clone, Copy, Debug)]
+pub struct TeamLoad {
+    pub rate: TeamRate,
+    /// Requests per second over all VMs while it sends.
+    pub sent_per_s: u32,
+    /// Sends for `on_ms` in every `period_ms`.
+    pub on_ms: u64,
+    pub period_ms: u64,
+    /// The number of VMs that it sends to.
+    pub vms: usize,
+}
+
+struct Host<N> {
+    node: N,
+    centre: CentreName,
+    offset_ms: u64,
+    drift_ppm: i64,
+    paused_until: u64,
+    log_cut_until: u64,
+    next_read: u64,
+    read: usize,
+    waiting: Vec<(TeamName, u64)>,
+}
+
+impl<N> Host<N> {
+    fn time(&self, now: u64) -> ClockTime {
+        let drift = i64::try_from(now).unwrap() * self.drift_ppm / 1_000_000;
+        ClockTime::from_ms((self.offset_ms + now).checked_add_signed(drift).unwrap())
+    }
+}
+
+enum Event<M> {
+    Deliver(VmName, VmName, M),
+    Append(RateRecord),
+    Members(VmName, Members),
+    Contract(VmName, u64),
+}
+
+/// What happened to one team.
+#[derive(Clone, Debug)]
+pub struct TeamOutcome {
+    pub load: TeamLoad,
+    pub admitted: Vec<u64>,
+    pub exact: ExactBucket,
+    pub exact_admitted: u64,
+    pub highest: TeamRate,
+    is_changed: bool,
+}
+
+pub struct World<N: SimNode> {
+    pub now: u64,
+    faults: Faults,
+    random: SmallRng,
+    make: fn(VmName, CentreName) -> N,
+    hosts: BTreeMap<VmName, Host<N>>,
+    events: BTreeMap<(u64, u64), Event<N::Message>>,
+    event_count: u64,
+    log: Vec<RateRecord>,
+    pub log_out_until: u64,
+    cut_until: BTreeMap<CentreName, u64>,
+    contracts: Vec<Contract>,
+    starts: BTreeMap<(u64, u64), CentreName>,
+    pub teams: BTreeMap<TeamName, TeamOutcome>,
+    pub messages: u64,
+}
+
+impl<N: SimNode> World<N> {
+    pub fn new(
+        seed: u64,
+        vms: usize,
+        loads: &[(&str, TeamLoad)],
+        faults: Faults,
+        make: fn(VmName, CentreName) -> N,
+    ) -> Self {
+        let outcome = |load: TeamLoad| TeamOutcome {
+            load,
+            admitted: Vec::new(),
+            exact: ExactBucket::new(load.rate),
+            exact_admitted: 0,
+            highest: load.rate,
+            is_changed: false,
+        };
+        let named = loads
+            .iter()
+            .map(|(name, load)| (TeamName::new(*name), *load));
+        let teams: BTreeMap<_, _> = named.map(|(name, load)| (name, outcome(load))).collect();
+        let rates = teams
+            .iter()
+            .map(|(name, team)| (name.clone(), team.load.rate));
+        let mut world = Self {
+            now: 0,
+            faults,
+            random: SmallRng::seed_from_u64(seed),
+            make,
+            hosts: BTreeMap::new(),
+            events: BTreeMap::new(),
+            event_count: 0,
+            log: Vec::new(),
+            log_out_until: 0,
+            cut_until: BTreeMap::new(),
+            contracts: vec![rates.collect()],
+            starts: BTreeMap::new(),
+            teams,
+            messages: 0,
+        };
+        for index in 0..vms {
+            world.start(CentreName::new(format!("dc-{}", index % 3)));
+        }
+        world
+    }
+
+    fn start(&mut self, centre: CentreName) {
+        self.event_count += 1;
+        let vm = VmName::new(format!("vm-{:05}", self.event_count));
+        let mut host = Host {
+            node: (self.make)(vm.clone(), centre.clone()),
+            centre,
+            offset_ms: self.random.random_range(1_000_000..2_000_000),
+            drift_ppm: self.random.random_range(-450..450),
+            paused_until: 0,
+            log_cut_until: 0,
+            next_read: self.now,
+            read: 0,
+            waiting: Vec::new(),
+        };
+        let contract = self.contracts.last().unwrap();
+        let version = self.contracts.len() as u64;
+        host.node
+            .set_contract(host.time(self.now), contract, version);
+        self.hosts.insert(vm, host);
+        self.announce();
+    }
+
+    fn schedule(&mut self, delay_ms: u64, event: Event<N::Message>) {
+        self.event_count += 1;
+        self.events
+            .insert((self.now + delay_ms, self.event_count), event);
+    }
+
+    fn chance(&mut self, in_a_million: u32) -> bool {
+        self.random.random_range(0..1_000_000) < in_a_million
+    }
+
+    /// Tells every node who is alive, some late and some wrongly.
+    fn announce(&mut self) {
+        let all: Members = self
+            .hosts
+            .iter()
+            .map(|(vm, host)| (vm.clone(), host.centre.clone()))
+            .collect();
+        let is_start = self.now == 0;
+        for vm in all.keys() {
+            let mut known = all.clone();
+            if self.chance(self.faults.false_members) {
+                let missing = self.random.random_range(0..all.len());
+                known.remove(all.keys().nth(missing).unwrap());
+                known.insert(vm.clone(), all[vm].clone());
+            }
+            let delay_ms = if is_start {
+                0
+            } else {
+                self.random.random_range(50..2_000)
+            };
+            self.schedule(delay_ms, Event::Members(vm.clone(), known));
+        }
+    }
+
+    pub fn run_until(&mut self, end_ms: u64) {
+        while self.now < end_ms {
+            self.now += 1;
+            self.break_things();
+            self.deliver();
+            let vms: Vec<VmName> = self.hosts.keys().cloned().collect();
+            for vm in &vms {
+                self.step(vm);
+            }
+            if self.now > WARM_UP_MS {
+                self.send_requests();
+            }
+        }
+    }
+
+    fn pick(&mut self) -> VmName {
+        let index = self.random.random_range(0..self.hosts.len());
+        self.hosts.keys().nth(index).unwrap().clone()
+    }
+
+    fn break_things(&mut self) {
+        let faults = self.faults;
+        if self.chance(faults.pauses) {
+            let until = self.now + self.random.random_range(20..8_000);
+            let vm = self.pick();
+            self.hosts.get_mut(&vm).unwrap().paused_until = until;
+        }
+        if self.chance(faults.node_log_cuts) {
+            let until = self.now + self.random.random_range(500..20_000);
+            let vm = self.pick();
+            self.hosts.get_mut(&vm).unwrap().log_cut_until = until;
+        }
+        if self.chance(faults.kills) && self.hosts.len() > 4 {
+            let vm = self.pick();
+            self.kill(&vm);
+        }
+        if self.chance(faults.cuts) {
+            let until = self.now + self.random.random_range(500..20_000);
+            let centre = CentreName::new(format!("dc-{}", self.random.random_range(0..3)));
+            self.cut_until.insert(centre, until);
+        }
+        if self.chance(faults.log_outages) {
+            self.log_out_until = self.now + self.random.random_range(1_000..15_000);
+        }
+        if self.chance(faults.contract_changes) {
+            self.change_contract();
+        }
+        let due: Vec<_> = self
+            .starts
+            .range(..=(self.now, u64::MAX))
+            .map(|(key, _)| *key)
+            .collect();
+        for key in due {
+            let centre = self.starts.remove(&key).unwrap();
+            self.start(centre);
+        }
+    }
+
+    pub fn kill(&mut self, vm: &VmName) {
+        let host = self.hosts.remove(vm).unwrap();
+        self.event_count += 1;
+        let back = self.now + self.random.random_range(100..6_000);
+        self.starts.insert((back, self.event_count), host.centre);
+        self.announce();
+    }
+
+    /// Changes the rate and burst of one team whose name begins with `changing`.
+    fn change_contract(&mut self) {
+        let mut contract = self.contracts.last().unwrap().clone();
+        let names = contract
+            .keys()
+            .filter(|team| team.as_str().starts_with("changing"));
+        let Some(team) = names.min().cloned() else {
+            return;
+        };
+        let rate = TeamRate {
+            rate_per_s: self.random.random_range(5..200),
+            burst: self.random.random_range(1..80),
+        };
+        self.set_rate(&mut contract, &team, rate);
+    }
+
+    pub fn set_rate(&mut self, contract: &mut Contract, team: &TeamName, rate: TeamRate) {
+        contract.insert(team.clone(), rate);
+        let outcome = self.teams.get_mut(team).unwrap();
+        outcome.is_changed = true;
+        outcome.highest.rate_per_s = outcome.highest.rate_per_s.max(rate.rate_per_s);
+        outcome.highest.burst = outcome.highest.burst.max(rate.burst);
+        self.contracts.push(contract.clone());
+        let version = self.contracts.len() as u64;
+        let vms: Vec<VmName> = self.hosts.keys().cloned().collect();
+        for vm in vms {
+            let delay_ms = self.random.random_range(10..3_000);
+            self.schedule(delay_ms, Event::Contract(vm, version));
+        }
+    }
+
+    pub fn contract(&self) -> Contract {
+        self.contracts.last().unwrap().clone()
+    }
+
+    fn deliver(&mut self) {
+        while let Some(entry) = self.events.first_entry() {
+            if entry.key().0 > self.now {
+                return;
+            }
+            match entry.remove() {
+                Event::Append(record) => self.log.push(record),
+                Event::Members(vm, members) => {
+                    self.with_host(&vm, |host, now| host.node.set_members(now, &members));
+                }
+                Event::Contract(vm, version) => {
+                    let contract = self.contracts[usize::try_from(version).unwrap() - 1].clone();
+                    self.with_host(&vm, |host, now| {
+                        host.node.set_contract(now, &contract, version)
+                    });
+                }
+                Event::Deliver(from, to, message) => self.deliver_message(&from, &to, message),
+            }
+        }
+    }
+
+    fn with_host(&mut self, vm: &VmName, change: impl FnOnce(&mut Host<N>, ClockTime)) {
+        if let Some(host) = self.hosts.get_mut(vm) {
+            let now = host.time(self.now);
+            change(host, now);
+        }
+    }
+
+    fn deliver_message(&mut self, from: &VmName, to: &VmName, message: N::Message) {
+        let Some(host) = self.hosts.get_mut(to) else {
+            return;
+        };
+        if host.paused_until > self.now {
+            let delay_ms = host.paused_until - self.now + 1;
+            self.schedule(delay_ms, Event::Deliver(from.clone(), to.clone(), message));
+            return;
+        }
+        let now = host.time(self.now);
+        let mut actions = Vec::new();
+        host.node.receive(now, from, message, &mut actions);
+        self.carry_out(to, actions);
+        self.retry_waiting(to);
+    }
+
+    fn step(&mut self, vm: &VmName) {
+        let Some(host) = self.hosts.get_mut(vm) else {
+            return;
+        };
+        if host.paused_until > self.now {
+            return;
+        }
+        let now = host.time(self.now);
+        let is_cut = host.log_cut_until > self.now || self.log_out_until > self.now;
+        if !is_cut && host.next_read <= self.now {
+            for (offset, record) in self.log.iter().enumerate().skip(host.read) {
+                host.node.receive_record(now, offset as u64, record);
+            }
+            host.read = self.log.len();
+            host.node.log_caught_up(now);
+            host.next_read = self.now + self.random.random_range(5..80);
+        }
+        let mut actions = Vec::new();
+        if host.node.next_poll() <= now {
+            host.node.poll(now, &mut actions);
+        }
+        self.carry_out(vm, actions);
+        self.retry_waiting(vm);
+    }
+
+    fn is_cut(&self, one: &CentreName, other: &CentreName) -> bool {
+        let is_cut = |centre| {
+            self.cut_until
+                .get(centre)
+                .is_some_and(|until| *until > self.now)
+        };
+        one != other && (is_cut(one) || is_cut(other))
+    }
+
+    fn carry_out(&mut self, vm: &VmName, actions: Vec<SimAction<N::Message>>) {
+        let Some(host) = self.hosts.get(vm) else {
+            return;
+        };
+        let (centre, log_cut_until) = (host.centre.clone(), host.log_cut_until);
+        for action in actions {
+            match action {
+                SimAction::Send(to, message) => self.send(vm, &centre, to, &message),
+                SimAction::Append(record) => {
+                    let is_out = self.log_out_until.max(log_cut_until) > self.now;
+                    let is_late = self.chance(self.faults.late);
+                    if !is_out || is_late {
+                        let most_ms = if is_late { 10_000 } else { 20 };
+                        let delay_ms = self.random.random_range(1..most_ms);
+                        self.schedule(delay_ms, Event::Append(record));
+                    }
+                }
+            }
+        }
+    }
+
+    fn send(&mut self, from: &VmName, centre: &CentreName, to: VmName, message: &N::Message) {
+        self.messages += 1;
+        let Some(target) = self.hosts.get(&to) else {
+            return;
+        };
+        if self.is_cut(centre, &target.centre.clone()) || self.chance(self.faults.lost) {
+            return;
+        }
+        let copies = if self.chance(self.faults.doubled) {
+            2
+        } else {
+            1
+        };
+        for _ in 0..copies {
+            let most_ms = if self.chance(self.faults.late) {
+                4_000
+            } else {
+                3
+            };
+            let delay_ms = self.random.random_range(1..most_ms);
+            self.schedule(
+                delay_ms,
+                Event::Deliver(from.clone(), to.clone(), message.clone()),
+            );
+        }
+    }
+
+    fn send_requests(&mut self) {
+        let teams: Vec<(TeamName, TeamLoad)> = self
+            .teams
+            .iter()
+            .map(|(name, team)| (name.clone(), team.load))
+            .collect();
+        for (team, load) in teams {
+            if self.now % load.period_ms >= load.on_ms {
+                continue;
+            }
+            let mut count = load.sent_per_s / 1_000;
+            count += u32::from(self.random.random_range(0..1_000) < load.sent_per_s % 1_000);
+            for _ in 0..count {
+                let index = self.random.random_range(0..load.vms.min(self.hosts.len()));
+                let vm = self.hosts.keys().nth(index).unwrap().clone();
+                if self.hosts[&vm].paused_until <= self.now {
+                    self.request(&vm, &team);
+                }
+            }
+        }
+    }
+
+    pub fn request(&mut self, vm: &VmName, team: &TeamName) {
+        let outcome = self.teams.get_mut(team).unwrap();
+        outcome.exact_admitted += u64::from(outcome.exact.take(self.now));
+        let host = self.hosts.get_mut(vm).unwrap();
+        let now = host.time(self.now);
+        match host.node.admit(now, team, true) {
+            RateDecision::Admit => outcome.admitted.push(self.now),
+            RateDecision::Ask { wait_ms } => host.waiting.push((team.clone(), self.now + wait_ms)),
+            RateDecision::Refuse { .. } => {}
+        }
+    }
+
+    fn retry_waiting(&mut self, vm: &VmName) {
+        let Some(host) = self.hosts.get_mut(vm) else {
+            return;
+        };
+        let now = host.time(self.now);
+        for (team, deadline) in std::mem::take(&mut host.waiting) {
+            if deadline < self.now {
+                continue;
+            }
+            match host.node.admit(now, &team, false) {
+                RateDecision::Admit => self.teams.get_mut(&team).unwrap().admitted.push(self.now),
+                RateDecision::Ask { .. } => host.waiting.push((team, deadline)),
+                RateDecision::Refuse { .. } => {}
+            }
+        }
+    }
+
+    /// Returns the first VM in a data centre.
+    pub fn vm_in(&self, centre: &str) -> VmName {
+        let mut vms = self
+            .hosts
+            .iter()
+            .filter(|(_, host)| host.centre.as_str() == centre);
+        vms.next().unwrap().0.clone()
+    }
+
+    pub fn pause(&mut self, vm: &VmName, until: u64) {
+        self.hosts.get_mut(vm).unwrap().paused_until = until;
+    }
+
+    pub fn cut(&mut self, centre: &str, until: u64) {
+        self.cut_until.insert(CentreName::new(centre), until);
+    }
+
+    pub fn nodes(&self) -> impl Iterator<Item = (&VmName, &N, ClockTime)> {
+        self.hosts
+            .iter()
+            .map(|(vm, host)| (vm, &host.node, host.time(self.now)))
+    }
+
+    /// Counts the admissions of all teams above rate and burst.
+    pub fn excess(&self) -> usize {
+        self.teams
+            .values()
+            .map(|team| excess(team.highest, &team.admitted))
+            .sum()
+    }
+
+    /// Returns what the exact bucket admits and how much less the fleet did, unchanged teams only.
+    pub fn shortfall(&self, teams: &BTreeSet<&str>) -> (u64, u64) {
+        let chosen = self.teams.iter().filter(|(name, team)| {
+            !team.is_changed && (teams.is_empty() || teams.contains(name.as_str()))
+        });
+        chosen.fold((0, 0), |(exact, short), (_, team)| {
+            let own = team.admitted.len() as u64;
+            (
+                exact + team.exact_admitted,
+                short + team.exact_admitted.saturating_sub(own),
+            )
+        })
+    }
+}
