--- /dev/null
+++ b/crates/rate/tests/wrongful_refusals.rs
@@ -0,0 +1,111 @@
+//! How many requests are refused that one exact bucket would admit.
+
+mod support;
+
+use std::collections::BTreeSet;
+
+use lentilshift_rate::{RateSettings, TeamLimiter, TeamRate};
+use model::{CentreName, TeamName, VmName};
+use rstest::rstest;
+use support::SimNode;
+use support::naive::FixedNode;
+use support::world::{Faults, TeamLoad, WARM_UP_MS, World};
+
+const VMS: usize = 15;
+/// The bound for teams within their rate, in thousandths of what the exact bucket admits.
+const WITHIN_RATE_PER_MILLE: u64 = 1;
+/// The bound for teams above their rate, in thousandths of what the exact bucket admits.
+const ABOVE_RATE_PER_MILLE: u64 = 20;
+
+fn limiter(vm: VmName, centre: CentreName) -> TeamLimiter {
+    TeamLimiter::new(vm, centre, RateSettings::default())
+}
+
+const fn load(rate_per_s: u32, burst: u32, sent_per_s: u32, vms: usize) -> TeamLoad {
+    TeamLoad {
+        rate: TeamRate { rate_per_s, burst },
+        sent_per_s,
+        on_ms: 1_000,
+        period_ms: 1_000,
+        vms,
+    }
+}
+
+const WITHIN: [(&str, TeamLoad); 4] = [
+    ("large", load(2_000, 1_000, 1_800, VMS)),
+    ("middle", load(200, 100, 180, VMS)),
+    ("small", load(20, 20, 15, 2)),
+    ("single", load(50, 40, 40, 1)),
+];
+const ABOVE: [(&str, TeamLoad); 3] = [
+    ("large", load(2_000, 1_000, 6_000, VMS)),
+    ("middle", load(200, 100, 800, VMS)),
+    ("single", load(50, 40, 400, 1)),
+];
+
+fn shortfall<N: SimNode>(
+    loads: &[(&str, TeamLoad)],
+    end_ms: u64,
+    outage_ms: u64,
+    make: fn(VmName, CentreName) -> N,
+) -> (u64, u64) {
+    let mut world = World::new(7, VMS, loads, Faults::default(), make);
+    world.run_until(WARM_UP_MS);
+    world.log_out_until = world.now + outage_ms;
+    world.run_until(end_ms);
+    for (team, outcome) in &world.teams {
+        println!(
+            "team={team} exact={} admitted={}",
+            outcome.exact_admitted,
+            outcome.admitted.len()
+        );
+    }
+    assert_eq!(world.excess(), 0);
+    let (exact, short) = world.shortfall(&BTreeSet::new());
+    println!("exact={exact} short={short} messages={}", world.messages);
+    (exact, short)
+}
+
+#[rstest]
+#[case::within_rate(&WITHIN, 0, WITHIN_RATE_PER_MILLE)]
+#[case::above_rate(&ABOVE, 0, ABOVE_RATE_PER_MILLE)]
+#[case::within_rate_log_out(&WITHIN, 60_000, WITHIN_RATE_PER_MILLE)]
+fn limiter_refuses_few(
+    #[case] loads: &[(&str, TeamLoad)],
+    #[case] outage_ms: u64,
+    #[case] bound_per_mille: u64,
+) {
+    let (exact, short) = shortfall(loads, 60_000, outage_ms, limiter);
+    assert!(
+        short * 1_000 <= exact * bound_per_mille,
+        "{short} of {exact}"
+    );
+}
+
+#[test]
+fn naive_fixed_shares_refuse_many() {
+    let (exact, short) = shortfall(&WITHIN, 30_000, 0, FixedNode::new);
+    assert!(
+        short * 1_000 > exact * WITHIN_RATE_PER_MILLE,
+        "{short} of {exact}"
+    );
+}
+
+fn admitted_of_whole_burst<N: SimNode>(make: fn(VmName, CentreName) -> N) -> usize {
+    let loads = [("quiet", load(1, 40, 0, 1))];
+    let mut world = World::new(3, VMS, &loads, Faults::default(), make);
+    world.run_until(WARM_UP_MS + 60_000);
+    let team = TeamName::new("quiet");
+    let vm = world.vm_in("dc-1");
+    for _ in 0..40 {
+        world.request(&vm, &team);
+    }
+    world.run_until(world.now + 30);
+    world.teams[&team].admitted.len()
+}
+
+#[test]
+fn one_vm_reaches_the_whole_burst() {
+    assert!(admitted_of_whole_burst(FixedNode::new) < 40);
+    assert_eq!(admitted_of_whole_burst(limiter), 40);
+}
