feat(platform): join follower, relay, fold and trust into one feed a stream

Change: the driver of a node needs one object each for configuration and members. News from before the node's clock started keeps its true age.

--- a/crates/member/src/member_view.rs
+++ b/crates/member/src/member_view.rs
@@ -71,11 +71,10 @@
         true
     }
 
-    /// Takes in a snapshot from a peer.
-    pub fn adopt(&mut self, snapshot: &MemberSnapshot) {
-        for announcement in &snapshot.members {
-            self.apply(announcement);
-        }
+    /// Takes in a snapshot from a peer, and returns whether it had news.
+    pub fn adopt(&mut self, snapshot: &MemberSnapshot) -> bool {
+        let news = snapshot.members.iter().filter(|member| self.apply(member));
+        news.count() > 0
     }
 
     /// Returns a snapshot; `covers` is the offset that the stream was followed to.
--- a/crates/platform/src/config_fold.rs
+++ b/crates/platform/src/config_fold.rs
@@ -178,7 +178,8 @@
         };
         if let ConfigRecord::Snapshot(snapshot) = &change {
             self.adopt(snapshot);
-            return RecordOutcome::Repeated;
+            let covers = snapshot.covers;
+            return RecordOutcome::Repeated { covers };
         }
         if is_new && self.waiting.is_some() {
             return self.wait_with(record, &change);
@@ -198,7 +199,8 @@
             ConfigRecord::Withdraw { digest } => self.keys.withdraw(*digest),
             ConfigRecord::Snapshot(snapshot) => {
                 self.adopt(snapshot);
-                RecordOutcome::Repeated
+                let covers = snapshot.covers;
+                RecordOutcome::Repeated { covers }
             }
         }
     }
--- a/crates/platform/src/config_record.rs
+++ b/crates/platform/src/config_record.rs
@@ -3,7 +3,7 @@
 use model::TeamName;
 use serde::{Deserialize, Serialize};
 
-use crate::{ChangeError, ConfigSnapshot, KeyDigest, TextChange, TextDigest};
+use crate::{ChangeError, ConfigSnapshot, KeyDigest, LogOffset, TextChange, TextDigest};
 
 /// The number of a contract text, counted from 1; 0 stands for none.
 #[derive(
@@ -122,7 +122,10 @@
     /// The key was withdrawn before, so it can't be granted.
     KeyWithdrawnBefore,
     /// The state was repeated.
-    Repeated,
+    Repeated {
+        /// The offset that the state covers the stream to.
+        covers: LogOffset,
+    },
     /// The record can't be understood.
     Unreadable,
     /// The record waits for a snapshot, since records before it are gone.
@@ -135,7 +138,7 @@
     pub const fn is_success(&self) -> bool {
         matches!(
             self,
-            Self::Accepted { .. } | Self::KeyGranted | Self::KeyWithdrawn | Self::Repeated
+            Self::Accepted { .. } | Self::KeyGranted | Self::KeyWithdrawn | Self::Repeated { .. }
         )
     }
 }
@@ -158,7 +161,7 @@
             Self::KeyWithdrawn => formatter.write_str("key withdrawn"),
             Self::KeyWithdrawnBefore => formatter
                 .write_str("rejected: the key was withdrawn, which is for good; grant a new key"),
-            Self::Repeated => formatter.write_str("state repeated"),
+            Self::Repeated { .. } => formatter.write_str("state repeated"),
             Self::Unreadable => formatter.write_str("rejected: the record can't be understood"),
             Self::Waiting => formatter.write_str("waiting for a snapshot"),
         }
--- a/crates/platform/src/key_trust.rs
+++ b/crates/platform/src/key_trust.rs
@@ -3,7 +3,7 @@
 use clock::ClockTime;
 use model::CentreName;
 
-use crate::CentreOutage;
+use crate::{CentreOutage, NewsTime};
 
 /// For how long keys are trusted without news.
 #[derive(Clone, Copy, Debug)]
@@ -130,11 +130,11 @@
 
     /// Returns whether keys are trusted, given when the news was fresh.
     #[must_use]
-    pub fn state(&self, now: ClockTime, fresh_at: Option<ClockTime>) -> TrustState {
+    pub fn state(&self, now: ClockTime, fresh_at: Option<NewsTime>) -> TrustState {
         let Some(fresh) = fresh_at else {
             return TrustState::Stale;
         };
-        let age = now.since_ms(fresh);
+        let age = fresh.age_ms(now);
         if age <= self.settings.fresh_ms {
             TrustState::Fresh
         } else if age <= self.settings.outage_ms && self.is_outage(now) {
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -2,10 +2,11 @@
 //!
 //! Everything that nodes have to agree on is a deterministic fold over the order of a
 //! [`LogStream`]. [`ConfigFold`] holds the contract text and the callers' keys,
-//! [`StreamFollower`] decides whom to ask for news, [`RecordRelay`] hands news on to other
+//! [`ConfigFeed`] joins all that one node needs for it: [`StreamFollower`] decides whom to ask for news, [`RecordRelay`] hands news on to other
 //! nodes, [`RecordAttempt`] learns what became of an append, and [`KeyTrust`] says for how
 //! long the news may be relied on. Nothing here does I/O.
 
+mod config_feed;
 mod config_fold;
 mod config_record;
 mod config_snapshot;
@@ -14,6 +15,7 @@
 mod key_trust;
 mod log_record;
 mod log_stream;
+mod news_time;
 mod platform_log;
 mod record_attempt;
 mod record_body;
@@ -24,6 +26,7 @@
 mod stream_follower;
 mod text_change;
 
+pub use config_feed::{AppliedRecord, ConfigFeed, FeedSettings, KeyAnswer};
 pub use config_fold::{ConfigFold, TextCheck, TextFault, VersionedText};
 pub use config_record::{ConfigRecord, ConfigVersion, RecordOutcome};
 pub use config_snapshot::ConfigSnapshot;
@@ -32,6 +35,7 @@
 pub use key_trust::{KeyTrust, TrustSettings, TrustState};
 pub use log_record::{LogOffset, LogRecord, NewRecord};
 pub use log_stream::LogStream;
+pub use news_time::NewsTime;
 pub use platform_log::{AppendError, AppendReceipt, PlatformLog, ReadBatch, ReadError};
 pub use record_attempt::{AttemptAction, AttemptSettings, AttemptStatus, RecordAttempt};
 pub use record_body::{BodyError, RecordBody};
--- a/crates/platform/src/record_relay.rs
+++ b/crates/platform/src/record_relay.rs
@@ -2,7 +2,9 @@
 
 use clock::ClockTime;
 
-use crate::{CentreOutage, LogOffset, LogRecord, LogStream, RelayBatch, RelayPull, RelaySnapshot};
+use crate::{
+    CentreOutage, LogOffset, LogRecord, LogStream, NewsTime, RelayBatch, RelayPull, RelaySnapshot,
+};
 
 /// How many records a node keeps for others.
 #[derive(Clone, Copy, Debug)]
@@ -85,7 +87,7 @@
         &self,
         now: ClockTime,
         pull: &RelayPull,
-        fresh_at: Option<ClockTime>,
+        fresh_at: Option<NewsTime>,
         outages: Vec<CentreOutage>,
         snapshot: impl FnOnce() -> Option<RelaySnapshot>,
     ) -> RelayBatch {
@@ -101,9 +103,10 @@
             records: self.records_from(from),
             snapshot,
             next: self.next,
-            fresh_ms: fresh_at.map(|time| now.since_ms(time)),
+            fresh_ms: fresh_at.map(|time| time.age_ms(now)),
             outages,
             snapshot_age_ms: None,
+            snapshot_covers: LogOffset::ZERO,
         }
     }
 
--- a/crates/platform/src/relay_message.rs
+++ b/crates/platform/src/relay_message.rs
@@ -34,6 +34,8 @@
     pub outages: Vec<CentreOutage>,
     /// The time since a snapshot was last seen on the stream, in milliseconds.
     pub snapshot_age_ms: Option<u64>,
+    /// The offset that this snapshot covers the stream to.
+    pub snapshot_covers: LogOffset,
 }
 
 /// A whole state, covering the records before an offset.
--- a/crates/platform/src/snapshot_timer.rs
+++ b/crates/platform/src/snapshot_timer.rs
@@ -1,7 +1,7 @@
 use clock::ClockTime;
 use rand::Rng;
 
-use crate::LogOffset;
+use crate::{LogOffset, NewsTime};
 
 /// When a stream's state is repeated.
 #[derive(Clone, Copy, Debug)]
@@ -28,7 +28,7 @@
 #[derive(Clone, Debug)]
 pub struct SnapshotTimer {
     settings: SnapshotSettings,
-    seen_at: Option<ClockTime>,
+    seen_at: Option<NewsTime>,
     covers: LogOffset,
     write_at: Option<ClockTime>,
 }
@@ -47,9 +47,8 @@
 
     /// Takes in a snapshot seen on the stream `age_ms` ago; pass 0 for one just written.
     pub fn on_snapshot(&mut self, now: ClockTime, covers: LogOffset, age_ms: u64) {
-        let seen = now.minus_ms(age_ms);
-        if self.seen_at.is_none_or(|time| time < seen) {
-            self.seen_at = Some(seen);
+        if self.age_ms(now).is_none_or(|known| age_ms < known) {
+            self.seen_at = Some(NewsTime::before(now, age_ms));
             self.write_at = None;
         }
         self.covers = self.covers.max(covers);
@@ -58,7 +57,13 @@
     /// Returns the time since a snapshot was seen, in milliseconds.
     #[must_use]
     pub fn age_ms(&self, now: ClockTime) -> Option<u64> {
-        self.seen_at.map(|time| now.since_ms(time))
+        self.seen_at.map(|time| time.age_ms(now))
+    }
+
+    /// Returns the offset that the newest snapshot covers the stream to.
+    #[must_use]
+    pub const fn covers(&self) -> LogOffset {
+        self.covers
     }
 
     /// Returns whether to append a snapshot now; `first` is the oldest offset the log keeps.
--- a/crates/platform/src/stream_follower.rs
+++ b/crates/platform/src/stream_follower.rs
@@ -3,8 +3,8 @@
 use rand::Rng;
 
 use crate::{
-    LogOffset, LogRecord, LogStream, ReadBatch, ReadError, RelayBatch, RelayPlan, RelayPull,
-    RelaySnapshot,
+    LogOffset, LogRecord, LogStream, NewsTime, ReadBatch, ReadError, RelayBatch, RelayPlan,
+    RelayPull, RelaySnapshot,
 };
 
 /// How often a loop without anything to do checks again, in milliseconds.
@@ -109,7 +109,7 @@
     plan: RelayPlan,
     next: LogOffset,
     first: LogOffset,
-    fresh_at: Option<ClockTime>,
+    fresh_at: Option<NewsTime>,
     started: Option<ClockTime>,
     needs_snapshot: bool,
     read_failures: u32,
@@ -166,7 +166,7 @@
 
     /// Returns the moment up to which everything on the stream has been handed over.
     #[must_use]
-    pub const fn fresh_at(&self) -> Option<ClockTime> {
+    pub const fn fresh_at(&self) -> Option<NewsTime> {
         self.fresh_at
     }
 
@@ -255,7 +255,7 @@
         }
         news.records = self.take(batch.records);
         if let Some(age) = batch.fresh_ms.filter(|_| self.next >= batch.next) {
-            self.set_fresh(asked.minus_ms(age));
+            self.set_fresh(NewsTime::before(asked, age));
         }
         if self.age_ms(now) < self.settings.pull_after_ms {
             self.pull_turn = self.asked_turn;
@@ -293,7 +293,7 @@
         self.first = batch.first;
         let records = self.take(batch.records);
         if self.next >= batch.end {
-            self.set_fresh(asked);
+            self.set_fresh(NewsTime::at(asked));
         }
         FollowNews {
             records,
@@ -321,8 +321,9 @@
         taken
     }
 
-    fn set_fresh(&mut self, time: ClockTime) {
-        self.fresh_at = self.fresh_at.max(Some(time));
+    fn set_fresh(&mut self, time: NewsTime) {
+        let latest = self.fresh_at.map_or(time, |known| known.latest(time));
+        self.fresh_at = Some(latest);
     }
 
     fn pull(&self, is_late: bool) -> RelayPull {
@@ -340,13 +341,13 @@
     }
 
     fn age_ms(&self, now: ClockTime) -> u64 {
-        self.fresh_at.map_or(u64::MAX, |time| now.since_ms(time))
+        self.fresh_at.map_or(u64::MAX, |time| time.age_ms(now))
     }
 
     fn is_direct<R: Rng>(&mut self, now: ClockTime, rng: &mut R) -> bool {
-        let heard = self.fresh_at.max(self.started).unwrap_or(now);
-        self.started.get_or_insert(now);
-        if now.since_ms(heard) < self.settings.direct_after_ms {
+        let started = *self.started.get_or_insert(now);
+        let silent_ms = self.age_ms(now).min(now.since_ms(started));
+        if silent_ms < self.settings.direct_after_ms {
             self.direct_at = None;
             return false;
         }
