--- a/crates/platform/src/config_feed.rs
+++ b/crates/platform/src/config_feed.rs
@@ -125,9 +125,8 @@
     ) -> Vec<AppliedRecord> {
         self.trust.on_outages(asked, &batch.outages);
         if let Some(age) = batch.snapshot_age_ms {
-            let seen = asked.minus_ms(age);
-            self.timer
-                .on_snapshot(now, batch.snapshot_covers, now.since_ms(seen));
+            let age = age.saturating_add(now.since_ms(asked));
+            self.timer.on_snapshot(now, batch.snapshot_covers, age);
         }
         let news = self.follower.on_batch(now, asked, batch);
         self.apply(now, news)
