--- a/crates/node/src/admin_port.rs
+++ b/crates/node/src/admin_port.rs
@@ -35,7 +35,7 @@
             text_response(StatusCode::OK, "text/plain", "ready\n".to_owned())
         }
         "/ready" => {
-            let text = "not ready: no contract is in force, or the node is leaving\n".to_owned();
+            let text = "not ready: no contract is in force, the teams' rates have no allocator, or the node is leaving\n".to_owned();
             text_response(StatusCode::SERVICE_UNAVAILABLE, "text/plain", text)
         }
         path => {
--- a/crates/node/src/announce.rs
+++ b/crates/node/src/announce.rs
@@ -29,12 +29,10 @@
             );
         }
         let now = core.now();
-        let members = core.fleet.with_state(|fleet| fleet.view.len());
+        let members = core.fleet.with(|feed| feed.fold().view().len());
         let due = core.with_random(|random| timer.take_due(now, members, random));
         if let Some(announcement) = due {
-            core.fleet
-                .with_state(|fleet| fleet.view.apply(&announcement));
-            crate::fleet_watch::put_members(&core, now);
+            core.fleet.with(|feed| feed.fold().learn(&announcement));
             if state >= MemberState::Leaving {
                 tell_peers(&core, &announcement);
             }
@@ -54,7 +52,7 @@
     if core.is_up.get() {
         return MemberState::Ready;
     }
-    if core.is_ready() && core.backend.connect().await.is_ok() {
+    if core.has_contract() && core.backend.connect().await.is_ok() {
         core.is_up.set(true);
         return MemberState::Ready;
     }
--- a/crates/node/src/config_state.rs
+++ b/crates/node/src/config_state.rs
@@ -2,10 +2,14 @@
 
 use clock::ClockTime;
 use contract::FleetContract;
-use platform::{ConfigFold, ConfigRecord, LogOffset, LogRecord, RecordBody, RelaySnapshot};
-use platform::{ConfigVersion, SnapshotSettings, SnapshotTimer, TextCheck};
+use model::CentreName;
+use platform::{
+    AppliedRecord, ConfigFeed, ConfigVersion, FeedSettings, FollowAction, LogStream, ReadBatch,
+    ReadError, RelayBatch, RelayPull, TextCheck,
+};
+use rand::Rng;
 
-use crate::stream_state::StreamState;
+use crate::stream_feed::StreamFeed;
 
 /// The check that a text has to pass to be in force.
 #[derive(Clone, Copy, Debug)]
@@ -18,27 +22,30 @@
     }
 }
 
-/// The contract and the keys, as folded from the configuration stream.
+/// The configuration stream with the contract in force.
 pub(crate) struct ConfigState {
-    pub(crate) fold: ConfigFold<ContractCheck>,
-    pub(crate) timer: SnapshotTimer,
+    pub(crate) feed: ConfigFeed<ContractCheck>,
     version: ConfigVersion,
     contract: Rc<FleetContract>,
 }
 
 impl ConfigState {
-    pub(crate) fn new() -> Self {
+    pub(crate) fn new(centre: CentreName) -> Self {
         Self {
-            fold: ConfigFold::new(ContractCheck),
-            timer: SnapshotTimer::new(SnapshotSettings::default()),
+            feed: ConfigFeed::new(centre, ContractCheck, &FeedSettings::default()),
             version: ConfigVersion::NONE,
             contract: Rc::default(),
         }
     }
 
+    /// Returns the version of the contract in force.
+    pub(crate) fn version(&self) -> ConfigVersion {
+        self.feed.fold().in_force().version
+    }
+
     /// Returns the contract in force, parsed once a version.
     pub(crate) fn contract(&mut self) -> Rc<FleetContract> {
-        let in_force = self.fold.in_force();
+        let in_force = self.feed.fold().in_force();
         if in_force.version != self.version {
             self.version = in_force.version;
             match FleetContract::parse("contract", &in_force.text) {
@@ -52,46 +59,54 @@
     }
 }
 
-impl StreamState for ConfigState {
-    fn lose_before(&mut self, _now: ClockTime, first: LogOffset) {
-        self.fold.lose_before(first);
+impl StreamFeed for ConfigState {
+    fn stream(&self) -> LogStream {
+        LogStream::Config
     }
 
-    fn adopt(&mut self, now: ClockTime, snapshot: &RelaySnapshot) {
-        match snapshot.body.decode::<ConfigRecord>() {
-            Ok(ConfigRecord::Snapshot(state)) => {
-                self.fold.adopt(&state);
-                self.timer.on_snapshot(now, state.covers, 0);
-            }
-            _ => log::warn!(
-                "event=snapshot-unreadable stream=config covers={}",
-                snapshot.covers
-            ),
-        }
+    fn next_read<R: Rng>(&mut self, now: ClockTime, random: &mut R) -> FollowAction {
+        self.feed.next_read(now, random)
     }
 
-    fn apply(&mut self, now: ClockTime, record: &LogRecord) {
-        if let Ok(ConfigRecord::Snapshot(state)) = record.body.decode() {
-            self.timer.on_snapshot(now, state.covers, 0);
-        }
-        let outcome = self.fold.apply(record);
-        log::info!(
-            "event=config-record offset={} id={} outcome={:?}",
-            record.offset,
-            record.id,
-            outcome.to_string(),
-        );
+    fn next_pull(&mut self, now: ClockTime) -> FollowAction {
+        self.feed.next_pull(now)
+    }
+
+    fn on_read<R: Rng>(
+        &mut self,
+        now: ClockTime,
+        asked: ClockTime,
+        result: Result<ReadBatch, ReadError>,
+        random: &mut R,
+    ) -> bool {
+        let before = self.feed.follower().next();
+        log_applied(&self.feed.on_read(now, asked, result, random));
+        self.feed.follower().next() != before
     }
 
-    fn snapshot(&self) -> Option<RelaySnapshot> {
-        let state = self.fold.snapshot()?;
-        Some(RelaySnapshot {
-            covers: state.covers,
-            body: RecordBody::encode(&ConfigRecord::Snapshot(state)),
-        })
+    fn on_batch(&mut self, now: ClockTime, asked: ClockTime, batch: RelayBatch) -> bool {
+        let before = self.feed.follower().next();
+        let is_snapshot = batch.snapshot.is_some();
+        log_applied(&self.feed.on_batch(now, asked, batch));
+        is_snapshot || self.feed.follower().next() != before
     }
 
-    fn needs_snapshot(&self) -> bool {
-        !self.fold.is_whole()
+    fn on_pull_failure<R: Rng>(&mut self, now: ClockTime, random: &mut R) {
+        self.feed.on_pull_failure(now, random);
+    }
+
+    fn has_news(&self, pull: &RelayPull) -> bool {
+        self.feed.has_news(pull)
+    }
+
+    fn answer(&self, now: ClockTime, pull: &RelayPull) -> RelayBatch {
+        self.feed.answer(now, pull)
+    }
+}
+
+fn log_applied(records: &[AppliedRecord]) {
+    for record in records {
+        let outcome = record.outcome.to_string();
+        log::info!("event=config-record id={} outcome={outcome:?}", record.id);
     }
 }
--- a/crates/node/src/config_watch.rs
+++ b/crates/node/src/config_watch.rs
@@ -2,12 +2,11 @@
 use std::time::Duration;
 
 use clock::ClockTime;
-use compio::time::timeout;
+use compio::time::{sleep, timeout};
 use model::VmName;
-use platform::{CentreOutage, RelayBatch, RelayPull, TrustState};
+use platform::{LogStream, NewRecord, PlatformLog, RelayBatch, RelayPull};
 
 use crate::config_state::ConfigState;
-use crate::fleet_watch::put_members;
 use crate::node_core::NodeCore;
 use crate::node_message::{NodeMessage, NodeReply};
 use crate::peer_talk::ask_peer;
@@ -15,32 +14,18 @@
 
 /// The time that an answer to a pull may take besides its wait, in milliseconds.
 const PULL_SLACK_MS: u64 = 1_000;
+/// The time between two looks at whether a snapshot is due, in milliseconds.
+const SNAPSHOT_LOOK_MS: u64 = 1_000;
 
 /// Puts what the configuration stream brings in force.
 pub(crate) struct ConfigWatch(pub(crate) Rc<NodeCore>);
 
 impl StreamWatch for ConfigWatch {
-    fn on_read_start(&self, now: ClockTime) {
-        self.0.trust.borrow_mut().on_read_start(now);
-    }
-
-    fn on_read_end(&self, now: ClockTime, is_good: bool) {
-        self.0.trust.borrow_mut().on_read_end(now, is_good);
-    }
-
-    fn on_outages(&self, asked: ClockTime, outages: &[CentreOutage]) {
-        self.0.trust.borrow_mut().on_outages(asked, outages);
-    }
-
-    fn outages(&self, now: ClockTime) -> Vec<CentreOutage> {
-        self.0.trust.borrow().outages(now)
-    }
-
-    fn on_change(&self, now: ClockTime) {
+    fn on_news(&self, _now: ClockTime) {
         let core = &self.0;
-        let contract = core.config.with_state(ConfigState::contract);
-        core.put_contract(now, contract);
-        put_members(core, now);
+        let contract = core.config.with(ConfigState::contract);
+        core.put_contract(contract);
+        core.fleet.with(|feed| feed.fold().mark_changed());
     }
 
     async fn pull(&self, peer: &VmName, pull: RelayPull) -> Option<RelayBatch> {
@@ -63,8 +48,20 @@
     }
 }
 
-/// Returns whether the node may admit callers by the keys that it knows.
-pub(crate) fn key_trust(core: &NodeCore) -> TrustState {
-    let fresh_at = core.config.fresh_at();
-    core.trust.borrow().state(core.now(), fresh_at)
+/// Repeats the configuration on the log before it expires, for as long as the node runs.
+pub(crate) async fn repeat_config(core: Rc<NodeCore>) {
+    loop {
+        sleep(Duration::from_millis(SNAPSHOT_LOOK_MS)).await;
+        let now = core.now();
+        let due = core
+            .config
+            .with_random(|state, random| state.feed.due_snapshot(now, random));
+        let Some(body) = due else { continue };
+        let id = core.new_record_id();
+        let record = NewRecord { id, body };
+        match core.log.append(LogStream::Config, vec![record]).await {
+            Ok(_) => log::info!("event=snapshot-appended stream=config id={id}"),
+            Err(error) => log::warn!("event=snapshot-failed error={:?}", error.to_string()),
+        }
+    }
 }
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -4,15 +4,16 @@
 use http::{HeaderMap, Request, Response};
 use hyper::body::Incoming;
 use model::{CallName, RefusalReason, ServiceName, TeamName};
+use platform::KeyAnswer;
 use wire::{CallHead, HeaderList};
 
 use crate::answer_body::AnswerBody;
 use crate::call_answer::CallRefusal;
 use crate::call_headers::{find_deadline_ms, find_key, strip_path, strip_request};
-use crate::config_watch::key_trust;
 use crate::dispatch::dispatch_call;
 use crate::http_answer::{build_response, refuse_response};
 use crate::node_core::NodeCore;
+use crate::rate_watch::admit_team;
 use crate::request_body::read_small;
 
 /// The retries that a caller's request may spend over its whole chain.
@@ -22,6 +23,7 @@
 const KEYS_STALE_MS: u64 = 2_000;
 
 /// A request as it entered, with what its call's contract says.
+#[derive(Clone)]
 pub(crate) struct EntryCall {
     pub(crate) service: ServiceName,
     pub(crate) call: CallName,
@@ -43,6 +45,11 @@
         Ok(checked) => checked,
         Err(refusal) => return refuse_response(&core, request_id, "entry", &refusal),
     };
+    if let Some(team) = &team
+        && let Err(refusal) = admit_team(&core, team).await
+    {
+        return refuse_response(&core, request_id, "entry", &refusal);
+    }
     let weight = team_weight(&core, team.as_ref());
     let allowed_ms = entry.contract.deadline_ms;
     let wanted_ms = find_deadline_ms(request.headers()).unwrap_or(allowed_ms);
@@ -118,23 +125,24 @@
     HeaderList::from(&strip_request(headers, None))
 }
 
-/// Checks the key of a request, unless its call is open to all.
+/// Checks the key of a request, unless its call is open to all, and returns its team.
 fn check_key(
     core: &NodeCore,
     entry: Option<EntryCall>,
     key: Option<&[u8]>,
 ) -> Result<(EntryCall, Option<TeamName>), CallRefusal> {
-    let team = key.and_then(|key| core.find_team(key));
     if let Some(entry) = entry.as_ref().filter(|entry| entry.contract.open) {
-        log::trace!("event=open-call call={}", entry.call);
-    } else if key.is_none() {
-        return Err(CallRefusal::not_run(RefusalReason::KeyMissing));
-    } else if !key_trust(core).is_trusted() {
-        let refusal = CallRefusal::not_run(RefusalReason::KeysStale);
-        return Err(refusal.after_ms(KEYS_STALE_MS));
-    } else if team.is_none() {
-        return Err(CallRefusal::not_run(RefusalReason::KeyUnknown));
+        return Ok((entry.clone(), None));
     }
+    let key = key.ok_or_else(|| CallRefusal::not_run(RefusalReason::KeyMissing))?;
+    let team = match core.key_answer(key) {
+        KeyAnswer::Team(team) => team,
+        KeyAnswer::Unknown => return Err(CallRefusal::not_run(RefusalReason::KeyUnknown)),
+        KeyAnswer::Stale => {
+            let refusal = CallRefusal::not_run(RefusalReason::KeysStale);
+            return Err(refusal.after_ms(KEYS_STALE_MS));
+        }
+    };
     let entry = entry.ok_or_else(|| CallRefusal::not_run(RefusalReason::NoSuchCall))?;
-    Ok((entry, team))
+    Ok((entry, Some(team)))
 }
--- a/crates/node/src/fleet_watch.rs
+++ b/crates/node/src/fleet_watch.rs
@@ -2,7 +2,7 @@
 use std::rc::Rc;
 
 use clock::ClockTime;
-use member::{MemberAnnouncement, MemberSubset};
+use member::{MemberAnnouncement, MemberState, MemberSubset};
 use model::{CentreName, ServiceName, VmName};
 use platform::{PlanSettings, RelayBatch, RelayPlan, RelayPull};
 use route::RouteTarget;
@@ -11,21 +11,24 @@
 use crate::node_core::NodeCore;
 use crate::stream_host::StreamWatch;
 
-/// Puts what the members stream brings in force.
+/// Asks other nodes for what the members stream brings.
 pub(crate) struct FleetWatch(pub(crate) Rc<NodeCore>);
 
 impl StreamWatch for FleetWatch {
-    fn on_change(&self, now: ClockTime) {
-        put_members(&self.0, now);
-    }
+    fn on_news(&self, _now: ClockTime) {}
 
     async fn pull(&self, peer: &VmName, pull: RelayPull) -> Option<RelayBatch> {
         pull_from(&self.0, peer, pull).await
     }
 }
 
-/// Brings routers, links and relay plans in line with the members.
+/// Brings routers, links, rates and relay plans in line with the members, where these changed.
 pub(crate) fn put_members(core: &NodeCore, now: ClockTime) {
+    let is_changed = core.fleet.with(|feed| feed.fold().take_changed());
+    if !is_changed {
+        return;
+    }
+    put_links(core);
     let services: Vec<ServiceName> = core.contract().services.keys().cloned().collect();
     for service in &services {
         put_service(core, now, service);
@@ -33,16 +36,27 @@
     put_plan(core);
 }
 
+fn put_links(core: &NodeCore) {
+    let members = core.fleet.with(|feed| {
+        let members = feed.fold().view().members();
+        members.cloned().collect::<Vec<_>>()
+    });
+    core.links.keep_only(&members);
+    let ready = members
+        .into_iter()
+        .filter(|member| member.state == MemberState::Ready)
+        .map(|member| (member.vm, member.centre));
+    core.rates
+        .with(|feed| feed.fold().limiter.set_members(ready));
+}
+
 fn put_service(core: &NodeCore, now: ClockTime, service: &ServiceName) {
-    let picked = core.fleet.with_state(|fleet| {
-        let ready = fleet.view.ready(service);
-        let settings = &core.settings;
+    let settings = &core.settings;
+    let picked = core.fleet.with(|feed| {
+        let ready = feed.fold().view().ready(service);
         let picked = MemberSubset::default().pick(&settings.vm, &settings.centre, ready);
         picked.into_iter().cloned().collect::<Vec<_>>()
     });
-    for member in &picked {
-        core.links.upsert(member.vm.clone(), member.peer_addr);
-    }
     core.with_router(service, |router| {
         let gone = router.names().filter(|vm| !is_listed(&picked, vm));
         let gone: Vec<VmName> = gone.cloned().collect();
@@ -68,46 +82,45 @@
 fn put_plan(core: &NodeCore) {
     let settings = PlanSettings::default();
     let own = &core.settings;
-    let (plan, centres, has_peers, addresses) = core.fleet.with_state(|fleet| {
-        let by_centre = fleet.view.ready_by_centre();
-        let empty = Vec::new();
-        let local = by_centre.get(&own.centre).unwrap_or(&empty);
-        let others = by_centre
-            .iter()
-            .filter(|(centre, _)| **centre != own.centre);
-        let remote: Vec<VmName> = others
-            .flat_map(|(_, names)| RelayPlan::readers(names, &settings))
-            .collect();
-        let plan = RelayPlan::new(&own.vm, local, &remote, &settings);
-        let addresses: Vec<_> = plan
-            .sources()
-            .iter()
-            .filter_map(|vm| fleet.view.get(vm))
-            .map(|member| (member.vm.clone(), member.peer_addr))
-            .collect();
-        let centres: BTreeSet<CentreName> = by_centre.keys().cloned().collect();
-        let has_peers = fleet.view.members().any(|member| member.vm != own.vm);
-        (plan, centres, has_peers, addresses)
+    let (by_centre, has_peers) = core.fleet.with(|feed| {
+        let view = feed.fold().view();
+        let has_peers = view.members().any(|member| member.vm != own.vm);
+        (view.ready_by_centre(), has_peers)
     });
-    for (vm, address) in addresses {
-        core.links.upsert(vm, address);
+    let local = by_centre.get(&own.centre).map_or(&[][..], Vec::as_slice);
+    let others = by_centre
+        .iter()
+        .filter(|(centre, _)| **centre != own.centre);
+    let remote: Vec<VmName> = others
+        .flat_map(|(_, names)| RelayPlan::readers(names, &settings))
+        .collect();
+    let mut plan = RelayPlan::new(&own.vm, local, &remote, &settings);
+    if plan.sources().is_empty() {
+        plan = seed_plan(core);
     }
-    let plan = if plan.sources().is_empty() {
-        seed_plan(core)
-    } else {
-        plan
-    };
-    core.config.set_plan(plan.clone());
-    core.fleet.set_plan(plan);
-    core.trust.borrow_mut().set_members(centres, has_peers);
+    let centres = by_centre.keys().cloned().collect();
+    use_plan(core, &plan, centres, has_peers);
+}
+
+/// Follows all streams by a plan.
+pub(crate) fn use_plan(
+    core: &NodeCore,
+    plan: &RelayPlan,
+    centres: BTreeSet<CentreName>,
+    has_peers: bool,
+) {
+    core.fleet.with(|feed| feed.set_plan(plan.clone()));
+    core.rates.with(|feed| feed.set_plan(plan.clone()));
+    core.config
+        .with(|state| state.feed.set_members(plan.clone(), centres, has_peers));
 }
 
 /// Plans by the addresses of the settings, for a node that knows no member yet.
 pub(crate) fn seed_plan(core: &NodeCore) -> RelayPlan {
-    let seeds = core.settings.peers.iter().map(|address| {
-        let vm = VmName::new(format!("seed-{address}"));
-        core.links.upsert(vm.clone(), *address);
-        vm
-    });
+    let seeds = core
+        .settings
+        .peers
+        .iter()
+        .map(|address| core.links.add_seed(*address));
     RelayPlan::from_sources(seeds.collect())
 }
--- a/crates/node/src/node_core.rs
+++ b/crates/node/src/node_core.rs
@@ -7,21 +7,26 @@
 use contract::FleetContract;
 use graph::{AdmissionSettings, ChainAdmission};
 use member::MemberSettings;
-use model::{AttemptId, RecordId, RequestId, ServiceName, TeamName, VmName};
-use platform::{KeyDigest, KeyTrust, LogStream, TrustSettings};
+use model::{AttemptId, RecordId, RequestId, ServiceName, VmName};
+use platform::{KeyAnswer, KeyDigest, LogStream};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
+use rate::{RateSettings, TeamLimiter};
 use retry::RetryRatio;
 use route::{RouteSettings, VmRouter};
 
 use crate::backend_pool::BackendPool;
 use crate::config_state::ConfigState;
 use crate::fleet_state::FleetState;
+use crate::fold_feed::FoldFeed;
 use crate::ingress_gate::IngressGate;
+use crate::news_bell::NewsBell;
 use crate::node_clock::NodeClock;
 use crate::node_metrics::NodeMetrics;
 use crate::node_settings::NodeSettings;
 use crate::peer_links::PeerLinks;
+use crate::rate_state::RateState;
+use crate::rate_watch::put_rates;
 use crate::running_calls::RunningCalls;
 use crate::stop_signal::StopSignal;
 use crate::stream_host::StreamHost;
@@ -33,8 +38,10 @@
     pub(crate) contract: RefCell<Rc<FleetContract>>,
     pub(crate) log: HttpLog,
     pub(crate) config: StreamHost<ConfigState>,
-    pub(crate) fleet: StreamHost<FleetState>,
-    pub(crate) trust: RefCell<KeyTrust>,
+    pub(crate) fleet: StreamHost<FoldFeed<FleetState>>,
+    pub(crate) rates: StreamHost<FoldFeed<RateState>>,
+    /// Rings when tokens of the teams' rates may have come.
+    pub(crate) tokens: NewsBell,
     pub(crate) chain: RefCell<ChainAdmission>,
     pub(crate) ratios: RefCell<BTreeMap<ServiceName, RetryRatio>>,
     /// Whether the backend server has accepted a connection since the start.
@@ -63,16 +70,22 @@
         let clock = NodeClock::start();
         let base = format!("http://{}", settings.platform_address);
         let log = HttpLog::new(base, HttpSettings::default())?;
-        let trust = KeyTrust::new(settings.centre.clone(), TrustSettings::default());
-        let trust = RefCell::new(trust);
         let fleet = FleetState::new(MemberSettings::default());
+        let rates = RateState {
+            limiter: TeamLimiter::new(
+                settings.vm.clone(),
+                settings.centre.clone(),
+                RateSettings::default(),
+            ),
+        };
         Ok(Self {
             clock,
             contract: RefCell::default(),
             log,
-            config: StreamHost::new(clock, LogStream::Config, ConfigState::new()),
-            fleet: StreamHost::new(clock, LogStream::Members, fleet),
-            trust,
+            config: StreamHost::new(clock, ConfigState::new(settings.centre.clone())),
+            fleet: StreamHost::new(clock, FoldFeed::new(LogStream::Members, fleet)),
+            rates: StreamHost::new(clock, FoldFeed::new(LogStream::Rates, rates)),
+            tokens: NewsBell::default(),
             chain: RefCell::new(ChainAdmission::new(AdmissionSettings::default())),
             ratios: RefCell::default(),
             is_up: Cell::new(false),
@@ -129,7 +142,7 @@
     }
 
     /// Puts a contract in force.
-    pub(crate) fn put_contract(&self, _now: ClockTime, contract: Rc<FleetContract>) {
+    pub(crate) fn put_contract(&self, contract: Rc<FleetContract>) {
         let mut routers = self.routers.borrow_mut();
         routers.retain(|service, _| contract.services.contains_key(service));
         for service in contract.services.keys() {
@@ -141,17 +154,25 @@
         drop(routers);
         self.chain.borrow_mut().forget_absent(&contract);
         self.contract.replace(contract);
+        put_rates(self);
     }
 
-    /// Returns the team that a key stands for.
-    pub(crate) fn find_team(&self, key: &[u8]) -> Option<TeamName> {
+    /// Returns whom a caller's key stands for.
+    pub(crate) fn key_answer(&self, key: &[u8]) -> KeyAnswer {
+        let now = self.now();
         let digest = KeyDigest::of_key(key);
         self.config
-            .with_state(|state| state.fold.keys().team(&digest).cloned())
+            .with(|state| state.feed.key_answer(now, &digest))
+    }
+
+    /// Returns whether a contract is in force.
+    pub(crate) fn has_contract(&self) -> bool {
+        !self.contract.borrow().services.is_empty()
     }
 
     /// Returns whether the node can serve callers.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.contract.borrow().services.is_empty() && !self.stop.is_given()
+        let is_served = self.rates.with(|feed| feed.fold().limiter.is_served());
+        self.has_contract() && is_served && !self.stop.is_given()
     }
 }
--- a/crates/node/src/node_message.rs
+++ b/crates/node/src/node_message.rs
@@ -1,5 +1,6 @@
 use member::MemberAnnouncement;
 use platform::{RelayBatch, RelayPull};
+use rate::RateMessage;
 use serde::{Deserialize, Serialize};
 
 /// A control message from one node to another.
@@ -9,6 +10,8 @@
     Pull(RelayPull),
     /// Tells that a member changed its state.
     Member(MemberAnnouncement),
+    /// Carries a message between the limiters of two nodes.
+    Rate(RateMessage),
 }
 
 /// The answer to a control message.
--- a/crates/node/src/node_process.rs
+++ b/crates/node/src/node_process.rs
@@ -1,3 +1,4 @@
+use std::collections::BTreeSet;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -12,14 +13,15 @@
 
 use crate::admin_port::answer_admin;
 use crate::announce::announce_node;
-use crate::config_watch::ConfigWatch;
+use crate::config_watch::{ConfigWatch, repeat_config};
 use crate::egress::answer_backend;
 use crate::entry::answer_caller;
-use crate::fleet_watch::{FleetWatch, seed_plan};
+use crate::fleet_watch::{FleetWatch, put_members, seed_plan, use_plan};
 use crate::http_port::serve_port;
 use crate::node_core::NodeCore;
 use crate::node_settings::NodeSettings;
 use crate::peer_port::PeerPort;
+use crate::rate_watch::{RateWatch, poll_rates};
 
 /// The time between two looks at what has become due, in milliseconds.
 const TICK_MS: u64 = 10;
@@ -84,10 +86,22 @@
     fn follow_log(&self) {
         let core = &self.core;
         let plan = seed_plan(core);
-        core.config.set_plan(plan.clone());
-        core.fleet.set_plan(plan);
-        spawn(follow_config(Rc::clone(core))).detach();
-        spawn(follow_fleet(Rc::clone(core))).detach();
+        let has_peers = !core.settings.peers.is_empty();
+        use_plan(core, &plan, BTreeSet::new(), has_peers);
+        let watched = Rc::clone(core);
+        spawn(async move {
+            let core = &watched;
+            let config = ConfigWatch(Rc::clone(core));
+            let fleet = FleetWatch(Rc::clone(core));
+            let rates = RateWatch(Rc::clone(core));
+            futures_util::join!(
+                core.config.follow(&core.log, &config),
+                core.fleet.follow(&core.log, &fleet),
+                core.rates.follow(&core.log, &rates),
+            );
+        })
+        .detach();
+        spawn(repeat_config(Rc::clone(core))).detach();
         let own = self.announcement();
         spawn(announce_node(Rc::clone(core), own)).detach();
     }
@@ -180,22 +194,6 @@
     }
 }
 
-/// Follows the members stream, from the log and from other nodes.
-async fn follow_fleet(core: Rc<NodeCore>) {
-    let watch = FleetWatch(Rc::clone(&core));
-    let reading = core.fleet.read_log(&core.log, &watch);
-    let pulling = core.fleet.pull_peers(&watch);
-    futures_util::join!(reading, pulling);
-}
-
-/// Follows the configuration stream, from the log and from other nodes.
-async fn follow_config(core: Rc<NodeCore>) {
-    let watch = ConfigWatch(Rc::clone(&core));
-    let reading = core.config.read_log(&core.log, &watch);
-    let pulling = core.config.pull_peers(&watch);
-    futures_util::join!(reading, pulling);
-}
-
 /// Lets time pass for everything that decides by time.
 async fn keep_time(core: Rc<NodeCore>) {
     loop {
@@ -204,9 +202,13 @@
         if core.gate.next_tick().is_some_and(|due| due <= now) {
             core.gate.tick(now);
         }
-        if let Some(fresh_at) = core.fleet.fresh_at() {
-            core.fleet.with_state(|fleet| fleet.view.on_fresh(fresh_at));
-        }
+        core.fleet.with(|feed| {
+            if let Some(fresh_at) = feed.fresh_at() {
+                feed.fold().expire(now.minus_ms(fresh_at.age_ms(now)));
+            }
+        });
+        put_members(&core, now);
+        poll_rates(&core, now);
         for router in core.routers.borrow_mut().values_mut() {
             router.tick(now);
         }
--- a/crates/node/src/peer_links.rs
+++ b/crates/node/src/peer_links.rs
@@ -1,14 +1,18 @@
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 use futures_util::lock::Mutex;
+use member::MemberAnnouncement;
 use model::VmName;
 use wire::{LinkError, PeerLink};
 
 use crate::node_settings::NodeSettings;
 
+/// What the names that stand for addresses of the settings start with.
+const SEED_PREFIX: &str = "seed-";
+
 /// The links to other nodes, by VM; opened when first needed.
 #[derive(Default)]
 pub(crate) struct PeerLinks(RefCell<BTreeMap<VmName, Rc<LinkSlot>>>);
@@ -20,8 +24,25 @@
 }
 
 impl PeerLinks {
-    /// Notes the address of a VM.
-    pub(crate) fn upsert(&self, vm: VmName, address: SocketAddr) {
+    /// Notes an address of the settings, and returns the name that stands for it.
+    pub(crate) fn add_seed(&self, address: SocketAddr) -> VmName {
+        let vm = VmName::new(format!("{SEED_PREFIX}{address}"));
+        self.upsert(vm.clone(), address);
+        vm
+    }
+
+    /// Keeps the links to these members and to the addresses of the settings.
+    pub(crate) fn keep_only(&self, members: &[MemberAnnouncement]) {
+        let names: BTreeSet<&VmName> = members.iter().map(|member| &member.vm).collect();
+        self.0
+            .borrow_mut()
+            .retain(|vm, _| names.contains(vm) || vm.as_str().starts_with(SEED_PREFIX));
+        for member in members {
+            self.upsert(member.vm.clone(), member.peer_addr);
+        }
+    }
+
+    fn upsert(&self, vm: VmName, address: SocketAddr) {
         let mut slots = self.0.borrow_mut();
         if slots.get(&vm).is_some_and(|slot| slot.address == address) {
             return;
@@ -33,11 +54,6 @@
         slots.insert(vm, Rc::new(slot));
     }
 
-    /// Forgets a VM.
-    pub(crate) fn remove(&self, vm: &VmName) {
-        self.0.borrow_mut().remove(vm);
-    }
-
     /// Returns the names of the known VMs.
     pub(crate) fn names(&self) -> Vec<VmName> {
         self.0.borrow().keys().cloned().collect()
--- a/crates/node/src/peer_port.rs
+++ b/crates/node/src/peer_port.rs
@@ -7,11 +7,10 @@
 
 use crate::answer_body::AnswerBody;
 use crate::call_body::CallBody;
-use crate::config_watch::ConfigWatch;
-use crate::fleet_watch::{FleetWatch, put_members};
 use crate::ingress::run_call;
 use crate::node_core::NodeCore;
 use crate::node_message::{NodeMessage, NodeReply};
+use crate::rate_watch::receive_rate;
 
 /// What a node does with the calls and messages of other nodes.
 pub(crate) struct PeerPort(Rc<NodeCore>);
@@ -23,31 +22,25 @@
 }
 
 impl PeerPort {
-    async fn answer(&self, message: NodeMessage) -> NodeReply {
+    async fn answer(&self, from: &VmName, message: NodeMessage) -> NodeReply {
         let core = &self.0;
         match message {
-            NodeMessage::Pull(pull) => NodeReply::Batch(answer_pull(core, &pull).await),
+            NodeMessage::Pull(pull) => return NodeReply::Batch(answer_pull(core, &pull).await),
             NodeMessage::Member(announcement) => {
-                core.fleet
-                    .with_state(|fleet| fleet.view.apply(&announcement));
-                put_members(core, core.now());
-                NodeReply::Nothing
+                core.fleet.with(|feed| feed.fold().learn(&announcement));
             }
+            NodeMessage::Rate(message) => receive_rate(core, from, message),
         }
+        NodeReply::Nothing
     }
 }
 
-async fn answer_pull(core: &Rc<NodeCore>, pull: &RelayPull) -> Option<RelayBatch> {
+async fn answer_pull(core: &NodeCore, pull: &RelayPull) -> Option<RelayBatch> {
     match pull.stream {
-        LogStream::Config => {
-            let watch = ConfigWatch(Rc::clone(core));
-            Some(core.config.answer(pull, &watch).await)
-        }
-        LogStream::Members => {
-            let watch = FleetWatch(Rc::clone(core));
-            Some(core.fleet.answer(pull, &watch).await)
-        }
-        LogStream::Rates | LogStream::Claims => None,
+        LogStream::Config => Some(core.config.answer(pull).await),
+        LogStream::Members => Some(core.fleet.answer(pull).await),
+        LogStream::Rates => Some(core.rates.answer(pull).await),
+        LogStream::Claims => None,
     }
 }
 
@@ -66,7 +59,7 @@
 
     async fn exchange(&self, from: &VmName, message: Bytes) -> Bytes {
         let reply = match wire::decode::<NodeMessage>(&message) {
-            Ok(message) => self.answer(message).await,
+            Ok(message) => self.answer(from, message).await,
             Err(error) => {
                 log::warn!(
                     "event=message-unreadable vm={from} error={:?}",
--- a/crates/node/src/state_dump.rs
+++ b/crates/node/src/state_dump.rs
@@ -35,9 +35,14 @@
         load: core.gate.load(core.now()),
         running_calls: core.running.len(),
         open_connections: core.open_connections.get(),
-        ready_members: core
-            .fleet
-            .with_state(|fleet| fleet.view.ready_by_centre().values().map(Vec::len).sum()),
+        ready_members: core.fleet.with(|feed| {
+            feed.fold()
+                .view()
+                .ready_by_centre()
+                .values()
+                .map(Vec::len)
+                .sum()
+        }),
         links: core.links.names(),
         services: core.contract().services.keys().cloned().collect(),
     }
--- a/crates/node/tests/fleet/mod.rs
+++ b/crates/node/tests/fleet/mod.rs
@@ -36,6 +36,10 @@
 path = "/status"
 open = true
 
+[services.idle]
+[services.idle.calls.probe]
+path = "/probe"
+
 [teams.clubs]
 rate_per_s = 1000
 burst = 2000
@@ -113,13 +117,25 @@
     pub async fn settle(&self) {
         for _ in 0..500 {
             if self.is_settled().await {
-                return;
+                return self.warm_up().await;
             }
             sleep(Duration::from_millis(20)).await;
         }
         panic!("the fleet isn't ready after 10 s");
     }
 
+    /// Asks every node for the team's first tokens, by requests that reach no backend server.
+    async fn warm_up(&self) {
+        for node in 0..self.pairs.len() {
+            let mut status = 429;
+            while status == 429 {
+                let answer = self.send(node, "GET", "/idle/probe").await;
+                status = answer.status().as_u16();
+                sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+
     async fn is_settled(&self) -> bool {
         for pair in &self.pairs {
             let url = format!("http://{}/dump", pair.node.admin_address());
--- a/crates/rate/src/team_limiter.rs
+++ b/crates/rate/src/team_limiter.rs
@@ -188,6 +188,15 @@
         self.dispatch(now, raised, actions);
     }
 
+    /// Returns whether every team's tokens have an allocator in this data centre.
+    #[must_use]
+    pub fn is_served(&self) -> bool {
+        self.teams.keys().all(|slot| {
+            let fold = self.folds.get(slot);
+            fold.is_some_and(|fold| fold.table().is_some() && fold.holder(&self.centre).is_some())
+        })
+    }
+
     /// Counts the slots that this node allocates at `now`.
     #[must_use]
     pub fn allocated_slots(&self, now: ClockTime) -> usize {
