--- /dev/null
+++ b/crates/trial/src/call.rs
@@ -0,0 +1,95 @@
+use std::rc::Rc;
+
+use model::{CallImportance, ShedOrder};
+
+use crate::chain_view::HeardCuts;
+
+/// A caller's request, over all its tries.
+#[derive(Clone, Debug)]
+pub(crate) struct ClientRequest {
+    pub(crate) kind: usize,
+    pub(crate) team: usize,
+    pub(crate) arrived_us: u64,
+    pub(crate) answered_us: Option<u64>,
+    pub(crate) resends_left: u32,
+}
+
+/// One try of a caller.
+#[derive(Clone, Debug)]
+pub(crate) struct ClientTry {
+    pub(crate) request: usize,
+    pub(crate) entry: usize,
+    pub(crate) order: ShedOrder,
+    pub(crate) sent_us: u64,
+    pub(crate) deadline_us: u64,
+    pub(crate) root: Option<usize>,
+    pub(crate) is_over: bool,
+    pub(crate) is_good: bool,
+    pub(crate) retries_left: u32,
+}
+
+/// Where a call stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CallState {
+    /// On its way to a node.
+    Sent,
+    /// In a queue.
+    Waiting,
+    /// On a backend server.
+    Running,
+    /// Answered, cancelled or lost.
+    Over,
+}
+
+/// One call to a service within a try.
+#[derive(Clone, Debug)]
+pub(crate) struct Call {
+    pub(crate) client_try: usize,
+    pub(crate) plan: usize,
+    pub(crate) depth: u8,
+    pub(crate) parent: Option<usize>,
+    pub(crate) caller_vm: usize,
+    pub(crate) vm: usize,
+    pub(crate) tried: Vec<usize>,
+    pub(crate) sent_us: u64,
+    pub(crate) started_us: u64,
+    pub(crate) state: CallState,
+    pub(crate) next_child: usize,
+    pub(crate) child: Option<usize>,
+    pub(crate) child_wait_us: u64,
+    pub(crate) child_sent_us: u64,
+    pub(crate) work_ms: f64,
+    pub(crate) hop_retries_left: u32,
+}
+
+/// How a call was answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CallResult {
+    /// The backend server has done the whole work.
+    Done,
+    /// The node refused before work began; `true` when the service as a whole is shedding.
+    Refused(bool),
+    /// The backend server or its VM failed.
+    Failed,
+    /// A call that the backend server made failed for good.
+    ChildFailed,
+}
+
+/// The answer to a call, with what travels on it.
+#[derive(Clone, Debug)]
+pub(crate) struct CallAnswer {
+    pub(crate) result: CallResult,
+    pub(crate) sample: Option<route::LoadSample>,
+    pub(crate) heard: Rc<Vec<HeardCuts>>,
+}
+
+/// A refusal that reached a caller.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RefusalNote {
+    pub(crate) at_us: u64,
+    pub(crate) importance: CallImportance,
+    /// Whether every service of the request had room.
+    pub(crate) was_free: bool,
+    /// Whether a lesser request had just started at the scarcest service of the request.
+    pub(crate) was_inverted: bool,
+}
--- /dev/null
+++ b/crates/trial/src/firm.rs
@@ -0,0 +1,235 @@
+use model::CallImportance;
+
+/// One service of a firm.
+#[derive(Clone, Debug)]
+pub struct FirmService {
+    /// The name.
+    pub name: &'static str,
+    /// The number of VMs.
+    pub instances: usize,
+    /// The requests that one backend server can run at once.
+    pub slots: u32,
+}
+
+/// One call of a plan: work on a service, with calls to others in the middle of it.
+#[derive(Clone, Debug)]
+pub struct PlanCall {
+    /// The index of the service.
+    pub service: usize,
+    /// The mean time of the service's own work, in milliseconds.
+    pub own_ms: f64,
+    /// The calls made one after another, as indices into [`Firm::calls`].
+    pub children: Vec<usize>,
+}
+
+/// A kind of request that callers send.
+#[derive(Clone, Debug)]
+pub struct RequestKind {
+    /// The name.
+    pub name: &'static str,
+    /// The share of all requests.
+    pub share: f64,
+    /// The class.
+    pub importance: CallImportance,
+    /// The time that a caller waits for an answer, in milliseconds.
+    pub timeout_ms: u64,
+    /// The first call, as an index into [`Firm::calls`].
+    pub root: usize,
+}
+
+/// A firm's services, its kinds of requests and its teams.
+#[derive(Clone, Debug)]
+pub struct Firm {
+    /// The name.
+    pub name: &'static str,
+    /// The time between two data centres, one way, in milliseconds.
+    pub between_centres_ms: f64,
+    /// The services.
+    pub services: Vec<FirmService>,
+    /// The calls of all plans; children come before their parents.
+    pub calls: Vec<PlanCall>,
+    /// The kinds of requests.
+    pub kinds: Vec<RequestKind>,
+    /// The paid rate of each team, as a weight.
+    pub teams: Vec<u32>,
+}
+
+/// Paid rates of eight teams, a few of them large.
+const TEAM_WEIGHTS: [u32; 8] = [30, 20, 12, 8, 4, 2, 2, 1];
+
+impl Firm {
+    /// Returns the registry of summit cairns.
+    #[must_use]
+    pub fn zuma() -> Self {
+        let service = |name, instances, slots| FirmService {
+            name,
+            instances,
+            slots,
+        };
+        let mut firm = Self {
+            name: "zuma",
+            between_centres_ms: 1.0,
+            services: vec![
+                service("archive", 5, 65),
+                service("filings", 4, 80),
+                service("surveys", 3, 110),
+                service("registry", 3, 25),
+            ],
+            calls: Vec::new(),
+            kinds: Vec::new(),
+            teams: TEAM_WEIGHTS.to_vec(),
+        };
+        let (archive, filings, surveys, registry) = (0, 1, 2, 3);
+        let look = firm.call(registry, 60.0, &[]);
+        let lookup = firm.call(surveys, 30.0, &[look]);
+        let keep = firm.call(archive, 90.0, &[]);
+        let filing = firm.call(filings, 60.0, &[look, keep]);
+        let store = firm.call(archive, 120.0, &[]);
+        let attach = firm.call(filings, 60.0, &[store]);
+        let upload = firm.call(surveys, 60.0, &[attach]);
+        let search = firm.call(registry, 60.0, &[store]);
+        let collect = firm.call(filings, 45.0, &[search]);
+        let report = firm.call(surveys, 45.0, &[collect]);
+        firm.kind("lookup", 0.45, CallImportance::High, 2_000, lookup);
+        firm.kind("filing", 0.20, CallImportance::Critical, 2_000, filing);
+        firm.kind("upload", 0.20, CallImportance::Normal, 2_500, upload);
+        firm.kind("report", 0.15, CallImportance::Background, 3_000, report);
+        firm
+    }
+
+    /// Returns the menders of collars.
+    #[must_use]
+    pub fn turnwell() -> Self {
+        let service = |name, instances, slots| FirmService {
+            name,
+            instances,
+            slots,
+        };
+        let mut firm = Self {
+            name: "turnwell",
+            between_centres_ms: 1.5,
+            services: vec![
+                service("tracker", 6, 100),
+                service("booking", 3, 200),
+                service("quoting", 3, 200),
+                service("catalogue", 3, 35),
+            ],
+            calls: Vec::new(),
+            kinds: Vec::new(),
+            teams: TEAM_WEIGHTS.to_vec(),
+        };
+        let (tracker, booking, quoting, catalogue) = (0, 1, 2, 3);
+        let status = firm.call(tracker, 60.0, &[]);
+        let browse = firm.call(catalogue, 100.0, &[]);
+        let price = firm.call(quoting, 60.0, &[browse]);
+        let pay = firm.call(booking, 80.0, &[price, status]);
+        let quote = firm.call(quoting, 120.0, &[browse]);
+        let stock = firm.call(tracker, 40.0, &[browse]);
+        let sync = firm.call(booking, 40.0, &[stock]);
+        firm.kind("status", 0.40, CallImportance::High, 1_500, status);
+        firm.kind("browse", 0.25, CallImportance::Normal, 1_500, browse);
+        firm.kind("pay", 0.15, CallImportance::Critical, 2_500, pay);
+        firm.kind("quote", 0.15, CallImportance::Normal, 2_500, quote);
+        firm.kind("sync", 0.05, CallImportance::Background, 3_000, sync);
+        firm
+    }
+
+    fn call(&mut self, service: usize, own_ms: f64, children: &[usize]) -> usize {
+        self.calls.push(PlanCall {
+            service,
+            own_ms,
+            children: children.to_vec(),
+        });
+        self.calls.len() - 1
+    }
+
+    fn kind(
+        &mut self,
+        name: &'static str,
+        share: f64,
+        importance: CallImportance,
+        timeout_ms: u64,
+        root: usize,
+    ) {
+        self.kinds.push(RequestKind {
+            name,
+            share,
+            importance,
+            timeout_ms,
+            root,
+        });
+    }
+
+    /// Returns the unloaded time of a call with its children, in milliseconds, when each
+    /// service's own work runs at the given speed.
+    #[must_use]
+    pub fn holding_ms(&self, call: usize, speeds: &[f64]) -> f64 {
+        let plan = &self.calls[call];
+        let children: f64 = plan
+            .children
+            .iter()
+            .map(|child| self.holding_ms(*child, speeds) + 2.0 * self.between_centres_ms)
+            .sum();
+        plan.own_ms / speeds[plan.service] + children
+    }
+
+    /// Returns the time for which a call and its children hold slots of a service.
+    #[must_use]
+    pub fn slot_ms(&self, call: usize, service: usize, speeds: &[f64]) -> f64 {
+        let plan = &self.calls[call];
+        let children: f64 = plan
+            .children
+            .iter()
+            .map(|child| self.slot_ms(*child, service, speeds))
+            .sum();
+        if plan.service == service {
+            children + self.holding_ms(call, speeds)
+        } else {
+            children
+        }
+    }
+
+    /// Returns the slot time of a service that one request of the mix takes on average.
+    #[must_use]
+    pub fn mean_slot_ms(&self, service: usize, speeds: &[f64]) -> f64 {
+        self.kinds
+            .iter()
+            .map(|kind| kind.share * self.slot_ms(kind.root, service, speeds))
+            .sum()
+    }
+
+    /// Returns the scarcest service and the requests a second that it can serve, for the slots
+    /// alive of each service.
+    #[must_use]
+    pub fn scarcest(&self, slots: &[f64], speeds: &[f64]) -> (usize, f64) {
+        (0..self.services.len())
+            .map(|service| {
+                let rate = slots[service] * 1_000.0 / self.mean_slot_ms(service, speeds);
+                (service, rate)
+            })
+            .min_by(|a, b| a.1.total_cmp(&b.1))
+            .unwrap_or((0, 0.0))
+    }
+
+    /// Returns the slots of each service when all VMs live.
+    #[must_use]
+    pub fn slots(&self) -> Vec<f64> {
+        self.services
+            .iter()
+            .map(|service| {
+                f64::from(service.slots) * f64::from(u32::try_from(service.instances).unwrap_or(0))
+            })
+            .collect()
+    }
+
+    /// Returns whether a call or one of its children runs on a service.
+    #[must_use]
+    pub fn touches(&self, call: usize, service: usize) -> bool {
+        let plan = &self.calls[call];
+        plan.service == service
+            || plan
+                .children
+                .iter()
+                .any(|child| self.touches(*child, service))
+    }
+}
--- /dev/null
+++ b/crates/trial/src/policy.rs
@@ -0,0 +1,87 @@
+use limit::QueueSettings;
+use route::RouteSettings;
+
+/// The kinds of node that are compared.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NodeKind {
+    /// Round robin, an unbounded queue, three retries per hop, no deadlines.
+    Naive,
+    /// An adaptive limit per hop with random shedding, and one retry per hop.
+    Independent,
+    /// The decision code of lentilshift.
+    Policy,
+}
+
+/// The settings of all nodes of a trial.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct NodePolicy {
+    /// The kind of node.
+    pub kind: NodeKind,
+    /// The settings of the queues.
+    pub queue: QueueSettings,
+    /// The settings of the routers.
+    pub route: RouteSettings,
+    /// Whether the entry refuses what a service below would refuse.
+    pub checks_chain: bool,
+    /// Whether cancellations go down the chain.
+    pub cancels: bool,
+    /// The retries that a whole request may use.
+    pub chain_retries: u32,
+}
+
+impl NodePolicy {
+    /// Creates the settings of a kind of node.
+    #[must_use]
+    pub fn new(kind: NodeKind) -> Self {
+        Self {
+            kind,
+            queue: QueueSettings::default(),
+            route: RouteSettings::default(),
+            checks_chain: true,
+            cancels: true,
+            chain_retries: 2,
+        }
+    }
+
+    /// Returns the retries that each hop may make on its own.
+    pub(crate) const fn hop_retries(&self) -> u32 {
+        match self.kind {
+            NodeKind::Naive => 3,
+            NodeKind::Independent => 1,
+            NodeKind::Policy => u32::MAX,
+        }
+    }
+
+    /// Returns the settings with each part of the policy switched off in turn, by name.
+    #[must_use]
+    pub fn ablations() -> Vec<(&'static str, Self)> {
+        let full = Self::new(NodeKind::Policy);
+        let mut list = vec![("whole policy", full)];
+        let mut add = |name, change: fn(&mut Self)| {
+            let mut policy = full;
+            change(&mut policy);
+            list.push((name, policy));
+        };
+        add("no adaptive limit", |p| p.queue.limit.is_adaptive = false);
+        add("no cuts", |p| p.queue.shed.is_enabled = false);
+        add("no team shares in cuts", |p| {
+            p.queue.shed.shares_by_team = false
+        });
+        add("no turns of teams in queue", |p| {
+            p.queue.shares_by_team = false
+        });
+        add("no classes in queue", |p| p.queue.orders_by_class = false);
+        add("no deadline check", |p| p.queue.checks_deadlines = false);
+        add("begun work not favoured", |p| p.queue.favors_begun = false);
+        add("no rank order in queue", |p| p.queue.orders_by_rank = false);
+        add("no chain check at entry", |p| p.checks_chain = false);
+        add("no cancellation", |p| p.cancels = false);
+        add("no retries", |p| p.chain_retries = 0);
+        add("random VM", |p| p.route.compares_two = false);
+        add("no load reports", |p| p.route.uses_reports = false);
+        add("no local preference", |p| p.route.prefers_local = false);
+        add("no ejection", |p| p.route.ejects = false);
+        add("no ramp", |p| p.route.ramp_ms = 0);
+        list
+    }
+}
--- /dev/null
+++ b/crates/trial/src/world_calls.rs
@@ -0,0 +1,348 @@
+use std::rc::Rc;
+
+use clock::ClockTime;
+use limit::QueueTicket;
+use model::RefusalReason;
+use route::RouteOutcome;
+
+use crate::call::{Call, CallAnswer, CallResult, CallState};
+use crate::chain_view::HeardCuts;
+use crate::event::TrialEvent;
+use crate::ingress::{IngressAction, attempt_id};
+use crate::policy::NodeKind;
+use crate::world::TrialWorld;
+
+impl TrialWorld {
+    pub(crate) fn new_call(
+        &mut self,
+        client_try: usize,
+        plan: usize,
+        parent: Option<usize>,
+        caller_vm: usize,
+    ) -> usize {
+        self.calls.push(Call {
+            client_try,
+            plan,
+            depth: parent.map_or(0, |parent| self.calls[parent].depth + 1),
+            parent,
+            caller_vm,
+            vm: caller_vm,
+            tried: Vec::new(),
+            sent_us: self.now_us,
+            started_us: self.now_us,
+            state: CallState::Sent,
+            next_child: 0,
+            child: None,
+            child_wait_us: 0,
+            child_sent_us: 0,
+            work_ms: 0.0,
+            hop_retries_left: self.policy.hop_retries(),
+        });
+        self.calls.len() - 1
+    }
+
+    /// Chooses a VM for a call and sends it there.
+    pub(crate) fn send_call(&mut self, call: usize) {
+        let Some(vm) = self.choose_vm(call) else {
+            self.settle(call, CallResult::Refused(false));
+            return;
+        };
+        let service = self.vms[vm].service;
+        let caller_vm = self.calls[call].caller_vm;
+        let name = self.vms[vm].name.clone();
+        self.vms[caller_vm].routers[service].begin(&name);
+        let entry = &mut self.calls[call];
+        entry.vm = vm;
+        entry.state = CallState::Sent;
+        entry.sent_us = self.now_us;
+        let at_us = self.now_us + self.link_us(caller_vm, vm);
+        self.events.push(at_us, TrialEvent::CallArrives(call));
+    }
+
+    fn choose_vm(&mut self, call: usize) -> Option<usize> {
+        let entry = &self.calls[call];
+        let service = self.firm.calls[entry.plan].service;
+        let caller_vm = entry.caller_vm;
+        if self.policy.kind != NodeKind::Policy {
+            return self.next_in_turn(caller_vm, service);
+        }
+        let tried: Vec<_> = entry
+            .tried
+            .iter()
+            .map(|vm| self.vms[*vm].name.clone())
+            .collect();
+        let now = self.now();
+        let router = &mut self.vms[caller_vm].routers[service];
+        let name = router.choose(now, &mut self.random, &tried)?;
+        self.indices.get(&name).copied()
+    }
+
+    fn next_in_turn(&mut self, caller_vm: usize, service: usize) -> Option<usize> {
+        let known: Vec<usize> = (0..self.vms.len())
+            .filter(|vm| self.vms[*vm].service == service && self.vms[*vm].is_known)
+            .collect();
+        let turn = &mut self.vms[caller_vm].turns[service];
+        *turn += 1;
+        known.get(*turn % known.len().max(1)).copied()
+    }
+
+    /// Handles a call at the node beside its backend server.
+    pub(crate) fn call_arrives(&mut self, call: usize) {
+        let entry = &self.calls[call];
+        if entry.state != CallState::Sent {
+            return;
+        }
+        let vm = entry.vm;
+        if !self.vms[vm].is_alive {
+            self.answer(call, CallResult::Failed);
+            return;
+        }
+        let ticket = self.ticket(call);
+        self.calls[call].state = CallState::Waiting;
+        let now = self.now();
+        let action = self.vms[vm].ingress.offer(now, call, ticket);
+        self.perform(vm, vec![action]);
+    }
+
+    fn ticket(&self, call: usize) -> QueueTicket {
+        let entry = &self.calls[call];
+        let tried = &self.tries[entry.client_try];
+        let team = self.requests[tried.request].team;
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "expected times are small and positive"
+        )]
+        let expected_ms = self.nominal_ms[entry.plan] as u64;
+        QueueTicket {
+            id: attempt_id(call),
+            order: tried.order,
+            team: Some(self.team_names[team].clone()),
+            team_weight: self.firm.teams[team],
+            deadline: ClockTime::from_ms(tried.deadline_us / 1_000),
+            depth: entry.depth,
+            expected_ms,
+        }
+    }
+
+    pub(crate) fn perform(&mut self, vm: usize, actions: Vec<IngressAction>) {
+        for action in actions {
+            match action {
+                IngressAction::Start(call) => self.start_call(vm, call),
+                IngressAction::Wait => {}
+                IngressAction::Refuse(call, reason) => {
+                    let is_shed = reason != RefusalReason::NoBackend;
+                    self.answer(call, CallResult::Refused(is_shed));
+                }
+            }
+        }
+    }
+
+    fn start_call(&mut self, vm: usize, call: usize) {
+        let importance = self.tries[self.calls[call].client_try].order.importance();
+        let service = self.vms[vm].service;
+        self.last_starts[service][importance as usize] = self.now_us;
+        self.calls[call].state = CallState::Running;
+        self.calls[call].started_us = self.now_us;
+        self.vms[vm].backend.hold(self.now_us);
+        self.begin_phase(call);
+    }
+
+    fn begin_phase(&mut self, call: usize) {
+        let entry = &self.calls[call];
+        let (vm, plan) = (entry.vm, &self.firm.calls[entry.plan]);
+        let phases = u32::try_from(plan.children.len() + 1).unwrap_or(1);
+        let mean_ms = plan.own_ms / f64::from(phases);
+        let work_ms = self.sample_ms(mean_ms);
+        self.vms[vm].backend.begin(self.now_us, call, work_ms);
+        self.plan_work_end(vm);
+    }
+
+    /// Plans the next end of own work on a backend server, in place of the one planned before.
+    pub(crate) fn plan_work_end(&mut self, vm: usize) {
+        let backend = &mut self.vms[vm].backend;
+        backend.generation += 1;
+        if let Some(span_us) = backend.next_end_us() {
+            let event = TrialEvent::WorkEnds(vm, backend.generation);
+            self.events.push(self.now_us + span_us, event);
+        }
+    }
+
+    pub(crate) fn work_ends(&mut self, vm: usize, generation: u64) {
+        if self.vms[vm].backend.generation != generation || !self.vms[vm].is_alive {
+            return;
+        }
+        while let Some((call, work_ms)) = self.vms[vm].backend.pop_ended(self.now_us) {
+            self.calls[call].work_ms += work_ms;
+            self.phase_ended(call);
+        }
+        self.plan_work_end(vm);
+    }
+
+    fn phase_ended(&mut self, call: usize) {
+        let entry = &self.calls[call];
+        let vm = entry.vm;
+        let children = &self.firm.calls[entry.plan].children;
+        if let Some(plan) = children.get(entry.next_child).copied() {
+            let child = self.new_call(entry.client_try, plan, Some(call), vm);
+            let entry = &mut self.calls[call];
+            entry.child = Some(child);
+            entry.child_sent_us = self.now_us;
+            self.send_call(child);
+            return;
+        }
+        let own_us = self.now_us - entry.started_us - entry.child_wait_us;
+        self.end_run(call, Some(own_us / 1_000));
+        self.answer(call, CallResult::Done);
+    }
+
+    fn end_run(&mut self, call: usize, own_ms: Option<u64>) {
+        let vm = self.calls[call].vm;
+        self.calls[call].state = CallState::Over;
+        self.vms[vm].backend.release(self.now_us);
+        let now = self.now();
+        let actions = self.vms[vm].ingress.finish(now, call, own_ms);
+        self.perform(vm, actions);
+        self.plan_work_end(vm);
+    }
+
+    /// Sends an answer back to the node that made a call.
+    pub(crate) fn answer(&mut self, call: usize, result: CallResult) {
+        self.calls[call].state = CallState::Over;
+        let entry = &self.calls[call];
+        let (vm, caller_vm, plan) = (entry.vm, entry.caller_vm, entry.plan);
+        let report = if self.vms[vm].is_alive {
+            self.report(vm)
+        } else {
+            None
+        };
+        let mut heard = Vec::new();
+        let sample = report.map(|(sample, cuts)| {
+            heard.push(HeardCuts {
+                service: self.vms[vm].service,
+                vm,
+                at_us: self.now_us,
+                cuts: Rc::new(cuts),
+            });
+            sample
+        });
+        if sample.is_some() {
+            let own = self.vms[vm].service;
+            for service in self.tree_services[plan].iter().filter(|s| **s != own) {
+                heard.extend(self.vms[vm].view.heard(*service, self.now_us).cloned());
+            }
+        }
+        let answer = CallAnswer {
+            result,
+            sample,
+            heard: Rc::new(heard),
+        };
+        let at_us = self.now_us + self.wire_us(vm, caller_vm);
+        self.events
+            .push(at_us, TrialEvent::AnswerArrives(call, answer));
+    }
+
+    /// Handles an answer at the node that made the call.
+    pub(crate) fn answer_arrives(&mut self, call: usize, answer: &CallAnswer) {
+        let entry = &self.calls[call];
+        let (vm, caller_vm) = (entry.vm, entry.caller_vm);
+        if !self.vms[caller_vm].is_alive {
+            return;
+        }
+        let outcome = match answer.result {
+            CallResult::Done => RouteOutcome::Succeeded {
+                latency_ms: (self.now_us - entry.sent_us) / 1_000,
+            },
+            CallResult::Refused(_) => RouteOutcome::Refused,
+            CallResult::Failed => RouteOutcome::Failed,
+            CallResult::ChildFailed => RouteOutcome::Abandoned,
+        };
+        for heard in answer.heard.iter() {
+            self.vms[caller_vm].view.note(heard);
+        }
+        let (now, name) = (self.now(), self.vms[vm].name.clone());
+        let service = self.vms[vm].service;
+        self.vms[caller_vm].routers[service].finish(now, &name, outcome, answer.sample);
+        self.settle(call, answer.result);
+    }
+
+    /// Acts on the result of a call: goes on, tries again or gives up.
+    fn settle(&mut self, call: usize, result: CallResult) {
+        if result != CallResult::Done && self.may_retry(call, result) {
+            let vm = self.calls[call].vm;
+            self.calls[call].tried.push(vm);
+            self.send_call(call);
+            return;
+        }
+        let Some(parent) = self.calls[call].parent else {
+            let client_try = self.calls[call].client_try;
+            self.answer_client(client_try, result);
+            return;
+        };
+        if self.calls[parent].state != CallState::Running {
+            return;
+        }
+        let entry = &mut self.calls[parent];
+        entry.child = None;
+        entry.child_wait_us += self.now_us - entry.child_sent_us;
+        if result == CallResult::Done {
+            entry.next_child += 1;
+            self.begin_phase(parent);
+        } else {
+            self.end_run(parent, None);
+            self.answer(parent, CallResult::ChildFailed);
+        }
+    }
+
+    fn may_retry(&mut self, call: usize, result: CallResult) -> bool {
+        let entry = &mut self.calls[call];
+        if self.policy.kind != NodeKind::Policy {
+            let may_retry = entry.hop_retries_left > 0;
+            entry.hop_retries_left = entry.hop_retries_left.saturating_sub(1);
+            return may_retry;
+        }
+        let tried = &mut self.tries[entry.client_try];
+        let is_live = !tried.is_over && self.now_us < tried.deadline_us;
+        let is_useful = matches!(result, CallResult::Failed | CallResult::Refused(false));
+        if !is_live || !is_useful || tried.retries_left == 0 {
+            return false;
+        }
+        tried.retries_left -= 1;
+        true
+    }
+
+    /// Stops a call whose caller has left, and the one that it is waiting for.
+    pub(crate) fn cancel_call(&mut self, call: usize) {
+        let entry = &self.calls[call];
+        let (vm, state, child) = (entry.vm, entry.state, entry.child);
+        if state == CallState::Over {
+            return;
+        }
+        self.calls[call].state = CallState::Over;
+        self.abandon(call);
+        if state == CallState::Sent || !self.vms[vm].is_alive {
+            return;
+        }
+        if state == CallState::Running {
+            let work_ms = self.vms[vm].backend.stop(self.now_us, call);
+            self.calls[call].work_ms += work_ms;
+            self.vms[vm].backend.release(self.now_us);
+        }
+        let now = self.now();
+        let actions = self.vms[vm].ingress.cancel(now, call);
+        self.perform(vm, actions);
+        self.plan_work_end(vm);
+        if let Some(child) = child {
+            let at_us = self.now_us + self.wire_us(vm, self.calls[child].vm);
+            self.events.push(at_us, TrialEvent::CancelArrives(child));
+        }
+    }
+
+    fn abandon(&mut self, call: usize) {
+        let entry = &self.calls[call];
+        let (vm, caller_vm) = (entry.vm, entry.caller_vm);
+        let (now, name) = (self.now(), self.vms[vm].name.clone());
+        let service = self.vms[vm].service;
+        self.vms[caller_vm].routers[service].finish(now, &name, RouteOutcome::Abandoned, None);
+    }
+}
