fix(limit): let a backlog cut only its own class and those below

A slow service built up a backlog of lesser work that was begun upstream; the wait it caused cut critical calls too.

--- a/crates/limit/src/admission_queue.rs
+++ b/crates/limit/src/admission_queue.rs
@@ -189,10 +189,7 @@
             self.start(now, &entry.ticket);
             actions.push(QueueAction::Start(entry.ticket.id));
         }
-        let state = QueueState {
-            wait_ms: to_float(self.wait_now()),
-            capacity: self.capacity(),
-        };
+        let state = self.queue_state();
         self.shed.update(now, state);
     }
 
@@ -244,6 +241,17 @@
         f64::from(self.limit.current()) * 1_000.0 * self.work_ms / self.run_ms
     }
 
+    fn queue_state(&self) -> QueueState {
+        let capacity = self.capacity();
+        QueueState {
+            waits_ms: self
+                .line
+                .class_work_ms()
+                .map(|work_ms| work_ms * 1_000.0 / capacity),
+            capacity,
+        }
+    }
+
     fn wait_now(&self) -> u64 {
         if self.has_slot() {
             return 0;
--- a/crates/limit/src/shed_control.rs
+++ b/crates/limit/src/shed_control.rs
@@ -34,13 +34,14 @@
 }
 
 /// The smallest part of capacity that is let in.
-const MIN_CAPACITY_SHARE: f64 = 0.3;
+const MIN_CAPACITY_SHARE: f64 = 0.2;
 
 /// What the control is told about the queue.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct QueueState {
-    /// The time that a request joining now would wait, in milliseconds.
-    pub wait_ms: f64,
+    /// The time that a request of each class would wait for its class and those above, in
+    /// milliseconds, the least important class first.
+    pub waits_ms: [f64; 4],
     /// The work that the backend server can do, in milliseconds of expected run time a second.
     pub capacity: f64,
 }
@@ -107,24 +108,30 @@
         if !self.settings.is_enabled {
             return;
         }
-        let target = to_float(self.settings.target_wait_ms);
-        if self.cuts.is_open() && state.wait_ms < target {
+        if self.cuts.is_open() && state.waits_ms[0] < to_float(self.settings.target_wait_ms) {
             self.overload = 1.0;
             return;
         }
-        let correction = (target - state.wait_ms) / to_float(self.settings.horizon_ms);
-        let share = (1.0 + correction).max(MIN_CAPACITY_SHARE);
         self.overload = (self.demand.total() / state.capacity).max(1.0);
-        let capacity = state.capacity * share;
+        let capacities = state
+            .waits_ms
+            .map(|wait| state.capacity * self.capacity_share(wait));
         self.cuts = if self.settings.shares_by_team {
-            self.demand.divide_by_team(capacity)
+            self.demand.divide_by_team(capacities)
         } else {
-            self.demand.divide_by_class(capacity)
+            self.demand.divide_by_class(capacities)
         };
         if self.cuts.is_open() {
             self.demand.open();
         }
     }
+
+    /// Returns the part of capacity to let in, so that a wait comes back to the target.
+    fn capacity_share(&self, wait_ms: f64) -> f64 {
+        let target = to_float(self.settings.target_wait_ms);
+        let correction = (target - wait_ms) / to_float(self.settings.horizon_ms);
+        (1.0 + correction).max(MIN_CAPACITY_SHARE)
+    }
 }
 
 #[expect(clippy::cast_precision_loss, reason = "spans are far below 2^52 ms")]
--- a/crates/limit/src/team_demand.rs
+++ b/crates/limit/src/team_demand.rs
@@ -15,6 +15,9 @@
 /// Shares are compared with this factor, so that rounding cuts nothing.
 const ROUNDING: f64 = 1.000_001;
 
+/// The work a second that each class and those above it may use, the least important first.
+pub(crate) type ClassCapacities = [f64; 4];
+
 /// The demand of one team in one class.
 #[derive(Clone, Debug)]
 struct TeamFlow {
@@ -81,17 +84,18 @@
         }
     }
 
-    /// Divides a capacity in work a second, and returns the cuts that enforce it.
+    /// Divides what each class and those above it may use, in work a second, and returns the cuts
+    /// that enforce it.
     ///
     /// Critical calls come first, whoever sends them. What is left goes to the teams in max-min
     /// shares by weight of all that they send, and within a team to its classes from the top.
-    pub(crate) fn divide_by_team(&mut self, capacity: f64) -> ShedCuts {
+    pub(crate) fn divide_by_team(&mut self, capacities: ClassCapacities) -> ShedCuts {
         let critical = self.class_demand(CallImportance::Critical);
-        if critical >= capacity {
-            return self.divide_by_class(capacity);
+        if critical >= capacities[CallImportance::Critical as usize] {
+            return self.divide_by_class(capacities);
         }
         let teams = self.team_totals();
-        let level = share_level(&teams, capacity);
+        let level = share_level(&teams, capacities[0]);
         let mut cuts = ShedCuts::default();
         for (team, total) in &teams {
             let share = total.share(level);
@@ -106,9 +110,9 @@
         cuts
     }
 
-    /// Divides a capacity by class alone, the same for every team.
-    pub(crate) fn divide_by_class(&mut self, capacity: f64) -> ShedCuts {
-        let threshold = self.cut_flows(capacity, |_| true);
+    /// Divides capacity by class alone, the same for every team.
+    pub(crate) fn divide_by_class(&mut self, capacities: ClassCapacities) -> ShedCuts {
+        let threshold = self.cut_flows(capacities, |_| true);
         ShedCuts {
             threshold,
             over_share: Vec::new(),
@@ -116,16 +120,16 @@
     }
 
     fn cut_team(&mut self, team: Option<&TeamName>, capacity: f64) -> ShedOrder {
-        self.cut_flows(capacity, |other| other == team)
+        self.cut_flows([capacity; 4], |other| other == team)
     }
 
     /// Serves the classes of the flows chosen from the top, and returns where capacity ends.
     fn cut_flows(
         &mut self,
-        capacity: f64,
+        capacities: ClassCapacities,
         is_chosen: impl Fn(Option<&TeamName>) -> bool,
     ) -> ShedOrder {
-        let mut left = capacity;
+        let mut used = 0.0;
         let mut threshold = ShedOrder::FIRST;
         for class in CallImportance::ALL.into_iter().rev() {
             let mut flows: Vec<&mut TeamFlow> = self
@@ -135,12 +139,13 @@
                 .map(|(_, flow)| flow)
                 .collect();
             let demand: f64 = flows.iter().map(|flow| flow.demand()).sum();
+            let left = (capacities[class as usize] - used).max(0.0);
             let fraction = if demand <= left * ROUNDING {
                 1.0
             } else {
                 left / demand
             };
-            left = (left - demand).max(0.0);
+            used += demand;
             for flow in &mut flows {
                 flow.fraction = fraction;
             }
--- a/crates/limit/src/wait_line.rs
+++ b/crates/limit/src/wait_line.rs
@@ -63,6 +63,17 @@
             .sum()
     }
 
+    /// Returns the work that waits in each class and those above it, the least important first.
+    pub(crate) fn class_work_ms(&self) -> [f64; 4] {
+        let mut work_ms = [0.0; 4];
+        for entry in &self.entries {
+            for sum in &mut work_ms[..=entry.ticket.order.importance() as usize] {
+                *sum += entry.ticket.work_ms();
+            }
+        }
+        work_ms
+    }
+
     /// Returns the work that would start before a new request, in milliseconds.
     pub(crate) fn work_before(&self, ticket: &QueueTicket, settings: &QueueSettings) -> f64 {
         if !settings.orders_by_class {
