--- a/crates/limit/src/admission_queue.rs
+++ b/crates/limit/src/admission_queue.rs
@@ -249,6 +249,8 @@
                 .class_work_ms()
                 .map(|work_ms| work_ms * 1_000.0 / capacity),
             capacity,
+            free_share: (1.0 - f64::from(self.in_flight()) / f64::from(self.limit.current()))
+                .max(0.0),
         }
     }
 
--- a/crates/limit/src/shed_control.rs
+++ b/crates/limit/src/shed_control.rs
@@ -36,6 +36,9 @@
 /// The smallest part of capacity that is let in.
 const MIN_CAPACITY_SHARE: f64 = 0.2;
 
+/// How much more is let in for each free part of the limit.
+const FREE_GAIN: f64 = 3.0;
+
 /// What the control is told about the queue.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct QueueState {
@@ -44,6 +47,8 @@
     pub waits_ms: [f64; 4],
     /// The work that the backend server can do, in milliseconds of expected run time a second.
     pub capacity: f64,
+    /// The part of the limit that is free.
+    pub free_share: f64,
 }
 
 /// Sets the thresholds below which new requests are refused, from measured demand and waits.
@@ -115,7 +120,7 @@
         self.overload = (self.demand.total() / state.capacity).max(1.0);
         let capacities = state
             .waits_ms
-            .map(|wait| state.capacity * self.capacity_share(wait));
+            .map(|wait| state.capacity * self.capacity_share(wait, state.free_share));
         self.cuts = if self.settings.shares_by_team {
             self.demand.divide_by_team(capacities)
         } else {
@@ -126,11 +131,12 @@
         }
     }
 
-    /// Returns the part of capacity to let in, so that a wait comes back to the target.
-    fn capacity_share(&self, wait_ms: f64) -> f64 {
+    /// Returns the part of capacity to let in, so that a wait comes back to the target and free
+    /// slots fill up.
+    fn capacity_share(&self, wait_ms: f64, free_share: f64) -> f64 {
         let target = to_float(self.settings.target_wait_ms);
         let correction = (target - wait_ms) / to_float(self.settings.horizon_ms);
-        (1.0 + correction).max(MIN_CAPACITY_SHARE)
+        (1.0 + correction + FREE_GAIN * free_share).max(MIN_CAPACITY_SHARE)
     }
 }
 
