--- a/crates/once/src/claim_book.rs
+++ b/crates/once/src/claim_book.rs
@@ -134,13 +134,21 @@
         true
     }
 
-    /// Notes that an attempt never runs: its caller left, or the queue refused it.
-    pub fn give_up(&mut self, now: ClockTime, attempt: AttemptId, actions: &mut Vec<ClaimAction>) {
-        let may_run = |state| matches!(state, LocalState::Running);
-        if self.local.get(attempt).is_some_and(|l| may_run(l.state)) {
-            return;
+    /// Gives an attempt up when its caller left or the queue refused it.
+    ///
+    /// Returns whether it is sure that the attempt never runs; `false` once it was started.
+    pub fn give_up(
+        &mut self,
+        now: ClockTime,
+        attempt: AttemptId,
+        actions: &mut Vec<ClaimAction>,
+    ) -> bool {
+        let state = self.local.get(attempt).map(|local| local.state);
+        if state == Some(LocalState::Running) {
+            return false;
         }
         self.end(now, attempt, EndState::NotRun, actions);
+        self.local.ended(attempt) == Some(EndState::NotRun)
     }
 
     /// Notes the outcome of a started attempt and answers its duplicates.
--- /dev/null
+++ b/crates/once/tests/schedule/mod.rs
@@ -0,0 +1,516 @@
+//! A seeded schedule in virtual time: nodes, one log, callers, and a backend server's record.
+
+pub mod decider;
+
+use std::collections::BTreeMap;
+
+use clock::ClockTime;
+use decider::{Actions, Decider};
+use lentilshift_once::{
+    CallFingerprint, ClaimAction, ClaimOutcome, ClaimRecord, HolderReply, KeyDigest, OnceRequest,
+    OnceSettings, StoredAnswer,
+};
+use model::{AttemptId, RecordId, RefusalReason, RunVerdict, VmName};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+/// What may go wrong, as chances in ten thousand of each event, and spans in milliseconds.
+#[derive(Clone, Copy, Debug)]
+pub struct Faults {
+    pub kill: u32,
+    pub pause: u32,
+    pub pause_ms: u64,
+    pub append_trouble: u32,
+    pub outage_ms: u64,
+    pub retention_ms: u64,
+    pub kill_at_event: Option<u64>,
+}
+
+impl Faults {
+    pub const NONE: Self = Self {
+        kill: 0,
+        pause: 0,
+        pause_ms: 0,
+        append_trouble: 0,
+        outage_ms: 0,
+        retention_ms: u64::MAX,
+        kill_at_event: None,
+    };
+
+    pub const ALL: Self = Self {
+        kill: 8,
+        pause: 4,
+        pause_ms: 40_000,
+        append_trouble: 2_000,
+        outage_ms: 4_000,
+        retention_ms: 8_000,
+        kill_at_event: None,
+    };
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Plan {
+    pub nodes: usize,
+    pub keys: u64,
+    pub copies: u64,
+    pub span_ms: u64,
+    pub settings: OnceSettings,
+    pub faults: Faults,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Findings {
+    pub calls: u64,
+    pub runs: u64,
+    pub doubles: u64,
+    pub false_not_run: u64,
+    pub false_ran: u64,
+    pub wrong_answers: u64,
+    pub answers: u64,
+    /// Calls refused though no attempt of their key ever ran.
+    pub needless: u64,
+    /// Those of them refused because the log couldn't be written.
+    pub needless_log: u64,
+}
+
+impl Findings {
+    pub fn faults(&self) -> u64 {
+        self.doubles + self.false_not_run + self.false_ran + self.wrong_answers
+    }
+
+    pub fn add(&mut self, other: &Self) {
+        self.calls += other.calls;
+        self.runs += other.runs;
+        self.doubles += other.doubles;
+        self.false_not_run += other.false_not_run;
+        self.false_ran += other.false_ran;
+        self.wrong_answers += other.wrong_answers;
+        self.answers += other.answers;
+        self.needless += other.needless;
+        self.needless_log += other.needless_log;
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    Arrive(usize, OnceRequest),
+    Wake(usize),
+    Append(usize, ClaimRecord),
+    Failed(usize, RecordId),
+    Turn(usize, AttemptId),
+    Finish(usize, AttemptId, ClaimOutcome),
+    Leave(usize, AttemptId),
+    Ask(usize, VmName, AttemptId, AttemptId),
+    Reply(usize, AttemptId, AttemptId, HolderReply),
+    Restart(usize),
+    Outage(bool),
+}
+
+struct Node<D> {
+    vm: VmName,
+    starts: u64,
+    book: Option<D>,
+    paused_until: u64,
+}
+
+/// What a caller was told.
+#[derive(Clone, Debug)]
+enum Told {
+    Refused(RunVerdict, RefusalReason),
+    Answered(StoredAnswer),
+}
+
+pub struct World<D> {
+    plan: Plan,
+    random: SmallRng,
+    now: u64,
+    next_event: u64,
+    events: BTreeMap<(u64, u64), (u64, Event)>,
+    nodes: Vec<Node<D>>,
+    log: Vec<(u64, ClaimRecord)>,
+    log_first: u64,
+    log_is_up: bool,
+    keys: BTreeMap<AttemptId, KeyDigest>,
+    told: BTreeMap<AttemptId, Told>,
+    /// The backend servers' own record of what ran, and when.
+    ran: Vec<(u64, KeyDigest, AttemptId)>,
+    at_node_0: u64,
+}
+
+impl<D: Decider> World<D> {
+    pub fn run(plan: Plan, seed: u64) -> Findings {
+        let mut world = Self {
+            plan,
+            random: SmallRng::seed_from_u64(seed),
+            now: 0,
+            next_event: 0,
+            events: BTreeMap::new(),
+            nodes: Vec::new(),
+            log: Vec::new(),
+            log_first: 0,
+            log_is_up: true,
+            keys: BTreeMap::new(),
+            told: BTreeMap::new(),
+            ran: Vec::new(),
+            at_node_0: 0,
+        };
+        world.set_up();
+        let end = plan.span_ms * 2;
+        while let Some(((time, _), (start, event))) = world.events.pop_first() {
+            if time > end {
+                break;
+            }
+            world.now = time;
+            world.step(start, event);
+        }
+        world.judge()
+    }
+
+    fn set_up(&mut self) {
+        for index in 0..self.plan.nodes {
+            self.nodes.push(Node {
+                vm: VmName::new(""),
+                starts: 0,
+                book: None,
+                paused_until: 0,
+            });
+            self.restart(index);
+        }
+        for key in 0..self.plan.keys {
+            self.set_up_key(key);
+        }
+        if self.plan.faults.outage_ms > 0 {
+            let from = self.random.random_range(0..self.plan.span_ms);
+            let span = self.random.random_range(0..self.plan.faults.outage_ms);
+            self.at_global(from, Event::Outage(true));
+            self.at_global(from + span, Event::Outage(false));
+        }
+    }
+
+    fn set_up_key(&mut self, key: u64) {
+        let digest = KeyDigest::new(&"team".into(), &key.to_be_bytes());
+        let first = self.random.random_range(0..self.plan.span_ms);
+        let mut time = first;
+        for _ in 0..self.plan.copies {
+            let attempt = AttemptId::from_random(self.random.random());
+            let node = self.random.random_range(0..self.plan.nodes);
+            let wait_ms = self.random.random_range(200..4_000);
+            let request = OnceRequest {
+                attempt,
+                key: digest,
+                fingerprint: CallFingerprint::new(&"file".into(), &key.to_be_bytes()),
+                deadline: ClockTime::from_ms(time + wait_ms),
+                key_age_ms: None,
+            };
+            self.keys.insert(attempt, digest);
+            self.at_global(time, Event::Arrive(node, request));
+            time += match self.random.random_range(0..3) {
+                0 => self.random.random_range(0..5),
+                1 => self.random.random_range(0..500),
+                _ => self.random.random_range(0..self.plan.span_ms / 2),
+            };
+        }
+    }
+
+    fn at_global(&mut self, time: u64, event: Event) {
+        self.events.insert((time, self.next_event), (0, event));
+        self.next_event += 1;
+    }
+
+    /// Schedules an event of a node, which is lost when the node is killed before.
+    fn at(&mut self, delay_ms: u64, index: usize, event: Event) {
+        let start = self.nodes[index].starts;
+        let time = self.now + delay_ms;
+        self.events.insert((time, self.next_event), (start, event));
+        self.next_event += 1;
+    }
+
+    fn step(&mut self, start: u64, event: Event) {
+        let index = match &event {
+            Event::Outage(is_out) => return self.log_is_up = !is_out,
+            Event::Append(index, record) => {
+                let (index, record) = (*index, record.clone());
+                return self.append(index, start, record);
+            }
+            Event::Restart(index) => return self.restart(*index),
+            Event::Ask(from, vm, attempt, owner) => {
+                return self.ask(*from, &vm.clone(), *attempt, *owner);
+            }
+            Event::Arrive(index, _)
+            | Event::Wake(index)
+            | Event::Failed(index, _)
+            | Event::Turn(index, _)
+            | Event::Finish(index, ..)
+            | Event::Leave(index, _)
+            | Event::Reply(index, ..) => *index,
+        };
+        if start != 0 && start != self.nodes[index].starts {
+            return;
+        }
+        if self.is_hit(index) {
+            return;
+        }
+        let paused_until = self.nodes[index].paused_until;
+        if paused_until > self.now {
+            let time = paused_until + self.random.random_range(0..3);
+            self.events.insert((time, self.next_event), (start, event));
+            self.next_event += 1;
+            return;
+        }
+        if let Some(mut book) = self.nodes[index].book.take() {
+            let mut actions = Vec::new();
+            self.act(index, &mut book, event, &mut actions);
+            self.nodes[index].book = Some(book);
+            for action in actions {
+                self.carry_out(index, action);
+            }
+        }
+    }
+
+    /// Kills or pauses a node by chance; returns whether it was killed.
+    fn is_hit(&mut self, index: usize) -> bool {
+        let faults = self.plan.faults;
+        self.at_node_0 += u64::from(index == 0);
+        let is_marked = index == 0 && faults.kill_at_event == Some(self.at_node_0);
+        if is_marked || self.random.random_ratio(faults.kill, 10_000) {
+            self.nodes[index].book = None;
+            self.nodes[index].starts += 1;
+            let delay = self.random.random_range(1..2_000);
+            self.at(delay, index, Event::Restart(index));
+            return true;
+        }
+        if self.random.random_ratio(faults.pause, 10_000) {
+            let span = self.random.random_range(1..=faults.pause_ms);
+            self.nodes[index].paused_until = self.now + span;
+        }
+        false
+    }
+
+    fn restart(&mut self, index: usize) {
+        let seed = self.random.random();
+        let now = ClockTime::from_ms(self.now);
+        let node = &mut self.nodes[index];
+        node.starts += 1;
+        node.vm = VmName::new(format!("vm-{index}-{}", node.starts));
+        node.paused_until = 0;
+        let vm = node.vm.clone();
+        let book = D::create(self.plan.settings, vm, now, self.log_first, seed);
+        node.book = Some(book);
+        self.at(0, index, Event::Wake(index));
+    }
+
+    fn act(&mut self, index: usize, book: &mut D, event: Event, actions: &mut Actions) {
+        let now = ClockTime::from_ms(self.now);
+        match event {
+            Event::Arrive(_, request) => {
+                book.begin(now, request, actions);
+                if self.random.random_ratio(30, 1_000) {
+                    let delay = self.random.random_range(0..300);
+                    self.at(delay, index, Event::Leave(index, request.attempt));
+                }
+            }
+            Event::Wake(_) => self.wake(index, book, actions),
+            Event::Failed(_, id) => book.failed(now, id, actions),
+            Event::Turn(_, attempt) => self.turn(index, book, attempt, actions),
+            Event::Finish(_, attempt, outcome) => {
+                self.tell_outcome(attempt, &outcome);
+                book.finish(now, attempt, outcome, actions);
+            }
+            Event::Leave(_, attempt) => {
+                if book.give_up(now, attempt, actions) {
+                    self.tell(attempt, Told::Refused(RunVerdict::NotRun, GIVEN_UP));
+                }
+            }
+            Event::Reply(_, attempt, owner, reply) => {
+                book.reply(now, attempt, owner, reply, actions);
+            }
+            _ => {}
+        }
+    }
+
+    fn wake(&mut self, index: usize, book: &mut D, actions: &mut Actions) {
+        let now = ClockTime::from_ms(self.now);
+        book.poll(now, actions);
+        if self.log_is_up {
+            self.drop_old();
+            book.gap(now, self.log_first, actions);
+            let count = self.random.random_range(1..40);
+            let next = usize::try_from(book.next_offset()).unwrap_or(usize::MAX);
+            for (offset, (_, record)) in self.log.iter().enumerate().skip(next).take(count) {
+                book.read(now, offset as u64, record, actions);
+            }
+        }
+        let delay = self.random.random_range(1..30);
+        self.at(delay, index, Event::Wake(index));
+    }
+
+    /// Starts an attempt that has won, or lets the queue refuse it.
+    fn turn(&mut self, index: usize, book: &mut D, attempt: AttemptId, actions: &mut Actions) {
+        let now = ClockTime::from_ms(self.now);
+        if self.random.random_ratio(80, 1_000) {
+            if book.give_up(now, attempt, actions) {
+                self.tell(attempt, Told::Refused(RunVerdict::NotRun, GIVEN_UP));
+            }
+            return;
+        }
+        if !book.start(now, attempt, actions) {
+            return;
+        }
+        let delay = self.random.random_range(1..400);
+        if self.random.random_ratio(30, 1_000) {
+            self.at(
+                delay,
+                index,
+                Event::Finish(index, attempt, ClaimOutcome::NotRun),
+            );
+            return;
+        }
+        self.ran.push((self.now, self.keys[&attempt], attempt));
+        let outcome = if self.random.random_ratio(50, 1_000) {
+            ClaimOutcome::MayHaveRun
+        } else {
+            let body = attempt.as_u128().to_be_bytes();
+            ClaimOutcome::Answered(StoredAnswer::new(&b"200"[..], &body[..]))
+        };
+        self.at(delay, index, Event::Finish(index, attempt, outcome));
+    }
+
+    fn tell_outcome(&mut self, attempt: AttemptId, outcome: &ClaimOutcome) {
+        let told = match outcome {
+            ClaimOutcome::Answered(answer) => Told::Answered(answer.clone()),
+            ClaimOutcome::MayHaveRun => Told::Refused(RunVerdict::MayHaveRun, GIVEN_UP),
+            ClaimOutcome::NotRun => Told::Refused(RunVerdict::NotRun, GIVEN_UP),
+        };
+        self.tell(attempt, told);
+    }
+
+    fn tell(&mut self, attempt: AttemptId, told: Told) {
+        self.told.entry(attempt).or_insert(told);
+    }
+
+    fn carry_out(&mut self, index: usize, action: ClaimAction) {
+        match action {
+            ClaimAction::Append(record) => self.send_append(index, record),
+            ClaimAction::Run(attempt) => {
+                let delay = self.random.random_range(0..60);
+                self.at(delay, index, Event::Turn(index, attempt));
+            }
+            ClaimAction::Answer(attempt, answer) => self.tell(attempt, Told::Answered(answer)),
+            ClaimAction::Refuse(attempt, refusal) => {
+                self.tell(attempt, Told::Refused(refusal.verdict, refusal.reason));
+            }
+            ClaimAction::AskHolder {
+                attempt, vm, owner, ..
+            } => {
+                let delay = self.random.random_range(0..10);
+                self.at(delay, index, Event::Ask(index, vm, attempt, owner));
+            }
+        }
+    }
+
+    /// Sends an append: it may be lost, fail, or take effect late and even twice.
+    fn send_append(&mut self, index: usize, record: ClaimRecord) {
+        let delay = self.random.random_range(1..20);
+        if !self
+            .random
+            .random_ratio(self.plan.faults.append_trouble, 10_000)
+        {
+            self.at(delay, index, Event::Append(index, record));
+            return;
+        }
+        match self.random.random_range(0..4) {
+            0 => {}
+            1 => self.at(delay, index, Event::Failed(index, record.id)),
+            2 => {
+                let late = self.random.random_range(0..6_000);
+                self.at(late, index, Event::Append(index, record));
+            }
+            _ => {
+                let late = self.random.random_range(0..6_000);
+                self.at(delay, index, Event::Append(index, record.clone()));
+                self.at(late, index, Event::Append(index, record));
+            }
+        }
+    }
+
+    fn append(&mut self, index: usize, start: u64, record: ClaimRecord) {
+        if self.log_is_up {
+            self.log.push((self.now, record));
+        } else if start == self.nodes[index].starts && self.random.random_bool(0.5) {
+            self.at(1, index, Event::Failed(index, record.id));
+        }
+    }
+
+    fn drop_old(&mut self) {
+        let kept_from = self.now.saturating_sub(self.plan.faults.retention_ms);
+        let is_old = |(time, _): &&(u64, ClaimRecord)| *time < kept_from;
+        self.log_first = self.log.iter().take_while(is_old).count() as u64;
+    }
+
+    fn ask(&mut self, from: usize, vm: &VmName, attempt: AttemptId, owner: AttemptId) {
+        let is_there = |node: &&Node<D>| node.vm == *vm && node.paused_until <= self.now;
+        let Some(node) = self.nodes.iter().find(is_there) else {
+            return;
+        };
+        let Some(reply) = node.book.as_ref().map(|book| book.reply_for(owner)) else {
+            return;
+        };
+        let delay = self.random.random_range(0..10);
+        self.at(delay, from, Event::Reply(from, attempt, owner, reply));
+    }
+
+    fn judge(&self) -> Findings {
+        let mut findings = Findings {
+            calls: self.keys.len() as u64,
+            runs: self.ran.len() as u64,
+            ..Findings::default()
+        };
+        let settings = self.plan.settings;
+        let promised_ms = settings.horizon_ms.saturating_sub(settings.start_within_ms);
+        for (index, (time, key, _)) in self.ran.iter().enumerate() {
+            let is_double = |(earlier, other, _): &&(u64, KeyDigest, AttemptId)| {
+                other == key && time - earlier < promised_ms
+            };
+            findings.doubles += u64::from(self.ran[..index].iter().any(|run| is_double(&run)));
+        }
+        for (attempt, told) in &self.told {
+            self.judge_told(*attempt, told, &mut findings);
+        }
+        findings
+    }
+
+    fn judge_told(&self, attempt: AttemptId, told: &Told, findings: &mut Findings) {
+        let key = self.keys[&attempt];
+        let has_run = self.ran.iter().any(|(.., other)| *other == attempt);
+        let runs: Vec<_> = self.ran.iter().filter(|(_, k, _)| *k == key).collect();
+        match told {
+            Told::Refused(verdict, reason) => {
+                let is_false = *verdict == RunVerdict::NotRun && has_run;
+                findings.false_not_run += u64::from(is_false);
+                let is_false = *verdict == RunVerdict::Ran && runs.is_empty();
+                findings.false_ran += u64::from(is_false);
+                let is_needless = runs.is_empty() && *reason != GIVEN_UP;
+                findings.needless += u64::from(is_needless);
+                let by_log = is_needless && *reason == RefusalReason::ClaimUnavailable;
+                findings.needless_log += u64::from(by_log);
+            }
+            Told::Answered(answer) => {
+                findings.answers += 1;
+                let is_answer_of = |(.., ran): &&&(u64, KeyDigest, AttemptId)| {
+                    ran.as_u128().to_be_bytes()[..] == answer.body[..]
+                };
+                let is_right = runs.iter().any(|run| is_answer_of(&run));
+                findings.wrong_answers += u64::from(!is_right);
+            }
+        }
+    }
+}
+
+/// The reason noted when the queue refused an attempt or its caller left.
+const GIVEN_UP: RefusalReason = RefusalReason::Overloaded;
+
+/// Returns how many seeds to run: `LENTILSHIFT_SEEDS`, or else `fewest`.
+pub fn seed_count(fewest: u64) -> u64 {
+    let count = std::env::var("LENTILSHIFT_SEEDS").ok();
+    count.and_then(|count| count.parse().ok()).unwrap_or(fewest)
+}
