test(retry,once,quarantine): call trees, senders in doubt and poisonous requests

Two copies sent at once still take three backend servers down: the suspect run starts before the news of the second crash.

--- /dev/null
+++ b/crates/quarantine/tests/poisonous_request.rs
@@ -0,0 +1,340 @@
+//! Sends a request that crashes every backend server, again and again, among innocent ones.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use clock::ClockTime;
+use lentilshift_quarantine::{
+    RequestFingerprint, SuspectAction, SuspectBook, SuspectDecision, SuspectNews, SuspectSettings,
+    home_vm,
+};
+use model::{AttemptId, VmName};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use rstest::rstest;
+
+const VMS: usize = 6;
+const INNOCENTS: u64 = 300;
+const SPAN_MS: u64 = 2_000;
+const RESENDS: u32 = 12;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Routing {
+    Random,
+    Home,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Call {
+    fingerprint: RequestFingerprint,
+    is_poison: bool,
+    is_idempotent: bool,
+    resends: u32,
+    number: u64,
+}
+
+#[derive(Debug)]
+enum Event {
+    Enter(Call),
+    Arrive(usize, AttemptId, Call),
+    End(usize, u64, AttemptId),
+    Crash(usize, u64),
+    News(usize, usize, Vec<SuspectNews>, u64),
+    Taken(usize, u64),
+    Poll(usize),
+}
+
+#[derive(Debug, Default)]
+struct Outcome {
+    crashes: u64,
+    answered: BTreeSet<u64>,
+    failed_idempotent: u64,
+    failed_others: u64,
+    quarantined_innocents: u64,
+}
+
+struct World {
+    random: SmallRng,
+    is_naive: bool,
+    routing: Routing,
+    now: u64,
+    order: u64,
+    events: BTreeMap<(u64, u64), Event>,
+    vms: Vec<VmName>,
+    books: Vec<SuspectBook>,
+    /// Counts the crashes of each backend server.
+    lives: Vec<u64>,
+    up_at: Vec<u64>,
+    running: Vec<BTreeSet<AttemptId>>,
+    calls: BTreeMap<AttemptId, Call>,
+    unread: BTreeMap<(usize, u64), usize>,
+    outcome: Outcome,
+}
+
+impl World {
+    fn run(seed: u64, copies: u32, routing: Routing, is_naive: bool) -> Outcome {
+        let vms: Vec<VmName> = (0..VMS).map(|i| VmName::new(format!("vm-{i}"))).collect();
+        let book = |vm: &VmName| {
+            let mut book = SuspectBook::new(SuspectSettings::default(), vm.clone());
+            let is_peer = |other: &&VmName| *other != vm;
+            book.set_peers(vms.iter().filter(is_peer).cloned().collect::<Vec<_>>());
+            book
+        };
+        let mut world = Self {
+            random: SmallRng::seed_from_u64(seed),
+            is_naive,
+            routing,
+            now: 0,
+            order: 0,
+            events: BTreeMap::new(),
+            books: vms.iter().map(book).collect(),
+            vms,
+            lives: vec![0; VMS],
+            up_at: vec![0; VMS],
+            running: vec![BTreeSet::new(); VMS],
+            calls: BTreeMap::new(),
+            unread: BTreeMap::new(),
+            outcome: Outcome::default(),
+        };
+        world.set_up(copies);
+        while let Some(((time, _), event)) = world.events.pop_first() {
+            if time > SPAN_MS * 10 {
+                break;
+            }
+            world.now = time;
+            world.step(event);
+        }
+        world.outcome
+    }
+
+    fn set_up(&mut self, copies: u32) {
+        for number in 0..INNOCENTS {
+            let at = self.random.random_range(0..SPAN_MS);
+            let call = Call {
+                fingerprint: fingerprint(number),
+                is_poison: false,
+                is_idempotent: self.random.random_bool(0.7),
+                resends: 0,
+                number,
+            };
+            self.at(at, Event::Enter(call));
+        }
+        let at = self.random.random_range(0..SPAN_MS);
+        for _ in 0..copies {
+            let call = Call {
+                fingerprint: fingerprint(u64::MAX),
+                is_poison: true,
+                is_idempotent: false,
+                resends: 0,
+                number: u64::MAX,
+            };
+            self.at(at, Event::Enter(call));
+        }
+    }
+
+    fn at(&mut self, delay_ms: u64, event: Event) {
+        self.order += 1;
+        self.events.insert((self.now + delay_ms, self.order), event);
+    }
+
+    fn step(&mut self, event: Event) {
+        let now = ClockTime::from_ms(self.now);
+        let mut actions = Vec::new();
+        let index = match event {
+            Event::Enter(call) => return self.enter(call),
+            Event::Arrive(vm, attempt, call) => return self.arrive(vm, attempt, call),
+            Event::End(vm, life, attempt) => {
+                if self.lives[vm] != life {
+                    return;
+                }
+                self.running[vm].remove(&attempt);
+                self.outcome.answered.insert(self.calls[&attempt].number);
+                self.books[vm].finish(now, attempt, &mut actions);
+                vm
+            }
+            Event::Crash(vm, life) => {
+                if self.lives[vm] != life {
+                    return;
+                }
+                self.crash(vm, &mut actions);
+                vm
+            }
+            Event::News(from, to, news, id) => {
+                self.books[to].receive(now, &news, &mut actions);
+                let delay = self.random.random_range(1..4);
+                self.at(delay, Event::Taken(from, id));
+                to
+            }
+            Event::Taken(vm, id) => {
+                let left = self.unread.entry((vm, id)).or_default();
+                *left -= 1;
+                if *left > 0 {
+                    return;
+                }
+                let id = lentilshift_quarantine::NewsId(id);
+                self.books[vm].told(id, &mut actions);
+                vm
+            }
+            Event::Poll(vm) => {
+                self.books[vm].poll(now, &mut actions);
+                vm
+            }
+        };
+        self.carry_out(index, actions);
+    }
+
+    fn enter(&mut self, call: Call) {
+        let attempt = AttemptId::from_random(self.random.random());
+        let vm = match self.routing {
+            Routing::Random => self.random.random_range(0..VMS),
+            Routing::Home => {
+                let home = home_vm(call.fingerprint, &self.vms).expect("there are VMs");
+                self.index(home)
+            }
+        };
+        let delay = self.random.random_range(1..3);
+        self.at(delay, Event::Arrive(vm, attempt, call));
+    }
+
+    fn index(&self, vm: &VmName) -> usize {
+        let found = self.vms.iter().position(|other| other == vm);
+        found.expect("the VM exists")
+    }
+
+    fn arrive(&mut self, vm: usize, attempt: AttemptId, call: Call) {
+        if self.up_at[vm] > self.now {
+            let wait = self.up_at[vm] - self.now;
+            return self.at(wait, Event::Arrive(vm, attempt, call));
+        }
+        self.calls.insert(attempt, call);
+        if self.is_naive {
+            return self.start(vm, attempt);
+        }
+        let now = ClockTime::from_ms(self.now);
+        let is_single = !call.is_idempotent;
+        match self.books[vm].begin(now, call.fingerprint, attempt, is_single) {
+            SuspectDecision::Run => self.start(vm, attempt),
+            SuspectDecision::RunAlone => {
+                assert!(self.running[vm].is_empty(), "a suspect must run alone");
+                self.start(vm, attempt);
+            }
+            SuspectDecision::Wait => {}
+            SuspectDecision::SendTo(other) => {
+                let other = self.index(&other);
+                self.at(1, Event::Arrive(other, attempt, call));
+            }
+            SuspectDecision::Refuse => {
+                self.outcome.quarantined_innocents += u64::from(!call.is_poison);
+                self.resend(call);
+            }
+        }
+    }
+
+    fn start(&mut self, vm: usize, attempt: AttemptId) {
+        self.running[vm].insert(attempt);
+        let life = self.lives[vm];
+        if self.calls[&attempt].is_poison {
+            let delay = self.random.random_range(1..10);
+            return self.at(delay, Event::Crash(vm, life));
+        }
+        let delay = self.random.random_range(5..60);
+        self.at(delay, Event::End(vm, life, attempt));
+    }
+
+    fn crash(&mut self, vm: usize, actions: &mut Vec<SuspectAction>) {
+        self.outcome.crashes += 1;
+        self.lives[vm] += 1;
+        self.up_at[vm] = self.now + 200;
+        let lost = std::mem::take(&mut self.running[vm]);
+        if self.is_naive {
+            for attempt in lost {
+                self.fail(attempt, true);
+            }
+            return;
+        }
+        self.books[vm].crash(ClockTime::from_ms(self.now), actions);
+    }
+
+    fn carry_out(&mut self, vm: usize, actions: Vec<SuspectAction>) {
+        for action in actions {
+            match action {
+                SuspectAction::Tell(id, news) => {
+                    self.unread.insert((vm, id.0), VMS - 1);
+                    for peer in (0..VMS).filter(|peer| *peer != vm) {
+                        let delay = self.random.random_range(1..40);
+                        self.at(delay, Event::News(vm, peer, news.clone(), id.0));
+                    }
+                    self.at(500, Event::Poll(vm));
+                }
+                SuspectAction::Fail { attempt, may_retry } => self.fail(attempt, may_retry),
+                SuspectAction::Start(attempt) => self.start(vm, attempt),
+                SuspectAction::Reconsider(attempt) => {
+                    let call = self.calls[&attempt];
+                    self.at(0, Event::Arrive(vm, attempt, call));
+                }
+            }
+        }
+    }
+
+    fn fail(&mut self, attempt: AttemptId, may_retry: bool) {
+        let call = self.calls[&attempt];
+        if call.is_poison {
+            self.resend(call);
+        } else if call.is_idempotent && may_retry {
+            self.at(0, Event::Enter(call));
+        } else if call.is_idempotent {
+            self.outcome.failed_idempotent += 1;
+        } else {
+            self.outcome.failed_others += 1;
+        }
+    }
+
+    fn resend(&mut self, call: Call) {
+        let resends = call.resends + 1;
+        if call.is_poison && resends < RESENDS {
+            self.at(0, Event::Enter(Call { resends, ..call }));
+        }
+    }
+}
+
+fn fingerprint(number: u64) -> RequestFingerprint {
+    RequestFingerprint::new(&"team".into(), &"file".into(), &number.to_be_bytes())
+}
+
+fn seed_count() -> u64 {
+    let count = std::env::var("LENTILSHIFT_SEEDS").ok();
+    count.and_then(|count| count.parse().ok()).unwrap_or(200)
+}
+
+#[rstest]
+#[case::one_caller(1, Routing::Random, 2)]
+#[case::two_copies_at_once(2, Routing::Random, 2)]
+#[case::copies_at_once_meet_at_home(4, Routing::Home, 2)]
+#[case::four_copies_at_once(4, Routing::Random, 4)]
+fn poisonous_request_takes_few_backend_servers_down(
+    #[case] copies: u32,
+    #[case] routing: Routing,
+    #[case] most: u64,
+) {
+    let (mut worst, mut naive_worst, mut lost, mut naive_lost) = (0, 0, 0, 0);
+    let mut unanswered = 0;
+    for seed in 0..seed_count() {
+        let ours = World::run(seed, copies, routing, false);
+        let seen = format!("seed {seed}: {ours:?}");
+        assert!(ours.crashes <= most, "{seen}");
+        assert_eq!(ours.failed_idempotent, 0, "{seen}");
+        assert_eq!(ours.quarantined_innocents, 0, "{seen}");
+        let answered = ours.answered.len() as u64 + ours.failed_others;
+        unanswered += INNOCENTS - answered;
+        worst = worst.max(ours.crashes);
+        lost += ours.failed_others;
+        let naive = World::run(seed, copies, routing, true);
+        naive_worst = naive_worst.max(naive.crashes);
+        naive_lost += naive.failed_others;
+    }
+    println!(
+        "copies={copies} routing={routing:?} worst={worst} lost_not_idempotent={lost} \
+         naive_worst={naive_worst} naive_lost_not_idempotent={naive_lost}"
+    );
+    assert_eq!(unanswered, 0);
+    assert!(naive_worst > most, "the naive node must fail");
+}
--- /dev/null
+++ b/crates/retry/tests/retry_policy.rs
@@ -0,0 +1,102 @@
+//! Checks single decisions.
+
+use clock::ClockTime;
+use lentilshift_retry::{
+    AllowanceShare, RatioSettings, ResendDecision, ResendSettings, ResendTable, RetryAllowance,
+    RetryDecision, RetryPolicy, RetryQuestion, RetryRatio, RetryStop,
+};
+use model::{AttemptId, RunVerdict};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use rstest::rstest;
+
+const QUESTION: RetryQuestion = RetryQuestion {
+    verdict: RunVerdict::NotRun,
+    is_idempotent: false,
+    is_service_shedding: false,
+    is_suspect: false,
+    retries: 0,
+    retry_after_ms: None,
+    left_ms: 1_000,
+    expected_ms: 10,
+};
+
+fn decide(question: RetryQuestion, retries: u32, ratio: &mut RetryRatio) -> RetryDecision {
+    let mut allowance = RetryAllowance::new(AllowanceShare::new(retries));
+    let mut random = SmallRng::seed_from_u64(1);
+    RetryPolicy::default().may_retry(&question, &mut allowance, ratio, &mut random)
+}
+
+#[rstest]
+#[case(RetryQuestion { verdict: RunVerdict::Ran, is_idempotent: true, ..QUESTION }, RetryStop::Ran)]
+#[case(RetryQuestion { verdict: RunVerdict::MayHaveRun, ..QUESTION }, RetryStop::MayHaveRun)]
+#[case(RetryQuestion { is_service_shedding: true, ..QUESTION }, RetryStop::ServiceShedding)]
+#[case(RetryQuestion { is_suspect: true, ..QUESTION }, RetryStop::Suspect)]
+#[case(RetryQuestion { left_ms: 10, ..QUESTION }, RetryStop::NoTime)]
+#[case(RetryQuestion { retry_after_ms: Some(2_000), ..QUESTION }, RetryStop::NoTime)]
+fn stops(#[case] question: RetryQuestion, #[case] stop: RetryStop) {
+    let mut ratio = RetryRatio::new(RatioSettings::default());
+    assert_eq!(decide(question, 3, &mut ratio), RetryDecision::Stop(stop));
+}
+
+#[rstest]
+#[case(QUESTION)]
+#[case(RetryQuestion { verdict: RunVerdict::MayHaveRun, is_idempotent: true, ..QUESTION })]
+fn retries(#[case] question: RetryQuestion) {
+    let mut ratio = RetryRatio::new(RatioSettings::default());
+    let decision = decide(question, 3, &mut ratio);
+    assert!(
+        matches!(decision, RetryDecision::Retry { .. }),
+        "{decision:?}"
+    );
+    let spent = RetryDecision::Stop(RetryStop::AllowanceSpent);
+    assert_eq!(decide(question, 0, &mut ratio), spent);
+}
+
+#[test]
+fn ratio_allows_one_retry_for_ten_successes() {
+    let settings = RatioSettings {
+        max_saved: 2,
+        ..RatioSettings::default()
+    };
+    let mut ratio = RetryRatio::new(settings);
+    assert!(ratio.spend() && ratio.spend() && !ratio.spend());
+    for _ in 0..9 {
+        ratio.succeed();
+        assert!(!ratio.has_retry());
+    }
+    ratio.succeed();
+    assert!(ratio.spend() && !ratio.spend());
+}
+
+#[test]
+fn late_second_answer_gives_nothing_back() {
+    let mut allowance = RetryAllowance::new(AllowanceShare::new(4));
+    let attempt = AttemptId::from_random(1);
+    let share = allowance.hand_down(attempt, 1);
+    allowance.take_back(attempt, AllowanceShare::new(share.retries() + 7));
+    allowance.take_back(attempt, share);
+    assert_eq!(allowance.left(), 4);
+}
+
+#[test]
+fn resends_are_charged_to_the_first_request() {
+    let mut table = ResendTable::new(ResendSettings {
+        retries: 3,
+        max_keys: 2,
+        ..ResendSettings::default()
+    });
+    let now = ClockTime::from_ms(1);
+    let first = table.open(now, 7);
+    assert_eq!(first, ResendDecision::First(AllowanceShare::new(2)));
+    let resend = table.open(now, 7);
+    assert_eq!(resend, ResendDecision::Resend(AllowanceShare::new(0)));
+    assert_eq!(table.open(now, 7), ResendDecision::Exhausted);
+    table.close(7, AllowanceShare::new(2));
+    let resend = table.open(now, 7);
+    assert_eq!(resend, ResendDecision::Resend(AllowanceShare::new(1)));
+    for key in 10..20 {
+        let _ = table.open(now, key);
+    }
+    assert_eq!(table.len(), 2);
+}
