--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -7,6 +7,7 @@
 //!
 //! [`SuspectBook`] decides for the node beside one backend server.
 
+mod held_failures;
 mod request_fingerprint;
 mod run_gate;
 mod suspect_action;
--- a/crates/quarantine/src/run_gate.rs
+++ b/crates/quarantine/src/run_gate.rs
@@ -1,4 +1,4 @@
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use model::AttemptId;
 
@@ -74,6 +74,12 @@
         out.into_iter().map(|waiter| waiter.attempt).collect()
     }
 
+    /// Returns whether one of the requests runs here.
+    pub(crate) fn runs_any(&self, fingerprints: &BTreeSet<RequestFingerprint>) -> bool {
+        let is_one = |run: &GateRun| fingerprints.contains(&run.fingerprint);
+        self.running.values().any(is_one)
+    }
+
     fn has_room(&self, run: GateRun) -> bool {
         if run.is_alone {
             return self.running.is_empty();
--- a/crates/quarantine/src/suspect_action.rs
+++ b/crates/quarantine/src/suspect_action.rs
@@ -20,9 +20,17 @@
 /// What a node has to do for its [`SuspectBook`](crate::SuspectBook).
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum SuspectAction {
-    /// Send the news to every peer of the service; report with
-    /// [`told`](crate::SuspectBook::told) when all reachable ones have taken it.
+    /// Send the news to every peer of the service.
     Tell(NewsId, Vec<SuspectNews>),
+    /// Tell a peer that its news was taken, with what is known here of the same requests.
+    Ack {
+        /// The peer.
+        to: VmName,
+        /// Its news.
+        id: NewsId,
+        /// What is known here.
+        news: Vec<SuspectNews>,
+    },
     /// Answer that the attempt failed; peers know of it.
     Fail {
         /// The attempt.
--- a/crates/quarantine/src/suspect_book.rs
+++ b/crates/quarantine/src/suspect_book.rs
@@ -1,20 +1,21 @@
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use clock::ClockTime;
 use model::{AttemptId, VmName};
 
+use crate::held_failures::{HeldFailure, HeldFailures, HeldNews};
 use crate::run_gate::{GateRun, RunGate};
 use crate::{
     NewsId, RequestFingerprint, SuspectAction, SuspectDecision, SuspectEntry, SuspectList,
     SuspectNews, SuspectSettings, home_vm,
 };
 
-/// The failures that wait until peers have taken the news.
+/// News of a peer that is acknowledged once its requests no longer run here.
 #[derive(Clone, Debug)]
-struct HeldFailures {
-    /// The attempts, and whether each may be retried.
-    attempts: Vec<(AttemptId, bool)>,
-    answer_by: ClockTime,
+struct OwedAck {
+    to: VmName,
+    id: NewsId,
+    fingerprints: BTreeSet<RequestFingerprint>,
 }
 
 /// Decides which requests may run beside one backend server, and which of them alone.
@@ -22,8 +23,8 @@
 /// The node calls [`begin`](Self::begin) before a request goes to its backend server,
 /// [`finish`](Self::finish) when it is answered and [`crash`](Self::crash) when the backend
 /// server dies. Suspects of one crash are assigned to the VMs of the service in turn, each to
-/// one VM, so a request that crashes them runs at two at most when no two copies of it ran at
-/// different VMs before the first crash.
+/// one VM, so a request that crashes them runs at two at most. When copies of it ran at more
+/// VMs than that before the news of the first crash came, it runs at no other.
 #[derive(Clone, Debug)]
 pub struct SuspectBook {
     settings: SuspectSettings,
@@ -33,8 +34,8 @@
     gate: RunGate,
     abandoned: VecDeque<(ClockTime, AttemptId, GateRun)>,
     clean: BTreeMap<RequestFingerprint, ClockTime>,
-    held: BTreeMap<NewsId, HeldFailures>,
-    next_news: u64,
+    held: HeldFailures,
+    owed: Vec<OwedAck>,
 }
 
 impl SuspectBook {
@@ -49,14 +50,17 @@
             gate: RunGate::default(),
             abandoned: VecDeque::new(),
             clean: BTreeMap::new(),
-            held: BTreeMap::new(),
-            next_news: 0,
+            held: HeldFailures::default(),
+            owed: Vec::new(),
         }
     }
 
     /// Sets the other VMs of the service whose nodes are reachable.
+    ///
+    /// News doesn't wait for a VM that isn't among them any more.
     pub fn set_peers(&mut self, peers: impl Into<Vec<VmName>>) {
         self.peers = peers.into();
+        self.held.keep_peers(&self.peers);
     }
 
     /// Returns the requests known as suspect or in quarantine.
@@ -105,6 +109,7 @@
             self.note_clean(now, run, actions);
         }
         self.admit(actions);
+        self.pay_acks(now, actions);
     }
 
     /// Notes that a run ended without proof that the backend server survives it: its caller
@@ -120,6 +125,7 @@
         }
         self.forget_abandoned(now);
         self.admit(actions);
+        self.pay_acks(now, actions);
     }
 
     /// Notes that the backend server died with all that ran on it.
@@ -141,33 +147,62 @@
                 continue;
             }
             news.push(self.crash_news(attempt, run, news.len()));
-            suspects.push((attempt, !run.is_alone));
+            let may_retry = !run.is_alone;
+            suspects.push(HeldFailure { attempt, may_retry });
         }
         for item in &news {
             self.list.take(now, &self.settings, item);
         }
-        self.hold(now, suspects, news, actions);
+        if !news.is_empty() {
+            let fingerprints = news.iter().map(SuspectNews::fingerprint).collect();
+            self.tell(
+                now.plus_ms(self.settings.tell_ms),
+                suspects,
+                fingerprints,
+                news,
+                actions,
+            );
+        }
         self.reconsider(actions);
         self.admit(actions);
+        self.pay_acks(now, actions);
+        self.poll(now, actions);
     }
 
-    /// Notes that all reachable peers have taken the news.
-    pub fn told(&mut self, id: NewsId, actions: &mut Vec<SuspectAction>) {
-        let Some(held) = self.held.remove(&id) else {
-            return;
-        };
-        for (attempt, may_retry) in held.attempts {
-            actions.push(SuspectAction::Fail { attempt, may_retry });
-        }
+    /// Notes that a peer has taken news, and what it knows of the same requests.
+    pub fn receive_ack(
+        &mut self,
+        now: ClockTime,
+        from: &VmName,
+        id: NewsId,
+        news: &[SuspectNews],
+        actions: &mut Vec<SuspectAction>,
+    ) {
+        self.take(now, news, actions);
+        self.held.note_ack(id, from);
+        self.poll(now, actions);
     }
 
-    /// Takes news of a peer.
+    /// Takes news of a peer; it is acknowledged once its requests no longer run here.
     pub fn receive(
         &mut self,
         now: ClockTime,
+        from: VmName,
+        id: NewsId,
         news: &[SuspectNews],
         actions: &mut Vec<SuspectAction>,
     ) {
+        self.take(now, news, actions);
+        self.owed.push(OwedAck {
+            to: from,
+            id,
+            fingerprints: news.iter().map(SuspectNews::fingerprint).collect(),
+        });
+        self.pay_acks(now, actions);
+    }
+
+    /// Takes all that a peer knows, when a link to it is new.
+    pub fn take(&mut self, now: ClockTime, news: &[SuspectNews], actions: &mut Vec<SuspectAction>) {
         for item in news {
             self.list.take(now, &self.settings, item);
         }
@@ -175,21 +210,18 @@
         self.admit(actions);
     }
 
-    /// Answers the failures whose peers took too long, and drops what has expired.
+    /// Answers the failures whose news was taken or took too long, and drops what has expired.
     pub fn poll(&mut self, now: ClockTime, actions: &mut Vec<SuspectAction>) {
         self.list.expire(now, &self.settings);
-        let is_due = |held: &HeldFailures| held.answer_by <= now;
-        let due = self.held.iter().filter(|(_, held)| is_due(held));
-        let due: Vec<NewsId> = due.map(|(id, _)| *id).collect();
-        for id in due {
-            self.told(id, actions);
+        for held in self.held.take_done(now) {
+            self.answer_or_tell_again(now, held, actions);
         }
     }
 
     /// Returns when [`poll`](Self::poll) has a failure to answer, if one is held.
     #[must_use]
     pub fn next_poll(&self) -> Option<ClockTime> {
-        self.held.values().map(|held| held.answer_by).min()
+        self.held.next_due()
     }
 
     fn crash_news(&self, attempt: AttemptId, run: GateRun, turn: usize) -> SuspectNews {
@@ -221,24 +253,67 @@
         home_vm(fingerprint, &vms).unwrap_or(&self.vm).clone()
     }
 
-    fn hold(
+    fn tell(
         &mut self,
-        now: ClockTime,
-        attempts: Vec<(AttemptId, bool)>,
+        answer_by: ClockTime,
+        failures: Vec<HeldFailure>,
+        fingerprints: BTreeSet<RequestFingerprint>,
         news: Vec<SuspectNews>,
         actions: &mut Vec<SuspectAction>,
     ) {
-        if news.is_empty() {
+        let id = self.held.add(HeldNews {
+            failures,
+            crashes: self.count_crashes(&fingerprints),
+            fingerprints,
+            waiting_for: self.peers.iter().cloned().collect(),
+            answer_by,
+        });
+        actions.push(SuspectAction::Tell(id, news));
+    }
+
+    /// Answers the failures, unless peers told of further crashes that others may not know.
+    fn answer_or_tell_again(
+        &mut self,
+        now: ClockTime,
+        held: HeldNews,
+        actions: &mut Vec<SuspectAction>,
+    ) {
+        let has_more = self.count_crashes(&held.fingerprints) > held.crashes;
+        if has_more && now < held.answer_by {
+            let news = self.list.news_about(now, &held.fingerprints);
+            self.tell(
+                held.answer_by,
+                held.failures,
+                held.fingerprints,
+                news,
+                actions,
+            );
             return;
         }
-        let id = NewsId(self.next_news);
-        self.next_news += 1;
-        let held = HeldFailures {
-            attempts,
-            answer_by: now.plus_ms(self.settings.tell_ms),
+        let fail = |failure: &HeldFailure| SuspectAction::Fail {
+            attempt: failure.attempt,
+            may_retry: failure.may_retry,
         };
-        self.held.insert(id, held);
-        actions.push(SuspectAction::Tell(id, news));
+        actions.extend(held.failures.iter().map(fail));
+    }
+
+    fn count_crashes(&self, fingerprints: &BTreeSet<RequestFingerprint>) -> usize {
+        let entries = fingerprints.iter().filter_map(|key| self.list.get(*key));
+        entries.map(|entry| entry.crashes.len()).sum()
+    }
+
+    fn pay_acks(&mut self, now: ClockTime, actions: &mut Vec<SuspectAction>) {
+        let gate = &self.gate;
+        let due = self
+            .owed
+            .extract_if(.., |owed| !gate.runs_any(&owed.fingerprints));
+        for owed in due {
+            actions.push(SuspectAction::Ack {
+                news: self.list.news_about(now, &owed.fingerprints),
+                to: owed.to,
+                id: owed.id,
+            });
+        }
     }
 
     /// Returns whether the request has had a clean run lately that hasn't let it off yet.
@@ -273,7 +348,8 @@
         for item in &news {
             self.list.take(now, &self.settings, item);
         }
-        self.hold(now, Vec::new(), news, actions);
+        let fingerprints = BTreeSet::from([run.fingerprint]);
+        self.tell(now, Vec::new(), fingerprints, news, actions);
     }
 
     fn drop_old_clean(&mut self, now: ClockTime) {
--- a/crates/quarantine/src/suspect_list.rs
+++ b/crates/quarantine/src/suspect_list.rs
@@ -97,17 +97,23 @@
     /// Returns all that is known, for a peer that has just connected.
     #[must_use]
     pub fn news(&self, now: ClockTime) -> Vec<SuspectNews> {
-        let news_of = |(fingerprint, entry): (&RequestFingerprint, &SuspectEntry)| {
-            let news = |attempt: &AttemptId| SuspectNews::Crashed {
-                fingerprint: *fingerprint,
-                attempt: *attempt,
-                runner: entry.runner.clone(),
-                was_alone: entry.was_alone,
-                age_ms: now.since_ms(entry.last_crash),
-            };
-            entry.crashes.iter().map(news).collect::<Vec<_>>()
+        let all = self.entries.iter();
+        all.flat_map(|(fingerprint, entry)| news_of(now, *fingerprint, entry))
+            .collect()
+    }
+
+    /// Returns what is known of some requests.
+    #[must_use]
+    pub fn news_about(
+        &self,
+        now: ClockTime,
+        fingerprints: &BTreeSet<RequestFingerprint>,
+    ) -> Vec<SuspectNews> {
+        let news = |fingerprint: &RequestFingerprint| {
+            let entry = self.entries.get(fingerprint)?;
+            Some(news_of(now, *fingerprint, entry))
         };
-        self.entries.iter().flat_map(news_of).collect()
+        fingerprints.iter().filter_map(news).flatten().collect()
     }
 
     fn clear(&mut self, fingerprint: RequestFingerprint, attempt: AttemptId) {
@@ -134,3 +140,18 @@
         }
     }
 }
+
+fn news_of(
+    now: ClockTime,
+    fingerprint: RequestFingerprint,
+    entry: &SuspectEntry,
+) -> Vec<SuspectNews> {
+    let crashed = |attempt: &AttemptId| SuspectNews::Crashed {
+        fingerprint,
+        attempt: *attempt,
+        runner: entry.runner.clone(),
+        was_alone: entry.was_alone,
+        age_ms: now.since_ms(entry.last_crash),
+    };
+    entry.crashes.iter().map(crashed).collect()
+}
--- a/crates/quarantine/src/suspect_news.rs
+++ b/crates/quarantine/src/suspect_news.rs
@@ -32,3 +32,13 @@
         attempt: AttemptId,
     },
 }
+
+impl SuspectNews {
+    /// Returns the request.
+    #[must_use]
+    pub const fn fingerprint(&self) -> RequestFingerprint {
+        match self {
+            Self::Crashed { fingerprint, .. } | Self::Cleared { fingerprint, .. } => *fingerprint,
+        }
+    }
+}
--- a/crates/quarantine/tests/poisonous_request.rs
+++ b/crates/quarantine/tests/poisonous_request.rs
@@ -4,8 +4,8 @@
 
 use clock::ClockTime;
 use lentilshift_quarantine::{
-    RequestFingerprint, SuspectAction, SuspectBook, SuspectDecision, SuspectNews, SuspectSettings,
-    home_vm,
+    NewsId, RequestFingerprint, SuspectAction, SuspectBook, SuspectDecision, SuspectNews,
+    SuspectSettings, home_vm,
 };
 use model::{AttemptId, VmName};
 use rand::rngs::SmallRng;
@@ -38,8 +38,8 @@
     Arrive(usize, AttemptId, Call),
     End(usize, u64, AttemptId),
     Crash(usize, u64),
-    News(usize, usize, Vec<SuspectNews>, u64),
-    Taken(usize, u64),
+    News(usize, usize, NewsId, Vec<SuspectNews>),
+    Ack(usize, usize, NewsId, Vec<SuspectNews>),
     Poll(usize),
 }
 
@@ -66,7 +66,6 @@
     up_at: Vec<u64>,
     running: Vec<BTreeSet<AttemptId>>,
     calls: BTreeMap<AttemptId, Call>,
-    unread: BTreeMap<(usize, u64), usize>,
     outcome: Outcome,
 }
 
@@ -92,7 +91,6 @@
             up_at: vec![0; VMS],
             running: vec![BTreeSet::new(); VMS],
             calls: BTreeMap::new(),
-            unread: BTreeMap::new(),
             outcome: Outcome::default(),
         };
         world.set_up(copies);
@@ -158,21 +156,15 @@
                 self.crash(vm, &mut actions);
                 vm
             }
-            Event::News(from, to, news, id) => {
-                self.books[to].receive(now, &news, &mut actions);
-                let delay = self.random.random_range(1..4);
-                self.at(delay, Event::Taken(from, id));
+            Event::News(from, to, id, news) => {
+                let from = self.vms[from].clone();
+                self.books[to].receive(now, from, id, &news, &mut actions);
                 to
             }
-            Event::Taken(vm, id) => {
-                let left = self.unread.entry((vm, id)).or_default();
-                *left -= 1;
-                if *left > 0 {
-                    return;
-                }
-                let id = lentilshift_quarantine::NewsId(id);
-                self.books[vm].told(id, &mut actions);
-                vm
+            Event::Ack(from, to, id, news) => {
+                let from = self.vms[from].clone();
+                self.books[to].receive_ack(now, &from, id, &news, &mut actions);
+                to
             }
             Event::Poll(vm) => {
                 self.books[vm].poll(now, &mut actions);
@@ -258,13 +250,17 @@
         for action in actions {
             match action {
                 SuspectAction::Tell(id, news) => {
-                    self.unread.insert((vm, id.0), VMS - 1);
                     for peer in (0..VMS).filter(|peer| *peer != vm) {
                         let delay = self.random.random_range(1..40);
-                        self.at(delay, Event::News(vm, peer, news.clone(), id.0));
+                        self.at(delay, Event::News(vm, peer, id, news.clone()));
                     }
                     self.at(500, Event::Poll(vm));
                 }
+                SuspectAction::Ack { to, id, news } => {
+                    let delay = self.random.random_range(1..40);
+                    let to = self.index(&to);
+                    self.at(delay, Event::Ack(vm, to, id, news));
+                }
                 SuspectAction::Fail { attempt, may_retry } => self.fail(attempt, may_retry),
                 SuspectAction::Start(attempt) => self.start(vm, attempt),
                 SuspectAction::Reconsider(attempt) => {
