--- a/crates/once/tests/at_most_once.rs
+++ b/crates/once/tests/at_most_once.rs
@@ -41,12 +41,12 @@
 #[rstest]
 #[case::all(Faults::ALL, HOUR_MS)]
 #[case::horizon_passes(Faults::ALL, 15_000)]
-#[case::kills(Faults { kill: 50, ..Faults::NONE }, HOUR_MS)]
-#[case::pauses(Faults { pause: 15, pause_ms: 40_000, ..Faults::NONE }, HOUR_MS)]
-#[case::lost_replies(Faults { append_trouble: 5_000, ..Faults::NONE }, HOUR_MS)]
-#[case::outage(Faults { outage_ms: 20_000, ..Faults::NONE }, HOUR_MS)]
-#[case::retention(Faults { retention_ms: 5_000, kill: 30, ..Faults::NONE }, HOUR_MS)]
-#[case::retention_and_horizon(Faults { retention_ms: 3_000, kill: 30, pause: 15, pause_ms: 9_000, ..Faults::NONE }, 10_000)]
+#[case::kills(Faults { kill: 50, ..Faults::GIVING_UP }, HOUR_MS)]
+#[case::pauses(Faults { pause: 15, pause_ms: 40_000, ..Faults::GIVING_UP }, HOUR_MS)]
+#[case::lost_replies(Faults { append_trouble: 5_000, ..Faults::GIVING_UP }, HOUR_MS)]
+#[case::outage(Faults { outage_ms: 20_000, ..Faults::GIVING_UP }, HOUR_MS)]
+#[case::retention(Faults { retention_ms: 5_000, kill: 30, ..Faults::GIVING_UP }, HOUR_MS)]
+#[case::retention_and_horizon(Faults { retention_ms: 3_000, kill: 30, pause: 15, pause_ms: 9_000, ..Faults::GIVING_UP }, 10_000)]
 fn no_call_runs_twice_and_no_verdict_is_false(#[case] faults: Faults, #[case] horizon_ms: u64) {
     let total = run_seeds::<ClaimBook>(plan(faults, horizon_ms), seed_count(60));
     println!("faults={faults:?} horizon_ms={horizon_ms} findings={total:?}");
@@ -69,13 +69,13 @@
         keys: 1,
         copies: 6,
         span_ms: 2_000,
-        ..plan(Faults::NONE, HOUR_MS)
+        ..plan(Faults::GIVING_UP, HOUR_MS)
     };
     for event in 1..300 {
         let kill_at_event = Some(event);
         let faults = Faults {
             kill_at_event,
-            ..Faults::NONE
+            ..Faults::GIVING_UP
         };
         let total = run_seeds::<ClaimBook>(Plan { faults, ..one_key }, 4);
         assert_eq!(total.faults(), 0, "kill at event {event}: {total:?}");
@@ -89,3 +89,13 @@
     assert_eq!(total.faults(), 0, "{total:?}");
     assert_eq!(total.needless, 0, "{total:?}");
 }
+
+/// In these seeds three copies were given up, and the fourth waited for them until its deadline.
+#[rstest]
+#[case(235)]
+#[case(381)]
+fn copy_that_waited_for_given_up_copies_is_refused_in_time(#[case] seed: u64) {
+    let findings = World::<ClaimBook>::run(plan(Faults::GIVING_UP, HOUR_MS), seed);
+    assert_eq!(findings.faults(), 0, "{findings:?}");
+    assert_eq!(findings.needless, 1, "{findings:?}");
+}
--- a/crates/once/tests/schedule/mod.rs
+++ b/crates/once/tests/schedule/mod.rs
@@ -24,6 +24,8 @@
     pub outage_ms: u64,
     pub retention_ms: u64,
     pub kill_at_event: Option<u64>,
+    /// Whether callers leave early and the queue refuses attempts.
+    pub gives_up: bool,
 }
 
 impl Faults {
@@ -35,6 +37,12 @@
         outage_ms: 0,
         retention_ms: u64::MAX,
         kill_at_event: None,
+        gives_up: false,
+    };
+
+    pub const GIVING_UP: Self = Self {
+        gives_up: true,
+        ..Self::NONE
     };
 
     pub const ALL: Self = Self {
@@ -45,6 +53,7 @@
         outage_ms: 4_000,
         retention_ms: 8_000,
         kill_at_event: None,
+        gives_up: true,
     };
 }
 
@@ -304,7 +313,7 @@
         match event {
             Event::Arrive(_, request) => {
                 book.begin(now, request, actions);
-                if self.random.random_ratio(30, 1_000) {
+                if self.gives_up(30) {
                     let delay = self.random.random_range(0..300);
                     self.at(delay, index, Event::Leave(index, request.attempt));
                 }
@@ -347,7 +356,7 @@
     /// Starts an attempt that has won, or lets the queue refuse it.
     fn turn(&mut self, index: usize, book: &mut D, attempt: AttemptId, actions: &mut Actions) {
         let now = ClockTime::from_ms(self.now);
-        if self.random.random_ratio(80, 1_000) {
+        if self.gives_up(80) {
             if book.give_up(now, attempt, actions) {
                 self.tell(attempt, Told::Refused(RunVerdict::NotRun, GIVEN_UP));
             }
@@ -357,7 +366,7 @@
             return;
         }
         let delay = self.random.random_range(1..400);
-        if self.random.random_ratio(30, 1_000) {
+        if self.gives_up(30) {
             self.at(
                 delay,
                 index,
@@ -375,6 +384,10 @@
         self.at(delay, index, Event::Finish(index, attempt, outcome));
     }
 
+    fn gives_up(&mut self, chance: u32) -> bool {
+        self.plan.faults.gives_up && self.random.random_ratio(chance, 1_000)
+    }
+
     fn tell_outcome(&mut self, attempt: AttemptId, outcome: &ClaimOutcome) {
         let told = match outcome {
             ClaimOutcome::Answered(answer) => Told::Answered(answer.clone()),
