--- a/crates/node/src/announce.rs
+++ b/crates/node/src/announce.rs
@@ -49,14 +49,16 @@
     if core.stop.is_given() {
         return MemberState::Leaving;
     }
-    if core.is_up.get() {
-        return MemberState::Ready;
+    if !core.has_contract() {
+        return MemberState::Starting;
     }
-    if core.has_contract() && core.backend.connect().await.is_ok() {
-        core.is_up.set(true);
-        return MemberState::Ready;
+    let is_up = core.backend.keep_spare().await;
+    core.is_up.set(is_up);
+    if is_up {
+        MemberState::Ready
+    } else {
+        MemberState::Starting
     }
-    MemberState::Starting
 }
 
 async fn append(core: &NodeCore, announcement: &MemberAnnouncement) -> bool {
--- a/crates/node/src/backend_pool.rs
+++ b/crates/node/src/backend_pool.rs
@@ -1,4 +1,4 @@
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
@@ -48,6 +48,9 @@
 pub(crate) struct BackendPool {
     address: SocketAddr,
     idle: RefCell<VecDeque<SendRequest<CallBody>>>,
+    /// A connection that carries no request; it closes when the backend server crashes.
+    spare: RefCell<Option<SendRequest<CallBody>>>,
+    is_down: Cell<bool>,
 }
 
 impl BackendPool {
@@ -55,6 +58,8 @@
         Self {
             address,
             idle: RefCell::new(VecDeque::new()),
+            spare: RefCell::new(None),
+            is_down: Cell::new(false),
         }
     }
 
@@ -83,8 +88,44 @@
             })
     }
 
-    /// Opens a connection, to learn whether the backend server accepts any.
-    pub(crate) async fn connect(&self) -> Result<SendRequest<CallBody>, BackendError> {
+    /// Keeps a spare connection open, and returns whether the backend server accepts any.
+    pub(crate) async fn keep_spare(&self) -> bool {
+        let is_open = self
+            .spare
+            .borrow()
+            .as_ref()
+            .is_some_and(|spare| !spare.is_closed());
+        if is_open {
+            return true;
+        }
+        let opened = self.connect().await.ok();
+        let is_up = opened.is_some();
+        self.is_down.set(!is_up);
+        self.spare.replace(opened);
+        is_up
+    }
+
+    /// Returns whether the backend server has gone down with all its connections.
+    pub(crate) async fn has_crashed(&self) -> bool {
+        let is_spare_closed = self
+            .spare
+            .borrow()
+            .as_ref()
+            .is_some_and(SendRequest::is_closed);
+        is_spare_closed || self.connect().await.is_err()
+    }
+
+    /// Notes that the backend server is down, and returns whether that is news.
+    pub(crate) fn mark_down(&self) -> bool {
+        !self.is_down.replace(true)
+    }
+
+    /// Returns whether the backend server was found down and hasn't come back since.
+    pub(crate) fn is_marked_down(&self) -> bool {
+        self.is_down.get()
+    }
+
+    async fn connect(&self) -> Result<SendRequest<CallBody>, BackendError> {
         let stream = TcpStream::connect(self.address).await?;
         stream.set_nodelay(true)?;
         let stream = HyperStream::new_plain(stream);
--- a/crates/node/src/call_answer.rs
+++ b/crates/node/src/call_answer.rs
@@ -83,6 +83,9 @@
                 load: LoadReport::default(),
                 report: None,
                 run_ms: 0,
+                mark: None,
+                send_to: None,
+                is_suspect: false,
             },
             body: CallBody::Whole(body).into(),
         }
--- /dev/null
+++ b/crates/node/src/claim_state.rs
@@ -0,0 +1,45 @@
+use clock::ClockTime;
+use once::{ClaimAction, ClaimBook, ClaimRecord};
+use platform::{LogOffset, LogRecord, RelaySnapshot};
+
+use crate::fold_feed::StreamFold;
+
+/// The book of claims, fed by their stream, with what it wants done.
+pub(crate) struct ClaimState {
+    pub(crate) book: ClaimBook,
+    pub(crate) actions: Vec<ClaimAction>,
+}
+
+impl StreamFold for ClaimState {
+    fn lose_before(&mut self, now: ClockTime, first: LogOffset) {
+        self.book.receive_gap(now, first.get(), &mut self.actions);
+    }
+
+    fn adopt(&mut self, _now: ClockTime, snapshot: &RelaySnapshot) {
+        log::warn!(
+            "event=snapshot-unexpected stream=claims covers={}",
+            snapshot.covers
+        );
+    }
+
+    fn apply(&mut self, now: ClockTime, record: &LogRecord) {
+        let offset = record.offset.get();
+        match record.body.decode::<ClaimRecord>() {
+            Ok(claim) => self
+                .book
+                .receive_record(now, offset, &claim, &mut self.actions),
+            Err(error) => log::warn!(
+                "event=record-unreadable stream=claims offset={offset} error={:?}",
+                error.to_string()
+            ),
+        }
+    }
+
+    fn snapshot(&self) -> Option<RelaySnapshot> {
+        None
+    }
+
+    fn needs_snapshot(&self) -> bool {
+        false
+    }
+}
--- /dev/null
+++ b/crates/node/src/claim_watch.rs
@@ -0,0 +1,244 @@
+use std::rc::Rc;
+
+use clock::ClockTime;
+use model::{AttemptId, RefusalReason, RunVerdict, TeamName, VmName};
+use once::{
+    CallFingerprint, ClaimAction, ClaimOutcome, ClaimRecord, ClaimRefusal, HolderReply, KeyDigest,
+    OnceRequest, StoredAnswer,
+};
+use platform::{AppendError, LogStream, NewRecord, PlatformLog, RecordBody, RelayBatch, RelayPull};
+use wire::CallHead;
+
+use crate::call_answer::CallRefusal;
+use crate::call_headers::IDEMPOTENCY_KEY;
+use crate::config_watch::pull_from;
+use crate::node_core::NodeCore;
+use crate::node_message::{NodeMessage, NodeReply};
+use crate::peer_talk::ask_peer;
+use crate::stream_host::StreamWatch;
+
+/// What a call that must run at most once is told.
+pub(crate) enum ClaimFate {
+    /// It owns its key and may run.
+    Run,
+    /// It is a duplicate, and this is the answer of the one that ran.
+    Answer(StoredAnswer),
+    /// It is refused.
+    Refuse(ClaimRefusal),
+}
+
+/// Lets the book of claims act on what its stream brings.
+pub(crate) struct ClaimWatch(pub(crate) Rc<NodeCore>);
+
+impl StreamWatch for ClaimWatch {
+    fn on_news(&self, _now: ClockTime) {
+        act_on_claims(&self.0);
+    }
+
+    async fn pull(&self, peer: &VmName, pull: RelayPull) -> Option<RelayBatch> {
+        pull_from(&self.0, peer, pull).await
+    }
+}
+
+/// Holds the claim of a call until its outcome is known; one that is dropped before its start
+/// is released.
+pub(crate) struct ClaimPass {
+    core: Rc<NodeCore>,
+    attempt: AttemptId,
+    is_started: bool,
+}
+
+impl ClaimPass {
+    /// Returns whether the call may go to the backend server now.
+    pub(crate) fn start(&mut self) -> bool {
+        let now = self.core.now();
+        self.is_started = self.core.claims.with(|feed| {
+            let state = feed.fold();
+            state.book.start(now, self.attempt, &mut state.actions)
+        });
+        act_on_claims(&self.core);
+        self.is_started
+    }
+
+    /// Notes the outcome.
+    pub(crate) fn finish(self, outcome: ClaimOutcome) {
+        let now = self.core.now();
+        self.core.claims.with(|feed| {
+            let state = feed.fold();
+            state
+                .book
+                .finish(now, self.attempt, outcome, &mut state.actions);
+        });
+        act_on_claims(&self.core);
+    }
+}
+
+impl Drop for ClaimPass {
+    fn drop(&mut self) {
+        let now = self.core.now();
+        self.core.claim_fates.forget(self.attempt);
+        self.core.claims.with(|feed| {
+            let state = feed.fold();
+            let (book, actions) = (&mut state.book, &mut state.actions);
+            if self.is_started {
+                book.finish(now, self.attempt, ClaimOutcome::MayHaveRun, actions);
+            } else {
+                book.give_up(now, self.attempt, actions);
+            }
+        });
+        act_on_claims(&self.core);
+    }
+}
+
+/// Claims the key of a call, and waits until the claim is decided.
+///
+/// # Errors
+///
+/// Returns the fate of a call that may not run here.
+pub(crate) async fn claim_call(
+    core: &Rc<NodeCore>,
+    head: &CallHead,
+    body: &[u8],
+    deadline: ClockTime,
+) -> Result<ClaimPass, ClaimFate> {
+    let Some(key) = find_key(head) else {
+        return Err(ClaimFate::Refuse(ClaimRefusal {
+            reason: RefusalReason::IdempotencyKeyMissing,
+            verdict: RunVerdict::NotRun,
+            retry_after_ms: None,
+        }));
+    };
+    let team = head.team.clone().unwrap_or_else(|| TeamName::new(""));
+    let request = OnceRequest {
+        attempt: head.attempt,
+        key: KeyDigest::new(&team, &key),
+        fingerprint: CallFingerprint::new(&head.call, &content_of(head, body)),
+        deadline,
+        key_age_ms: None,
+    };
+    let waiting = core.claim_fates.wait_for(head.attempt);
+    let pass = ClaimPass {
+        core: Rc::clone(core),
+        attempt: head.attempt,
+        is_started: false,
+    };
+    let now = core.now();
+    core.claims.with(|feed| {
+        let state = feed.fold();
+        state.book.begin(now, request, &mut state.actions);
+    });
+    act_on_claims(core);
+    match waiting.await {
+        Ok(ClaimFate::Run) => Ok(pass),
+        Ok(fate) => Err(fate),
+        Err(_) => Err(ClaimFate::Refuse(ClaimRefusal {
+            reason: RefusalReason::ClaimUnavailable,
+            verdict: RunVerdict::NotRun,
+            retry_after_ms: None,
+        })),
+    }
+}
+
+/// Returns the refusal that tells a caller about its claim.
+pub(crate) fn claim_refusal(refusal: ClaimRefusal) -> CallRefusal {
+    CallRefusal {
+        verdict: refusal.verdict,
+        ..CallRefusal::not_run(refusal.reason)
+    }
+    .after_ms(refusal.retry_after_ms.unwrap_or(0))
+}
+
+/// Does what is due for the claims.
+pub(crate) fn poll_claims(core: &Rc<NodeCore>, now: ClockTime) {
+    core.claims.with(|feed| {
+        let state = feed.fold();
+        if state.book.next_poll() <= now {
+            state.book.poll(now, &mut state.actions);
+        }
+    });
+    act_on_claims(core);
+}
+
+/// Answers a node that holds a duplicate of an attempt of this node.
+pub(crate) fn answer_holder(core: &NodeCore, owner: AttemptId) -> HolderReply {
+    core.claims.with(|feed| feed.fold().book.reply_for(owner))
+}
+
+/// Returns what two requests under one idempotency key must have in common.
+fn content_of(head: &CallHead, body: &[u8]) -> Vec<u8> {
+    let parts = [head.method.as_bytes(), head.path.as_bytes(), body];
+    parts.join(&0)
+}
+
+fn find_key(head: &CallHead) -> Option<Vec<u8>> {
+    let headers = head.headers.to_map();
+    let key = headers.get(IDEMPOTENCY_KEY)?.as_bytes().trim_ascii();
+    (!key.is_empty()).then(|| key.to_vec())
+}
+
+fn act_on_claims(core: &Rc<NodeCore>) {
+    let actions = core
+        .claims
+        .with(|feed| std::mem::take(&mut feed.fold().actions));
+    for action in actions {
+        match action {
+            ClaimAction::Append(record) => {
+                compio::runtime::spawn(append_claim(Rc::clone(core), record)).detach();
+            }
+            ClaimAction::Run(attempt) => core.claim_fates.tell(attempt, ClaimFate::Run),
+            ClaimAction::Answer(attempt, answer) => {
+                core.claim_fates.tell(attempt, ClaimFate::Answer(answer));
+            }
+            ClaimAction::Refuse(attempt, refusal) => {
+                core.claim_fates.tell(attempt, ClaimFate::Refuse(refusal));
+            }
+            ClaimAction::AskHolder {
+                attempt, vm, owner, ..
+            } => {
+                let asking = ask_holder(Rc::clone(core), attempt, vm, owner);
+                compio::runtime::spawn(asking).detach();
+            }
+        }
+    }
+}
+
+async fn append_claim(core: Rc<NodeCore>, record: ClaimRecord) {
+    let id = record.id;
+    let body = RecordBody::encode(&record);
+    let appended = core
+        .log
+        .append(LogStream::Claims, vec![NewRecord { id, body }])
+        .await;
+    let Err(error) = appended else { return };
+    log::warn!(
+        "event=append-failed stream=claims error={:?}",
+        error.to_string()
+    );
+    if let AppendError::NotWritten(_) = error {
+        let now = core.now();
+        core.claims.with(|feed| {
+            let state = feed.fold();
+            state.book.append_failed(now, id, &mut state.actions);
+        });
+        act_on_claims(&core);
+    }
+}
+
+async fn ask_holder(core: Rc<NodeCore>, attempt: AttemptId, vm: VmName, owner: AttemptId) {
+    let reply = if vm == core.settings.vm {
+        Some(answer_holder(&core, owner))
+    } else {
+        match ask_peer(&core, &vm, &NodeMessage::AskHolder(owner)).await {
+            Some(NodeReply::Holder(reply)) => Some(reply),
+            _ => None,
+        }
+    };
+    let Some(reply) = reply else { return };
+    let now = core.now();
+    core.claims.with(|feed| {
+        let state = feed.fold();
+        let (book, actions) = (&mut state.book, &mut state.actions);
+        book.receive_reply(now, attempt, owner, reply, actions);
+    });
+    act_on_claims(&core);
+}
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -11,6 +11,7 @@
 use wire::{AnswerHead, CallHead};
 
 use crate::answer_body::AnswerBody;
+use crate::attempt_doubt::{fresh_mark, note_mark, resolve_doubt};
 use crate::call_answer::{CallAnswer, CallRefusal};
 use crate::call_body::CallBody;
 use crate::chain_watch::check_chain;
@@ -19,6 +20,8 @@
 use crate::replay_body::ReplayBody;
 use crate::route_guard::RouteGuard;
 
+/// The times that a call may be sent on to the VM that must run it.
+const MAX_REDIRECTS: u32 = 2;
 /// The time after which callers come back when no backend server is known, in milliseconds.
 const NO_BACKEND_MS: u64 = 1_000;
 
@@ -42,6 +45,8 @@
         allowance,
         tried: Vec::new(),
         retries: 0,
+        send_to: None,
+        redirects: 0,
         head,
     };
     sending.run().await
@@ -56,12 +61,18 @@
     allowance: RetryAllowance,
     tried: Vec<VmName>,
     retries: u32,
+    /// The VM that the next attempt must go to.
+    send_to: Option<VmName>,
+    redirects: u32,
 }
 
 impl CallSending<'_> {
     async fn run(mut self) -> CallAnswer {
         loop {
             let mut answer = self.try_once().await;
+            if self.is_redirected(&mut answer.head) {
+                continue;
+            }
             let wait_ms = match self.decide(&answer.head) {
                 RetryDecision::Retry { wait_ms } => wait_ms,
                 RetryDecision::Stop(stop) => {
@@ -90,8 +101,12 @@
         };
         let share = self.allowance.hand_down(self.head.attempt, 1);
         self.head.allowance = share.retries();
-        let sending = send_to(self.core, &vm, &self.head, self.body.take());
-        let in_time = timeout(Duration::from_millis(left_ms), sending).await;
+        if vm != self.core.settings.vm {
+            self.head.mark = fresh_mark(self.core, &vm).await;
+        }
+        let body = self.body.take();
+        let sending = send_to(self.core, &vm, &self.head, body, self.deadline);
+        let in_time = Box::pin(timeout(Duration::from_millis(left_ms), sending)).await;
         let answer = in_time.unwrap_or_else(|_| {
             let refusal = CallRefusal::may_have_run(RefusalReason::DeadlinePassed);
             CallAnswer::refused(&self.head, &refusal, 0)
@@ -101,8 +116,22 @@
         answer
     }
 
+    /// Returns whether the call wasn't run because it must go to another VM, and may.
+    fn is_redirected(&mut self, answer: &mut AnswerHead) -> bool {
+        self.send_to = answer.send_to.take();
+        let may_go = self.redirects < MAX_REDIRECTS && self.body.is_whole();
+        if self.send_to.is_none() || !may_go {
+            return false;
+        }
+        self.redirects += 1;
+        true
+    }
+
     /// Chooses a VM that wasn't tried, or any when all were.
     fn choose_vm(&mut self) -> Option<VmName> {
+        if let Some(vm) = self.send_to.take() {
+            return Some(vm);
+        }
         let service = &self.head.service;
         let fresh = self.core.choose_vm(service, &self.tried);
         let vm = fresh.or_else(|| self.core.choose_vm(service, &[]))?;
@@ -115,7 +144,7 @@
             verdict: answer.verdict,
             is_idempotent: self.head.idempotent && !self.head.once,
             is_service_shedding: is_shedding(answer) || !self.body.is_whole(),
-            is_suspect: answer.refusal == Some(RefusalReason::Quarantined),
+            is_suspect: answer.is_suspect || answer.refusal == Some(RefusalReason::Quarantined),
             retries: self.retries,
             retry_after_ms: None,
             left_ms: self.core.now().until_ms(self.deadline),
@@ -147,12 +176,18 @@
     )
 }
 
-async fn send_to(core: &Rc<NodeCore>, vm: &VmName, head: &CallHead, body: CallBody) -> CallAnswer {
+async fn send_to(
+    core: &Rc<NodeCore>,
+    vm: &VmName,
+    head: &CallHead,
+    body: CallBody,
+    deadline: ClockTime,
+) -> CallAnswer {
     let mut route = RouteGuard::begin(core, head, vm);
     let answer = if *vm == core.settings.vm {
         run_call(core, head.clone(), body).await
     } else {
-        send_over_link(core, vm, head, body).await
+        send_over_link(core, vm, head, body, deadline).await
     };
     route.finish(&answer.head);
     answer
@@ -163,7 +198,9 @@
     vm: &VmName,
     head: &CallHead,
     body: CallBody,
+    deadline: ClockTime,
 ) -> CallAnswer {
+    let asked = core.now();
     let link = core.links.get(&core.settings, vm).await;
     let result = match link {
         Ok(link) => link.call(head, body).await,
@@ -171,13 +208,19 @@
     };
     let error = match result {
         Ok((answer, body)) => {
+            if let Some(mark) = answer.mark {
+                note_mark(core, vm, mark, asked);
+            }
             let told = answer.body_bytes;
             let body = AnswerBody::new(CallBody::Link(body), told);
             return CallAnswer { head: answer, body };
         }
         Err(error) => error,
     };
-    let verdict = error.verdict();
+    let verdict = match error.verdict() {
+        RunVerdict::MayHaveRun => resolve_doubt(core, vm, head, deadline).await,
+        verdict => verdict,
+    };
     log::warn!(
         "event=link-failed request={} attempt={} vm={vm} verdict={} error={:?}",
         head.request,
--- a/crates/node/src/egress.rs
+++ b/crates/node/src/egress.rs
@@ -116,6 +116,7 @@
         team_weight: parent.map_or(1, |parent| parent.team_weight),
         importance: parent.map_or(own_importance, |parent| parent.importance),
         depth: parent.map_or(0, |parent| parent.depth.saturating_add(1)),
+        mark: None,
         deadline_left_ms: 0,
         allowance: OWN_ALLOWANCE,
         once: entry.contract.once,
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -64,6 +64,7 @@
         team_weight: weight,
         importance: entry.contract.importance,
         depth: 0,
+        mark: None,
         deadline_left_ms: 0,
         allowance: ENTRY_ALLOWANCE,
         once: entry.contract.once,
--- /dev/null
+++ b/crates/node/src/fate_board.rs
@@ -0,0 +1,35 @@
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+
+use futures_channel::oneshot;
+use model::AttemptId;
+
+/// The calls that wait for a decision, by attempt.
+pub(crate) struct FateBoard<T>(RefCell<BTreeMap<AttemptId, oneshot::Sender<T>>>);
+
+impl<T> Default for FateBoard<T> {
+    fn default() -> Self {
+        Self(RefCell::default())
+    }
+}
+
+impl<T> FateBoard<T> {
+    /// Lets an attempt wait for its fate; dropping the receiver forgets it.
+    pub(crate) fn wait_for(&self, attempt: AttemptId) -> oneshot::Receiver<T> {
+        let (sender, receiver) = oneshot::channel();
+        self.0.borrow_mut().insert(attempt, sender);
+        receiver
+    }
+
+    /// Tells an attempt its fate, if it still waits.
+    pub(crate) fn tell(&self, attempt: AttemptId, fate: T) {
+        if let Some(sender) = self.0.borrow_mut().remove(&attempt) {
+            let _ = sender.send(fate);
+        }
+    }
+
+    /// Forgets an attempt.
+    pub(crate) fn forget(&self, attempt: AttemptId) {
+        self.0.borrow_mut().remove(&attempt);
+    }
+}
--- a/crates/node/src/fleet_watch.rs
+++ b/crates/node/src/fleet_watch.rs
@@ -34,6 +34,18 @@
         put_service(core, now, service);
     }
     put_plan(core);
+    put_siblings(core);
+}
+
+/// Tells the book of suspects the other VMs of the own service.
+fn put_siblings(core: &NodeCore) {
+    let own = &core.settings;
+    let siblings = core.fleet.with(|feed| {
+        let ready = feed.fold().view().ready(&own.service);
+        let names = ready.map(|member| member.vm.clone());
+        names.filter(|vm| *vm != own.vm).collect::<Vec<_>>()
+    });
+    core.suspects.borrow_mut().set_peers(siblings);
 }
 
 fn put_links(core: &NodeCore) {
@@ -111,6 +123,7 @@
 ) {
     core.fleet.with(|feed| feed.set_plan(plan.clone()));
     core.rates.with(|feed| feed.set_plan(plan.clone()));
+    core.claims.with(|feed| feed.set_plan(plan.clone()));
     core.config
         .with(|state| state.feed.set_members(plan.clone(), centres, has_peers));
 }
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -2,12 +2,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use clock::ClockTime;
 use compio::time::timeout;
 use http::{Request, Response, Uri};
 use hyper::body::Incoming;
-use limit::{QueueTicket, RunOutcome};
+use limit::{LoadReport, QueueTicket, RunOutcome};
 use model::{AttemptId, RefusalReason, RunVerdict, ShedOrder};
+use once::{AttemptArrival, ClaimOutcome, StoredAnswer};
 use wire::{AnswerHead, CallHead, HeaderList};
 
 use crate::answer_body::AnswerBody;
@@ -16,55 +18,118 @@
 use crate::call_body::CallBody;
 use crate::call_headers::{add_call, strip_hop};
 use crate::chain_watch::{note_uses, report_for};
+use crate::claim_watch::{ClaimFate, ClaimPass, claim_call, claim_refusal};
 use crate::node_core::NodeCore;
+use crate::request_body::read_whole;
 use crate::running_calls::RunningCall;
+use crate::suspect_watch::{SuspectPass, SuspectRefusal, enter_run, quarantine_refusal};
 
 /// The time that a call is expected to run before any was measured, in milliseconds.
 const EXPECTED_RUN_MS: u64 = 1;
 /// The time after which callers come back to a backend server that is down, in milliseconds.
 const BACKEND_DOWN_MS: u64 = 500;
+/// The time after which callers come back to a node whose table of attempts is full, in
+/// milliseconds.
+const TABLE_FULL_MS: u64 = 1_000;
+/// The largest answer that is kept for duplicates of its call, in bytes.
+const MAX_KEPT_ANSWER_BYTES: u64 = 64 * 1024;
 
 /// Runs a call on the local backend server, when its turn comes and while it is of use.
 pub(crate) async fn run_call(core: &Rc<NodeCore>, head: CallHead, body: CallBody) -> CallAnswer {
-    let arrived = core.now();
-    let deadline = arrived.plus_ms(u64::from(head.deadline_left_ms));
-    let answer = match run_in_time(core, &head, body, deadline).await {
-        Ok(answer) => answer,
+    let answer = match AttemptGuard::arrive(core, &head) {
+        Ok(guard) => {
+            let answer = run_new(core, &head, body).await;
+            guard.settle(answer.head.verdict);
+            answer
+        }
         Err(refusal) => CallAnswer::refused(&head, &refusal, head.allowance),
     };
     finish_answer(core, &head, answer)
 }
 
-async fn run_in_time(
+async fn run_new(core: &Rc<NodeCore>, head: &CallHead, body: CallBody) -> CallAnswer {
+    let deadline = core.now().plus_ms(u64::from(head.deadline_left_ms));
+    if head.service != core.settings.service || core.stop.is_given() {
+        let refusal = CallRefusal::not_run(RefusalReason::NotReady);
+        return CallAnswer::refused(head, &refusal, head.allowance);
+    }
+    if !head.once {
+        return run_in_turn(core, head, body, deadline, None).await;
+    }
+    let content = whole_bytes(&body);
+    match claim_call(core, head, &content, deadline).await {
+        Ok(pass) => run_in_turn(core, head, body, deadline, Some(pass)).await,
+        Err(ClaimFate::Answer(stored)) => replay_answer(head, &stored),
+        Err(ClaimFate::Refuse(refusal)) => {
+            CallAnswer::refused(head, &claim_refusal(refusal), head.allowance)
+        }
+        Err(ClaimFate::Run) => unreachable!("a call that may run has a pass"),
+    }
+}
+
+/// Runs a call once the queue lets it in and no suspect must run alone.
+async fn run_in_turn(
     core: &Rc<NodeCore>,
     head: &CallHead,
     body: CallBody,
     deadline: ClockTime,
-) -> Result<CallAnswer, CallRefusal> {
-    if head.service != core.settings.service {
-        return Err(CallRefusal::not_run(RefusalReason::NoBackend));
-    }
-    let ticket = QueueTicket {
-        id: head.attempt,
-        order: ShedOrder::new(head.importance, head.request),
-        team: head.team.clone(),
-        team_weight: head.team_weight,
-        deadline,
-        depth: head.depth,
-        expected_ms: EXPECTED_RUN_MS,
-    };
-    let entered = core.gate.enter(|| core.now(), ticket).await;
-    entered.map_err(|refusal| {
-        CallRefusal::not_run(refusal.reason)
+    claim: Option<ClaimPass>,
+) -> CallAnswer {
+    let ticket = ticket_for(head, deadline);
+    if let Err(refusal) = core.gate.enter(|| core.now(), ticket).await {
+        let refusal = CallRefusal::not_run(refusal.reason)
             .after_ms(refusal.retry_after_ms)
-            .by(&head.service)
-    })?;
+            .by(&head.service);
+        return CallAnswer::refused(head, &refusal, head.allowance);
+    }
     let run = RunGuard::start(core, head, deadline);
+    let content = whole_bytes(&body);
+    let left = Duration::from_millis(core.now().until_ms(deadline));
+    let suspect = match timeout(left, enter_run(core, head, &content)).await {
+        Ok(Ok(pass)) => pass,
+        Ok(Err(refusal)) => return refuse_suspect(head, refusal),
+        Err(_) => {
+            let refusal = CallRefusal::not_run(RefusalReason::TooLate).by(&head.service);
+            return CallAnswer::refused(head, &refusal, head.allowance);
+        }
+    };
+    let mut passes = RunPasses {
+        run,
+        suspect,
+        claim,
+    };
+    if !passes.claim.as_mut().is_none_or(ClaimPass::start) {
+        let refusal = CallRefusal::not_run(RefusalReason::ClaimUnavailable);
+        return CallAnswer::refused(head, &refusal, head.allowance);
+    }
+    run_now(core, head, body, deadline, passes).await
+}
+
+/// What a running call holds.
+struct RunPasses {
+    run: RunGuard,
+    suspect: SuspectPass,
+    claim: Option<ClaimPass>,
+}
+
+async fn run_now(
+    core: &Rc<NodeCore>,
+    head: &CallHead,
+    body: CallBody,
+    deadline: ClockTime,
+    mut passes: RunPasses,
+) -> CallAnswer {
     let left = Duration::from_millis(core.now().until_ms(deadline));
     match timeout(left, send_call(core, head, body, deadline)).await {
-        Ok(Ok(response)) => Ok(wrap_answer(core, head, response, run)),
-        Ok(Err(error)) => Err(refuse_failed(core, head, &error)),
-        Err(_) => Err(CallRefusal::may_have_run(RefusalReason::DeadlinePassed).by(&head.service)),
+        Ok(Ok(response)) => {
+            passes.suspect.mark_answered();
+            wrap_answer(core, head, response, passes).await
+        }
+        Ok(Err(error)) => answer_failed(core, head, &error, passes).await,
+        Err(_) => {
+            let refusal = CallRefusal::may_have_run(RefusalReason::DeadlinePassed);
+            CallAnswer::refused(head, &refusal.by(&head.service), 0)
+        }
     }
 }
 
@@ -88,60 +153,151 @@
     core.backend.send(request).await
 }
 
-fn refuse_failed(core: &NodeCore, head: &CallHead, error: &BackendError) -> CallRefusal {
+fn ticket_for(head: &CallHead, deadline: ClockTime) -> QueueTicket {
+    QueueTicket {
+        id: head.attempt,
+        order: ShedOrder::new(head.importance, head.request),
+        team: head.team.clone(),
+        team_weight: head.team_weight,
+        deadline,
+        depth: head.depth,
+        expected_ms: EXPECTED_RUN_MS,
+    }
+}
+
+fn refuse_suspect(head: &CallHead, refusal: SuspectRefusal) -> CallAnswer {
+    let quarantined = quarantine_refusal().by(&head.service);
+    let mut answer = CallAnswer::refused(head, &quarantined, head.allowance);
+    if let SuspectRefusal::SendTo(vm) = refusal {
+        answer.head.send_to = Some(vm);
+    }
+    answer
+}
+
+async fn answer_failed(
+    core: &Rc<NodeCore>,
+    head: &CallHead,
+    error: &BackendError,
+    passes: RunPasses,
+) -> CallAnswer {
+    let verdict = error.verdict();
     log::warn!(
         "event=backend-failed request={} attempt={} verdict={} error={:?}",
         head.request,
         head.attempt,
-        error.verdict().as_str(),
+        verdict.as_str(),
         error.to_string(),
     );
     core.metrics.count_backend_failure();
-    match error.verdict() {
-        RunVerdict::NotRun => CallRefusal::not_run(RefusalReason::NoBackend)
-            .after_ms(BACKEND_DOWN_MS)
-            .by(&head.service),
-        _ => CallRefusal::may_have_run(RefusalReason::BackendFailed).by(&head.service),
+    if verdict == RunVerdict::NotRun {
+        core.is_up.set(false);
+        if let Some(claim) = passes.claim {
+            claim.finish(ClaimOutcome::NotRun);
+        }
+        let refusal = CallRefusal::not_run(RefusalReason::NoBackend).after_ms(BACKEND_DOWN_MS);
+        return CallAnswer::refused(head, &refusal.by(&head.service), head.allowance);
     }
+    let is_suspect = passes.suspect.fail().await;
+    let refusal = CallRefusal::may_have_run(RefusalReason::BackendFailed).by(&head.service);
+    let mut answer = CallAnswer::refused(head, &refusal, passes.run.take_allowance());
+    answer.head.is_suspect = is_suspect;
+    answer
 }
 
-fn wrap_answer(
+/// Turns the backend server's response into an answer, kept whole where its call is claimed.
+async fn wrap_answer(
     core: &NodeCore,
     head: &CallHead,
     response: Response<Incoming>,
-    run: RunGuard,
+    passes: RunPasses,
 ) -> CallAnswer {
-    if response.status().is_success() {
+    let (parts, body) = response.into_parts();
+    let RunPasses { run, claim, .. } = passes;
+    if parts.status.is_success() {
         note_uses(core, head, &run.call.used.borrow());
     }
-    let (parts, body) = response.into_parts();
-    let body = CallBody::Http(body);
-    let body_bytes = body.known_bytes();
-    let headers = HeaderList::from(&strip_hop(&parts.headers));
+    let mut body = CallBody::Http(body);
+    let mut answer = AnswerHead {
+        request: head.request,
+        attempt: head.attempt,
+        verdict: RunVerdict::Ran,
+        refusal: None,
+        refused_by: None,
+        retry_after_ms: 0,
+        allowance_left: run.take_allowance(),
+        status: parts.status.as_u16(),
+        headers: HeaderList::from(&strip_hop(&parts.headers)),
+        body_bytes: body.known_bytes(),
+        load: LoadReport::default(),
+        report: None,
+        run_ms: run.mark_answered(),
+        mark: None,
+        send_to: None,
+        is_suspect: false,
+    };
+    if let Some(claim) = claim {
+        match keep_answer(&mut answer, body).await {
+            Ok((whole, stored)) => {
+                claim.finish(stored.map_or(ClaimOutcome::MayHaveRun, ClaimOutcome::Answered));
+                body = whole;
+            }
+            Err(refusal) => return CallAnswer::refused(head, &refusal.by(&head.service), 0),
+        }
+    }
+    let told = answer.body_bytes;
+    CallAnswer {
+        head: answer,
+        body: AnswerBody::new(body, told).with_run(run),
+    }
+}
+
+/// Reads a small answer whole, so that duplicates of its call can be given it.
+async fn keep_answer(
+    head: &mut AnswerHead,
+    body: CallBody,
+) -> Result<(CallBody, Option<StoredAnswer>), CallRefusal> {
+    let is_small = head
+        .body_bytes
+        .is_some_and(|bytes| bytes <= MAX_KEPT_ANSWER_BYTES);
+    let CallBody::Http(incoming) = body else {
+        return Ok((body, None));
+    };
+    if !is_small {
+        return Ok((CallBody::Http(incoming), None));
+    }
+    let whole = read_whole(incoming).await;
+    let whole = whole.map_err(|_| CallRefusal::may_have_run(RefusalReason::BackendFailed))?;
+    let stored = wire::encode(head).ok();
+    let stored = stored.map(|encoded| StoredAnswer::new(encoded, whole.to_vec()));
+    Ok((CallBody::Whole(whole), stored))
+}
+
+/// Gives a duplicate the answer of the call that ran.
+fn replay_answer(head: &CallHead, stored: &StoredAnswer) -> CallAnswer {
+    let Ok(kept) = wire::decode::<AnswerHead>(&stored.head) else {
+        let refusal = CallRefusal {
+            verdict: RunVerdict::Ran,
+            ..CallRefusal::not_run(RefusalReason::Duplicate)
+        };
+        return CallAnswer::refused(head, &refusal, head.allowance);
+    };
     CallAnswer {
         head: AnswerHead {
             request: head.request,
             attempt: head.attempt,
-            verdict: RunVerdict::Ran,
-            refusal: None,
-            refused_by: None,
-            retry_after_ms: 0,
-            allowance_left: run.take_allowance(),
-            status: parts.status.as_u16(),
-            headers,
-            body_bytes,
-            load: limit::LoadReport::default(),
-            report: None,
-            run_ms: run.mark_answered(),
+            allowance_left: head.allowance,
+            ..kept
         },
-        body: AnswerBody::new(body, body_bytes).with_run(run),
+        body: CallBody::Whole(Bytes::copy_from_slice(&stored.body)).into(),
     }
 }
 
 /// Adds what every answer tells of the node that gives it.
 fn finish_answer(core: &NodeCore, head: &CallHead, mut answer: CallAnswer) -> CallAnswer {
-    answer.head.load = core.gate.load(core.now());
+    let now = core.now();
+    answer.head.load = core.gate.load(now);
     answer.head.report = report_for(core, head);
+    answer.head.mark = Some(core.attempts.borrow().mark(now));
     log::debug!(
         "event=call-run request={} attempt={} call={} verdict={} status={} run_ms={}",
         head.request,
@@ -154,6 +310,59 @@
     answer
 }
 
+/// Returns the bytes of a body that is at hand, or none of one that streams.
+fn whole_bytes(body: &CallBody) -> Bytes {
+    match body {
+        CallBody::Whole(bytes) => bytes.clone(),
+        _ => Bytes::new(),
+    }
+}
+
+/// Keeps an attempt of another node in the table of attempts, for senders in doubt.
+struct AttemptGuard {
+    core: Rc<NodeCore>,
+    attempt: AttemptId,
+    verdict: Cell<RunVerdict>,
+}
+
+impl AttemptGuard {
+    /// Notes an attempt that arrives; one of this node itself carries no mark.
+    fn arrive(core: &Rc<NodeCore>, head: &CallHead) -> Result<Self, CallRefusal> {
+        let now = core.now();
+        let mut table = core.attempts.borrow_mut();
+        let mark = head.mark.unwrap_or_else(|| table.mark(now));
+        match table.arrive(now, head.attempt, mark) {
+            AttemptArrival::Accept => Ok(Self {
+                core: Rc::clone(core),
+                attempt: head.attempt,
+                verdict: Cell::new(RunVerdict::MayHaveRun),
+            }),
+            AttemptArrival::Repeated => Err(CallRefusal::may_have_run(RefusalReason::LinkBroken)),
+            AttemptArrival::Disowned | AttemptArrival::Stale => {
+                Err(CallRefusal::not_run(RefusalReason::LinkBroken))
+            }
+            AttemptArrival::Full => {
+                Err(CallRefusal::not_run(RefusalReason::Overloaded).after_ms(TABLE_FULL_MS))
+            }
+        }
+    }
+
+    fn settle(&self, verdict: RunVerdict) {
+        self.verdict.set(verdict);
+    }
+}
+
+impl Drop for AttemptGuard {
+    fn drop(&mut self) {
+        let now = self.core.now();
+        let mut table = self.core.attempts.borrow_mut();
+        match self.verdict.get() {
+            RunVerdict::NotRun => table.refuse(now, self.attempt),
+            _ => table.finish(now, self.attempt, None),
+        }
+    }
+}
+
 /// Holds the place of a running call until its answer's last byte has gone.
 pub(crate) struct RunGuard {
     core: Rc<NodeCore>,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,16 +9,20 @@
 mod admin_port;
 mod announce;
 mod answer_body;
+mod attempt_doubt;
 mod backend_pool;
 mod call_answer;
 mod call_body;
 mod call_headers;
 mod chain_watch;
+mod claim_state;
+mod claim_watch;
 mod config_state;
 mod config_watch;
 mod dispatch;
 mod egress;
 mod entry;
+mod fate_board;
 mod fleet_state;
 mod fleet_watch;
 mod fold_feed;
@@ -48,6 +52,7 @@
 mod stop_signal;
 mod stream_feed;
 mod stream_host;
+mod suspect_watch;
 
 pub use node_process::{NodeError, NodeProcess};
 pub use node_settings::NodeSettings;
--- a/crates/node/src/node_core.rs
+++ b/crates/node/src/node_core.rs
@@ -8,15 +8,21 @@
 use graph::{AdmissionSettings, ChainAdmission};
 use member::MemberSettings;
 use model::{AttemptId, RecordId, RequestId, ServiceName, VmName};
+use once::{AttemptSettings, AttemptTable, ClaimBook, OnceSettings};
 use platform::{KeyAnswer, KeyDigest, LogStream};
+use quarantine::{SuspectBook, SuspectSettings};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use rate::{RateSettings, TeamLimiter};
 use retry::RetryRatio;
 use route::{RouteSettings, VmRouter};
 
+use crate::attempt_doubt::HeardMark;
 use crate::backend_pool::BackendPool;
+use crate::claim_state::ClaimState;
+use crate::claim_watch::ClaimFate;
 use crate::config_state::ConfigState;
+use crate::fate_board::FateBoard;
 use crate::fleet_state::FleetState;
 use crate::fold_feed::FoldFeed;
 use crate::ingress_gate::IngressGate;
@@ -30,6 +36,7 @@
 use crate::running_calls::RunningCalls;
 use crate::stop_signal::StopSignal;
 use crate::stream_host::StreamHost;
+use crate::suspect_watch::SuspectFate;
 
 /// All that the tasks of a node share, on one thread.
 pub(crate) struct NodeCore {
@@ -40,6 +47,12 @@
     pub(crate) config: StreamHost<ConfigState>,
     pub(crate) fleet: StreamHost<FoldFeed<FleetState>>,
     pub(crate) rates: StreamHost<FoldFeed<RateState>>,
+    pub(crate) claims: StreamHost<FoldFeed<ClaimState>>,
+    pub(crate) claim_fates: FateBoard<ClaimFate>,
+    pub(crate) suspects: RefCell<SuspectBook>,
+    pub(crate) suspect_fates: FateBoard<SuspectFate>,
+    pub(crate) attempts: RefCell<AttemptTable>,
+    pub(crate) marks: RefCell<BTreeMap<VmName, HeardMark>>,
     /// Rings when tokens of the teams' rates may have come.
     pub(crate) tokens: NewsBell,
     pub(crate) chain: RefCell<ChainAdmission>,
@@ -78,6 +91,21 @@
                 RateSettings::default(),
             ),
         };
+        let book = ClaimBook::new(
+            OnceSettings::default(),
+            settings.service.clone(),
+            settings.vm.clone(),
+            clock.now(),
+            0,
+            random.random(),
+        );
+        let claims = ClaimState {
+            book,
+            actions: Vec::new(),
+        };
+        let suspects = SuspectBook::new(SuspectSettings::default(), settings.vm.clone());
+        let table_settings = AttemptSettings::default();
+        let attempts = AttemptTable::new(table_settings, clock.now(), random.random());
         Ok(Self {
             clock,
             contract: RefCell::default(),
@@ -85,6 +113,12 @@
             config: StreamHost::new(clock, ConfigState::new(settings.centre.clone())),
             fleet: StreamHost::new(clock, FoldFeed::new(LogStream::Members, fleet)),
             rates: StreamHost::new(clock, FoldFeed::new(LogStream::Rates, rates)),
+            claims: StreamHost::new(clock, FoldFeed::new(LogStream::Claims, claims)),
+            claim_fates: FateBoard::default(),
+            suspects: RefCell::new(suspects),
+            suspect_fates: FateBoard::default(),
+            attempts: RefCell::new(attempts),
+            marks: RefCell::default(),
             tokens: NewsBell::default(),
             chain: RefCell::new(ChainAdmission::new(AdmissionSettings::default())),
             ratios: RefCell::default(),
--- a/crates/node/src/node_message.rs
+++ b/crates/node/src/node_message.rs
@@ -1,5 +1,8 @@
 use member::MemberAnnouncement;
+use model::AttemptId;
+use once::{AttemptState, HolderReply, TableMark};
 use platform::{RelayBatch, RelayPull};
+use quarantine::{NewsId, SuspectNews};
 use rate::RateMessage;
 use serde::{Deserialize, Serialize};
 
@@ -12,6 +15,16 @@
     Member(MemberAnnouncement),
     /// Carries a message between the limiters of two nodes.
     Rate(RateMessage),
+    /// Asks for the mark of the node's table of attempts.
+    AskMark,
+    /// Asks what became of an attempt that carried a mark.
+    AskAttempt(AttemptId, TableMark),
+    /// Asks what became of the attempt that owns an idempotency key.
+    AskHolder(AttemptId),
+    /// Tells of requests that crashed backend servers.
+    Suspect(NewsId, Vec<SuspectNews>),
+    /// Tells that such news was taken.
+    SuspectAck(NewsId, Vec<SuspectNews>),
 }
 
 /// The answer to a control message.
@@ -19,6 +32,12 @@
 pub(crate) enum NodeReply {
     /// What follows in the stream, unless the node doesn't follow it.
     Batch(Option<RelayBatch>),
+    /// The mark of the table of attempts.
+    Mark(TableMark),
+    /// What became of the attempt.
+    Attempt(AttemptState),
+    /// What became of the attempt that owns the key.
+    Holder(HolderReply),
     /// The message was taken, or wasn't understood.
     Nothing,
 }
--- a/crates/node/src/node_process.rs
+++ b/crates/node/src/node_process.rs
@@ -13,6 +13,7 @@
 
 use crate::admin_port::answer_admin;
 use crate::announce::announce_node;
+use crate::claim_watch::{ClaimWatch, poll_claims};
 use crate::config_watch::{ConfigWatch, repeat_config};
 use crate::egress::answer_backend;
 use crate::entry::answer_caller;
@@ -22,6 +23,7 @@
 use crate::node_settings::NodeSettings;
 use crate::peer_port::PeerPort;
 use crate::rate_watch::{RateWatch, poll_rates};
+use crate::suspect_watch::poll_suspects;
 
 /// The time between two looks at what has become due, in milliseconds.
 const TICK_MS: u64 = 10;
@@ -88,19 +90,10 @@
         let plan = seed_plan(core);
         let has_peers = !core.settings.peers.is_empty();
         use_plan(core, &plan, BTreeSet::new(), has_peers);
-        let watched = Rc::clone(core);
-        spawn(async move {
-            let core = &watched;
-            let config = ConfigWatch(Rc::clone(core));
-            let fleet = FleetWatch(Rc::clone(core));
-            let rates = RateWatch(Rc::clone(core));
-            futures_util::join!(
-                core.config.follow(&core.log, &config),
-                core.fleet.follow(&core.log, &fleet),
-                core.rates.follow(&core.log, &rates),
-            );
-        })
-        .detach();
+        spawn(follow_config(Rc::clone(core))).detach();
+        spawn(follow_fleet(Rc::clone(core))).detach();
+        spawn(follow_rates(Rc::clone(core))).detach();
+        spawn(follow_claims(Rc::clone(core))).detach();
         spawn(repeat_config(Rc::clone(core))).detach();
         let own = self.announcement();
         spawn(announce_node(Rc::clone(core), own)).detach();
@@ -194,6 +187,26 @@
     }
 }
 
+async fn follow_config(core: Rc<NodeCore>) {
+    let watch = ConfigWatch(Rc::clone(&core));
+    core.config.follow(&core.log, &watch).await;
+}
+
+async fn follow_fleet(core: Rc<NodeCore>) {
+    let watch = FleetWatch(Rc::clone(&core));
+    core.fleet.follow(&core.log, &watch).await;
+}
+
+async fn follow_rates(core: Rc<NodeCore>) {
+    let watch = RateWatch(Rc::clone(&core));
+    core.rates.follow(&core.log, &watch).await;
+}
+
+async fn follow_claims(core: Rc<NodeCore>) {
+    let watch = ClaimWatch(Rc::clone(&core));
+    core.claims.follow(&core.log, &watch).await;
+}
+
 /// Lets time pass for everything that decides by time.
 async fn keep_time(core: Rc<NodeCore>) {
     loop {
@@ -209,6 +222,8 @@
         });
         put_members(&core, now);
         poll_rates(&core, now);
+        poll_claims(&core, now);
+        poll_suspects(&core, now);
         for router in core.routers.borrow_mut().values_mut() {
             router.tick(now);
         }
--- a/crates/node/src/peer_port.rs
+++ b/crates/node/src/peer_port.rs
@@ -7,10 +7,12 @@
 
 use crate::answer_body::AnswerBody;
 use crate::call_body::CallBody;
+use crate::claim_watch::answer_holder;
 use crate::ingress::run_call;
 use crate::node_core::NodeCore;
 use crate::node_message::{NodeMessage, NodeReply};
 use crate::rate_watch::receive_rate;
+use crate::suspect_watch::{receive_ack, receive_news};
 
 /// What a node does with the calls and messages of other nodes.
 pub(crate) struct PeerPort(Rc<NodeCore>);
@@ -30,6 +32,20 @@
                 core.fleet.with(|feed| feed.fold().learn(&announcement));
             }
             NodeMessage::Rate(message) => receive_rate(core, from, message),
+            NodeMessage::AskMark => {
+                let mark = core.attempts.borrow().mark(core.now());
+                return NodeReply::Mark(mark);
+            }
+            NodeMessage::AskAttempt(attempt, mark) => {
+                let now = core.now();
+                let state = core.attempts.borrow_mut().ask(now, attempt, mark);
+                return NodeReply::Attempt(state);
+            }
+            NodeMessage::AskHolder(owner) => {
+                return NodeReply::Holder(answer_holder(core, owner));
+            }
+            NodeMessage::Suspect(id, news) => receive_news(core, from, id, &news),
+            NodeMessage::SuspectAck(id, news) => receive_ack(core, from, id, &news),
         }
         NodeReply::Nothing
     }
@@ -40,7 +56,7 @@
         LogStream::Config => Some(core.config.answer(pull).await),
         LogStream::Members => Some(core.fleet.answer(pull).await),
         LogStream::Rates => Some(core.rates.answer(pull).await),
-        LogStream::Claims => None,
+        LogStream::Claims => Some(core.claims.answer(pull).await),
     }
 }
 
--- a/crates/node/src/stream_host.rs
+++ b/crates/node/src/stream_host.rs
@@ -69,7 +69,7 @@
             let asked = self.clock.now();
             match self.with_random(|feed, random| feed.next_read(asked, random)) {
                 FollowAction::Read { from, wait_ms } => {
-                    let result = log.read(stream, from, wait_ms).await;
+                    let result = Box::pin(log.read(stream, from, wait_ms)).await;
                     let now = self.clock.now();
                     let is_news =
                         self.with_random(|feed, random| feed.on_read(now, asked, result, random));
@@ -87,7 +87,7 @@
             let action = self.feed.borrow_mut().next_pull(asked);
             match action {
                 FollowAction::Pull { peer, pull } => {
-                    let batch = watch.pull(&peer, pull).await;
+                    let batch = Box::pin(watch.pull(&peer, pull)).await;
                     let now = self.clock.now();
                     if let Some(batch) = batch {
                         let is_news = self.feed.borrow_mut().on_batch(now, asked, batch);
--- /dev/null
+++ b/crates/node/src/suspect_watch.rs
@@ -0,0 +1,235 @@
+use std::rc::Rc;
+use std::time::Duration;
+
+use clock::ClockTime;
+use compio::time::{sleep, timeout};
+use futures_channel::oneshot;
+use model::{AttemptId, RefusalReason, TeamName, VmName};
+use quarantine::{NewsId, RequestFingerprint, SuspectAction, SuspectDecision, SuspectNews};
+use wire::CallHead;
+
+use crate::call_answer::CallRefusal;
+use crate::node_core::NodeCore;
+use crate::node_message::NodeMessage;
+use crate::peer_talk::ask_peer;
+
+/// The time for which a failed call waits to learn whether its backend server crashed, in
+/// milliseconds.
+const CRASH_LOOK_MS: u64 = 10;
+/// The longest time for which a failed call waits for peers to learn of it, in milliseconds.
+const FAIL_WAIT_MS: u64 = 2_000;
+
+/// What a call is told about whether it may run.
+pub(crate) enum SuspectFate {
+    /// It may run.
+    Start,
+    /// The node has news of it, and it must be looked at again.
+    Reconsider,
+    /// Its backend server crashed and the peers know of it.
+    Fail {
+        /// Whether a retry can't take the next backend server down.
+        may_retry: bool,
+    },
+}
+
+/// Why a call may not run here.
+pub(crate) enum SuspectRefusal {
+    /// It is in quarantine.
+    Quarantined,
+    /// Only another VM may run it.
+    SendTo(VmName),
+}
+
+/// Holds the place of a running call among those that a crash would make suspect.
+pub(crate) struct SuspectPass {
+    core: Rc<NodeCore>,
+    attempt: AttemptId,
+    fate: Option<oneshot::Receiver<SuspectFate>>,
+    is_answered: bool,
+}
+
+impl SuspectPass {
+    /// Notes that the backend server answered.
+    pub(crate) const fn mark_answered(&mut self) {
+        self.is_answered = true;
+    }
+
+    /// Learns whether the backend server crashed, and then waits until the peers know of it.
+    ///
+    /// Returns whether sending the call again might crash another backend server.
+    pub(crate) async fn fail(mut self) -> bool {
+        let core = Rc::clone(&self.core);
+        sleep(Duration::from_millis(CRASH_LOOK_MS)).await;
+        if core.backend.has_crashed().await {
+            note_crash(&core);
+        }
+        let Some(fate) = self.fate.take().filter(|_| core.backend.is_marked_down()) else {
+            return false;
+        };
+        let limit = Duration::from_millis(FAIL_WAIT_MS);
+        match timeout(limit, fate).await {
+            Ok(Ok(SuspectFate::Fail { may_retry })) => !may_retry,
+            _ => true,
+        }
+    }
+}
+
+impl Drop for SuspectPass {
+    fn drop(&mut self) {
+        self.core.suspect_fates.forget(self.attempt);
+        let now = self.core.now();
+        let mut actions = Vec::new();
+        let mut book = self.core.suspects.borrow_mut();
+        if self.is_answered {
+            book.finish(now, self.attempt, &mut actions);
+        } else {
+            book.abandon(now, self.attempt, &mut actions);
+        }
+        drop(book);
+        act_on_suspects(&self.core, actions);
+    }
+}
+
+/// Waits until a call may run beside, or without, the others.
+///
+/// # Errors
+///
+/// Returns why it may not run here.
+pub(crate) async fn enter_run(
+    core: &Rc<NodeCore>,
+    head: &CallHead,
+    body: &[u8],
+) -> Result<SuspectPass, SuspectRefusal> {
+    let fingerprint = fingerprint_of(head, body);
+    let is_single = !matches!(head.method.as_str(), "GET" | "HEAD" | "OPTIONS");
+    loop {
+        let fate = core.suspect_fates.wait_for(head.attempt);
+        let now = core.now();
+        let decision = core
+            .suspects
+            .borrow_mut()
+            .begin(now, fingerprint, head.attempt, is_single);
+        let mut pass = SuspectPass {
+            core: Rc::clone(core),
+            attempt: head.attempt,
+            fate: Some(fate),
+            is_answered: false,
+        };
+        match decision {
+            SuspectDecision::Run | SuspectDecision::RunAlone => return Ok(pass),
+            SuspectDecision::Refuse => {
+                pass.mark_answered();
+                return Err(SuspectRefusal::Quarantined);
+            }
+            SuspectDecision::SendTo(vm) => {
+                pass.mark_answered();
+                return Err(SuspectRefusal::SendTo(vm));
+            }
+            SuspectDecision::Wait => {}
+        }
+        let Some(fate) = pass.fate.take() else {
+            continue;
+        };
+        match fate.await {
+            Ok(SuspectFate::Start) => {
+                pass.fate = Some(core.suspect_fates.wait_for(head.attempt));
+                return Ok(pass);
+            }
+            _ => pass.mark_answered(),
+        }
+    }
+}
+
+/// Returns the refusal of a call that is in quarantine.
+pub(crate) const fn quarantine_refusal() -> CallRefusal {
+    CallRefusal::not_run(RefusalReason::Quarantined)
+}
+
+/// Does what is due for the suspects.
+pub(crate) fn poll_suspects(core: &Rc<NodeCore>, now: ClockTime) {
+    let mut actions = Vec::new();
+    core.suspects.borrow_mut().poll(now, &mut actions);
+    act_on_suspects(core, actions);
+}
+
+/// Takes news of a peer.
+pub(crate) fn receive_news(core: &Rc<NodeCore>, from: &VmName, id: NewsId, news: &[SuspectNews]) {
+    let now = core.now();
+    let mut actions = Vec::new();
+    let mut book = core.suspects.borrow_mut();
+    book.receive(now, from.clone(), id, news, &mut actions);
+    drop(book);
+    act_on_suspects(core, actions);
+}
+
+/// Takes a peer's acknowledgement of news.
+pub(crate) fn receive_ack(core: &Rc<NodeCore>, from: &VmName, id: NewsId, news: &[SuspectNews]) {
+    let now = core.now();
+    let mut actions = Vec::new();
+    let mut book = core.suspects.borrow_mut();
+    book.receive_ack(now, from, id, news, &mut actions);
+    drop(book);
+    act_on_suspects(core, actions);
+}
+
+/// Returns what makes two calls the same request.
+pub(crate) fn fingerprint_of(head: &CallHead, body: &[u8]) -> RequestFingerprint {
+    let team = head.team.clone().unwrap_or_else(|| TeamName::new(""));
+    let mut content = head.method.clone().into_bytes();
+    content.extend_from_slice(head.path.as_bytes());
+    content.extend_from_slice(&head.body_bytes.unwrap_or_default().to_be_bytes());
+    content.extend_from_slice(body);
+    RequestFingerprint::new(&team, &head.call, &content)
+}
+
+fn note_crash(core: &Rc<NodeCore>) {
+    if core.backend.mark_down() {
+        log::error!("event=backend-crashed running={}", core.running.len());
+        core.is_up.set(false);
+        core.gate.reset();
+    }
+    let now = core.now();
+    let mut actions = Vec::new();
+    core.suspects.borrow_mut().crash(now, &mut actions);
+    act_on_suspects(core, actions);
+}
+
+fn act_on_suspects(core: &Rc<NodeCore>, actions: Vec<SuspectAction>) {
+    for action in actions {
+        match action {
+            SuspectAction::Tell(id, news) => tell_service(core, id, &news),
+            SuspectAction::Ack { to, id, news } => {
+                send_news(core, to, NodeMessage::SuspectAck(id, news));
+            }
+            SuspectAction::Fail { attempt, may_retry } => {
+                let fate = SuspectFate::Fail { may_retry };
+                core.suspect_fates.tell(attempt, fate);
+            }
+            SuspectAction::Start(attempt) => core.suspect_fates.tell(attempt, SuspectFate::Start),
+            SuspectAction::Reconsider(attempt) => {
+                core.suspect_fates.tell(attempt, SuspectFate::Reconsider);
+            }
+        }
+    }
+}
+
+/// Sends news to the other nodes of the own service.
+fn tell_service(core: &Rc<NodeCore>, id: NewsId, news: &[SuspectNews]) {
+    let service = &core.settings.service;
+    let peers = core.fleet.with(|feed| {
+        let ready = feed.fold().view().ready(service);
+        let names = ready.map(|member| member.vm.clone());
+        names.collect::<Vec<_>>()
+    });
+    for vm in peers.into_iter().filter(|vm| *vm != core.settings.vm) {
+        send_news(core, vm, NodeMessage::Suspect(id, news.to_vec()));
+    }
+}
+
+fn send_news(core: &Rc<NodeCore>, vm: VmName, message: NodeMessage) {
+    let core = Rc::clone(core);
+    let sending = async move {
+        ask_peer(&core, &vm, &message).await;
+    };
+    compio::runtime::spawn(sending).detach();
+}
--- /dev/null
+++ b/crates/node/tests/backend_crash.rs
@@ -0,0 +1,38 @@
+//! A request that crashes the backend servers that run it.
+
+mod fleet;
+
+use std::time::Duration;
+
+use compio::time::sleep;
+use fleet::Fleet;
+use rstest::rstest;
+use standin::BackendSettings;
+
+#[rstest]
+#[compio::test]
+async fn a_poisonous_request_takes_down_at_most_two_backend_servers() {
+    let mut fleet = Fleet::start().await;
+    for n in 0..4 {
+        let name = format!("filings-{n}");
+        fleet
+            .add(&name, "filings", BackendSettings::default())
+            .await;
+    }
+    fleet.settle().await;
+    for round in 0..8 {
+        let answer = fleet
+            .send(round % 4, "GET", "/filings/filings/1?crash=1")
+            .await;
+        assert_ne!(answer.status().as_u16(), 200);
+        sleep(Duration::from_millis(50)).await;
+        for pair in &fleet.pairs {
+            let _ = pair.backend.restart().await;
+        }
+        sleep(Duration::from_millis(200)).await;
+    }
+    let crashes: usize = fleet.pairs.iter().map(|pair| pair.backend.crashes()).sum();
+    assert!(crashes <= 2, "{crashes} backend servers went down");
+    let answer = fleet.send(0, "GET", "/filings/filings/2").await;
+    assert_eq!(answer.status().as_u16(), 200);
+}
--- /dev/null
+++ b/crates/node/tests/once_calls.rs
@@ -0,0 +1,79 @@
+//! Calls that must run at most once, over real HTTP.
+
+mod fleet;
+
+use fleet::Fleet;
+use rstest::rstest;
+use standin::BackendSettings;
+
+async fn two_filings() -> Fleet {
+    let mut fleet = Fleet::start().await;
+    for name in ["filings-1", "filings-2"] {
+        let settings = BackendSettings {
+            run_ms: 30,
+            ..BackendSettings::default()
+        };
+        fleet.add(name, "filings", settings).await;
+    }
+    fleet.settle().await;
+    fleet
+}
+
+fn runs(fleet: &Fleet, trace: &str) -> usize {
+    let records = fleet.pairs.iter().map(|pair| pair.backend.record());
+    records
+        .map(|record| record.runs_by_trace().get(trace).copied().unwrap_or(0))
+        .sum()
+}
+
+#[rstest]
+#[compio::test]
+async fn a_duplicate_gets_the_answer_of_the_first() {
+    let fleet = two_filings().await;
+    let headers = [("idempotency-key", "one"), ("x-trace", "one")];
+    for node in [0, 1, 0, 1] {
+        let answer = fleet
+            .send_with(node, "POST", "/filings/charges", &headers)
+            .await;
+        assert_eq!(answer.status().as_u16(), 200);
+        assert_eq!(answer.headers()["lentilshift-verdict"], "ran");
+    }
+    assert_eq!(runs(&fleet, "one"), 1);
+}
+
+#[rstest]
+#[compio::test]
+async fn concurrent_duplicates_run_once() {
+    let fleet = two_filings().await;
+    let headers = [("idempotency-key", "two"), ("x-trace", "two")];
+    let sends = (0..12).map(|n| fleet.send_with(n % 2, "POST", "/filings/charges", &headers));
+    for answer in futures_util::future::join_all(sends).await {
+        assert_eq!(answer.status().as_u16(), 200);
+    }
+    assert_eq!(runs(&fleet, "two"), 1);
+}
+
+#[rstest]
+#[compio::test]
+async fn a_key_of_another_call_is_refused() {
+    let fleet = two_filings().await;
+    let headers = [("idempotency-key", "three"), ("x-trace", "three")];
+    let first = fleet
+        .send_with(0, "POST", "/filings/charges/a", &headers)
+        .await;
+    assert_eq!(first.status().as_u16(), 200);
+    let second = fleet
+        .send_with(1, "POST", "/filings/charges/b", &headers)
+        .await;
+    assert_ne!(second.status().as_u16(), 200);
+    assert_eq!(runs(&fleet, "three"), 1);
+}
+
+#[rstest]
+#[compio::test]
+async fn a_call_without_a_key_is_refused() {
+    let fleet = two_filings().await;
+    let answer = fleet.send(0, "POST", "/filings/charges").await;
+    assert_eq!(answer.status().as_u16(), 400);
+    assert_eq!(answer.headers()["lentilshift-verdict"], "not-run");
+}
--- a/crates/once/src/attempt_table.rs
+++ b/crates/once/src/attempt_table.rs
@@ -56,7 +56,7 @@
 }
 
 /// What a node knows of an attempt that a sender asks about.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum AttemptState {
     /// It hasn't arrived, and is refused from now on: it is not run.
     NotSeen,
--- a/crates/once/src/claim_book.rs
+++ b/crates/once/src/claim_book.rs
@@ -1,5 +1,7 @@
 mod steps;
 
+use serde::{Deserialize, Serialize};
+
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
@@ -26,7 +28,7 @@
 }
 
 /// What the holder of a claim says about it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum HolderReply {
     /// The attempt waits or runs: ask again.
     Running,
--- a/crates/wire/src/answer_head.rs
+++ b/crates/wire/src/answer_head.rs
@@ -2,7 +2,8 @@
 
 use graph::ShedReport;
 use limit::LoadReport;
-use model::{AttemptId, RefusalReason, RequestId, RunVerdict, ServiceName};
+use model::{AttemptId, RefusalReason, RequestId, RunVerdict, ServiceName, VmName};
+use once::TableMark;
 use serde::de::{self, SeqAccess, Visitor};
 use serde::ser::SerializeTuple;
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
@@ -10,7 +11,7 @@
 use crate::HeaderList;
 
 /// The number of fields of a [`AnswerHead`] on the wire.
-const FIELDS: usize = 13;
+const FIELDS: usize = 16;
 
 /// What a node tells the one that called, ahead of the answer's body.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -41,6 +42,12 @@
     pub report: Option<ShedReport>,
     /// The time for which the backend server ran the call, in milliseconds.
     pub run_ms: u32,
+    /// The mark of the answering node's table of attempts.
+    pub mark: Option<TableMark>,
+    /// The VM that the call must be sent to, when it may not run on this one.
+    pub send_to: Option<VmName>,
+    /// Whether sending the call again might crash another backend server.
+    pub is_suspect: bool,
 }
 
 impl Serialize for AnswerHead {
@@ -59,6 +66,9 @@
         tuple.serialize_element(&self.load)?;
         tuple.serialize_element(&self.report)?;
         tuple.serialize_element(&self.run_ms)?;
+        tuple.serialize_element(&self.mark)?;
+        tuple.serialize_element(&self.send_to)?;
+        tuple.serialize_element(&self.is_suspect)?;
         tuple.end()
     }
 }
@@ -93,6 +103,9 @@
             load: next_field(&mut fields, 10)?,
             report: next_field(&mut fields, 11)?,
             run_ms: next_field(&mut fields, 12)?,
+            mark: next_field(&mut fields, 13)?,
+            send_to: next_field(&mut fields, 14)?,
+            is_suspect: next_field(&mut fields, 15)?,
         })
     }
 }
--- a/crates/wire/src/call_head.rs
+++ b/crates/wire/src/call_head.rs
@@ -1,6 +1,7 @@
 use std::fmt;
 
 use model::{AttemptId, CallImportance, CallName, RequestId, ServiceName, TeamName};
+use once::TableMark;
 use serde::de::{self, SeqAccess, Visitor};
 use serde::ser::SerializeTuple;
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
@@ -8,7 +9,7 @@
 use crate::HeaderList;
 
 /// The number of fields of a [`CallHead`] on the wire.
-const FIELDS: usize = 16;
+const FIELDS: usize = 17;
 
 /// What a node tells the next about a call, ahead of the body.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -27,6 +28,8 @@
     pub team_weight: u32,
     /// The importance, inherited from the call at the entry.
     pub importance: CallImportance,
+    /// The latest mark of the other node's table of attempts, for senders in doubt.
+    pub mark: Option<TableMark>,
     /// The number of calls above this one.
     pub depth: u8,
     /// The time left until the deadline, in milliseconds.
@@ -57,6 +60,7 @@
         tuple.serialize_element(&self.team)?;
         tuple.serialize_element(&self.team_weight)?;
         tuple.serialize_element(&self.importance)?;
+        tuple.serialize_element(&self.mark)?;
         tuple.serialize_element(&self.depth)?;
         tuple.serialize_element(&self.deadline_left_ms)?;
         tuple.serialize_element(&self.allowance)?;
@@ -94,15 +98,16 @@
             team: next_field(&mut fields, 4)?,
             team_weight: next_field(&mut fields, 5)?,
             importance: next_field(&mut fields, 6)?,
-            depth: next_field(&mut fields, 7)?,
-            deadline_left_ms: next_field(&mut fields, 8)?,
-            allowance: next_field(&mut fields, 9)?,
-            once: next_field(&mut fields, 10)?,
-            idempotent: next_field(&mut fields, 11)?,
-            method: next_field(&mut fields, 12)?,
-            path: next_field(&mut fields, 13)?,
-            headers: next_field(&mut fields, 14)?,
-            body_bytes: next_field(&mut fields, 15)?,
+            mark: next_field(&mut fields, 7)?,
+            depth: next_field(&mut fields, 8)?,
+            deadline_left_ms: next_field(&mut fields, 9)?,
+            allowance: next_field(&mut fields, 10)?,
+            once: next_field(&mut fields, 11)?,
+            idempotent: next_field(&mut fields, 12)?,
+            method: next_field(&mut fields, 13)?,
+            path: next_field(&mut fields, 14)?,
+            headers: next_field(&mut fields, 15)?,
+            body_bytes: next_field(&mut fields, 16)?,
         })
     }
 }
