fix(rate): fill buckets by the old shares before a record changes them

Cause: an allocator that woke from a pause read the record that raised its share and credited the new rate for the whole pause, in which another data centre still had that rate. Change: buckets fill before each record; a take-over's empty buckets fill from the moment that it is appended, when nobody else's token can be alive; an allocator spaces the asks of nodes that are out of tokens by how many ask.

--- a/crates/rate/src/rate_allocator.rs
+++ b/crates/rate/src/rate_allocator.rs
@@ -11,6 +11,11 @@
 /// The number of the record with which a holder begins; later ones count up from it.
 const FIRST_RENEWAL: u64 = 1;
 
+/// The period over which asking nodes are counted, in milliseconds.
+const ASKER_PERIOD_MS: u64 = 1_000;
+/// The time after which a silent node's last ask is forgotten, in milliseconds.
+const ASKER_LIFE_MS: u64 = 60_000;
+
 /// A lease record that was appended and whose fate is not known yet.
 #[derive(Clone, Debug)]
 struct PendingLease {
@@ -26,6 +31,13 @@
     tokens: BTreeMap<TeamName, u32>,
 }
 
+/// The newest ask of a node.
+#[derive(Clone, Copy, Debug, Default)]
+struct LastAsk {
+    seq: u64,
+    at: ClockTime,
+}
+
 /// Allocates the tokens of one slot in one data centre, or stands by to do so.
 #[derive(Clone, Debug)]
 pub(crate) struct RateAllocator {
@@ -44,7 +56,9 @@
     promised_until: ClockTime,
     buckets: BTreeMap<TeamName, TeamBucket>,
     grants: BTreeMap<(VmName, u64), OpenGrant>,
-    last_seqs: BTreeMap<VmName, u64>,
+    askers: BTreeMap<VmName, LastAsk>,
+    busy_askers: u64,
+    counted_at: ClockTime,
 }
 
 impl RateAllocator {
@@ -65,7 +79,9 @@
             promised_until: ClockTime::ZERO,
             buckets: BTreeMap::new(),
             grants: BTreeMap::new(),
-            last_seqs: BTreeMap::new(),
+            askers: BTreeMap::new(),
+            busy_askers: 0,
+            counted_at: ClockTime::ZERO,
         }
     }
 
@@ -104,9 +120,6 @@
         if pending.record != state.record {
             return self.forget_unless_held(state);
         }
-        if pending.record.renewal == FIRST_RENEWAL {
-            self.forget();
-        }
         self.leased_until = pending
             .asked_at
             .plus_ms(settings.shorter_ms(settings.lease_ms));
@@ -180,10 +193,11 @@
             None if begin_at.is_some_and(|time| time <= now) => newest,
             _ => return,
         };
-        self.renewals = match self.is_holder(fold) {
-            true => self.renewals + 1,
-            false => FIRST_RENEWAL,
-        };
+        if self.is_holder(fold) {
+            self.renewals += 1;
+        } else {
+            self.begin(now, fold, settings);
+        }
         let record = LeaseRecord {
             slot: self.slot,
             centre: self.centre.clone(),
@@ -200,6 +214,13 @@
         });
     }
 
+    /// Starts with empty buckets that fill from `now`, when no one else's token can be alive.
+    fn begin(&mut self, now: ClockTime, fold: &LeaseFold, settings: &RateSettings) {
+        self.forget();
+        self.renewals = FIRST_RENEWAL;
+        self.fill_all(now, fold, settings);
+    }
+
     /// Tells whether the lease, this node's promise and every grant under them have lapsed.
     fn may_take_over(&self, now: ClockTime, state: &LeaseState, settings: &RateSettings) -> bool {
         let grant_ms = settings.longer_ms(settings.grant_ms);
@@ -295,9 +316,10 @@
         fold: &LeaseFold,
         settings: &RateSettings,
     ) -> Option<RateMessage> {
-        if !self.may_grant(now, fold) || !self.is_new_ask(from, seq) {
+        if !self.may_grant(now, fold) || !self.is_new_ask(now, from, seq) {
             return None;
         }
+        self.count_askers(now);
         self.expire_grants(now, fold, settings);
         let grants: Vec<TeamGrant> = wants
             .iter()
@@ -323,11 +345,30 @@
     }
 
     /// Tells whether an ask is newer than all before it from the same node.
-    fn is_new_ask(&mut self, from: &VmName, seq: u64) -> bool {
-        let last = self.last_seqs.entry(from.clone()).or_default();
-        let is_new = seq > *last;
-        *last = seq.max(*last);
-        is_new
+    fn is_new_ask(&mut self, now: ClockTime, from: &VmName, seq: u64) -> bool {
+        let last = self.askers.entry(from.clone()).or_default();
+        if seq <= last.seq {
+            return false;
+        }
+        *last = LastAsk { seq, at: now };
+        true
+    }
+
+    /// Counts the nodes that asked lately and forgets those long silent.
+    fn count_askers(&mut self, now: ClockTime) {
+        if now.since_ms(self.counted_at) < ASKER_PERIOD_MS {
+            return;
+        }
+        self.counted_at = now;
+        self.askers
+            .retain(|_, last| now.since_ms(last.at) < ASKER_LIFE_MS);
+        let is_busy = |last: &&LastAsk| now.since_ms(last.at) < ASKER_PERIOD_MS;
+        self.busy_askers = self.askers.values().filter(is_busy).count() as u64;
+    }
+
+    /// Returns the time between two asks of one node that keeps all within the budget.
+    const fn spacing_ms(&self, settings: &RateSettings) -> u64 {
+        self.busy_askers * 1_000 / settings.asks_per_s
     }
 
     fn grant_team(
@@ -337,6 +378,7 @@
         fold: &LeaseFold,
         settings: &RateSettings,
     ) -> TeamGrant {
+        let spacing_ms = u32::try_from(self.spacing_ms(settings)).unwrap_or(u32::MAX);
         let share = fold.share(&want.team, &self.centre);
         let team = want.team.clone();
         let bucket = self
@@ -347,7 +389,7 @@
         TeamGrant {
             team,
             tokens: bucket.grant(want.tokens),
-            next_ms: bucket.next_ms(share),
+            next_ms: bucket.next_ms(share).max(spacing_ms),
         }
     }
 
@@ -375,8 +417,8 @@
             for (team, tokens) in open.into_iter().flat_map(|open| open.tokens) {
                 self.settle(now, &team, tokens, tokens, fold, settings);
             }
-            let last = self.last_seqs.entry(from.clone()).or_default();
-            *last = (*last).max(*seq);
+            let last = self.askers.entry(from.clone()).or_default();
+            last.seq = last.seq.max(*seq);
         }
         self.grants.retain(|_, open| !open.tokens.is_empty());
     }
@@ -412,6 +454,18 @@
         self.fill_all(now, fold, settings);
     }
 
+    /// Fills the buckets by the present shares, before a record that may change them.
+    pub(crate) fn before_record(
+        &mut self,
+        now: ClockTime,
+        fold: &LeaseFold,
+        settings: &RateSettings,
+    ) {
+        if !self.buckets.is_empty() {
+            self.fill_all(now, fold, settings);
+        }
+    }
+
     /// Fills the buckets of all teams in the newest table.
     fn fill_all(&mut self, now: ClockTime, fold: &LeaseFold, settings: &RateSettings) {
         let Some(table) = fold.table() else {
--- a/crates/rate/src/rate_settings.rs
+++ b/crates/rate/src/rate_settings.rs
@@ -28,6 +28,10 @@
     pub ahead_ms: u64,
     /// The shortest time between two asks for a team that is out of tokens, in milliseconds.
     pub dry_ms: u64,
+    /// The longest time between two such asks, in milliseconds.
+    pub most_dry_ms: u64,
+    /// The asks a second that one allocator wants to answer for teams that are out of tokens.
+    pub asks_per_s: u64,
     /// The time between two tries of an append, in milliseconds.
     pub append_retry_ms: u64,
 }
@@ -48,6 +52,8 @@
             idle_ms: 60,
             ahead_ms: 50,
             dry_ms: 10,
+            most_dry_ms: 5_000,
+            asks_per_s: 2_000,
             append_retry_ms: 1_000,
         }
     }
--- a/crates/rate/src/team_limiter.rs
+++ b/crates/rate/src/team_limiter.rs
@@ -128,6 +128,9 @@
         let Some(fold) = self.folds.get_mut(&slot) else {
             return;
         };
+        if let Some(allocator) = self.allocators.get_mut(&slot) {
+            allocator.before_record(now, fold, &self.settings);
+        }
         if !fold.apply(now, offset, record) {
             return;
         }
--- a/crates/rate/src/token_holder.rs
+++ b/crates/rate/src/token_holder.rs
@@ -390,7 +390,7 @@
                 continue;
             };
             if grant.tokens < wanted {
-                let dry_ms = u64::from(grant.next_ms).clamp(settings.dry_ms, settings.grant_ms);
+                let dry_ms = u64::from(grant.next_ms).clamp(settings.dry_ms, settings.most_dry_ms);
                 using
                     .dry_until
                     .insert(ask.pool.1.clone(), now.plus_ms(dry_ms));
