fix(limit,route): judge a dip of the limit in one step; don't let announced slots attract load

The limit dipped on noise (floor of 64 runs, tolerance 1.6) and took six seconds of a slow spell to learn that lowering it didn't help. The router weighed VMs by announced slots, so that a backend server announcing three times its slots drew three times the load.

--- a/crates/limit/src/concurrency_limit.rs
+++ b/crates/limit/src/concurrency_limit.rs
@@ -16,18 +16,18 @@
         Self {
             is_adaptive: true,
             min_limit: 2,
-            tolerance: 1.6,
-            sample_runs: 64,
+            tolerance: 2.0,
+            sample_runs: 128,
         }
     }
 }
 
-/// The part of the limit that one decision takes away or gives back.
-const STEP_SHARE: f64 = 0.1;
-/// The part of the first limit of a dip at which the dip is judged.
-const DIP_SHARE: f64 = 0.7;
+/// The part of the limit that one decision gives back.
+const RAISE_SHARE: f64 = 0.1;
+/// The part of the limit that a dip takes away.
+const DIP_SHARE: f64 = 0.2;
 /// Latency must fall below this part of what it was for a dip to have helped.
-const HELPED_SHARE: f64 = 0.85;
+const HELPED_SHARE: f64 = 0.9;
 
 /// A lowering of the limit, on trial until it is known whether it shortens latency.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -141,26 +141,29 @@
     }
 
     fn raise(&mut self) {
-        let step = (self.limit * STEP_SHARE).max(1.0);
+        let step = (self.limit * RAISE_SHARE).max(1.0);
         self.limit = (self.limit + step).min(f64::from(self.slots));
         self.dip = None;
     }
 
     fn lower(&mut self, latency: f64) {
-        let dip = *self.dip.get_or_insert(LimitDip {
-            first_limit: self.limit,
-            first_latency_ms: latency,
-        });
-        if self.limit > dip.first_limit * DIP_SHARE {
-            let lowest = f64::from(self.settings.min_limit.max(1));
-            let step = (self.limit * STEP_SHARE).max(1.0);
-            self.limit = (self.limit - step).max(lowest);
+        let Some(dip) = self.dip.take() else {
+            self.start_dip(latency);
             return;
-        }
-        self.dip = None;
+        };
         if latency > dip.first_latency_ms * HELPED_SHARE {
             self.limit = dip.first_limit;
             self.floor_ms = Some(latency);
         }
     }
+
+    fn start_dip(&mut self, latency: f64) {
+        self.dip = Some(LimitDip {
+            first_limit: self.limit,
+            first_latency_ms: latency,
+        });
+        let lowest = f64::from(self.settings.min_limit.max(1));
+        let step = (self.limit * DIP_SHARE).max(1.0);
+        self.limit = (self.limit - step).max(lowest);
+    }
 }
--- a/crates/route/src/vm_router.rs
+++ b/crates/route/src/vm_router.rs
@@ -8,7 +8,7 @@
 use crate::{LoadSample, RouteOutcome, RouteSettings, RouteTarget};
 
 /// A VM is slow when its latency is above the service's usual one by this factor.
-const SLOW_FACTOR: f64 = 1.5;
+const SLOW_FACTOR: f64 = 1.3;
 
 /// Chooses a VM of one service for each request.
 ///
--- a/crates/route/src/vm_state.rs
+++ b/crates/route/src/vm_state.rs
@@ -69,15 +69,15 @@
         let age = now.since_ms(heard).min(settings.report_age_ms);
         let trust = 1.0 - to_float(age) / to_float(settings.report_age_ms.max(1));
         let busy = f64::from(sample.in_flight) + f64::from(sample.queued);
-        let load = (busy / f64::from(sample.limit.max(1))).min(MAX_LOAD);
+        let load = (busy / f64::from(sample.limit.max(1))).clamp(UNKNOWN_LOAD, MAX_LOAD);
         UNKNOWN_LOAD + trust * (load - UNKNOWN_LOAD)
     }
 
     /// Returns how unattractive the VM is, given the service's usual latency.
     pub(crate) fn score(&self, now: ClockTime, settings: &RouteSettings, usual_ms: f64) -> f64 {
-        let slots = f64::from(self.target.slots.max(1)) * self.ramp(now, settings);
         let own = f64::from(self.in_flight) + 1.0;
-        own / slots * (0.5 + self.load(now, settings)) * self.slowness(usual_ms)
+        let slowness = self.slowness(usual_ms);
+        own / self.ramp(now, settings) * (0.5 + self.load(now, settings)) * slowness
     }
 
     /// Returns the VM's latency against the service's usual one, within bounds.
