--- a/crates/limit/src/team_demand.rs
+++ b/crates/limit/src/team_demand.rs
@@ -10,6 +10,10 @@
 const MIN_FRACTION: f64 = 0.004;
 /// Demand below this rate, in milliseconds of work a second, is forgotten.
 const FORGET_RATE: f64 = 0.01;
+/// Rates are smoothed over the time in which this many requests arrive.
+const ENOUGH_ARRIVALS: f64 = 20.0;
+/// The longest smoothing, as a multiple of the shortest.
+const MAX_STRETCH: f64 = 15.0;
 /// The steps in which a share level is searched.
 const LEVEL_STEPS: u32 = 40;
 /// Shares are compared with this factor, so that rounding cuts nothing.
@@ -23,6 +27,8 @@
 struct TeamFlow {
     weight: f64,
     arrivals: f64,
+    work_ms: f64,
+    arrival_rate: f64,
     rate: f64,
     fraction: f64,
     smooth_fraction: f64,
@@ -33,6 +39,20 @@
     fn demand(&self) -> f64 {
         self.rate / self.smooth_fraction.max(MIN_FRACTION)
     }
+
+    /// Folds the arrivals of the last `span_ms` into the rates, over at least `smooth_ms` and
+    /// longer for a flow of few arrivals.
+    fn fold(&mut self, span_ms: f64, smooth_ms: f64) {
+        let enough_ms = ENOUGH_ARRIVALS * 1_000.0 / self.arrival_rate.max(f64::MIN_POSITIVE);
+        let smooth_ms = enough_ms.clamp(smooth_ms, smooth_ms * MAX_STRETCH);
+        let gain = 1.0 - (-span_ms / smooth_ms).exp();
+        let part = 1_000.0 / span_ms;
+        self.arrival_rate += gain * (self.arrivals * part - self.arrival_rate);
+        self.rate += gain * (self.work_ms * part - self.rate);
+        self.smooth_fraction += gain * (self.fraction - self.smooth_fraction);
+        self.arrivals = 0.0;
+        self.work_ms = 0.0;
+    }
 }
 
 /// The demand of each team in each class, worked out from what is let in.
@@ -52,22 +72,21 @@
             .or_insert(TeamFlow {
                 weight: 1.0,
                 arrivals: 0.0,
+                work_ms: 0.0,
+                arrival_rate: 0.0,
                 rate: 0.0,
                 fraction: 1.0,
                 smooth_fraction: 1.0,
             });
         flow.weight = f64::from(ticket.team_weight.max(1));
-        flow.arrivals += ticket.work_ms();
+        flow.arrivals += 1.0;
+        flow.work_ms += ticket.work_ms();
     }
 
     /// Folds the arrivals of the last `span_ms` into the rates.
     pub(crate) fn fold(&mut self, span_ms: f64, smooth_ms: f64) {
-        let gain = 1.0 - (-span_ms / smooth_ms).exp();
         for flow in self.flows.values_mut() {
-            let rate = flow.arrivals * 1_000.0 / span_ms;
-            flow.rate += gain * (rate - flow.rate);
-            flow.smooth_fraction += gain * (flow.fraction - flow.smooth_fraction);
-            flow.arrivals = 0.0;
+            flow.fold(span_ms, smooth_ms);
         }
         self.flows.retain(|_, flow| flow.rate > FORGET_RATE);
     }
