test(graph): hold chain admission against naive uses of the same reports

A maximum over all services below refuses a call that never uses the one that sheds; ours admits.

Ruled out: believing the first report after a pause.

--- a/crates/graph/src/admission_settings.rs
+++ b/crates/graph/src/admission_settings.rs
@@ -5,8 +5,8 @@
     pub hold_ms: u64,
     /// The time in which an unrenewed threshold then falls to nothing, in milliseconds.
     pub relax_ms: u64,
-    /// The time for which a report that nothing is shed counts, in milliseconds.
-    pub calm_ms: u64,
+    /// The time for which a VM's report, even one that nothing is shed, counts, in milliseconds.
+    pub report_life_ms: u64,
     /// The number of recent runs over which the uses of a call are counted.
     pub use_runs: u32,
     /// The number of runs from which on the uses of a call are trusted.
@@ -40,7 +40,7 @@
         Self {
             hold_ms: 100,
             relax_ms: 300,
-            calm_ms: 2_000,
+            report_life_ms: 2_000,
             use_runs: 32,
             min_use_runs: 8,
             needed_share: 0.8,
--- a/crates/graph/src/chain_admission.rs
+++ b/crates/graph/src/chain_admission.rs
@@ -14,16 +14,18 @@
 /// # Examples
 ///
 /// ```
-/// use lentilshift_clock::ClockTime;
+/// use clock::ClockTime;
 /// use lentilshift_graph::{AdmissionSettings, CallTarget, ChainAdmission, ShedReport};
-/// use lentilshift_model::{CallImportance, ServiceName, ShedOrder, VmName};
+/// use model::{CallImportance, ServiceName, ShedOrder, VmName};
 ///
 /// let mut admission = ChainAdmission::new(AdmissionSettings::default());
 /// let look_up = CallTarget::new("registry", "look-up");
 /// let threshold = ShedOrder::from_parts(CallImportance::High, 0);
 /// let report = ShedReport::new(ServiceName::new("archive"), threshold);
 /// let now = ClockTime::from_ms(1_000);
-/// admission.observe_report(now, &look_up, &VmName::new("vm-1"), Some(report));
+/// for vm in ["vm-1", "vm-2"] {
+///     admission.observe_report(now, &look_up, &VmName::new(vm), Some(report.clone()));
+/// }
 ///
 /// let order = ShedOrder::from_parts(CallImportance::Normal, 9);
 /// let refusal = admission.admit(now, &look_up, order, 800).unwrap_err();
--- a/crates/graph/src/chain_thresholds.rs
+++ b/crates/graph/src/chain_thresholds.rs
@@ -12,7 +12,8 @@
 /// The thresholds last reported for each kind of call, with their age.
 ///
 /// Of the last reports of two VMs the lower threshold counts, so that one VM that is slow doesn't
-/// stand for its service. An unrenewed threshold falls with age.
+/// stand for its service. After a pause the first report is only believed when a second VM
+/// agrees, or when no second VM answers for as long as a threshold lasts.
 #[derive(Clone, Debug)]
 pub struct ChainThresholds {
     settings: AdmissionSettings,
@@ -37,17 +38,23 @@
         vm: &VmName,
         report: Option<ShedReport>,
     ) {
-        let heard = HeardReport {
-            vm: vm.clone(),
-            report,
-            heard_at: now,
-        };
+        if !self.reports.contains_key(target) {
+            self.reports.insert(target.clone(), Vec::new());
+        }
         let Some(reports) = self.reports.get_mut(target) else {
-            self.reports.insert(target.clone(), vec![heard]);
             return;
         };
-        reports.retain(|other| other.vm != *vm);
-        reports.push(heard);
+        reports.retain(|heard| heard.counts_until > now);
+        if reports.is_empty() {
+            reports.push(assumed_calm(now, &self.settings));
+        }
+        reports.retain(|heard| heard.vm.as_ref() != Some(vm));
+        reports.push(HeardReport {
+            vm: Some(vm.clone()),
+            report,
+            heard_at: now,
+            counts_until: now.plus_ms(self.settings.report_life_ms),
+        });
         let surplus = reports.len().saturating_sub(REPORTS_KEPT);
         reports.drain(..surplus);
     }
@@ -56,9 +63,11 @@
     #[must_use]
     pub fn report_for(&self, now: ClockTime, target: &CallTarget) -> Option<ShedReport> {
         let heard = self.reports.get(target)?.iter();
-        let live = heard.filter(|heard| heard.is_live(now, &self.settings));
+        let live = heard.filter(|heard| heard.counts_until > now);
         let reports = live.map(|heard| heard.aged(now));
-        reports.min_by_key(|report| report.as_ref().map(|report| self.left_of(report)))?
+        let lowest =
+            reports.min_by_key(|report| report.as_ref().map(|report| self.left_of(report)));
+        lowest?.filter(|report| self.left_of(report) > ShedOrder::FIRST)
     }
 
     /// Returns the threshold of a kind of call now; requests whose order is less are shed.
@@ -77,3 +86,13 @@
         self.reports.retain(|target, _| is_kept(target));
     }
 }
+
+/// Stands for a second VM until one is heard.
+const fn assumed_calm(now: ClockTime, settings: &AdmissionSettings) -> HeardReport {
+    HeardReport {
+        vm: None,
+        report: None,
+        heard_at: now,
+        counts_until: now.plus_ms(settings.threshold_life_ms()),
+    }
+}
--- a/crates/graph/src/dependency_graph.rs
+++ b/crates/graph/src/dependency_graph.rs
@@ -10,7 +10,7 @@
 /// # Examples
 ///
 /// ```
-/// use lentilshift_contract::FleetContract;
+/// use contract::FleetContract;
 /// use lentilshift_graph::DependencyGraph;
 ///
 /// let text = "[services.archive]\n[services.registry]\ndepends_on = [\"archive\"]";
@@ -18,7 +18,7 @@
 /// let graph = DependencyGraph::new(&contract);
 /// assert_eq!(graph.max_depth(), 2);
 /// assert_eq!(graph.services()[0].as_str(), "archive");
-/// # Ok::<(), lentilshift_contract::ContractError>(())
+/// # Ok::<(), contract::ContractError>(())
 /// ```
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct DependencyGraph {
--- /dev/null
+++ b/crates/graph/tests/chain_admission.rs
@@ -0,0 +1,334 @@
+//! Admission over a whole chain, against the naive ways of using the same reports.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use clock::ClockTime;
+use contract::FleetContract;
+use lentilshift_graph::{
+    AdmissionSettings, CallTarget, ChainAdmission, DependencyGraph, ShedReport,
+};
+use model::{CallImportance, RefusalReason, RequestId, ServiceName, ShedOrder, VmName};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use rstest::rstest;
+
+/// The time in which a threshold that is no longer reported must be gone.
+const RELAXED_WITHIN_MS: u64 = 500;
+
+const LONG_MS: u64 = 60_000;
+
+fn at(ms: u64) -> ClockTime {
+    ClockTime::from_ms(ms)
+}
+
+fn vm(index: usize) -> VmName {
+    VmName::new(format!("vm-{index}"))
+}
+
+fn high() -> ShedOrder {
+    ShedOrder::from_parts(CallImportance::High, 0)
+}
+
+fn normal_order() -> ShedOrder {
+    ShedOrder::new(CallImportance::Normal, RequestId::from_random(3))
+}
+
+fn shedding(service: &str) -> ShedReport {
+    ShedReport::new(ServiceName::new(service), high())
+}
+
+/// Has two VMs report that they shed.
+fn hear_shedding(admission: &mut ChainAdmission, ms: u64, target: &CallTarget, service: &str) {
+    for index in 0..2 {
+        admission.observe_report(at(ms), target, &vm(index), Some(shedding(service)));
+    }
+}
+
+/// Teaches an admission that every run of `target` makes the call `lower`.
+fn teach_use(admission: &mut ChainAdmission, target: &CallTarget, lower: &CallTarget) {
+    let used = BTreeSet::from([lower.clone()]);
+    for _ in 0..AdmissionSettings::default().min_use_runs {
+        admission.observe_uses(target, &used);
+    }
+}
+
+#[test]
+fn less_important_request_is_refused_at_the_entry_and_a_more_important_one_is_not() {
+    let mut admission = ChainAdmission::new(AdmissionSettings::default());
+    let target = CallTarget::new("registry", "look-up");
+    hear_shedding(&mut admission, 10, &target, "archive");
+    let refusal = admission
+        .admit(at(20), &target, normal_order(), LONG_MS)
+        .unwrap_err();
+    assert_eq!(refusal.reason, RefusalReason::Overloaded);
+    let text = "overloaded at service \"archive\", try again in 1000 ms";
+    assert_eq!(refusal.to_string(), text);
+    let critical = ShedOrder::new(CallImportance::Critical, RequestId::from_random(3));
+    assert_eq!(admission.admit(at(20), &target, critical, LONG_MS), Ok(()));
+}
+
+#[test]
+fn call_that_never_uses_a_shedding_service_is_admitted() {
+    let text = "[services.archive]\n[services.registry]\ndepends_on = [\"archive\"]\n\
+                [services.registry.calls]\nlook-up = { path = \"/l\" }\nhello = { path = \"/h\" }";
+    let contract = FleetContract::parse("fleet.toml", text).unwrap();
+    let graph = DependencyGraph::new(&contract);
+    let thresholds = BTreeMap::from([(ServiceName::new("archive"), high())]);
+    let naive = |service: &str| {
+        let below = graph.reachable_below(service).into_iter();
+        below.filter_map(|name| thresholds.get(name)).max().copied()
+    };
+    assert!(naive("registry").is_some_and(|threshold| normal_order() < threshold));
+
+    let mut admission = ChainAdmission::new(AdmissionSettings::default());
+    let look_up = CallTarget::new("registry", "look-up");
+    let hello = CallTarget::new("registry", "hello");
+    let read = CallTarget::new("archive", "any");
+    teach_use(&mut admission, &look_up, &read);
+    for _ in 0..20 {
+        admission.observe_uses(&hello, &BTreeSet::new());
+    }
+    hear_shedding(&mut admission, 10, &read, "archive");
+    let report = |target| admission.report_for(at(20), target, ShedOrder::FIRST);
+    assert_eq!(
+        report(&look_up).map(|report| report.threshold),
+        Some(high())
+    );
+    assert_eq!(report(&hello), None);
+}
+
+#[rstest]
+#[case::rarely(4, false)]
+#[case::nearly_always(20, true)]
+fn use_counts_by_its_share_of_recent_runs(#[case] one_in: u32, #[case] is_avoided: bool) {
+    let mut admission = ChainAdmission::new(AdmissionSettings::default());
+    let target = CallTarget::new("registry", "look-up");
+    let lower = CallTarget::new("archive", "read");
+    let used = BTreeSet::from([lower.clone()]);
+    for run in 1..=100_u32 {
+        let is_used = run.is_multiple_of(one_in) != is_avoided;
+        let none = BTreeSet::new();
+        admission.observe_uses(&target, if is_used { &used } else { &none });
+    }
+    hear_shedding(&mut admission, 0, &lower, "archive");
+    let report = admission.report_for(at(0), &target, ShedOrder::FIRST);
+    assert_eq!(report.is_some(), is_avoided);
+}
+
+/// Returns when the top of a chain sheds nothing any more after the bottom fell silent.
+///
+/// Answers are rare: each level passes on what it knows just before that would expire.
+fn relaxed_after_ms(depth: usize, keeps_age: bool) -> u64 {
+    const ANSWER_GAP_MS: u64 = 350;
+    const STEP_MS: u64 = 5;
+    let targets: Vec<_> = (0..=depth)
+        .map(|level| CallTarget::new(ServiceName::new(format!("s{level}")), "c"))
+        .collect();
+    let mut levels = vec![ChainAdmission::new(AdmissionSettings::default()); depth + 1];
+    for level in 1..=depth {
+        teach_use(&mut levels[level], &targets[level], &targets[level - 1]);
+    }
+    hear_shedding(&mut levels[1], 0, &targets[0], "s0");
+    let mut now = at(0);
+    let mut last_shed = now;
+    for level in 1..depth {
+        now = now.plus_ms(ANSWER_GAP_MS);
+        let report = levels[level].report_for(now, &targets[level], ShedOrder::FIRST);
+        let Some(mut report) = report else { continue };
+        report.age_ms = if keeps_age { report.age_ms } else { 0 };
+        for index in 0..2 {
+            levels[level + 1].observe_report(
+                now,
+                &targets[level],
+                &vm(index),
+                Some(report.clone()),
+            );
+        }
+        last_shed = now;
+    }
+    let top = levels.iter().enumerate().skip(1);
+    let sheds = |now: ClockTime| {
+        top.clone().any(|(level, admission)| {
+            admission.threshold_for(now, &targets[level - 1]) > ShedOrder::FIRST
+        })
+    };
+    while sheds(last_shed) {
+        last_shed = last_shed.plus_ms(STEP_MS);
+    }
+    last_shed.as_ms()
+}
+
+#[test]
+fn threshold_relaxes_within_a_fraction_of_a_second_at_any_depth() {
+    let naive_ms = relaxed_after_ms(11, false);
+    assert!(
+        naive_ms > RELAXED_WITHIN_MS,
+        "the naive chain took {naive_ms} ms"
+    );
+    for depth in [1, 4, 11, 16] {
+        let ours_ms = relaxed_after_ms(depth, true);
+        println!(
+            "threshold gone after, depth {depth}: naive 11 deep={naive_ms} ms ours={ours_ms} ms"
+        );
+        assert!(
+            ours_ms <= RELAXED_WITHIN_MS,
+            "{depth} deep took {ours_ms} ms"
+        );
+    }
+}
+
+#[test]
+fn entry_that_refuses_everything_tries_again_after_the_cause_is_gone() {
+    let mut admission = ChainAdmission::new(AdmissionSettings::default());
+    let target = CallTarget::new("registry", "look-up");
+    let mut naive = ShedOrder::FIRST;
+    for ms in 0..100 {
+        hear_shedding(&mut admission, ms, &target, "registry");
+        naive = high();
+    }
+    assert!(
+        normal_order() < naive,
+        "without ageing the entry refuses for good"
+    );
+    assert!(
+        admission
+            .admit(at(100), &target, normal_order(), LONG_MS)
+            .is_err()
+    );
+    let later = at(100 + RELAXED_WITHIN_MS);
+    assert_eq!(
+        admission.admit(later, &target, normal_order(), LONG_MS),
+        Ok(())
+    );
+}
+
+/// Counts refusals of 10,000 calls to six VMs of which the first `bad` shed.
+fn refusals(bad: usize, counts_last_only: bool, seed: u64) -> usize {
+    const VMS: usize = 6;
+    const GAP_MS: u64 = 5;
+    let mut random = StdRng::seed_from_u64(seed);
+    let mut admission = ChainAdmission::new(AdmissionSettings::default());
+    let target = CallTarget::new("registry", "look-up");
+    let mut refused = 0;
+    for call in 0..10_000 {
+        let now = at(call * GAP_MS);
+        if admission
+            .admit(now, &target, normal_order(), LONG_MS)
+            .is_err()
+        {
+            refused += 1;
+            continue;
+        }
+        let chosen = random.random_range(0..VMS);
+        let told = if counts_last_only { 0 } else { chosen };
+        let report = (chosen < bad).then(|| shedding("registry"));
+        admission.observe_report(now, &target, &vm(told), report);
+    }
+    refused
+}
+
+#[rstest]
+#[case(1)]
+#[case(2)]
+#[case(3)]
+fn one_slow_vm_does_not_close_its_service(#[case] seed: u64) {
+    let naive = refusals(1, true, seed);
+    let ours = refusals(1, false, seed);
+    println!("one slow VM of six, refused of 10000: naive={naive} ours={ours}");
+    assert!(naive > 5_000, "the naive entry refused {naive} of 10000");
+    assert_eq!(ours, 0);
+}
+
+#[test]
+fn service_with_one_vm_is_believed_when_no_second_vm_answers() {
+    let mut admission = ChainAdmission::new(AdmissionSettings::default());
+    let target = CallTarget::new("registry", "look-up");
+    let mut hear = |ms: u64| {
+        admission.observe_report(at(ms), &target, &vm(1), Some(shedding("registry")));
+        admission.threshold_for(at(ms), &target)
+    };
+    assert_eq!(hear(0), ShedOrder::FIRST);
+    assert_eq!(hear(200), ShedOrder::FIRST);
+    assert_eq!(hear(400), high());
+}
+
+#[rstest]
+#[case(1)]
+#[case(2)]
+#[case(3)]
+fn service_that_sheds_on_all_vms_is_spared(#[case] seed: u64) {
+    let ours = refusals(6, false, seed);
+    println!("six slow VMs of six, refused of 10000: ours={ours}");
+    assert!(ours > 9_000, "refused {ours} of 10000");
+}
+
+#[test]
+fn request_that_cannot_be_finished_in_time_is_refused_until_calls_are_fast_again() {
+    let mut admission = ChainAdmission::new(AdmissionSettings::default());
+    let target = CallTarget::new("filings", "file");
+    let mut random = StdRng::seed_from_u64(1);
+    for call in 0..1_000 {
+        let duration_ms = random.random_range(400..800);
+        admission.observe_duration(at(call), &target, duration_ms);
+    }
+    let refusal = admission
+        .admit(at(1_000), &target, normal_order(), 300)
+        .unwrap_err();
+    assert_eq!(refusal.reason, RefusalReason::TooLate);
+    assert_eq!(
+        admission.admit(at(1_000), &target, normal_order(), 500),
+        Ok(())
+    );
+    assert_eq!(
+        admission.admit(at(2_000), &target, normal_order(), 300),
+        Ok(())
+    );
+    for call in 0..20 {
+        admission.observe_duration(at(1_000 + call), &target, 10);
+    }
+    assert_eq!(
+        admission.admit(at(1_020), &target, normal_order(), 300),
+        Ok(())
+    );
+}
+
+#[test]
+fn few_durations_and_one_fast_answer_refuse_nobody_and_change_little() {
+    let mut admission = ChainAdmission::new(AdmissionSettings::default());
+    let target = CallTarget::new("filings", "file");
+    for call in 0..15 {
+        admission.observe_duration(at(call), &target, 700);
+    }
+    assert_eq!(admission.time_needed_ms(at(15), &target), 0);
+    for call in 15..50 {
+        admission.observe_duration(at(call), &target, 700);
+    }
+    admission.observe_duration(at(50), &target, 1);
+    assert!((600..700).contains(&admission.time_needed_ms(at(50), &target)));
+}
+
+#[test]
+fn unfinished_call_counts_only_when_it_took_longer_than_expected() {
+    let mut admission = ChainAdmission::new(AdmissionSettings::default());
+    let target = CallTarget::new("filings", "file");
+    for call in 0..50 {
+        admission.observe_duration(at(call), &target, 100);
+    }
+    admission.observe_unfinished(at(50), &target, 20);
+    assert_eq!(admission.time_needed_ms(at(50), &target), 100);
+    for call in 50..150 {
+        admission.observe_unfinished(at(call), &target, 900);
+    }
+    assert!(admission.time_needed_ms(at(150), &target) > 200);
+}
+
+#[test]
+fn calls_that_a_new_contract_lacks_are_forgotten() {
+    let mut admission = ChainAdmission::new(AdmissionSettings::default());
+    let target = CallTarget::new("registry", "look-up");
+    hear_shedding(&mut admission, 0, &target, "registry");
+    assert_eq!(admission.threshold_for(at(0), &target), high());
+    let contract = FleetContract::parse("fleet.toml", "[services.registry]").unwrap();
+    admission.forget_absent(&contract);
+    assert_eq!(admission.threshold_for(at(0), &target), ShedOrder::FIRST);
+}
