feat(lentilshift): add the command line with check, and bound the faults of a text

A text with a million faults cost a scan of the text for each, and one over the length limit was printed whole: at most 100 faults are kept, and an over-long text is left out of its report.

--- a/crates/contract/src/contract_reader.rs
+++ b/crates/contract/src/contract_reader.rs
@@ -17,11 +17,12 @@
 
 /// Reads and checks the whole text.
 pub(crate) fn read_contract(source_name: &str, text: &str) -> Result<FleetContract, ContractError> {
-    let mut faults = FaultList::new(text);
     if text.len() > MAX_TEXT_LEN {
+        let mut faults = FaultList::new("");
         faults.push(FaultKind::TextTooLong(text.len()), TEXT_START);
         return Err(faults.into_error(source_name));
     }
+    let mut faults = FaultList::new(text);
     let (table, errors) = DeTable::parse_recoverable(text);
     if !errors.is_empty() {
         push_syntax_faults(&errors, &mut faults);
--- a/crates/contract/src/fault_kind.rs
+++ b/crates/contract/src/fault_kind.rs
@@ -36,6 +36,9 @@
         /// The number of its calls.
         count: usize,
     },
+    /// There are more faults than are shown; holds the number shown.
+    #[error("the text has more than {0} faults, the rest isn't shown")]
+    TooManyFaults(usize),
     /// A field doesn't exist.
     #[error("unknown field \"{field}\" in {place}")]
     UnknownField {
@@ -155,6 +158,7 @@
             | Self::TooManyServices(_)
             | Self::TooManyTeams(_)
             | Self::TooManyCalls { .. } => "remove what is no longer used".into(),
+            Self::TooManyFaults(_) => "correct the others and check again".into(),
             Self::UnknownField { allowed, .. } => format!("allowed: {}", allowed.join(", ")),
             Self::MissingField { field, .. } => format!("add a line {field} = …"),
             Self::WrongType { expected, .. } => format!("write {expected}"),
--- a/crates/contract/src/fault_list.rs
+++ b/crates/contract/src/fault_list.rs
@@ -2,6 +2,9 @@
 
 use crate::{ContractError, ContractFault, FaultKind};
 
+/// The most faults of one text that are kept.
+const MAX_FAULTS: usize = 100;
+
 /// The faults found so far in one text.
 pub(crate) struct FaultList<'t> {
     text: &'t str,
@@ -17,6 +20,12 @@
     }
 
     pub(crate) fn push(&mut self, kind: FaultKind, span: Range<usize>) {
+        let text_end = self.text.len();
+        let (kind, span) = match self.faults.len() {
+            0..MAX_FAULTS => (kind, span),
+            MAX_FAULTS => (FaultKind::TooManyFaults(MAX_FAULTS), text_end..text_end),
+            _ => return,
+        };
         self.faults.push(ContractFault::new(kind, span, self.text));
     }
 
--- a/crates/contract/tests/faults.rs
+++ b/crates/contract/tests/faults.rs
@@ -243,3 +243,30 @@
     let text = format!("[services.{}]", "z".repeat(100_000));
     assert!(parse_error(&text).to_string().len() < 400);
 }
+
+#[rstest]
+#[case::many_unknown_fields("x{} = 1\n")]
+#[case::many_syntax_faults("x{} = @\n")]
+fn faults_beyond_a_hundred_are_only_counted(#[case] line: &str) {
+    let mut text = String::new();
+    for index in 0..20_000 {
+        text.push_str(&line.replace("{}", &index.to_string()));
+    }
+    let error = parse_error(&text);
+    assert_eq!(error.faults().len(), 101);
+    let last = error.faults()[100].kind().to_string();
+    assert_eq!(
+        last,
+        "the text has more than 100 faults, the rest isn't shown"
+    );
+}
+
+#[rstest]
+#[case::arrays(format!("x = {}", "[".repeat(100_000)))]
+#[case::closed_arrays(format!("x = {}{}", "[".repeat(50_000), "]".repeat(50_000)))]
+#[case::tables("x = ".to_owned() + &"{a = ".repeat(50_000))]
+#[case::dotted_keys(format!("x{} = 1", ".a".repeat(100_000)))]
+#[case::dotted_table(format!("[x{}]", ".a".repeat(100_000)))]
+fn deep_nesting_is_refused_and_overflows_nothing(#[case] text: String) {
+    assert!(!parse_error(&text).faults().is_empty());
+}
--- /dev/null
+++ b/crates/lentilshift/src/app.rs
@@ -0,0 +1,48 @@
+use gumdrop::Options;
+
+use crate::args::{AppArgs, AppCommand};
+use crate::command_error::CommandError;
+use crate::commands::{check, demo, dump, key, node, publish, show};
+use crate::exit_status::ExitStatus;
+
+/// Reads the command line and runs the command that it names.
+pub(crate) fn run_command(args: &[String]) -> Result<(), CommandError> {
+    let args = AppArgs::parse_args_default(args)?;
+    if args.help_requested() {
+        print_help(&args);
+        return Ok(());
+    }
+    if args.version {
+        println!("lentilshift {}", env!("CARGO_PKG_VERSION"));
+        return Ok(());
+    }
+    match args.command {
+        Some(AppCommand::Node(args)) => node::run_node(&args),
+        Some(AppCommand::Check(args)) => check::run_check(&args),
+        Some(AppCommand::Publish(args)) => publish::run_publish(&args),
+        Some(AppCommand::Show(args)) => show::run_show(&args),
+        Some(AppCommand::Key(args)) => key::run_key(&args),
+        Some(AppCommand::Dump(args)) => dump::run_dump(&args),
+        Some(AppCommand::Demo(args)) => demo::run_demo(&args),
+        None => Err(CommandError::NoCommand("")),
+    }
+}
+
+/// Prints the help of the innermost command named.
+fn print_help(args: &AppArgs) {
+    let mut name = "lentilshift".to_owned();
+    let mut command: &dyn Options = args;
+    while let Some(inner) = command.command() {
+        name.push(' ');
+        name.push_str(inner.command_name().unwrap_or_default());
+        command = inner;
+    }
+    println!("Usage: {name} [OPTIONS]\n\n{}", command.self_usage());
+    if let Some(list) = command.self_command_list() {
+        println!("\nCommands:\n{list}");
+    }
+    println!(
+        "\nEach option --some-name can be set as LENTILSHIFT_SOME_NAME; the option goes first."
+    );
+    println!("\nExit codes:\n{}", ExitStatus::MEANINGS);
+}
--- /dev/null
+++ b/crates/lentilshift/src/args.rs
@@ -0,0 +1,163 @@
+use gumdrop::Options;
+
+/// Controls overload in service call graphs.
+#[derive(Debug, Options)]
+pub(crate) struct AppArgs {
+    #[options(help = "print this help")]
+    pub(crate) help: bool,
+    #[options(no_short, help = "print the version")]
+    pub(crate) version: bool,
+    #[options(command)]
+    pub(crate) command: Option<AppCommand>,
+}
+
+/// The commands.
+#[derive(Debug, Options)]
+pub(crate) enum AppCommand {
+    #[options(help = "run the node beside a backend server")]
+    Node(NodeArgs),
+    #[options(help = "check a contract text without touching the fleet")]
+    Check(CheckArgs),
+    #[options(help = "publish a contract text")]
+    Publish(PublishArgs),
+    #[options(help = "show the contract that is in force")]
+    Show(ShowArgs),
+    #[options(help = "grant and withdraw keys")]
+    Key(KeyArgs),
+    #[options(help = "show the state of a node")]
+    Dump(DumpArgs),
+    #[options(help = "run a small fleet in this process and show what it does")]
+    Demo(DemoArgs),
+}
+
+/// Runs the node beside a backend server.
+#[derive(Debug, Options)]
+pub(crate) struct NodeArgs {
+    #[options(help = "print this help")]
+    pub(crate) help: bool,
+    #[options(no_short, meta = "NAME", help = "service of the backend server")]
+    pub(crate) service: Option<String>,
+    #[options(no_short, meta = "NAME", help = "data centre of this VM")]
+    pub(crate) centre: Option<String>,
+    #[options(
+        no_short,
+        meta = "ADDRESS",
+        help = "backend server, such as 127.0.0.1:8080"
+    )]
+    pub(crate) backend: Option<String>,
+    #[options(no_short, meta = "ADDRESS", help = "where callers connect")]
+    pub(crate) entry: Option<String>,
+    #[options(
+        no_short,
+        meta = "ADDRESS",
+        help = "where the backend server's own calls go"
+    )]
+    pub(crate) egress: Option<String>,
+    #[options(no_short, meta = "ADDRESS", help = "where other nodes connect")]
+    pub(crate) ingress: Option<String>,
+    #[options(no_short, meta = "ADDRESS", help = "metrics, dump and readiness")]
+    pub(crate) admin: Option<String>,
+    #[options(no_short, meta = "ADDRESS", help = "the platform's log")]
+    pub(crate) platform: Option<String>,
+    #[options(
+        no_short,
+        meta = "ADDRESS",
+        help = "a node to start from in an outage, repeatable"
+    )]
+    pub(crate) peer: Vec<String>,
+    #[options(
+        no_short,
+        meta = "SECRET",
+        help = "the fleet's secret; better by its variable"
+    )]
+    pub(crate) fleet_secret: Option<String>,
+}
+
+/// Checks a contract text and names every fault at once, without touching the fleet.
+#[derive(Debug, Options)]
+pub(crate) struct CheckArgs {
+    #[options(help = "print this help")]
+    pub(crate) help: bool,
+    #[options(free, help = "FILE with the text, or - for standard input")]
+    pub(crate) file: Option<String>,
+}
+
+/// Publishes a contract text on the base of the version that it was made from.
+#[derive(Debug, Options)]
+pub(crate) struct PublishArgs {
+    #[options(help = "print this help")]
+    pub(crate) help: bool,
+    #[options(free, help = "FILE with the text, or - for standard input")]
+    pub(crate) file: Option<String>,
+    #[options(no_short, meta = "N", help = "version that the text is based on")]
+    pub(crate) base: Option<String>,
+    #[options(no_short, meta = "ADDRESS", help = "the platform's log")]
+    pub(crate) platform: Option<String>,
+}
+
+/// Shows the contract that is in force.
+#[derive(Debug, Options)]
+pub(crate) struct ShowArgs {
+    #[options(help = "print this help")]
+    pub(crate) help: bool,
+    #[options(no_short, meta = "ADDRESS", help = "the platform's log")]
+    pub(crate) platform: Option<String>,
+}
+
+/// Grants and withdraws keys.
+#[derive(Debug, Options)]
+pub(crate) struct KeyArgs {
+    #[options(help = "print this help")]
+    pub(crate) help: bool,
+    #[options(command)]
+    pub(crate) command: Option<KeyCommand>,
+}
+
+/// The commands of `key`.
+#[derive(Debug, Options)]
+pub(crate) enum KeyCommand {
+    #[options(help = "make a key for a team and print it once")]
+    Grant(GrantArgs),
+    #[options(help = "withdraw a key")]
+    Withdraw(WithdrawArgs),
+}
+
+/// Makes a key for a team and prints it once, with its digest.
+#[derive(Debug, Options)]
+pub(crate) struct GrantArgs {
+    #[options(help = "print this help")]
+    pub(crate) help: bool,
+    #[options(free, help = "TEAM that the key is for")]
+    pub(crate) team: Option<String>,
+    #[options(no_short, meta = "ADDRESS", help = "the platform's log")]
+    pub(crate) platform: Option<String>,
+}
+
+/// Withdraws a key, named by its digest.
+#[derive(Debug, Options)]
+pub(crate) struct WithdrawArgs {
+    #[options(help = "print this help")]
+    pub(crate) help: bool,
+    #[options(free, help = "DIGEST of the key, as key grant printed it")]
+    pub(crate) digest: Option<String>,
+    #[options(no_short, meta = "ADDRESS", help = "the platform's log")]
+    pub(crate) platform: Option<String>,
+}
+
+/// Shows the state of a node as JSON.
+#[derive(Debug, Options)]
+pub(crate) struct DumpArgs {
+    #[options(help = "print this help")]
+    pub(crate) help: bool,
+    #[options(free, help = "ADDRESS of the node's admin port")]
+    pub(crate) address: Option<String>,
+}
+
+/// Runs a small fleet in this process and shows what it does.
+#[derive(Debug, Options)]
+pub(crate) struct DemoArgs {
+    #[options(help = "print this help")]
+    pub(crate) help: bool,
+    #[options(no_short, help = "stay up until interrupted")]
+    pub(crate) stay: bool,
+}
--- /dev/null
+++ b/crates/lentilshift/src/commands/check.rs
@@ -0,0 +1,49 @@
+use std::fmt;
+
+use contract::FleetContract;
+use graph::DependencyGraph;
+
+use crate::args::CheckArgs;
+use crate::command_error::CommandError;
+use crate::commands::contract_file::read_contract;
+use crate::setting_reader::SettingReader;
+
+/// Checks a contract text and prints what it holds.
+pub(crate) fn run_check(args: &CheckArgs) -> Result<(), CommandError> {
+    let mut reader = SettingReader::default();
+    let file = reader.argument("FILE", args.file.as_deref());
+    let file: String = reader.finish(file)?;
+    let contract = read_contract(&file)?;
+    println!("{file} is valid: {}", ContractSummary::new(&contract));
+    Ok(())
+}
+
+/// The size of a contract.
+struct ContractSummary {
+    services: usize,
+    calls: usize,
+    teams: usize,
+    depth: usize,
+}
+
+impl ContractSummary {
+    fn new(contract: &FleetContract) -> Self {
+        let services = contract.services.values();
+        Self {
+            services: contract.services.len(),
+            calls: services.map(|service| service.calls.len()).sum(),
+            teams: contract.teams.len(),
+            depth: DependencyGraph::new(contract).max_depth(),
+        }
+    }
+}
+
+impl fmt::Display for ContractSummary {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            formatter,
+            "services={} calls={} teams={} deepest_chain={}",
+            self.services, self.calls, self.teams, self.depth
+        )
+    }
+}
--- /dev/null
+++ b/crates/lentilshift/src/commands/mod.rs
@@ -0,0 +1,11 @@
+//! One module for each command.
+
+pub(crate) mod check;
+pub(crate) mod demo;
+pub(crate) mod dump;
+pub(crate) mod key;
+pub(crate) mod node;
+pub(crate) mod publish;
+pub(crate) mod show;
+
+mod contract_file;
--- a/crates/lentilshift/src/main.rs
+++ b/crates/lentilshift/src/main.rs
@@ -1,3 +1,26 @@
 //! The lentilshift command.
 
-fn main() {}
+mod app;
+mod args;
+mod command_error;
+mod commands;
+mod exit_status;
+mod fault_report;
+mod secret_text;
+mod setting_fault;
+mod setting_reader;
+mod setting_value;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    match app::run_command(&args) {
+        Ok(()) => exit_status::ExitStatus::Success.into(),
+        Err(error) => {
+            let status = error.exit_status();
+            error.print();
+            status.into()
+        }
+    }
+}
