--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,1 +1,50 @@
 //! The node process beside each backend server.
+//!
+//! A node plays three parts on one loop and one thread. The *entry* faces callers: it checks the
+//! key, the team's rate and the deadline, and strips the key. The *egress* faces the local
+//! backend server's own calls and ties each to the request that it serves. The *ingress* faces
+//! other nodes and runs calls on the backend server. The decisions are made by the crates without
+//! I/O; this crate moves bytes and time.
+
+mod admin_port;
+mod announce;
+mod answer_body;
+mod backend_pool;
+mod call_answer;
+mod call_body;
+mod call_headers;
+mod chain_watch;
+mod config_state;
+mod config_watch;
+mod dispatch;
+mod egress;
+mod entry;
+mod fleet_state;
+mod fleet_watch;
+mod http_answer;
+mod http_port;
+mod ingress;
+mod ingress_gate;
+mod local_executor;
+mod news_bell;
+mod node_clock;
+mod node_core;
+mod node_message;
+mod node_metrics;
+mod node_process;
+mod node_settings;
+mod peer_links;
+mod peer_port;
+mod peer_talk;
+mod problem_body;
+mod replay_body;
+mod request_body;
+mod route_guard;
+mod running_calls;
+mod state_dump;
+mod stop_signal;
+mod stream_host;
+mod stream_state;
+
+pub use node_process::{NodeError, NodeProcess};
+pub use node_settings::NodeSettings;
