--- a/crates/platform/src/config_feed.rs
+++ b/crates/platform/src/config_feed.rs
@@ -111,9 +111,10 @@
         rng: &mut R,
     ) -> Vec<AppliedRecord> {
         let is_good = matches!(result, Ok(_) | Err(ReadError::Gone { .. }));
-        self.trust.on_read_end(now, is_good);
+        self.trust.on_read_end(now, asked, is_good);
+        let silent_ms = self.silent_ms(now);
         let news = self.follower.on_read(now, asked, result, rng);
-        self.apply(now, news)
+        self.apply(now, silent_ms, news)
     }
 
     /// Takes in another node's answer to a question that was asked at `asked`.
@@ -128,8 +129,9 @@
             let age = age.saturating_add(now.since_ms(asked));
             self.timer.on_snapshot(now, batch.snapshot_covers, age);
         }
+        let silent_ms = self.silent_ms(now);
         let news = self.follower.on_batch(now, asked, batch);
-        self.apply(now, news)
+        self.apply(now, silent_ms, news)
     }
 
     /// Takes in that a node gave no answer.
@@ -168,6 +170,12 @@
             .then(|| RecordBody::encode(&ConfigRecord::Snapshot(snapshot)))
     }
 
+    /// Returns whether the node has once known all there was, so that it may serve.
+    #[must_use]
+    pub const fn is_ready(&self) -> bool {
+        self.fold.is_whole() && self.follower.fresh_at().is_some()
+    }
+
     /// Returns whether keys are trusted.
     #[must_use]
     pub fn trust_state(&self, now: ClockTime) -> TrustState {
@@ -188,6 +196,11 @@
         team.map_or(KeyAnswer::Unknown, KeyAnswer::Team)
     }
 
+    /// Returns the greatest age that a record read for the first time now can have.
+    fn silent_ms(&self, now: ClockTime) -> Option<u64> {
+        self.follower.fresh_at().map(|time| time.age_ms(now))
+    }
+
     fn relay_snapshot(&self) -> Option<RelaySnapshot> {
         let snapshot = self.fold.snapshot()?;
         Some(RelaySnapshot {
@@ -196,7 +209,12 @@
         })
     }
 
-    fn apply(&mut self, now: ClockTime, news: FollowNews) -> Vec<AppliedRecord> {
+    fn apply(
+        &mut self,
+        now: ClockTime,
+        silent_ms: Option<u64>,
+        news: FollowNews,
+    ) -> Vec<AppliedRecord> {
         if let Some(first) = news.lost_before {
             self.fold.lose_before(first);
             self.relay.skip_to(first);
@@ -206,7 +224,7 @@
         }
         let records = news.records.into_iter();
         let applied = records
-            .map(|record| self.apply_record(now, record))
+            .map(|record| self.apply_record(now, silent_ms, record))
             .collect();
         self.follower.set_needs_snapshot(!self.fold.is_whole());
         applied
@@ -221,11 +239,16 @@
         }
     }
 
-    fn apply_record(&mut self, now: ClockTime, record: LogRecord) -> AppliedRecord {
+    fn apply_record(
+        &mut self,
+        now: ClockTime,
+        silent_ms: Option<u64>,
+        record: LogRecord,
+    ) -> AppliedRecord {
         let id = record.id;
         let outcome = self.fold.apply(&record);
-        if let RecordOutcome::Repeated { covers } = outcome {
-            self.timer.on_snapshot(now, covers, 0);
+        if let (RecordOutcome::Repeated { covers }, Some(age)) = (&outcome, silent_ms) {
+            self.timer.on_snapshot(now, *covers, age);
         }
         self.relay.push(record);
         AppliedRecord { id, outcome }
--- a/crates/platform/src/key_trust.rs
+++ b/crates/platform/src/key_trust.rs
@@ -24,7 +24,7 @@
         Self {
             fresh_ms: 4_500,
             outage_ms: 3_600_000,
-            evidence_ms: 10_000,
+            evidence_ms: 5_000,
             slow_ms: 1_500,
         }
     }
@@ -63,6 +63,7 @@
     failures: BTreeMap<CentreName, ClockTime>,
     own_failure: Option<ClockTime>,
     reading_since: Option<ClockTime>,
+    good_asked: ClockTime,
 }
 
 impl KeyTrust {
@@ -77,6 +78,7 @@
             failures: BTreeMap::new(),
             own_failure: None,
             reading_since: None,
+            good_asked: ClockTime::ZERO,
         }
     }
 
@@ -87,15 +89,24 @@
         self.has_peers = has_peers;
     }
 
-    /// Takes in that this node asks the log.
-    pub const fn on_read_start(&mut self, now: ClockTime) {
-        self.reading_since = Some(now);
+    /// Takes in that this node asks the log; several reads may be under way at once.
+    pub fn on_read_start(&mut self, now: ClockTime) {
+        self.reading_since.get_or_insert(now);
     }
 
-    /// Takes in that the read ended; a good answer that took long counts as a failure too.
-    pub fn on_read_end(&mut self, now: ClockTime, is_good: bool) {
-        let since = self.reading_since.take().unwrap_or(now);
-        if is_good && now.since_ms(since) <= self.settings.slow_ms {
+    /// Takes in that a read asked for at `asked` ended.
+    ///
+    /// A good answer that took long counts as a failure, and a failure counts for nothing when a
+    /// later read had a good answer.
+    pub fn on_read_end(&mut self, now: ClockTime, asked: ClockTime, is_good: bool) {
+        if asked < self.good_asked {
+            return;
+        }
+        self.reading_since = None;
+        if is_good {
+            self.good_asked = asked;
+        }
+        if is_good && now.since_ms(asked) <= self.settings.slow_ms {
             self.own_failure = None;
             self.failures.clear();
         } else {
--- a/crates/platform/src/record_attempt.rs
+++ b/crates/platform/src/record_attempt.rs
@@ -8,14 +8,27 @@
 pub struct AttemptSettings {
     /// The wait before the same record is appended again, in milliseconds.
     pub again_after_ms: u64,
+    /// The time after which a good read has to follow the one that found the record, in
+    /// milliseconds; by then the nodes have read it too.
+    pub confirm_ms: u64,
     /// The time after which the outcome is given up as unknown, in milliseconds.
     pub give_up_after_ms: u64,
 }
 
+impl AttemptSettings {
+    /// The settings for withdrawing a key, which must be known to the nodes when it is confirmed.
+    pub const WITHDRAWAL: Self = Self {
+        again_after_ms: 2_000,
+        confirm_ms: 2_000,
+        give_up_after_ms: 30_000,
+    };
+}
+
 impl Default for AttemptSettings {
     fn default() -> Self {
         Self {
             again_after_ms: 2_000,
+            confirm_ms: 0,
             give_up_after_ms: 30_000,
         }
     }
@@ -39,7 +52,8 @@
 pub enum AttemptAction {
     /// Append the record, with the same identifier each time.
     Append,
-    /// Read the stream on, and hand each outcome to [`RecordAttempt::on_record`].
+    /// Read the stream on, hand each outcome to [`RecordAttempt::on_record`], and call
+    /// [`RecordAttempt::on_good_read`].
     Read,
     /// Stop: [`RecordAttempt::status`] is final.
     Stop,
@@ -59,6 +73,7 @@
     is_appending: bool,
     may_be_written: bool,
     last_error: String,
+    found: Option<(ClockTime, RecordOutcome)>,
     status: AttemptStatus,
 }
 
@@ -74,6 +89,7 @@
             is_appending: false,
             may_be_written: false,
             last_error: String::new(),
+            found: None,
             status: AttemptStatus::Pending,
         }
     }
@@ -116,14 +132,24 @@
     }
 
     /// Takes in a record read from the stream and what it did.
-    pub fn on_record(&mut self, id: RecordId, outcome: RecordOutcome) {
-        if id == self.id && !matches!(self.status, AttemptStatus::Settled(_)) {
-            self.status = AttemptStatus::Settled(outcome);
+    pub fn on_record(&mut self, now: ClockTime, id: RecordId, outcome: RecordOutcome) {
+        if id == self.id && self.found.is_none() && outcome != RecordOutcome::Waiting {
+            self.found = Some((now, outcome));
+            self.append_at = None;
+        }
+    }
+
+    /// Takes in that a read asked for at `asked` was answered, after its records were taken in.
+    pub fn on_good_read(&mut self, asked: ClockTime) {
+        if let Some((found, outcome)) = &self.found
+            && (self.settings.confirm_ms == 0 || asked >= found.plus_ms(self.settings.confirm_ms))
+        {
+            self.status = AttemptStatus::Settled(outcome.clone());
         }
     }
 
     fn give_up(&mut self) {
-        let is_unwritten = !self.may_be_written && !self.is_appending;
+        let is_unwritten = !self.may_be_written && !self.is_appending && self.found.is_none();
         self.status = if is_unwritten {
             AttemptStatus::NotWritten(self.last_error.clone())
         } else {
--- a/crates/platform/src/stream_follower.rs
+++ b/crates/platform/src/stream_follower.rs
@@ -18,6 +18,11 @@
 pub struct FollowSettings {
     /// How long a read of the log may wait for news, in milliseconds.
     pub read_wait_ms: u64,
+    /// The time after which another read is asked for beside one without an answer, in
+    /// milliseconds.
+    pub hedge_after_ms: u64,
+    /// The most reads under way at once.
+    pub max_reads: usize,
     /// How long a pull from another node may wait for news, in milliseconds.
     pub pull_wait_ms: u64,
     /// How long such a pull may wait when the node tries several in turn, in milliseconds.
@@ -38,6 +43,8 @@
     fn default() -> Self {
         Self {
             read_wait_ms: 500,
+            hedge_after_ms: 1_000,
+            max_reads: 5,
             pull_wait_ms: 500,
             turn_wait_ms: 100,
             pull_after_ms: 1_200,
@@ -101,7 +108,9 @@
 /// slow link can make old news look fresh.
 ///
 /// The driver runs two loops, one for [`Self::next_read`] and one for [`Self::next_pull`], so
-/// that a log which doesn't answer keeps nobody from asking the other nodes.
+/// that a log which doesn't answer keeps nobody from asking the other nodes. It asks for another
+/// read beside one that has no answer after `hedge_after_ms`, over another connection, so that
+/// neither a silent connection nor a slow log makes the news much older than one answer takes.
 #[derive(Clone, Debug)]
 pub struct StreamFollower {
     stream: LogStream,
@@ -110,6 +119,7 @@
     next: LogOffset,
     first: LogOffset,
     fresh_at: Option<NewsTime>,
+    advanced_at: ClockTime,
     started: Option<ClockTime>,
     needs_snapshot: bool,
     read_failures: u32,
@@ -133,6 +143,7 @@
             next: LogOffset::ZERO,
             first: LogOffset::ZERO,
             fresh_at: None,
+            advanced_at: ClockTime::ZERO,
             started: None,
             needs_snapshot: false,
             read_failures: 0,
@@ -235,7 +246,7 @@
     ) -> FollowNews {
         match result {
             Ok(batch) => self.on_log_batch(now, asked, batch, rng),
-            Err(ReadError::Gone { first }) if first > self.next => self.skip_to(first),
+            Err(ReadError::Gone { first }) if first > self.next => self.skip_to(now, first),
             Err(_) => {
                 self.fail_read(now, rng);
                 FollowNews::default()
@@ -251,9 +262,10 @@
         let is_wanted = |state: &RelaySnapshot| self.needs_snapshot || state.covers > self.next;
         if let Some(snapshot) = batch.snapshot.filter(is_wanted) {
             self.next = self.next.max(snapshot.covers);
+            self.advanced_at = now;
             news.snapshot = Some(snapshot);
         }
-        news.records = self.take(batch.records);
+        news.records = self.take(now, batch.records);
         if let Some(age) = batch.fresh_ms.filter(|_| self.next >= batch.next) {
             self.set_fresh(NewsTime::before(asked, age));
         }
@@ -277,7 +289,7 @@
         batch: ReadBatch,
         rng: &mut R,
     ) -> FollowNews {
-        if batch.end < self.next {
+        if batch.end < self.next && asked > self.advanced_at {
             let (next, end) = (self.next, batch.end);
             self.fault = Some(FollowFault::WentBack { next, end });
             self.fail_read(now, rng);
@@ -288,10 +300,10 @@
         self.direct_at = None;
         self.read_at = now;
         if batch.first > self.next {
-            return self.skip_to(batch.first);
+            return self.skip_to(now, batch.first);
         }
         self.first = batch.first;
-        let records = self.take(batch.records);
+        let records = self.take(now, batch.records);
         if self.next >= batch.end {
             self.set_fresh(NewsTime::at(asked));
         }
@@ -301,7 +313,8 @@
         }
     }
 
-    fn skip_to(&mut self, first: LogOffset) -> FollowNews {
+    fn skip_to(&mut self, now: ClockTime, first: LogOffset) -> FollowNews {
+        self.advanced_at = now;
         self.next = first;
         self.first = first;
         FollowNews {
@@ -310,11 +323,12 @@
         }
     }
 
-    fn take(&mut self, records: Vec<LogRecord>) -> Vec<LogRecord> {
+    fn take(&mut self, now: ClockTime, records: Vec<LogRecord>) -> Vec<LogRecord> {
         let mut taken = Vec::new();
         for record in records {
             if record.offset == self.next {
                 self.next = record.offset.next();
+                self.advanced_at = now;
                 taken.push(record);
             }
         }
