--- a/crates/platform/tests/fleet_schedules.rs
+++ b/crates/platform/tests/fleet_schedules.rs
@@ -17,6 +17,10 @@
 const SCHEDULE_MS: u64 = 90_000;
 const PROMISE_MS: u64 = 5_000;
 
+/// The time between two outages. What no node has any more can't outlive the log's retention, so
+/// the fleet gets time to repeat its state.
+const MIN_CALM_MS: u64 = 4_000;
+
 struct Operator {
     attempt: RecordAttempt,
     fold: ConfigFold<Check>,
@@ -144,6 +148,9 @@
     }
 
     fn change_weather(&mut self) {
+        if self.fleet.now < self.weather_until.plus_ms(MIN_CALM_MS) {
+            return;
+        }
         let span = self.fleet.rng.random_range(500..8_000);
         self.weather_until = self.fleet.now.plus_ms(span);
         let weather = &mut self.fleet.weather;
