test(once): read only what retention left, and check rules that schedules seldom reach

Trials with single rules taken out showed three that the schedules didn't notice: the deadline check at the start, keys blocked after an expiry, and gaps. The log of the schedule had handed out records that retention had dropped.

--- a/crates/once/tests/at_most_once.rs
+++ b/crates/once/tests/at_most_once.rs
@@ -54,6 +54,28 @@
     assert!(total.runs > 0);
 }
 
+/// Every node that starts late waits for the horizon, for want of a snapshot.
+#[test]
+fn without_snapshots_no_call_runs_twice() {
+    let faults = Faults {
+        kill: 8,
+        pause: 6,
+        pause_ms: 9_000,
+        append_trouble: 3_000,
+        retention_ms: 2_000,
+        ..Faults::GIVING_UP
+    };
+    let mut plan = plan(faults, 6_000);
+    plan.settings.snapshot_every_ms = HOUR_MS;
+    plan.settings.start_within_ms = 1_000;
+    plan.keys = 6;
+    plan.copies = 20;
+    let total = run_seeds::<ClaimBook>(plan, seed_count(60));
+    println!("no snapshots findings={total:?}");
+    assert_eq!(total.faults(), 0, "{total:?}");
+    assert!(total.runs > 0);
+}
+
 #[test]
 fn naive_node_runs_calls_twice_and_says_false_things() {
     let total = run_seeds::<NaiveBook>(plan(Faults::ALL, HOUR_MS), 20);
--- /dev/null
+++ b/crates/once/tests/claim_book.rs
@@ -0,0 +1,185 @@
+//! Checks single rules of a claim book that random schedules seldom reach.
+
+use clock::ClockTime;
+use lentilshift_once::{
+    CallFingerprint, ClaimAction, ClaimBody, ClaimBook, ClaimEntry, ClaimFold, ClaimOutcome,
+    ClaimRecord, HolderReply, KeyDigest, OnceRequest, OnceSettings, StoredAnswer,
+};
+use model::{AttemptId, RecordId, RefusalReason, RunVerdict};
+
+const SETTINGS: OnceSettings = OnceSettings {
+    horizon_ms: 10_000,
+    snapshot_every_ms: 5_000,
+    snapshot_part_claims: 1_000,
+    gather_ms: 0,
+    appends_per_s: 50,
+    batch_entries: 1_000,
+    resend_ms: 500,
+    outage_after_ms: 2_000,
+    start_within_ms: 1_000,
+    ask_every_ms: 250,
+    retry_after_ms: 1_000,
+    answer_bytes: 100,
+    remembered_attempts: 100,
+};
+
+fn time(ms: u64) -> ClockTime {
+    ClockTime::from_ms(ms)
+}
+
+fn book(first_offset: u64) -> ClaimBook {
+    let vm = "vm-1".into();
+    ClaimBook::new(SETTINGS, "filings".into(), vm, time(0), first_offset, 1)
+}
+
+fn key(number: u8) -> KeyDigest {
+    KeyDigest::new(&"team".into(), &[number])
+}
+
+fn attempt(number: u128) -> AttemptId {
+    AttemptId::from_random(number)
+}
+
+fn request(number: u128, body: &[u8]) -> OnceRequest {
+    OnceRequest {
+        attempt: attempt(number),
+        key: key(1),
+        fingerprint: CallFingerprint::new(&"file".into(), body),
+        deadline: time(100_000),
+        key_age_ms: None,
+    }
+}
+
+fn claim(vm: &str, key: KeyDigest, number: u128) -> ClaimRecord {
+    let entry = ClaimEntry::Claim {
+        key,
+        attempt: attempt(number),
+        fingerprint: CallFingerprint::new(&"file".into(), b"body"),
+    };
+    record(vm, ClaimBody::Batch(vec![entry]))
+}
+
+fn record(vm: &str, body: ClaimBody) -> ClaimRecord {
+    ClaimRecord {
+        id: RecordId::from_random(1),
+        service: "filings".into(),
+        vm: vm.into(),
+        body,
+    }
+}
+
+/// Begins a call and reads its claim back at an offset.
+fn win(book: &mut ClaimBook, offset: u64, number: u128) {
+    let mut actions = Vec::new();
+    book.begin(time(0), request(number, b"body"), &mut actions);
+    let Some(ClaimAction::Append(record)) = actions.pop() else {
+        panic!("no append for attempt {number}");
+    };
+    book.receive_record(time(1), offset, &record, &mut actions);
+    assert_eq!(actions, vec![ClaimAction::Run(attempt(number))]);
+}
+
+fn refusal(actions: &[ClaimAction]) -> (RefusalReason, RunVerdict) {
+    match actions.first() {
+        Some(ClaimAction::Refuse(_, refusal)) => (refusal.reason, refusal.verdict),
+        other => panic!("not a refusal: {other:?}"),
+    }
+}
+
+#[test]
+fn attempt_that_was_paused_past_its_deadline_never_starts() {
+    let mut book = book(0);
+    win(&mut book, 0, 1);
+    let mut actions = Vec::new();
+    assert!(!book.start(time(1_000), attempt(1), &mut actions));
+    let refusal = refusal(&actions);
+    assert_eq!(refusal, (RefusalReason::DeadlinePassed, RunVerdict::NotRun));
+}
+
+#[test]
+fn attempt_whose_claim_expired_never_starts() {
+    let mut book = book(0);
+    win(&mut book, 0, 1);
+    let expire = record("vm-2", ClaimBody::Expire { below: 1 });
+    book.receive_record(time(2), 1, &expire, &mut Vec::new());
+    assert!(!book.start(time(3), attempt(1), &mut Vec::new()));
+}
+
+#[test]
+fn started_attempt_is_not_given_up() {
+    let mut book = book(0);
+    win(&mut book, 0, 1);
+    assert!(book.start(time(2), attempt(1), &mut Vec::new()));
+    assert!(!book.give_up(time(3), attempt(1), &mut Vec::new()));
+    assert_eq!(book.reply_for(attempt(1)), HolderReply::Running);
+}
+
+#[test]
+fn key_with_another_body_is_refused() {
+    let mut book = book(0);
+    win(&mut book, 0, 1);
+    let mut actions = Vec::new();
+    book.begin(time(2), request(2, b"other body"), &mut actions);
+    assert_eq!(
+        refusal(&actions),
+        (RefusalReason::BadRequest, RunVerdict::NotRun)
+    );
+}
+
+#[test]
+fn answer_too_large_to_keep_leaves_the_verdict() {
+    let mut book = book(0);
+    win(&mut book, 0, 1);
+    let mut actions = Vec::new();
+    assert!(book.start(time(2), attempt(1), &mut actions));
+    let answer = StoredAnswer::new(&b"200"[..], &[0; 200][..]);
+    let outcome = ClaimOutcome::Answered(answer);
+    book.finish(time(3), attempt(1), outcome, &mut actions);
+    book.begin(time(4), request(2, b"body"), &mut actions);
+    assert_eq!(
+        refusal(&actions),
+        (RefusalReason::Duplicate, RunVerdict::Ran)
+    );
+}
+
+#[test]
+fn node_that_missed_records_runs_nothing() {
+    let mut book = book(0);
+    win(&mut book, 0, 1);
+    let mut actions = Vec::new();
+    book.receive_gap(time(2), 9, &mut actions);
+    let unavailable = (RefusalReason::ClaimUnavailable, RunVerdict::NotRun);
+    assert_eq!(refusal(&actions), unavailable);
+    assert!(!book.start(time(3), attempt(1), &mut actions));
+    actions.clear();
+    book.begin(time(4), request(2, b"body"), &mut actions);
+    assert_eq!(refusal(&actions), unavailable);
+}
+
+#[test]
+fn lost_claims_read_before_an_expiry_block_their_key() {
+    // Attempt 1 owned the key below offset 5; 2 lost to it; 3 won after its expiry at 7.
+    let mut late = ClaimFold::new(5);
+    late.apply(5, &claim("vm-2", key(1), 2));
+    late.apply(7, &record("vm-3", ClaimBody::Expire { below: 5 }));
+    late.apply(8, &claim("vm-3", key(1), 3));
+    assert!(late.is_complete() && !late.is_exact());
+    late.apply(9, &record("vm-3", ClaimBody::Expire { below: 6 }));
+    assert!(late.owner(key(1)).is_some(), "attempt 3 may have run");
+    late.apply(10, &record("vm-3", ClaimBody::Expire { below: 9 }));
+    assert!(late.owner(key(1)).is_none() && late.is_exact());
+}
+
+#[test]
+fn key_older_than_the_horizon_is_refused() {
+    let mut actions = Vec::new();
+    let request = OnceRequest {
+        key_age_ms: Some(10_000),
+        ..request(1, b"body")
+    };
+    book(0).begin(time(1), request, &mut actions);
+    assert_eq!(
+        refusal(&actions),
+        (RefusalReason::Duplicate, RunVerdict::MayHaveRun)
+    );
+}
--- a/crates/once/tests/schedule/mod.rs
+++ b/crates/once/tests/schedule/mod.rs
@@ -344,7 +344,8 @@
             self.drop_old();
             book.gap(now, self.log_first, actions);
             let count = self.random.random_range(1..40);
-            let next = usize::try_from(book.next_offset()).unwrap_or(usize::MAX);
+            let next = book.next_offset().max(self.log_first);
+            let next = usize::try_from(next).unwrap_or(usize::MAX);
             for (offset, (_, record)) in self.log.iter().enumerate().skip(next).take(count) {
                 book.read(now, offset as u64, record, actions);
             }
