fix(rate): ask again at once when a grant leaves requests waiting

Cause: requests that came while an ask was out waited for the next poll, 45 to 60 ms later, and were refused after 20 ms with tokens free. Seen in a trace of concurrent_duplicates_run_once: a grant of 1 token came for 6 requests, and no ask followed it. Ruled out: an empty bucket (the allocator granted at once) and slow links (4 ms a round trip). Change: a request that waits without an ask outstanding makes the holder send one.

--- a/crates/rate/src/token_holder.rs
+++ b/crates/rate/src/token_holder.rs
@@ -158,8 +158,8 @@
         }
         if is_first {
             using.waiting.push_back(now);
-            self.is_dirty = true;
         }
+        self.is_dirty |= is_first || !is_asked;
         RateDecision::Ask {
             wait_ms: settings.wait_ms,
         }
