feat(lentilshift): wire publish, show, key, node and dump to the log and the node

The key digest stood in contract and in platform; contract's is removed and its tests moved to platform's, which the node uses.

--- a/crates/contract/src/lib.rs
+++ b/crates/contract/src/lib.rs
@@ -1,11 +1,10 @@
-//! The operators' text: services, calls, teams and keys.
+//! The operators' text: services, calls and teams.
 //!
 //! Operators publish one TOML text. [`FleetContract::parse`] checks all of it and returns either
 //! the contract or a [`ContractError`] that lists every fault with the line it stands on.
 //! [`FleetContract::find_call`] tells which call of the contract a request is.
 //!
-//! Keys aren't part of the text: a key is granted and withdrawn by records of its own, which hold
-//! only its [`KeyDigest`].
+//! Keys aren't part of the text: a key is granted and withdrawn by records of its own.
 
 mod call_contract;
 mod call_match;
@@ -19,7 +18,6 @@
 mod fault_list;
 mod field_reader;
 mod fleet_contract;
-mod key_digest;
 mod request_path;
 mod service_contract;
 mod service_reader;
@@ -33,7 +31,6 @@
 pub use dependency_order::{DependencyCycle, DependencyOrder};
 pub use fault_kind::FaultKind;
 pub use fleet_contract::FleetContract;
-pub use key_digest::{DigestError, KeyDigest};
 pub use request_path::is_plain_path;
 pub use service_contract::ServiceContract;
 pub use team_contract::TeamContract;
--- a/crates/lentilshift/src/app.rs
+++ b/crates/lentilshift/src/app.rs
@@ -1,3 +1,4 @@
+use compio::runtime::Runtime;
 use gumdrop::Options;
 
 use crate::args::{AppArgs, AppCommand};
@@ -16,15 +17,20 @@
         println!("lentilshift {}", env!("CARGO_PKG_VERSION"));
         return Ok(());
     }
-    match args.command {
-        Some(AppCommand::Node(args)) => node::run_node(&args),
-        Some(AppCommand::Check(args)) => check::run_check(&args),
-        Some(AppCommand::Publish(args)) => publish::run_publish(&args),
-        Some(AppCommand::Show(args)) => show::run_show(&args),
-        Some(AppCommand::Key(args)) => key::run_key(&args),
-        Some(AppCommand::Dump(args)) => dump::run_dump(&args),
-        Some(AppCommand::Demo(args)) => demo::run_demo(&args),
-        None => Err(CommandError::NoCommand("")),
+    let command = args.command.ok_or(CommandError::NoCommand(""))?;
+    let runtime = Runtime::new().map_err(CommandError::Runtime)?;
+    runtime.block_on(run_named(&command))
+}
+
+async fn run_named(command: &AppCommand) -> Result<(), CommandError> {
+    match command {
+        AppCommand::Node(args) => node::run_node(args).await,
+        AppCommand::Check(args) => check::run_check(args),
+        AppCommand::Publish(args) => publish::run_publish(args).await,
+        AppCommand::Show(args) => show::run_show(args).await,
+        AppCommand::Key(args) => key::run_key(args).await,
+        AppCommand::Dump(args) => dump::run_dump(args).await,
+        AppCommand::Demo(args) => demo::run_demo(args),
     }
 }
 
--- a/crates/lentilshift/src/args.rs
+++ b/crates/lentilshift/src/args.rs
@@ -12,6 +12,7 @@
 }
 
 /// The commands.
+#[expect(clippy::large_enum_variant, reason = "one value for the whole process")]
 #[derive(Debug, Options)]
 pub(crate) enum AppCommand {
     #[options(help = "run the node beside a backend server")]
@@ -42,11 +43,17 @@
     #[options(
         no_short,
         meta = "ADDRESS",
-        help = "backend server, such as 127.0.0.1:8080"
+        help = "the backend server, such as 127.0.0.1:8080"
     )]
     pub(crate) backend: Option<String>,
+    #[options(
+        no_short,
+        meta = "N",
+        help = "requests that the backend server can run at once"
+    )]
+    pub(crate) slots: Option<String>,
     #[options(no_short, meta = "ADDRESS", help = "where callers connect")]
-    pub(crate) entry: Option<String>,
+    pub(crate) callers: Option<String>,
     #[options(
         no_short,
         meta = "ADDRESS",
@@ -55,6 +62,12 @@
     pub(crate) egress: Option<String>,
     #[options(no_short, meta = "ADDRESS", help = "where other nodes connect")]
     pub(crate) ingress: Option<String>,
+    #[options(
+        no_short,
+        meta = "ADDRESS",
+        help = "the ingress as other nodes reach it, if other"
+    )]
+    pub(crate) advertise: Option<String>,
     #[options(no_short, meta = "ADDRESS", help = "metrics, dump and readiness")]
     pub(crate) admin: Option<String>,
     #[options(no_short, meta = "ADDRESS", help = "the platform's log")]
@@ -71,6 +84,18 @@
         help = "the fleet's secret; better by its variable"
     )]
     pub(crate) fleet_secret: Option<String>,
+    #[options(
+        no_short,
+        meta = "MS",
+        help = "longest wait of a stop for running calls"
+    )]
+    pub(crate) stop_limit_ms: Option<String>,
+    #[options(
+        no_short,
+        meta = "LEVEL",
+        help = "off, error, warn, info, debug or trace"
+    )]
+    pub(crate) log_level: Option<String>,
 }
 
 /// Checks a contract text and names every fault at once, without touching the fleet.
--- a/crates/lentilshift/src/commands/check.rs
+++ b/crates/lentilshift/src/commands/check.rs
@@ -5,7 +5,7 @@
 
 use crate::args::CheckArgs;
 use crate::command_error::CommandError;
-use crate::commands::contract_file::read_contract;
+use crate::commands::contract_file::ContractFile;
 use crate::setting_reader::SettingReader;
 
 /// Checks a contract text and prints what it holds.
@@ -13,8 +13,9 @@
     let mut reader = SettingReader::default();
     let file = reader.argument("FILE", args.file.as_deref());
     let file: String = reader.finish(file)?;
-    let contract = read_contract(&file)?;
-    println!("{file} is valid: {}", ContractSummary::new(&contract));
+    let file = ContractFile::read(&file)?;
+    let summary = ContractSummary::new(&file.contract);
+    println!("{} is valid: {summary}", file.name);
     Ok(())
 }
 
--- a/crates/lentilshift/src/exit_status.rs
+++ b/crates/lentilshift/src/exit_status.rs
@@ -12,6 +12,12 @@
     BadUsage = 2,
     /// The contract text is at fault.
     InvalidContract = 3,
+    /// The log's order decided against the change.
+    Rejected = 4,
+    /// The change may or may not come into force.
+    UnknownYet = 5,
+    /// The platform's log or the node can't be reached, and nothing was changed.
+    Unreachable = 6,
 }
 
 impl ExitStatus {
@@ -20,7 +26,10 @@
         "  0  done\n",
         "  1  failed\n",
         "  2  the arguments or settings are at fault\n",
-        "  3  the contract text is at fault",
+        "  3  the contract text is at fault\n",
+        "  4  rejected, nothing was changed\n",
+        "  5  unknown yet, the change may have been made\n",
+        "  6  the platform's log or the node can't be reached, nothing was changed",
     );
 }
 
--- a/crates/lentilshift/src/setting_reader.rs
+++ b/crates/lentilshift/src/setting_reader.rs
@@ -48,6 +48,16 @@
         self.parse(setting)
     }
 
+    /// Reads a setting that may be left out.
+    pub(crate) fn optional<T: SettingValue>(
+        &mut self,
+        flag: &'static str,
+        value: Option<&str>,
+    ) -> Option<T> {
+        let setting = find_setting(flag, value)?;
+        self.parse(setting)
+    }
+
     /// Reads a list: the flag is given once for each item, the variable separates them by commas.
     pub(crate) fn list<T: SettingValue>(
         &mut self,
@@ -73,10 +83,7 @@
         if is_given {
             return true;
         }
-        let setting = find_setting(flag, None);
-        setting
-            .and_then(|setting| self.parse(setting))
-            .unwrap_or(false)
+        self.optional(flag, None).unwrap_or(false)
     }
 
     /// Ends the reading with the value that was put together.
--- a/crates/lentilshift/src/setting_value.rs
+++ b/crates/lentilshift/src/setting_value.rs
@@ -1,9 +1,9 @@
 use std::net::SocketAddr;
 
-use contract::KeyDigest;
+use log::LevelFilter;
 use model::{CentreName, ServiceName, TeamName};
-
-use crate::secret_text::SecretText;
+use platform::KeyDigest;
+use wire::FleetSecret;
 
 const NAME: &str = "1 to 63 lower-case letters, digits and inner hyphens";
 
@@ -35,6 +35,22 @@
     }
 }
 
+impl SettingValue for u32 {
+    const EXPECTED: &'static str = "a whole number";
+
+    fn parse_setting(text: &str) -> Option<Self> {
+        text.parse().ok()
+    }
+}
+
+impl SettingValue for LevelFilter {
+    const EXPECTED: &'static str = "off, error, warn, info, debug or trace";
+
+    fn parse_setting(text: &str) -> Option<Self> {
+        text.parse().ok()
+    }
+}
+
 impl SettingValue for bool {
     const EXPECTED: &'static str = "true or false";
 
@@ -81,15 +97,15 @@
     const IS_SECRET: bool = true;
 
     fn parse_setting(text: &str) -> Option<Self> {
-        Self::parse(text).ok()
+        Self::parse(text)
     }
 }
 
-impl SettingValue for SecretText {
+impl SettingValue for FleetSecret {
     const EXPECTED: &'static str = "a secret of 16 bytes or more";
     const IS_SECRET: bool = true;
 
     fn parse_setting(text: &str) -> Option<Self> {
-        Self::parse(text)
+        Self::new(text).ok()
     }
 }
--- a/crates/lentilshift/tests/command_line.rs
+++ b/crates/lentilshift/tests/command_line.rs
@@ -115,11 +115,11 @@
 
 #[test]
 fn all_setting_faults_are_named_at_once_and_no_secret_shows() {
-    let mut command = lentilshift(&["node", "--service", "Registry", "--entry", "here"]);
+    let mut command = lentilshift(&["node", "--service", "Registry", "--callers", "here"]);
     command.env("LENTILSHIFT_CENTRE", "abuja 1");
     command.env("LENTILSHIFT_FLEET_SECRET", "short");
     command.env("LENTILSHIFT_PEER", "10.0.0.1:1,10.0.0.2");
-    command.env("LENTILSHIFT_ENTRY", "127.0.0.1:1");
+    command.env("LENTILSHIFT_CALLERS", "127.0.0.1:1");
     let output = command.output().expect("the command starts");
     assert_eq!(output.status.code(), Some(2));
     let name = "must be 1 to 63 lower-case letters, digits and inner hyphens";
@@ -132,7 +132,7 @@
         format!("error: --service {name}, not \"Registry\""),
         format!("error: LENTILSHIFT_CENTRE {name}, not \"abuja 1\""),
         missing("backend"),
-        format!("error: --entry {address}, not \"here\""),
+        format!("error: --callers {address}, not \"here\""),
         missing("egress"),
         missing("ingress"),
         missing("admin"),
--- a/crates/contract/tests/key_digest.rs
+++ b/crates/platform/tests/key_digest.rs
@@ -1,18 +1,18 @@
 //! Digests of keys: their text form, and that no key shows.
 
-use lentilshift_contract::{DigestError, KeyDigest};
+use lentilshift_platform::KeyDigest;
 use rstest::rstest;
 
 const ABC_DIGEST: &str = "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad";
 
 #[test]
 fn digest_is_sha_256() {
-    assert_eq!(KeyDigest::of(b"abc").to_string(), ABC_DIGEST);
+    assert_eq!(KeyDigest::of_key(b"abc").to_string(), ABC_DIGEST);
 }
 
 #[test]
 fn digest_round_trips_through_json() {
-    let digest = KeyDigest::of(b"abc");
+    let digest = KeyDigest::of_key(b"abc");
     let json = serde_json::to_string(&digest).unwrap();
     assert_eq!(json, format!("\"{ABC_DIGEST}\""));
     assert_eq!(serde_json::from_str::<KeyDigest>(&json).unwrap(), digest);
@@ -20,7 +20,7 @@
 
 #[test]
 fn no_key_shows() {
-    let digest = KeyDigest::of(b"secret-key");
+    let digest = KeyDigest::of_key(b"secret-key");
     assert!(!format!("{digest} {digest:?}").contains("secret-key"));
 }
 
@@ -30,6 +30,6 @@
 #[case("zz7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad")]
 #[case("+a7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad")]
 fn bad_digest_is_refused(#[case] text: &str) {
-    assert_eq!(KeyDigest::parse(text), Err(DigestError));
+    assert_eq!(KeyDigest::parse(text), None);
     assert!(serde_json::from_str::<KeyDigest>(&format!("\"{text}\"")).is_err());
 }
