--- /dev/null
+++ b/crates/once/examples/claim_slopes.rs
@@ -0,0 +1,182 @@
+//! Measures what claims cost: bytes, processor time, memory and appends.
+//!
+//! Run with `cargo run --release -p lentilshift-once --example claim_slopes`, and for the memory
+//! of a number of claims with that number as argument.
+
+use std::time::Instant;
+
+use clock::ClockTime;
+use lentilshift_once::{
+    CallFingerprint, ClaimAction, ClaimBody, ClaimBook, ClaimEntry, ClaimOutcome, ClaimRecord,
+    KeyDigest, OnceRequest, OnceSettings, StoredAnswer,
+};
+use model::{AttemptId, RecordId, VmName};
+
+/// The virtual time of one measurement, in milliseconds.
+const SPAN_MS: u64 = 20_000;
+
+/// The virtual time between an append and the moment its record is read, in milliseconds.
+const READ_BACK_MS: u64 = 10;
+
+/// The claims in one record of the memory measurement.
+const BATCH: u64 = 10;
+
+fn main() {
+    if let Some(claims) = std::env::args().nth(1) {
+        measure_memory(claims.parse().expect("the argument is a number of claims"));
+        return;
+    }
+    println!("nodes  calls/s  appends/s  calls/append  bytes/claim  us/claim/node  wait_ms");
+    for (nodes, calls_per_s) in [(4, 20), (4, 100), (8, 400), (8, 1_600), (16, 1_600)] {
+        measure_stream(nodes, calls_per_s);
+    }
+}
+
+/// Feeds the books of one service with calls at an even rate.
+fn measure_stream(nodes: usize, calls_per_s: u64) {
+    let vms: Vec<VmName> = (0..nodes)
+        .map(|i| VmName::new(format!("filings-vm-{i:04}")))
+        .collect();
+    let mut books: Vec<ClaimBook> = vms.iter().map(book).collect();
+    let mut log: Vec<(u64, ClaimRecord)> = Vec::new();
+    let mut read = 0;
+    let mut begun = 0_u64;
+    let mut waits_ms = 0;
+    let started = Instant::now();
+    for now_ms in 0..SPAN_MS {
+        let now = ClockTime::from_ms(now_ms);
+        let mut actions = Vec::new();
+        while begun * 1_000 < now_ms * calls_per_s {
+            let node = usize::try_from(begun).unwrap_or(0) % nodes;
+            let mut new = Vec::new();
+            books[node].begin(now, request(begun, now), &mut new);
+            actions.extend(new.into_iter().map(|action| (node, action)));
+            begun += 1;
+        }
+        while log
+            .get(read)
+            .is_some_and(|(time, _)| time + READ_BACK_MS <= now_ms)
+        {
+            for (node, book) in books.iter_mut().enumerate() {
+                let mut new = Vec::new();
+                book.receive_record(now, read as u64, &log[read].1, &mut new);
+                actions.extend(new.into_iter().map(|action| (node, action)));
+            }
+            read += 1;
+        }
+        for (node, book) in books.iter_mut().enumerate() {
+            let mut new = Vec::new();
+            book.poll(now, &mut new);
+            actions.extend(new.into_iter().map(|action| (node, action)));
+        }
+        let mut runs = Vec::new();
+        for (node, action) in actions {
+            match action {
+                ClaimAction::Append(record) => log.push((now_ms, record)),
+                ClaimAction::Run(attempt) => runs.push((node, attempt)),
+                _ => {}
+            }
+        }
+        for (node, attempt) in runs {
+            waits_ms += now_ms - began_at(attempt);
+            let mut new = Vec::new();
+            assert!(books[node].start(now, attempt, &mut new));
+            let answer = ClaimOutcome::Answered(StoredAnswer::new(&b"200"[..], &b"ok"[..]));
+            books[node].finish(now, attempt, answer, &mut new);
+        }
+    }
+    let spent_us = started.elapsed().as_micros();
+    let bytes: usize = log.iter().map(|(_, record)| encoded_len(record)).sum();
+    let appends = log.len() as u64;
+    println!(
+        "{nodes:5}  {calls_per_s:7}  {:9.1}  {:12.1}  {:11.1}  {:13.2}  {:7.1}",
+        per(appends * 1_000, SPAN_MS),
+        per(begun, appends),
+        per(bytes as u64, begun),
+        per(
+            u64::try_from(spent_us).unwrap_or(u64::MAX),
+            begun * nodes as u64
+        ),
+        per(waits_ms, begun),
+    );
+}
+
+/// Measures what a book holds for claims of other nodes, and what a snapshot of them takes.
+fn measure_memory(claims: u64) {
+    let before = resident_bytes();
+    let mut reader = book(&VmName::new("filings-vm-0002"));
+    for offset in 0..claims / BATCH {
+        let record = batch(offset);
+        let now = ClockTime::from_ms(offset);
+        reader.receive_record(now, offset, &record, &mut Vec::new());
+    }
+    let held = resident_bytes() - before;
+    let parts = reader.fold().snapshot_claims(1_000);
+    let snapshot: usize = parts.iter().map(encoded_len).sum();
+    println!(
+        "claims={claims} memory_bytes_per_claim={:.1} snapshot_bytes_per_claim={:.1}",
+        per(held, claims),
+        per(snapshot as u64, claims)
+    );
+}
+
+fn batch(offset: u64) -> ClaimRecord {
+    let claim = |number| {
+        let request = request(offset * BATCH + number, ClockTime::from_ms(offset));
+        ClaimEntry::Claim {
+            key: request.key,
+            attempt: request.attempt,
+            fingerprint: request.fingerprint,
+        }
+    };
+    ClaimRecord {
+        id: RecordId::from_random(offset.into()),
+        service: "filings".into(),
+        vm: VmName::new("filings-vm-0001"),
+        body: ClaimBody::Batch((0..BATCH).map(claim).collect()),
+    }
+}
+
+/// Returns the resident memory of this process, in bytes.
+fn resident_bytes() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").expect("procfs is mounted");
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+    let kib = line.and_then(|line| line.split_whitespace().nth(1));
+    kib.and_then(|kib| kib.parse::<u64>().ok()).unwrap_or(0) * 1_024
+}
+
+fn book(vm: &VmName) -> ClaimBook {
+    let settings = OnceSettings::default();
+    ClaimBook::new(
+        settings,
+        "filings".into(),
+        vm.clone(),
+        ClockTime::ZERO,
+        0,
+        1,
+    )
+}
+
+fn request(number: u64, now: ClockTime) -> OnceRequest {
+    OnceRequest {
+        attempt: AttemptId::from_random(u128::from(now.as_ms()) << 80 | u128::from(number)),
+        key: KeyDigest::new(&"team".into(), &number.to_be_bytes()),
+        fingerprint: CallFingerprint::new(&"file".into(), &number.to_be_bytes()),
+        deadline: now.plus_ms(5_000),
+        key_age_ms: None,
+    }
+}
+
+fn began_at(attempt: AttemptId) -> u64 {
+    u64::try_from(attempt.as_u128() >> 80).unwrap_or(0)
+}
+
+fn encoded_len(value: &impl serde::Serialize) -> usize {
+    let bytes = bincode::serde::encode_to_vec(value, bincode::config::standard());
+    bytes.expect("records can be encoded").len()
+}
+
+#[allow(clippy::cast_precision_loss)] // The figures are far below 2^52.
+fn per(total: u64, count: u64) -> f64 {
+    total as f64 / count.max(1) as f64
+}
--- a/crates/once/src/once_settings.rs
+++ b/crates/once/src/once_settings.rs
@@ -36,7 +36,7 @@
             snapshot_every_ms: 30 * 60 * 1_000,
             snapshot_part_claims: 1_000,
             gather_ms: 4,
-            appends_per_s: 50,
+            appends_per_s: 100,
             batch_entries: 1_000,
             resend_ms: 500,
             outage_after_ms: 2_000,
--- a/crates/once/tests/schedule/mod.rs
+++ b/crates/once/tests/schedule/mod.rs
@@ -325,11 +325,7 @@
                 self.tell_outcome(attempt, &outcome);
                 book.finish(now, attempt, outcome, actions);
             }
-            Event::Leave(_, attempt) => {
-                if book.give_up(now, attempt, actions) {
-                    self.tell(attempt, Told::Refused(RunVerdict::NotRun, GIVEN_UP));
-                }
-            }
+            Event::Leave(_, attempt) => self.give_up(book, attempt, actions),
             Event::Reply(_, attempt, owner, reply) => {
                 book.reply(now, attempt, owner, reply, actions);
             }
@@ -354,14 +350,17 @@
         self.at(delay, index, Event::Wake(index));
     }
 
+    fn give_up(&mut self, book: &mut D, attempt: AttemptId, actions: &mut Actions) {
+        if book.give_up(ClockTime::from_ms(self.now), attempt, actions) {
+            self.tell(attempt, Told::Refused(RunVerdict::NotRun, GIVEN_UP));
+        }
+    }
+
     /// Starts an attempt that has won, or lets the queue refuse it.
     fn turn(&mut self, index: usize, book: &mut D, attempt: AttemptId, actions: &mut Actions) {
         let now = ClockTime::from_ms(self.now);
         if self.gives_up(80) {
-            if book.give_up(now, attempt, actions) {
-                self.tell(attempt, Told::Refused(RunVerdict::NotRun, GIVEN_UP));
-            }
-            return;
+            return self.give_up(book, attempt, actions);
         }
         if !book.start(now, attempt, actions) {
             return;
