--- a/crates/once/src/lib.rs
+++ b/crates/once/src/lib.rs
@@ -14,6 +14,7 @@
 mod claim_book;
 mod claim_fold;
 mod claim_outbox;
+mod claim_outcome;
 mod claim_record;
 mod claim_upkeep;
 mod key_digest;
@@ -26,8 +27,9 @@
 pub use answer_store::AnswerStore;
 pub use attempt_table::{AttemptArrival, AttemptSettings, AttemptState, AttemptTable, TableMark};
 pub use claim_action::{ClaimAction, ClaimRefusal};
-pub use claim_book::{ClaimBook, ClaimOutcome, HolderReply};
+pub use claim_book::ClaimBook;
 pub use claim_fold::{ClaimFold, FoldEvent, HeldClaim};
+pub use claim_outcome::{ClaimOutcome, HolderReply};
 pub use claim_record::{
     ClaimBody, ClaimEntry, ClaimRecord, SnapshotClaim, SnapshotMark, SnapshotPart,
 };
--- a/crates/retry/src/retry_allowance.rs
+++ b/crates/retry/src/retry_allowance.rs
@@ -9,7 +9,7 @@
 /// # Examples
 ///
 /// ```
-/// use lentilshift_model::AttemptId;
+/// use model::AttemptId;
 /// use lentilshift_retry::{AllowanceShare, RetryAllowance};
 ///
 /// let mut allowance = RetryAllowance::new(AllowanceShare::new(4));
