--- /dev/null
+++ b/crates/node/src/node_core.rs
@@ -0,0 +1,157 @@
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use adapter::{HttpLog, HttpSettings};
+use clock::ClockTime;
+use contract::FleetContract;
+use graph::{AdmissionSettings, ChainAdmission};
+use member::MemberSettings;
+use model::{AttemptId, RecordId, RequestId, ServiceName, TeamName, VmName};
+use platform::{KeyDigest, KeyTrust, LogStream, TrustSettings};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use retry::RetryRatio;
+use route::{RouteSettings, VmRouter};
+
+use crate::backend_pool::BackendPool;
+use crate::config_state::ConfigState;
+use crate::fleet_state::FleetState;
+use crate::ingress_gate::IngressGate;
+use crate::node_clock::NodeClock;
+use crate::node_metrics::NodeMetrics;
+use crate::node_settings::NodeSettings;
+use crate::peer_links::PeerLinks;
+use crate::running_calls::RunningCalls;
+use crate::stop_signal::StopSignal;
+use crate::stream_host::StreamHost;
+
+/// All that the tasks of a node share, on one thread.
+pub(crate) struct NodeCore {
+    pub(crate) settings: NodeSettings,
+    pub(crate) clock: NodeClock,
+    pub(crate) contract: RefCell<Rc<FleetContract>>,
+    pub(crate) log: HttpLog,
+    pub(crate) config: StreamHost<ConfigState>,
+    pub(crate) fleet: StreamHost<FleetState>,
+    pub(crate) trust: RefCell<KeyTrust>,
+    pub(crate) chain: RefCell<ChainAdmission>,
+    pub(crate) ratios: RefCell<BTreeMap<ServiceName, RetryRatio>>,
+    /// Whether the backend server has accepted a connection since the start.
+    pub(crate) is_up: Cell<bool>,
+    pub(crate) routers: RefCell<BTreeMap<ServiceName, VmRouter>>,
+    pub(crate) links: PeerLinks,
+    pub(crate) backend: Rc<BackendPool>,
+    pub(crate) gate: IngressGate,
+    pub(crate) running: RunningCalls,
+    pub(crate) metrics: NodeMetrics,
+    pub(crate) stop: StopSignal,
+    pub(crate) open_connections: Rc<Cell<usize>>,
+    random: RefCell<StdRng>,
+}
+
+impl NodeCore {
+    /// Creates the shared state.
+    ///
+    /// # Errors
+    ///
+    /// Returns the library's error when no client of the log can be made.
+    pub(crate) fn new(settings: NodeSettings) -> Result<Self, cyper::Error> {
+        let mut random = StdRng::from_os_rng();
+        let mut gate = IngressGate::new(random.random());
+        gate.set_slots(settings.backend_slots);
+        let clock = NodeClock::start();
+        let base = format!("http://{}", settings.platform_address);
+        let log = HttpLog::new(base, HttpSettings::default())?;
+        let trust = KeyTrust::new(settings.centre.clone(), TrustSettings::default());
+        let trust = RefCell::new(trust);
+        let fleet = FleetState::new(MemberSettings::default());
+        Ok(Self {
+            clock,
+            contract: RefCell::default(),
+            log,
+            config: StreamHost::new(clock, LogStream::Config, ConfigState::new()),
+            fleet: StreamHost::new(clock, LogStream::Members, fleet),
+            trust,
+            chain: RefCell::new(ChainAdmission::new(AdmissionSettings::default())),
+            ratios: RefCell::default(),
+            is_up: Cell::new(false),
+            routers: RefCell::default(),
+            links: PeerLinks::default(),
+            backend: Rc::new(BackendPool::new(settings.backend_address)),
+            gate,
+            running: RunningCalls::default(),
+            metrics: NodeMetrics::new(),
+            stop: StopSignal::new(),
+            open_connections: Rc::default(),
+            random: RefCell::new(random),
+            settings,
+        })
+    }
+
+    pub(crate) fn now(&self) -> ClockTime {
+        self.clock.now()
+    }
+
+    pub(crate) fn contract(&self) -> Rc<FleetContract> {
+        Rc::clone(&self.contract.borrow())
+    }
+
+    pub(crate) fn new_request_id(&self) -> RequestId {
+        RequestId::from_random(self.random.borrow_mut().random())
+    }
+
+    pub(crate) fn new_attempt_id(&self) -> AttemptId {
+        AttemptId::from_random(self.random.borrow_mut().random())
+    }
+
+    pub(crate) fn new_record_id(&self) -> RecordId {
+        RecordId::from_random(self.random.borrow_mut().random())
+    }
+
+    /// Calls a function with the random numbers of this node.
+    pub(crate) fn with_random<T>(&self, draw: impl FnOnce(&mut StdRng) -> T) -> T {
+        draw(&mut self.random.borrow_mut())
+    }
+
+    /// Chooses a VM of a service that hasn't been tried yet.
+    pub(crate) fn choose_vm(&self, service: &ServiceName, tried: &[VmName]) -> Option<VmName> {
+        let mut routers = self.routers.borrow_mut();
+        let router = routers.get_mut(service)?;
+        router.choose(self.now(), &mut *self.random.borrow_mut(), tried)
+    }
+
+    /// Calls a function with the router of a service.
+    pub(crate) fn with_router(&self, service: &ServiceName, change: impl FnOnce(&mut VmRouter)) {
+        if let Some(router) = self.routers.borrow_mut().get_mut(service) {
+            change(router);
+        }
+    }
+
+    /// Puts a contract in force.
+    pub(crate) fn put_contract(&self, _now: ClockTime, contract: Rc<FleetContract>) {
+        let mut routers = self.routers.borrow_mut();
+        routers.retain(|service, _| contract.services.contains_key(service));
+        for service in contract.services.keys() {
+            let centre = self.settings.centre.clone();
+            routers
+                .entry(service.clone())
+                .or_insert_with(|| VmRouter::new(RouteSettings::default(), centre));
+        }
+        drop(routers);
+        self.chain.borrow_mut().forget_absent(&contract);
+        self.contract.replace(contract);
+    }
+
+    /// Returns the team that a key stands for.
+    pub(crate) fn find_team(&self, key: &[u8]) -> Option<TeamName> {
+        let digest = KeyDigest::of_key(key);
+        self.config
+            .with_state(|state| state.fold.keys().team(&digest).cloned())
+    }
+
+    /// Returns whether the node can serve callers.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.contract.borrow().services.is_empty() && !self.stop.is_given()
+    }
+}
--- /dev/null
+++ b/crates/node/src/running_calls.rs
@@ -0,0 +1,67 @@
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+
+use clock::ClockTime;
+use graph::CallTarget;
+use model::{AttemptId, CallImportance, RequestId, TeamName};
+use retry::{AllowanceShare, CallRepeats, RetryAllowance};
+use wire::CallHead;
+
+/// The different calls that are remembered for one running call.
+const MAX_REMEMBERED_CALLS: usize = 1_000;
+
+/// A call that the local backend server runs now.
+pub(crate) struct RunningCall {
+    pub(crate) request: RequestId,
+    pub(crate) team: Option<TeamName>,
+    pub(crate) team_weight: u32,
+    pub(crate) importance: CallImportance,
+    pub(crate) depth: u8,
+    pub(crate) deadline: ClockTime,
+    pub(crate) allowance: RefCell<RetryAllowance>,
+    pub(crate) repeats: RefCell<CallRepeats>,
+    pub(crate) used: RefCell<BTreeSet<CallTarget>>,
+    /// The time spent waiting for calls below, in milliseconds.
+    pub(crate) below_ms: Cell<u64>,
+}
+
+impl RunningCall {
+    pub(crate) fn new(head: &CallHead, deadline: ClockTime) -> Self {
+        let share = AllowanceShare::new(head.allowance);
+        Self {
+            request: head.request,
+            team: head.team.clone(),
+            team_weight: head.team_weight,
+            importance: head.importance,
+            depth: head.depth,
+            deadline,
+            allowance: RefCell::new(RetryAllowance::new(share)),
+            repeats: RefCell::new(CallRepeats::new(MAX_REMEMBERED_CALLS)),
+            used: RefCell::default(),
+            below_ms: Cell::new(0),
+        }
+    }
+}
+
+/// The calls that the local backend server runs now, by attempt.
+#[derive(Default)]
+pub(crate) struct RunningCalls(RefCell<BTreeMap<AttemptId, Rc<RunningCall>>>);
+
+impl RunningCalls {
+    pub(crate) fn insert(&self, attempt: AttemptId, call: Rc<RunningCall>) {
+        self.0.borrow_mut().insert(attempt, call);
+    }
+
+    pub(crate) fn remove(&self, attempt: AttemptId) {
+        self.0.borrow_mut().remove(&attempt);
+    }
+
+    pub(crate) fn get(&self, attempt: AttemptId) -> Option<Rc<RunningCall>> {
+        self.0.borrow().get(&attempt).cloned()
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.0.borrow().len()
+    }
+}
