feat(rate): grant tokens for waiting requests with a short life

Tokens asked for by requests that already wait are now granted for 60 ms and their spending isn't reported. A test in which a team's rate moves between data centres while its whole rate stays the same is added: an allocator that went by the newest table alone passed the earlier cases.

--- a/crates/rate/src/lib.rs
+++ b/crates/rate/src/lib.rs
@@ -13,6 +13,7 @@
 mod rate_message;
 mod rate_record;
 mod rate_settings;
+mod slot_rank;
 mod team_bucket;
 mod team_limiter;
 mod team_rate;
--- a/crates/rate/src/rate_allocator.rs
+++ b/crates/rate/src/rate_allocator.rs
@@ -163,6 +163,7 @@
         self.send_pending(now, settings, actions);
         if self.is_holder(fold) {
             self.expire_grants(now, fold, settings);
+            self.fill_all(now, fold, settings);
             self.ask_promises(now, fold, settings, actions);
         }
     }
@@ -311,7 +312,7 @@
         &mut self,
         now: ClockTime,
         from: &VmName,
-        seq: u64,
+        (seq, life_ms): (u64, u64),
         wants: &[TeamWant],
         fold: &LeaseFold,
         settings: &RateSettings,
@@ -319,6 +320,7 @@
         if !self.may_grant(now, fold) || !self.is_new_ask(now, from, seq) {
             return None;
         }
+        let life_ms = life_ms.min(settings.grant_ms);
         self.count_askers(now);
         self.expire_grants(now, fold, settings);
         let grants: Vec<TeamGrant> = wants
@@ -330,7 +332,7 @@
             .filter(|grant| grant.tokens > 0)
             .map(|grant| (grant.team.clone(), grant.tokens));
         let open = OpenGrant {
-            lapses_at: now.plus_ms(settings.longer_ms(settings.grant_ms)),
+            lapses_at: now.plus_ms(settings.longer_ms(life_ms)),
             tokens: tokens.collect(),
         };
         if !open.tokens.is_empty() {
@@ -339,7 +341,7 @@
         Some(RateMessage::Grant {
             slot: self.slot,
             seq,
-            life_ms: settings.grant_ms,
+            life_ms,
             grants,
         })
     }
@@ -451,7 +453,6 @@
                 self.settle(now, &team, tokens, 0, fold, settings);
             }
         }
-        self.fill_all(now, fold, settings);
     }
 
     /// Fills the buckets by the present shares, before a record that may change them.
--- a/crates/rate/src/rate_message.rs
+++ b/crates/rate/src/rate_message.rs
@@ -41,6 +41,8 @@
         slot: u16,
         /// The number of the ask, rising per sender.
         seq: u64,
+        /// The longest life that the grant is wanted for, in milliseconds.
+        life_ms: u64,
         /// What is wanted.
         wants: Vec<TeamWant>,
     },
--- a/crates/rate/src/rate_settings.rs
+++ b/crates/rate/src/rate_settings.rs
@@ -5,6 +5,8 @@
     pub slots: u16,
     /// The life of a grant of tokens, in milliseconds.
     pub grant_ms: u64,
+    /// The life of a grant that is only for requests already waiting, in milliseconds.
+    pub short_grant_ms: u64,
     /// The life of an allocator's lease on the log, in milliseconds.
     pub lease_ms: u64,
     /// The life of a successor's promise, in milliseconds.
@@ -41,6 +43,7 @@
         Self {
             slots: 1,
             grant_ms: 1_000,
+            short_grant_ms: 60,
             lease_ms: 15_000,
             promise_ms: 3_000,
             abandon_ms: 900_000,
--- a/crates/rate/src/team_limiter.rs
+++ b/crates/rate/src/team_limiter.rs
@@ -2,10 +2,10 @@
 
 use clock::ClockTime;
 use model::{CentreName, TeamName, VmName};
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::lease_fold::LeaseFold;
 use crate::rate_allocator::RateAllocator;
+use crate::slot_rank::SlotRank;
 use crate::team_share::slot_of;
 use crate::token_holder::TokenHolder;
 use crate::{
@@ -29,8 +29,8 @@
     folds: BTreeMap<u16, LeaseFold>,
     allocators: BTreeMap<u16, RateAllocator>,
     holder: TokenHolder,
-    members: BTreeMap<VmName, CentreName>,
-    ranks: BTreeMap<u16, Vec<VmName>>,
+    live_centres: BTreeSet<CentreName>,
+    ranks: BTreeMap<u16, SlotRank>,
     teams: BTreeMap<u16, Vec<TeamEntry>>,
     version: Option<u64>,
     caught_up_at: Option<ClockTime>,
@@ -53,7 +53,7 @@
             vm,
             centre,
             settings,
-            members: BTreeMap::new(),
+            live_centres: BTreeSet::new(),
             ranks: BTreeMap::new(),
             teams: BTreeMap::new(),
             version: None,
@@ -99,19 +99,14 @@
 
     /// Replaces the list of live nodes, this one included.
     pub fn set_members(&mut self, members: impl IntoIterator<Item = (VmName, CentreName)>) {
-        self.members = members.into_iter().collect();
+        let members: BTreeMap<VmName, CentreName> = members.into_iter().collect();
         let is_near = |(_, centre): &(&VmName, &CentreName)| **centre == self.centre;
-        let near: Vec<VmName> = self
-            .members
-            .iter()
-            .filter(is_near)
-            .map(|(vm, _)| vm.clone())
-            .collect();
+        let near: Vec<&VmName> = members.iter().filter(is_near).map(|(vm, _)| vm).collect();
         for slot in 0..self.settings.slots {
-            let mut ranked = near.clone();
-            ranked.sort_by_key(|vm| xxh3_64_with_seed(vm.as_str().as_bytes(), u64::from(slot)));
-            self.ranks.insert(slot, ranked);
+            let rank = SlotRank::new(slot, &self.vm, &near, self.settings.successors);
+            self.ranks.insert(slot, rank);
         }
+        self.live_centres = members.into_values().collect();
     }
 
     /// Notes that the stream of rate records has been read up to its end.
@@ -237,9 +232,14 @@
     ) {
         let settings = &self.settings;
         match message {
-            RateMessage::Ask { slot, seq, wants } => {
+            RateMessage::Ask {
+                slot,
+                seq,
+                life_ms,
+                wants,
+            } => {
                 if let Some((allocator, fold)) = pool(&mut self.allocators, &self.folds, slot) {
-                    let answer = allocator.grant(now, from, seq, &wants, fold, settings);
+                    let answer = allocator.grant(now, from, (seq, life_ms), &wants, fold, settings);
                     raised.extend(answer.map(|answer| RateAction::Send(from.clone(), answer)));
                 }
             }
@@ -279,24 +279,19 @@
         }
         for slot in 0..self.settings.slots {
             let begin_at = self.begin_at(slot);
-            let ranked = self.ranks.get(&slot).into_iter().flatten();
-            let others = ranked.filter(|vm| **vm != self.vm).cloned();
-            let successors: Vec<VmName> = others.take(self.settings.successors).collect();
+            let rank = self.ranks.get(&slot);
+            let successors = rank.map_or(&[][..], |rank| &rank.successors);
             if let Some((allocator, fold)) = pool(&mut self.allocators, &self.folds, slot) {
-                allocator.poll(now, fold, &successors, begin_at, &self.settings, raised);
+                allocator.poll(now, fold, successors, begin_at, &self.settings, raised);
             }
         }
     }
 
     /// Returns when this node may begin a vacant lease, the first in rank before the others.
     fn begin_at(&self, slot: u16) -> Option<ClockTime> {
-        let rank = self
-            .ranks
-            .get(&slot)?
-            .iter()
-            .position(|vm| *vm == self.vm)?;
+        let rank = self.ranks.get(&slot)?.own?;
         let caught_up_at = self.caught_up_at?;
-        Some(caught_up_at.plus_ms(RANK_STEP_MS * rank as u64))
+        Some(caught_up_at.plus_ms(RANK_STEP_MS * rank))
     }
 
     /// Appends a table where the contract or the data centres changed.
@@ -325,7 +320,7 @@
                 slot,
                 epoch: 1,
                 contract_version: version,
-                centres: self.live_centres(),
+                centres: self.live_centres.iter().cloned().collect(),
                 teams,
             });
         };
@@ -343,14 +338,9 @@
         (next.teams != last.teams || next.centres != last.centres).then_some(next)
     }
 
-    fn live_centres(&self) -> Vec<CentreName> {
-        let centres: BTreeSet<&CentreName> = self.members.values().collect();
-        centres.into_iter().cloned().collect()
-    }
-
     /// Returns the live data centres and those whose share is still held.
     fn next_centres(&self, fold: &LeaseFold, last: &TableRecord) -> Vec<CentreName> {
-        let mut centres: BTreeSet<CentreName> = self.live_centres().into_iter().collect();
+        let mut centres = self.live_centres.clone();
         let held = last
             .centres
             .iter()
@@ -361,7 +351,6 @@
 
     /// Ends the leases of data centres without nodes once nobody can be using them.
     fn vacate_leases(&self, now: ClockTime, raised: &mut Vec<RateAction>) {
-        let live = self.live_centres();
         let settings = &self.settings;
         let life_ms =
             settings.longer_ms(settings.abandon_ms) + settings.longer_ms(settings.grant_ms);
@@ -375,7 +364,7 @@
             };
             for (centre, state) in fold.leases() {
                 let is_over = now.since_ms(state.read_at) >= life_ms;
-                if live.contains(centre) || state.record.holder.is_none() || !is_over {
+                if self.live_centres.contains(centre) || state.record.holder.is_none() || !is_over {
                     continue;
                 }
                 raised.push(RateAction::Append(RateRecord::Lease(LeaseRecord {
--- a/crates/rate/src/token_holder.rs
+++ b/crates/rate/src/token_holder.rs
@@ -1,4 +1,4 @@
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use clock::ClockTime;
 use model::{CentreName, TeamName, VmName};
@@ -7,6 +7,9 @@
 use crate::team_share::slot_of;
 use crate::{RateAction, RateDecision, RateMessage, RateSettings, TeamGrant, TeamWant};
 
+/// The time before the end of a grant at which its tokens go back, in milliseconds.
+const RETURN_MARGIN_MS: u64 = 15;
+
 /// A slot in a data centre.
 pub(crate) type PoolKey = (u16, CentreName);
 
@@ -16,6 +19,7 @@
     from: VmName,
     seq: u64,
     left: u32,
+    life_ms: u64,
     lapses_at: ClockTime,
     got_at: ClockTime,
 }
@@ -54,6 +58,7 @@
 pub(crate) struct TokenHolder {
     centre: CentreName,
     teams: BTreeMap<TeamName, TeamUse>,
+    active: BTreeSet<TeamName>,
     asks: BTreeMap<u64, PendingAsk>,
     closes: BTreeMap<(VmName, u16), PendingClose>,
     slow_pools: BTreeMap<PoolKey, ClockTime>,
@@ -67,6 +72,7 @@
         Self {
             centre,
             teams: BTreeMap::new(),
+            active: BTreeSet::new(),
             asks: BTreeMap::new(),
             closes: BTreeMap::new(),
             slow_pools: BTreeMap::new(),
@@ -78,7 +84,9 @@
 
     /// Replaces the teams; tokens of teams that are gone are dropped.
     pub(crate) fn set_teams(&mut self, teams: &[TeamName]) {
-        self.teams.retain(|team, _| teams.contains(team));
+        let names: BTreeSet<&TeamName> = teams.iter().collect();
+        self.teams.retain(|team, _| names.contains(team));
+        self.active.retain(|team| names.contains(team));
         for team in teams {
             self.teams.entry(team.clone()).or_default();
         }
@@ -99,7 +107,7 @@
 
     /// Tells whether tokens or asks are outstanding.
     pub(crate) fn is_busy(&self) -> bool {
-        !self.asks.is_empty() || self.teams.values().any(|using| !using.grants.is_empty())
+        !self.asks.is_empty() || !self.active.is_empty()
     }
 
     /// Decides on a request; `is_first` is false when it has asked before.
@@ -119,13 +127,14 @@
         using.turn_period(now, settings.ahead_ms);
         if is_first {
             using.used_now += 1;
+            self.active.insert(team.clone());
         }
         using.used_at = now;
         if let Some(spent) = using.spend(now) {
             if !is_first {
                 using.waiting.pop_front();
             }
-            if spent.left == 0 {
+            if spent.left == 0 && spent.life_ms > settings.short_grant_ms {
                 let closing = self.closes.entry((spent.from, slot)).or_default();
                 closing.closes.push(close(spent.seq, team, 0));
             }
@@ -214,9 +223,13 @@
     }
 
     fn return_idle(&mut self, now: ClockTime, settings: &RateSettings) {
-        for (team, using) in &mut self.teams {
+        self.active.retain(|team| {
+            let Some(using) = self.teams.get_mut(team) else {
+                return false;
+            };
             let slot = slot_of(team, settings.slots);
             using.turn_period(now, settings.ahead_ms);
+            using.drop_waiting(now, settings.wait_ms);
             using.grants.retain(|grant| now < grant.lapses_at);
             let is_idle = now.since_ms(using.used_at) >= settings.idle_ms;
             let keep = u64::from(if is_idle {
@@ -228,14 +241,15 @@
             using.grants.retain(|grant| {
                 kept += u64::from(grant.left);
                 let is_surplus = kept > keep && now.since_ms(grant.got_at) >= settings.idle_ms;
-                let is_ending = now.until_ms(grant.lapses_at) < settings.idle_ms;
+                let is_ending = now.until_ms(grant.lapses_at) < RETURN_MARGIN_MS;
                 if is_surplus || is_ending {
                     let closing = self.closes.entry((grant.from.clone(), slot)).or_default();
                     closing.closes.push(close(grant.seq, team, grant.left));
                 }
                 !(is_surplus || is_ending)
             });
-        }
+            !using.is_quiet()
+        });
     }
 
     fn send_closes(&mut self, actions: &mut Vec<RateAction>) {
@@ -256,7 +270,7 @@
         actions: &mut Vec<RateAction>,
     ) {
         let mut wants: BTreeMap<PoolKey, Vec<TeamWant>> = BTreeMap::new();
-        let teams: Vec<TeamName> = self.teams.keys().cloned().collect();
+        let teams: Vec<TeamName> = self.active.iter().cloned().collect();
         for team in teams {
             let slot = slot_of(&team, settings.slots);
             for (centre, tokens) in self.needs(now, &team, slot, settings) {
@@ -271,10 +285,12 @@
             let Some(to) = self.allocators.get(&pool).cloned() else {
                 continue;
             };
+            let life_ms = self.life_ms(&pool, &wants, settings);
             self.seq += 1;
             let message = RateMessage::Ask {
                 slot: pool.0,
                 seq: self.seq,
+                life_ms,
                 wants: wants.clone(),
             };
             actions.push(RateAction::Send(to.clone(), message));
@@ -289,6 +305,21 @@
         }
     }
 
+    /// Returns a short life when all tokens are for requests that wait in this data centre.
+    ///
+    /// Spent tokens of a short grant need no report: they lapse soon enough.
+    fn life_ms(&self, pool: &PoolKey, wants: &[TeamWant], settings: &RateSettings) -> u64 {
+        let is_waited_for = |want: &TeamWant| {
+            let using = self.teams.get(&want.team);
+            using.is_some_and(|using| want.tokens as usize <= using.waiting.len())
+        };
+        if pool.1 == self.centre && wants.iter().all(is_waited_for) {
+            settings.short_grant_ms
+        } else {
+            settings.grant_ms
+        }
+    }
+
     /// Returns how many tokens of a team to ask for and where.
     fn needs(
         &mut self,
@@ -397,10 +428,12 @@
                 self.is_dirty = true;
             }
             if grant.tokens > 0 && now < lapses_at {
+                self.active.insert(grant.team.clone());
                 using.grants.push_back(HeldGrant {
                     from: from.clone(),
                     seq,
                     left: grant.tokens,
+                    life_ms,
                     lapses_at,
                     got_at: now,
                 });
@@ -424,6 +457,14 @@
         }
     }
 
+    /// Tells whether nothing is held, waiting or lately used.
+    fn is_quiet(&self) -> bool {
+        self.grants.is_empty()
+            && self.waiting.is_empty()
+            && self.used_now == 0
+            && self.used_before == 0
+    }
+
     /// Spends a token of a grant that is still alive at `now`.
     fn spend(&mut self, now: ClockTime) -> Option<HeldGrant> {
         self.grants.retain(|grant| now < grant.lapses_at);
--- a/crates/rate/tests/any_window.rs
+++ b/crates/rate/tests/any_window.rs
@@ -32,7 +32,19 @@
     period_ms: 4_000,
     vms: 2,
 };
-const LOADS: [(&str, TeamLoad); 3] = [("large", LARGE), ("small", SMALL), ("changing", LARGE)];
+const MOVING: TeamLoad = TeamLoad {
+    rate: TeamRate {
+        rate_per_s: 200,
+        burst: 60,
+    },
+    ..LARGE
+};
+const LOADS: [(&str, TeamLoad); 4] = [
+    ("large", LARGE),
+    ("small", SMALL),
+    ("changing", LARGE),
+    ("moving", MOVING),
+];
 
 fn limiter(vm: VmName, centre: CentreName) -> TeamLimiter {
     let settings = RateSettings {
@@ -99,6 +111,7 @@
 #[case::kills_and_pauses(Faults { contract_changes: 0, cuts: 0, log_outages: 0, ..Faults::ALL })]
 #[case::log_and_cuts(Faults { kills: 0, pauses: 0, contract_changes: 0, ..Faults::ALL })]
 #[case::contract_changes(Faults { contract_changes: 1_000, ..Faults::default() })]
+#[case::shares_move(Faults { contract_changes: 200, node_log_cuts: 1_000, pauses: 300, ..Faults::default() })]
 fn limiter_never_exceeds(#[case] faults: Faults) {
     check(seeds(3), faults);
 }
--- a/crates/rate/tests/support/world.rs
+++ b/crates/rate/tests/support/world.rs
@@ -295,19 +295,24 @@
         self.announce();
     }
 
-    /// Changes the rate and burst of one team whose name begins with `changing`.
+    /// Changes the team `changing` at will, or the burst of `moving`, which moves its rate.
     fn change_contract(&mut self) {
         let mut contract = self.contracts.last().unwrap().clone();
-        let names = contract
-            .keys()
-            .filter(|team| team.as_str().starts_with("changing"));
-        let Some(team) = names.min().cloned() else {
-            return;
+        let name = if self.random.random() {
+            "changing"
+        } else {
+            "moving"
         };
-        let rate = TeamRate {
-            rate_per_s: self.random.random_range(5..200),
-            burst: self.random.random_range(1..80),
+        let Some((team, last)) = contract.get_key_value(name) else {
+            return;
         };
+        let (team, mut rate) = (team.clone(), *last);
+        if name == "changing" {
+            rate.rate_per_s = self.random.random_range(5..200);
+            rate.burst = self.random.random_range(1..80);
+        } else {
+            rate.burst = if rate.burst == 1 { 60 } else { 1 };
+        }
         self.set_rate(&mut contract, &team, rate);
     }
 
