perf(platform): keep news younger down the tree

Cause: a question kept waiting made the news look older by the wait at each hop, so nodes deep in the tree went past the tree. Change: an answer tells how long its question was kept; waits are shorter; only readers ask around early.

--- a/crates/member/src/member_feed.rs
+++ b/crates/member/src/member_feed.rs
@@ -93,9 +93,9 @@
         self.relay.has_news(pull)
     }
 
-    /// Answers another node's question.
+    /// Answers another node's question that arrived at `arrived`.
     #[must_use]
-    pub fn answer(&self, now: ClockTime, pull: &RelayPull) -> RelayBatch {
+    pub fn answer(&self, now: ClockTime, arrived: ClockTime, pull: &RelayPull) -> RelayBatch {
         let fresh_at = self.follower.fresh_at();
         let snapshot = || {
             let snapshot = self.view.snapshot(self.relay.next());
@@ -104,7 +104,11 @@
                 body: RecordBody::encode(&snapshot),
             })
         };
-        self.relay.answer(now, pull, fresh_at, Vec::new(), snapshot)
+        let batch = self.relay.answer(now, pull, fresh_at, Vec::new(), snapshot);
+        RelayBatch {
+            held_ms: now.since_ms(arrived),
+            ..batch
+        }
     }
 
     fn apply(&mut self, now: ClockTime, news: FollowNews) -> bool {
--- a/crates/platform/src/config_feed.rs
+++ b/crates/platform/src/config_feed.rs
@@ -125,6 +125,7 @@
         batch: RelayBatch,
     ) -> Vec<AppliedRecord> {
         let (next, outages) = (batch.next, batch.outages.clone());
+        let answered = asked.plus_ms(batch.held_ms).min(now);
         if let Some(age) = batch.snapshot_age_ms {
             let age = age.saturating_add(now.since_ms(asked));
             self.timer.on_snapshot(now, batch.snapshot_covers, age);
@@ -133,7 +134,7 @@
         let news = self.follower.on_batch(now, asked, batch);
         let applied = self.apply(now, silent_ms, news);
         if self.fold.is_whole() && self.follower.next() >= next {
-            self.trust.on_outages(asked, &outages);
+            self.trust.on_outages(answered, &outages);
         }
         applied
     }
@@ -149,14 +150,15 @@
         self.relay.has_news(pull)
     }
 
-    /// Answers another node's question.
+    /// Answers another node's question that arrived at `arrived`.
     #[must_use]
-    pub fn answer(&self, now: ClockTime, pull: &RelayPull) -> RelayBatch {
+    pub fn answer(&self, now: ClockTime, arrived: ClockTime, pull: &RelayPull) -> RelayBatch {
         let fresh_at = self.follower.fresh_at().filter(|_| self.fold.is_whole());
         let outages = self.trust.outages(now, fresh_at);
         let snapshot = || self.relay_snapshot();
         let batch = self.relay.answer(now, pull, fresh_at, outages, snapshot);
         RelayBatch {
+            held_ms: now.since_ms(arrived),
             snapshot_age_ms: self.timer.age_ms(now),
             snapshot_covers: self.timer.covers(),
             ..batch
--- a/crates/platform/src/record_relay.rs
+++ b/crates/platform/src/record_relay.rs
@@ -104,6 +104,7 @@
             snapshot,
             next: self.next,
             fresh_ms: fresh_at.map(|time| time.age_ms(now)),
+            held_ms: 0,
             outages,
             snapshot_age_ms: None,
             snapshot_covers: LogOffset::ZERO,
--- a/crates/platform/src/relay_message.rs
+++ b/crates/platform/src/relay_message.rs
@@ -30,6 +30,8 @@
     /// The time since some node read the log's end and the answering node was not behind it, in
     /// milliseconds; `None` when that never was.
     pub fresh_ms: Option<u64>,
+    /// The time that the question was kept waiting, in milliseconds.
+    pub held_ms: u64,
     /// The data centres where a node lately failed to read the log.
     pub outages: Vec<CentreOutage>,
     /// The time since a snapshot was last seen on the stream, in milliseconds.
--- a/crates/platform/src/stream_follower.rs
+++ b/crates/platform/src/stream_follower.rs
@@ -42,15 +42,15 @@
 impl Default for FollowSettings {
     fn default() -> Self {
         Self {
-            read_wait_ms: 500,
+            read_wait_ms: 300,
             hedge_after_ms: 1_000,
             max_reads: 5,
-            pull_wait_ms: 500,
+            pull_wait_ms: 300,
             turn_wait_ms: 100,
             pull_after_ms: 1_200,
             min_backoff_ms: 100,
             max_backoff_ms: 1_000,
-            direct_after_ms: 3_000,
+            direct_after_ms: 2_500,
             direct_spread_ms: 500,
         }
     }
@@ -104,7 +104,8 @@
 /// Follows one stream, by reading the log or by asking other nodes.
 ///
 /// Freshness is a moment on the node's own clock: everything that was on the stream by then has
-/// been handed over. It counts from when a question was *asked*, so neither a slow log nor a
+/// been handed over. It counts from when a question was *asked*, or for how long another node says
+/// that it kept the question, so neither a slow log nor a
 /// slow link can make old news look fresh.
 ///
 /// The driver runs two loops, one for [`Self::next_read`] and one for [`Self::next_pull`], so
@@ -219,7 +220,7 @@
         if now < self.pull_at {
             return FollowAction::Wait(self.pull_at);
         }
-        let is_late = self.age_ms(now) >= self.settings.pull_after_ms || self.needs_snapshot;
+        let is_late = self.is_late(now);
         let is_wanted = is_late || !self.plan.is_reader();
         let sources = self.plan.sources();
         let turn = self.pull_turn.checked_rem(sources.len()).unwrap_or(0);
@@ -267,9 +268,10 @@
         }
         news.records = self.take(now, batch.records);
         if let Some(age) = batch.fresh_ms.filter(|_| self.next >= batch.next) {
-            self.set_fresh(NewsTime::before(asked, age));
+            let answered = asked.plus_ms(batch.held_ms).min(now);
+            self.set_fresh(NewsTime::before(answered, age));
         }
-        if self.age_ms(now) < self.settings.pull_after_ms {
+        if !self.is_late(now) {
             self.pull_turn = self.asked_turn;
         }
         news
@@ -358,6 +360,15 @@
         self.fresh_at.map_or(u64::MAX, |time| time.age_ms(now))
     }
 
+    fn is_late(&self, now: ClockTime) -> bool {
+        let bound_ms = if self.plan.is_reader() {
+            self.settings.pull_after_ms
+        } else {
+            self.settings.direct_after_ms
+        };
+        self.needs_snapshot || self.age_ms(now) >= bound_ms
+    }
+
     fn is_direct<R: Rng>(&mut self, now: ClockTime, rng: &mut R) -> bool {
         let started = *self.started.get_or_insert(now);
         let silent_ms = self.age_ms(now).min(now.since_ms(started));
--- a/crates/platform/tests/fleet/mod.rs
+++ b/crates/platform/tests/fleet/mod.rs
@@ -6,7 +6,7 @@
 use lentilshift_platform::{
     AppendError, ConfigFeed, ConfigFold, ConfigRecord, FeedSettings, FollowAction, FollowSettings,
     KeyAnswer, KeyDigest, LogOffset, LogStream, NewRecord, PlanSettings, ReadBatch, ReadError,
-    RecordBody, RecordOutcome, RelayBatch, RelayPlan, SnapshotSettings,
+    RecordBody, RecordOutcome, RelayBatch, RelayPlan, RelayPull, SnapshotSettings,
 };
 use model::{CentreName, RecordId, VmName};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
@@ -15,6 +15,7 @@
 pub const STREAM: LogStream = LogStream::Config;
 pub const TICK_MS: u64 = 25;
 pub const RETENTION_MS: u64 = 20_000;
+const PULL_TIMEOUT_MS: u64 = 1_000;
 
 /// A tree that a small fleet fills in all its parts.
 const SMALL_PLAN: PlanSettings = PlanSettings {
@@ -46,8 +47,9 @@
 
 struct PendingPull {
     asked: ClockTime,
-    done_at: ClockTime,
-    batch: Option<RelayBatch>,
+    peer: VmName,
+    pull: RelayPull,
+    answer: Option<RelayBatch>,
 }
 
 pub struct SimNode {
@@ -231,32 +233,40 @@
 
     fn step_pull(&mut self, index: usize) {
         let (now, node) = (self.now, &mut self.nodes[index]);
-        if let Some(pending) = node.pulling.take_if(|pending| pending.done_at <= now) {
-            match pending.batch {
-                Some(batch) => drop(node.feed.on_batch(now, pending.asked, batch)),
-                None => node.feed.on_pull_failure(now, &mut self.rng),
+        if let Some(pending) = node.pulling.take() {
+            self.step_pending_pull(index, pending);
+            return;
+        }
+        if let FollowAction::Pull { peer, pull } = node.feed.next_pull(now) {
+            let (asked, answer) = (now, None);
+            node.pulling = Some(PendingPull {
+                asked,
+                peer,
+                pull,
+                answer,
+            });
+        }
+    }
+
+    fn step_pending_pull(&mut self, index: usize, mut pending: PendingPull) {
+        let (now, node) = (self.now, &self.nodes[index]);
+        let waited = now.since_ms(pending.asked);
+        let is_linked = |other: &&SimNode| other.name == pending.peer && !other.is_cut_from_peers;
+        let other = self.nodes.iter().find(is_linked);
+        if let Some(other) = other.filter(|_| !node.is_cut_from_peers && pending.answer.is_none()) {
+            let arrived = pending.asked.plus_ms(TICK_MS);
+            if other.feed.has_news(&pending.pull) || waited >= pending.pull.wait_ms {
+                pending.answer = Some(other.feed.answer(now, arrived.min(now), &pending.pull));
+                self.nodes[index].pulling = Some(pending);
+                return;
             }
         }
-        if node.pulling.is_some() {
-            return;
+        let node = &mut self.nodes[index];
+        match pending.answer.take() {
+            Some(batch) => drop(node.feed.on_batch(now, pending.asked, batch)),
+            None if waited >= PULL_TIMEOUT_MS => node.feed.on_pull_failure(now, &mut self.rng),
+            None => node.pulling = Some(pending),
         }
-        let FollowAction::Pull { peer, pull } = node.feed.next_pull(now) else {
-            return;
-        };
-        let is_cut = node.is_cut_from_peers;
-        let other = self.nodes.iter().find(|other| other.name == peer);
-        let other = other.filter(|other| !is_cut && !other.is_cut_from_peers);
-        let batch = other.map(|other| other.feed.answer(now, &pull));
-        let wait = match other {
-            None => 1_000,
-            Some(other) if other.feed.has_news(&pull) => TICK_MS,
-            Some(_) => pull.wait_ms,
-        };
-        self.nodes[index].pulling = Some(PendingPull {
-            asked: now,
-            done_at: now.plus_ms(wait),
-            batch,
-        });
     }
 
     fn step_snapshot(&mut self, index: usize) {
--- a/crates/platform/tests/fleet_cases.rs
+++ b/crates/platform/tests/fleet_cases.rs
@@ -150,7 +150,9 @@
 fn spread_by_fleet_size() {
     for (nodes, centres) in [(15, 3), (100, 7), (400, 7), (1_600, 7), (4_000, 7)] {
         let span = spread_ms(nodes, centres);
-        println!("nodes={nodes} centres={centres} spread_ms={span}");
+        let age = greatest_age_ms(nodes, centres);
+        println!("nodes={nodes} centres={centres} spread_ms={span} greatest_age_ms={age}");
+        assert!(age <= 4_500);
         assert!(span <= 13_000);
     }
 }
@@ -167,3 +169,20 @@
     }
     fleet.now.since_ms(start)
 }
+
+/// Returns the greatest age of the news at any node over 4 s of calm.
+fn greatest_age_ms(nodes: usize, centres: usize) -> u64 {
+    let mut fleet = SimFleet::with_plan(1, nodes, centres, PlanSettings::default());
+    run(&mut fleet, 6_000);
+    let mut greatest = 0;
+    for _ in 0..40 {
+        run(&mut fleet, 100);
+        let times = fleet
+            .nodes
+            .iter()
+            .map(|node| node.feed.follower().fresh_at());
+        let ages = times.map(|time| time.map_or(u64::MAX, |time| time.age_ms(fleet.now)));
+        greatest = ages.fold(greatest, u64::max);
+    }
+    greatest
+}
