--- a/crates/platform/tests/fleet_cases.rs
+++ b/crates/platform/tests/fleet_cases.rs
@@ -4,7 +4,8 @@
 
 use fleet::{SimFleet, TICK_MS};
 use lentilshift_platform::{
-    ConfigRecord, ConfigVersion, KeyAnswer, KeyDigest, PlanSettings, TrustState,
+    ConfigRecord, ConfigVersion, KeyAnswer, KeyDigest, NewRecord, PlanSettings, RecordBody,
+    TrustState,
 };
 use model::{RecordId, TeamName};
 use rstest::{fixture, rstest};
@@ -132,6 +133,22 @@
     assert_eq!(fleet.admitting(&key()).len(), NODES);
 }
 
+#[rstest]
+fn a_log_that_was_lost_reverts_nothing(#[from(ready_fleet)] mut fleet: SimFleet) {
+    fleet.store.recreate();
+    let publish = ConfigRecord::publish(ConfigVersion::NONE, "", "a text of another log");
+    let body = RecordBody::encode(&publish);
+    let id = RecordId::from_random(9);
+    let record = NewRecord { id, body };
+    fleet.store.append(fleet.now, fleet::STREAM, vec![record]);
+    run(&mut fleet, 1_000);
+    let is_named = |node: &fleet::SimNode| node.feed.follower().fault().is_some();
+    assert!(fleet.nodes.iter().any(is_named));
+    for node in &fleet.nodes {
+        assert_eq!(&*node.feed.fold().in_force().text, "a text");
+    }
+}
+
 /// Bounds of the time until a change is in force everywhere: 5 s today, 13 s at 4,000 nodes.
 #[rstest]
 #[case::today(15, 3, 5_000)]
