--- a/crates/platform/tests/fleet/mod.rs
+++ b/crates/platform/tests/fleet/mod.rs
@@ -6,7 +6,7 @@
 use lentilshift_platform::{
     AppendError, ConfigFeed, ConfigFold, ConfigRecord, FeedSettings, FollowAction, FollowSettings,
     KeyAnswer, KeyDigest, LogOffset, LogStream, NewRecord, PlanSettings, ReadBatch, ReadError,
-    RecordBody, RecordOutcome, RelayBatch, RelayPlan, SnapshotSettings,
+    RecordBody, RecordOutcome, RelayBatch, RelayPlan, RelayPull, SnapshotSettings,
 };
 use model::{CentreName, RecordId, VmName};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
@@ -15,8 +15,10 @@
 pub const STREAM: LogStream = LogStream::Config;
 pub const TICK_MS: u64 = 25;
 pub const RETENTION_MS: u64 = 20_000;
-const CENTRES: usize = 3;
-const PLAN: PlanSettings = PlanSettings {
+const PULL_TIMEOUT_MS: u64 = 1_000;
+
+/// A tree that a small fleet fills in all its parts.
+const SMALL_PLAN: PlanSettings = PlanSettings {
     readers: 1,
     fan_out: 2,
 };
@@ -45,8 +47,9 @@
 
 struct PendingPull {
     asked: ClockTime,
-    done_at: ClockTime,
-    batch: Option<RelayBatch>,
+    peer: VmName,
+    pull: RelayPull,
+    answer: Option<RelayBatch>,
 }
 
 pub struct SimNode {
@@ -56,6 +59,7 @@
     pub is_cut_from_log: bool,
     pub is_cut_from_peers: bool,
     pub newest_in_force: u64,
+    starts_at: ClockTime,
     reading: Vec<PendingRead>,
     pulling: Option<PendingPull>,
 }
@@ -69,11 +73,18 @@
     pub texts: BTreeMap<u64, String>,
     pub nodes: Vec<SimNode>,
     pub weather: LogWeather,
+    centres: usize,
+    plan: PlanSettings,
     starts: usize,
 }
 
 impl SimFleet {
+    /// Creates a fleet in three data centres.
     pub fn new(seed: u64, count: usize) -> Self {
+        Self::with_plan(seed, count, 3, SMALL_PLAN)
+    }
+
+    pub fn with_plan(seed: u64, count: usize, centres: usize, plan: PlanSettings) -> Self {
         let mut fleet = Self {
             rng: SmallRng::seed_from_u64(seed),
             now: ClockTime::from_ms(1_000),
@@ -83,6 +94,8 @@
             texts: BTreeMap::new(),
             nodes: Vec::new(),
             weather: LogWeather::default(),
+            centres,
+            plan,
             starts: 0,
         };
         for index in 0..count {
@@ -103,7 +116,7 @@
             snapshot,
             ..FeedSettings::default()
         };
-        let centre = CentreName::new(format!("dc-{}", index % CENTRES));
+        let centre = CentreName::new(format!("dc-{}", index % self.centres));
         SimNode {
             name: VmName::new(format!(
                 "vm-{}-{}",
@@ -115,6 +128,7 @@
             is_cut_from_log: false,
             is_cut_from_peers: false,
             newest_in_force: 0,
+            starts_at: self.now.plus_ms(self.rng.random_range(0..1_000)),
             reading: Vec::new(),
             pulling: None,
         }
@@ -137,9 +151,9 @@
         for node in &mut self.nodes {
             let others = centres.iter().filter(|(centre, _)| **centre != node.centre);
             let remote: Vec<VmName> = others
-                .flat_map(|(_, names)| RelayPlan::readers(names, &PLAN))
+                .flat_map(|(_, names)| RelayPlan::readers(names, &self.plan))
                 .collect();
-            let plan = RelayPlan::new(&node.name, &centres[&node.centre], &remote, &PLAN);
+            let plan = RelayPlan::new(&node.name, &centres[&node.centre], &remote, &self.plan);
             node.feed.set_members(plan, all.clone(), has_peers);
         }
     }
@@ -172,6 +186,9 @@
         self.now = self.now.plus_ms(TICK_MS);
         self.store.expire(self.now, RETENTION_MS);
         for index in 0..self.nodes.len() {
+            if self.now < self.nodes[index].starts_at {
+                continue;
+            }
             self.step_read(index);
             self.step_pull(index);
             self.step_snapshot(index);
@@ -216,32 +233,40 @@
 
     fn step_pull(&mut self, index: usize) {
         let (now, node) = (self.now, &mut self.nodes[index]);
-        if let Some(pending) = node.pulling.take_if(|pending| pending.done_at <= now) {
-            match pending.batch {
-                Some(batch) => drop(node.feed.on_batch(now, pending.asked, batch)),
-                None => node.feed.on_pull_failure(now, &mut self.rng),
+        if let Some(pending) = node.pulling.take() {
+            self.step_pending_pull(index, pending);
+            return;
+        }
+        if let FollowAction::Pull { peer, pull } = node.feed.next_pull(now) {
+            let (asked, answer) = (now, None);
+            node.pulling = Some(PendingPull {
+                asked,
+                peer,
+                pull,
+                answer,
+            });
+        }
+    }
+
+    fn step_pending_pull(&mut self, index: usize, mut pending: PendingPull) {
+        let (now, node) = (self.now, &self.nodes[index]);
+        let waited = now.since_ms(pending.asked);
+        let is_linked = |other: &&SimNode| other.name == pending.peer && !other.is_cut_from_peers;
+        let other = self.nodes.iter().find(is_linked);
+        if let Some(other) = other.filter(|_| !node.is_cut_from_peers && pending.answer.is_none()) {
+            let arrived = pending.asked.plus_ms(TICK_MS);
+            if other.feed.has_news(&pending.pull) || waited >= pending.pull.wait_ms {
+                pending.answer = Some(other.feed.answer(now, arrived.min(now), &pending.pull));
+                self.nodes[index].pulling = Some(pending);
+                return;
             }
         }
-        if node.pulling.is_some() {
-            return;
+        let node = &mut self.nodes[index];
+        match pending.answer.take() {
+            Some(batch) => drop(node.feed.on_batch(now, pending.asked, batch)),
+            None if waited >= PULL_TIMEOUT_MS => node.feed.on_pull_failure(now, &mut self.rng),
+            None => node.pulling = Some(pending),
         }
-        let FollowAction::Pull { peer, pull } = node.feed.next_pull(now) else {
-            return;
-        };
-        let is_cut = node.is_cut_from_peers;
-        let other = self.nodes.iter().find(|other| other.name == peer);
-        let other = other.filter(|other| !is_cut && !other.is_cut_from_peers);
-        let batch = other.map(|other| other.feed.answer(now, &pull));
-        let wait = match other {
-            None => 1_000,
-            Some(other) if other.feed.has_news(&pull) => TICK_MS,
-            Some(_) => pull.wait_ms,
-        };
-        self.nodes[index].pulling = Some(PendingPull {
-            asked: now,
-            done_at: now.plus_ms(wait),
-            batch,
-        });
     }
 
     fn step_snapshot(&mut self, index: usize) {
