--- a/crates/limit/src/shed_control.rs
+++ b/crates/limit/src/shed_control.rs
@@ -37,7 +37,7 @@
 const MIN_CAPACITY_SHARE: f64 = 0.2;
 
 /// How much more is let in for each free part of the limit.
-const FREE_GAIN: f64 = 3.0;
+const FREE_GAIN: f64 = 10.0;
 
 /// What the control is told about the queue.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/crates/limit/src/team_demand.rs
+++ b/crates/limit/src/team_demand.rs
@@ -11,9 +11,9 @@
 /// Demand below this rate, in milliseconds of work a second, is forgotten.
 const FORGET_RATE: f64 = 0.01;
 /// Rates are smoothed over the time in which this many requests arrive.
-const ENOUGH_ARRIVALS: f64 = 20.0;
+const ENOUGH_ARRIVALS: f64 = 10.0;
 /// The longest smoothing, as a multiple of the shortest.
-const MAX_STRETCH: f64 = 15.0;
+const MAX_STRETCH: f64 = 8.0;
 /// The steps in which a share level is searched.
 const LEVEL_STEPS: u32 = 40;
 /// Shares are compared with this factor, so that rounding cuts nothing.
