--- /dev/null
+++ b/crates/node/src/dispatch.rs
@@ -0,0 +1,197 @@
+use std::rc::Rc;
+use std::time::Duration;
+
+use clock::ClockTime;
+use compio::time::{sleep, timeout};
+use model::{RefusalReason, RunVerdict, VmName};
+use retry::{
+    AllowanceShare, RatioSettings, RetryAllowance, RetryDecision, RetryPolicy, RetryQuestion,
+    RetryRatio,
+};
+use wire::{AnswerHead, CallHead};
+
+use crate::answer_body::AnswerBody;
+use crate::call_answer::{CallAnswer, CallRefusal};
+use crate::call_body::CallBody;
+use crate::chain_watch::check_chain;
+use crate::ingress::run_call;
+use crate::node_core::NodeCore;
+use crate::replay_body::ReplayBody;
+use crate::route_guard::RouteGuard;
+
+/// The time after which callers come back when no backend server is known, in milliseconds.
+const NO_BACKEND_MS: u64 = 1_000;
+
+/// Sends a call to a VM of its service, again where that is safe, until its deadline.
+///
+/// The retries come out of the head's allowance; what is left is told in the answer.
+pub(crate) async fn dispatch_call(
+    core: &Rc<NodeCore>,
+    head: CallHead,
+    body: CallBody,
+    deadline: ClockTime,
+) -> CallAnswer {
+    if let Err(refusal) = check_chain(core, &head, deadline) {
+        return CallAnswer::refused(&head, &refusal, head.allowance);
+    }
+    let allowance = RetryAllowance::new(AllowanceShare::new(head.allowance));
+    let sending = CallSending {
+        core,
+        body: ReplayBody::new(body),
+        deadline,
+        allowance,
+        tried: Vec::new(),
+        retries: 0,
+        head,
+    };
+    sending.run().await
+}
+
+/// One call on its way, over all its attempts.
+struct CallSending<'c> {
+    core: &'c Rc<NodeCore>,
+    head: CallHead,
+    body: ReplayBody,
+    deadline: ClockTime,
+    allowance: RetryAllowance,
+    tried: Vec<VmName>,
+    retries: u32,
+}
+
+impl CallSending<'_> {
+    async fn run(mut self) -> CallAnswer {
+        loop {
+            let mut answer = self.try_once().await;
+            let wait_ms = match self.decide(&answer.head) {
+                RetryDecision::Retry { wait_ms } => wait_ms,
+                RetryDecision::Stop(stop) => {
+                    log::trace!(
+                        "event=call-ends request={} stop={stop:?}",
+                        self.head.request
+                    );
+                    answer.head.allowance_left = self.allowance.left();
+                    return answer;
+                }
+            };
+            self.retries += 1;
+            self.core.metrics.count_retry();
+            sleep(Duration::from_millis(wait_ms)).await;
+        }
+    }
+
+    /// Makes one attempt, and hands down a share of the allowance with it.
+    async fn try_once(&mut self) -> CallAnswer {
+        self.head.attempt = self.core.new_attempt_id();
+        let left_ms = self.core.now().until_ms(self.deadline);
+        self.head.deadline_left_ms = u32::try_from(left_ms).unwrap_or(u32::MAX);
+        let Some(vm) = self.choose_vm() else {
+            let refusal = CallRefusal::not_run(RefusalReason::NoBackend).after_ms(NO_BACKEND_MS);
+            return CallAnswer::refused(&self.head, &refusal.by(&self.head.service), 0);
+        };
+        let share = self.allowance.hand_down(self.head.attempt, 1);
+        self.head.allowance = share.retries();
+        let sending = send_to(self.core, &vm, &self.head, self.body.take());
+        let in_time = timeout(Duration::from_millis(left_ms), sending).await;
+        let answer = in_time.unwrap_or_else(|_| {
+            let refusal = CallRefusal::may_have_run(RefusalReason::DeadlinePassed);
+            CallAnswer::refused(&self.head, &refusal, 0)
+        });
+        let unspent = AllowanceShare::new(answer.head.allowance_left);
+        self.allowance.take_back(self.head.attempt, unspent);
+        answer
+    }
+
+    /// Chooses a VM that wasn't tried, or any when all were.
+    fn choose_vm(&mut self) -> Option<VmName> {
+        let service = &self.head.service;
+        let fresh = self.core.choose_vm(service, &self.tried);
+        let vm = fresh.or_else(|| self.core.choose_vm(service, &[]))?;
+        self.tried.push(vm.clone());
+        Some(vm)
+    }
+
+    fn decide(&mut self, answer: &AnswerHead) -> RetryDecision {
+        let question = RetryQuestion {
+            verdict: answer.verdict,
+            is_idempotent: self.head.idempotent && !self.head.once,
+            is_service_shedding: is_shedding(answer) || !self.body.is_whole(),
+            is_suspect: answer.refusal == Some(RefusalReason::Quarantined),
+            retries: self.retries,
+            retry_after_ms: None,
+            left_ms: self.core.now().until_ms(self.deadline),
+            expected_ms: u64::from(answer.run_ms),
+        };
+        let mut ratios = self.core.ratios.borrow_mut();
+        let ratio = ratios.entry(self.head.service.clone());
+        let ratio = ratio.or_insert_with(|| RetryRatio::new(RatioSettings::default()));
+        if answer.verdict == RunVerdict::Ran {
+            ratio.succeed();
+        }
+        let policy = RetryPolicy::default();
+        let allowance = &mut self.allowance;
+        self.core
+            .with_random(|random| policy.may_retry(&question, allowance, ratio, random))
+    }
+}
+
+/// Returns whether a refusal would be the same at every VM of the service.
+fn is_shedding(answer: &AnswerHead) -> bool {
+    !matches!(
+        answer.refusal,
+        Some(
+            RefusalReason::NoBackend
+                | RefusalReason::LinkBroken
+                | RefusalReason::BackendFailed
+                | RefusalReason::NotReady
+        )
+    )
+}
+
+async fn send_to(core: &Rc<NodeCore>, vm: &VmName, head: &CallHead, body: CallBody) -> CallAnswer {
+    let mut route = RouteGuard::begin(core, head, vm);
+    let answer = if *vm == core.settings.vm {
+        run_call(core, head.clone(), body).await
+    } else {
+        send_over_link(core, vm, head, body).await
+    };
+    route.finish(&answer.head);
+    answer
+}
+
+async fn send_over_link(
+    core: &Rc<NodeCore>,
+    vm: &VmName,
+    head: &CallHead,
+    body: CallBody,
+) -> CallAnswer {
+    let link = core.links.get(&core.settings, vm).await;
+    let result = match link {
+        Ok(link) => link.call(head, body).await,
+        Err(error) => Err(error),
+    };
+    let error = match result {
+        Ok((answer, body)) => {
+            let told = answer.body_bytes;
+            let body = AnswerBody::new(CallBody::Link(body), told);
+            return CallAnswer { head: answer, body };
+        }
+        Err(error) => error,
+    };
+    let verdict = error.verdict();
+    log::warn!(
+        "event=link-failed request={} attempt={} vm={vm} verdict={} error={:?}",
+        head.request,
+        head.attempt,
+        verdict.as_str(),
+        error.to_string(),
+    );
+    let refusal = CallRefusal {
+        verdict,
+        ..CallRefusal::not_run(RefusalReason::LinkBroken)
+    };
+    let unspent = match verdict {
+        RunVerdict::NotRun => head.allowance,
+        _ => 0,
+    };
+    CallAnswer::refused(head, &refusal, unspent)
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,16 @@
 //! Stand-ins for the platform and backend servers, for tests and the demo.
+
+mod backend_query;
+mod backend_record;
+mod backend_server;
+mod backend_settings;
+mod log_faults;
+mod log_server;
+mod log_store;
+
+pub use backend_record::{BackendRecord, RunEntry};
+pub use backend_server::BackendServer;
+pub use backend_settings::{BackendCall, BackendSettings};
+pub use log_faults::{LogFaults, LogOutage};
+pub use log_server::{LogControl, LogServer};
+pub use log_store::LogStore;
