feat(graph): learn the cuts of each service for each team, by VM

One threshold for each kind of call says nothing of teams, and is forgotten once none of a kind is let through: the refused kind then leaks into the chain, where begun work is sheltered. Answers now carry what each VM of the services below refuses, while they shed; the entry keeps it by service, so that an answer to any call renews it. The threshold by call stays for comparison and costs nothing when queues cut by team.

--- a/crates/graph/src/admission_settings.rs
+++ b/crates/graph/src/admission_settings.rs
@@ -5,6 +5,10 @@
     pub hold_ms: u64,
     /// The time in which an unrenewed threshold then falls to nothing, in milliseconds.
     pub relax_ms: u64,
+    /// The time for which the cuts of a VM stand without a newer report, in milliseconds.
+    pub cut_hold_ms: u64,
+    /// The time in which unrenewed cuts then fall to nothing, in milliseconds.
+    pub cut_relax_ms: u64,
     /// The time for which a report that nothing is shed counts, in milliseconds.
     pub calm_ms: u64,
     /// The number of recent runs over which the uses of a call are counted.
@@ -40,6 +44,8 @@
         Self {
             hold_ms: 100,
             relax_ms: 300,
+            cut_hold_ms: 300,
+            cut_relax_ms: 700,
             calm_ms: 2_000,
             use_runs: 32,
             min_use_runs: 8,
--- a/crates/graph/src/chain_admission.rs
+++ b/crates/graph/src/chain_admission.rs
@@ -2,11 +2,11 @@
 
 use clock::ClockTime;
 use contract::FleetContract;
-use model::{RefusalReason, ShedOrder, VmName};
+use model::{RefusalReason, ServiceName, ShedOrder, TeamName, VmName};
 
 use crate::{
-    AdmissionSettings, CallTarget, CallUses, ChainRefusal, ChainThresholds, ExpectedTime,
-    ShedReport,
+    AdmissionSettings, CallTarget, CallUses, ChainRefusal, ChainThresholds, CutReport,
+    ExpectedTime, ServiceCuts, ShedReport,
 };
 
 /// Admits a request only when the whole chain of calls below it will take it.
@@ -33,6 +33,7 @@
 pub struct ChainAdmission {
     settings: AdmissionSettings,
     thresholds: ChainThresholds,
+    cuts: ServiceCuts,
     times: ExpectedTime,
     uses: CallUses,
 }
@@ -40,10 +41,11 @@
 impl ChainAdmission {
     /// Creates an admission that knows nothing and admits everything.
     #[must_use]
-    pub const fn new(settings: AdmissionSettings) -> Self {
+    pub fn new(settings: AdmissionSettings) -> Self {
         Self {
             settings,
             thresholds: ChainThresholds::new(settings),
+            cuts: ServiceCuts::default(),
             times: ExpectedTime::new(settings),
             uses: CallUses::new(settings),
         }
@@ -77,6 +79,56 @@
         Ok(())
     }
 
+    /// Decides whether the services on a request's way take it, by the cuts that apply to its
+    /// team.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`ChainRefusal`] when one of them would shed the request.
+    pub fn admit_team(
+        &self,
+        now: ClockTime,
+        target: &CallTarget,
+        order: ShedOrder,
+        team: Option<&TeamName>,
+    ) -> Result<(), ChainRefusal> {
+        match self.cuts.refusing(now, target, order, team, &self.settings) {
+            None => Ok(()),
+            Some(service) => Err(ChainRefusal {
+                reason: RefusalReason::Overloaded,
+                service: service.clone(),
+                retry_after_ms: self.settings.min_retry_after_ms,
+            }),
+        }
+    }
+
+    /// Takes in what came with an answer: the cuts of the VM that gave it, and those of services
+    /// below.
+    pub fn observe_cuts(
+        &mut self,
+        now: ClockTime,
+        target: &CallTarget,
+        reports: impl IntoIterator<Item = CutReport>,
+    ) {
+        for report in reports {
+            self.cuts.observe(now, target, report);
+        }
+        self.cuts.forget_old(now, &self.settings);
+    }
+
+    /// Returns the reports that go with an answer of the own service: those of the services below
+    /// that `target` needs and that shed.
+    #[must_use]
+    pub fn cut_reports(&self, now: ClockTime, target: &CallTarget) -> Vec<CutReport> {
+        let needed: BTreeSet<ServiceName> = self
+            .uses
+            .needed(target)
+            .flat_map(|lower| self.cuts.services_below(lower))
+            .cloned()
+            .collect();
+        self.cuts.reports(now, &needed, &self.settings)
+    }
+
     /// Returns the threshold of a kind of call, the whole chain below it included.
     #[must_use]
     pub fn threshold_for(&self, now: ClockTime, target: &CallTarget) -> ShedOrder {
@@ -140,6 +192,7 @@
             service.is_some_and(|service| service.calls.contains_key(&target.call))
         };
         self.thresholds.retain(is_kept);
+        self.cuts.retain(is_kept);
         self.times.retain(is_kept);
         self.uses.retain(is_kept);
     }
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -12,14 +12,13 @@
 mod queue_settings;
 mod queue_ticket;
 mod shed_control;
-mod shed_cuts;
 mod team_demand;
 mod wait_line;
 
 pub use admission_queue::AdmissionQueue;
 pub use concurrency_limit::{ConcurrencyLimit, LimitSettings};
 pub use load_report::LoadReport;
+pub use model::{ShedCuts, TeamCut};
 pub use queue_settings::QueueSettings;
 pub use queue_ticket::{QueueAction, QueueDecision, QueueRefusal, QueueTicket, RunOutcome};
 pub use shed_control::{QueueState, ShedControl, ShedSettings};
-pub use shed_cuts::{ShedCuts, TeamCut};
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -11,6 +11,7 @@
 mod request_id;
 mod run_verdict;
 mod shared_name;
+mod shed_cuts;
 mod shed_order;
 mod unique_id;
 
@@ -21,4 +22,5 @@
 pub use refusal_reason::RefusalReason;
 pub use request_id::RequestId;
 pub use run_verdict::RunVerdict;
+pub use shed_cuts::{ShedCuts, TeamCut};
 pub use shed_order::ShedOrder;
--- a/crates/limit/src/shed_cuts.rs
+++ b/crates/model/src/shed_cuts.rs
@@ -1,6 +1,7 @@
-use model::{ShedOrder, TeamName};
 use serde::{Deserialize, Serialize};
 
+use crate::{ShedOrder, TeamName};
+
 /// The threshold of a team that uses more than its share.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TeamCut {
@@ -15,8 +16,7 @@
 /// # Examples
 ///
 /// ```
-/// use lentilshift_limit::ShedCuts;
-/// use model::{CallImportance, RequestId, ShedOrder};
+/// use lentilshift_model::{CallImportance, RequestId, ShedCuts, ShedOrder};
 ///
 /// let order = ShedOrder::new(CallImportance::Normal, RequestId::from_random(7));
 /// assert!(ShedCuts::default().admits(order, None));
--- a/crates/model/src/shed_order.rs
+++ b/crates/model/src/shed_order.rs
@@ -56,4 +56,10 @@
     pub const fn rank(self) -> u16 {
         self.rank
     }
+
+    /// Returns the place on one scale over all classes.
+    #[must_use]
+    pub const fn level(self) -> u32 {
+        ((self.importance as u32) << 16) | self.rank as u32
+    }
 }
--- a/crates/node/src/call_answer.rs
+++ b/crates/node/src/call_answer.rs
@@ -82,6 +82,7 @@
                 body_bytes: Some(body.len() as u64),
                 load: LoadReport::default(),
                 report: None,
+                cut_reports: Vec::new(),
                 run_ms: 0,
             },
             body: CallBody::Whole(body).into(),
--- a/crates/node/src/chain_watch.rs
+++ b/crates/node/src/chain_watch.rs
@@ -1,7 +1,7 @@
 use std::collections::BTreeSet;
 
 use clock::ClockTime;
-use graph::{CallTarget, ShedReport};
+use graph::{CallTarget, CutReport, ShedReport};
 use model::{RunVerdict, ShedOrder, VmName};
 use wire::{AnswerHead, CallHead};
 
@@ -22,7 +22,10 @@
     let now = core.now();
     let order = ShedOrder::new(head.importance, head.request);
     let admission = core.chain.borrow();
-    let admitted = admission.admit(now, &target_of(head), order, now.until_ms(deadline));
+    let target = target_of(head);
+    let admitted = admission
+        .admit_team(now, &target, order, head.team.as_ref())
+        .and_then(|()| admission.admit(now, &target, order, now.until_ms(deadline)));
     admitted.map_err(|refusal| {
         CallRefusal::not_run(refusal.reason)
             .after_ms(refusal.retry_after_ms)
@@ -43,6 +46,14 @@
     let mut admission = core.chain.borrow_mut();
     if answer.refusal.is_none() || answer.load.limit > 0 {
         admission.observe_report(now, &target, vm, answer.report.clone());
+        let own = CutReport {
+            service: head.service.clone(),
+            vm: vm.clone(),
+            cuts: answer.load.cuts.clone(),
+            age_ms: 0,
+        };
+        let lower = answer.cut_reports.iter().cloned();
+        admission.observe_cuts(now, &target, lower.chain([own]));
     }
     match answer.verdict {
         RunVerdict::Ran => admission.observe_duration(now, &target, span_ms),
@@ -63,6 +74,12 @@
     core.chain.borrow().report_for(now, &target_of(head), own)
 }
 
+/// Returns what the services below refuse, to go with an answer of the local backend server.
+pub(crate) fn cut_reports_for(core: &NodeCore, head: &CallHead) -> Vec<CutReport> {
+    let now = core.now();
+    core.chain.borrow().cut_reports(now, &target_of(head))
+}
+
 fn target_of(head: &CallHead) -> CallTarget {
     CallTarget::new(head.service.clone(), head.call.clone())
 }
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -15,7 +15,7 @@
 use crate::call_answer::{CallAnswer, CallRefusal};
 use crate::call_body::CallBody;
 use crate::call_headers::{add_call, strip_hop};
-use crate::chain_watch::{note_uses, report_for};
+use crate::chain_watch::{cut_reports_for, note_uses, report_for};
 use crate::node_core::NodeCore;
 use crate::running_calls::RunningCall;
 
@@ -132,6 +132,7 @@
             body_bytes,
             load: limit::LoadReport::default(),
             report: None,
+            cut_reports: Vec::new(),
             run_ms: run.mark_answered(),
         },
         body: AnswerBody::new(body, body_bytes).with_run(run),
@@ -142,6 +143,7 @@
 fn finish_answer(core: &NodeCore, head: &CallHead, mut answer: CallAnswer) -> CallAnswer {
     answer.head.load = core.gate.load(core.now());
     answer.head.report = report_for(core, head);
+    answer.head.cut_reports = cut_reports_for(core, head);
     log::debug!(
         "event=call-run request={} attempt={} call={} verdict={} status={} run_ms={}",
         head.request,
--- a/crates/trial/src/call.rs
+++ b/crates/trial/src/call.rs
@@ -1,9 +1,6 @@
-use std::rc::Rc;
-
+use graph::{CutReport, ShedReport};
 use model::{CallImportance, ShedOrder};
 
-use crate::chain_view::HeardCuts;
-
 /// A caller's request, over all its tries.
 #[derive(Clone, Debug)]
 pub(crate) struct ClientRequest {
@@ -80,7 +77,8 @@
 pub(crate) struct CallAnswer {
     pub(crate) result: CallResult,
     pub(crate) sample: Option<route::LoadSample>,
-    pub(crate) heard: Rc<Vec<HeardCuts>>,
+    pub(crate) reports: Vec<CutReport>,
+    pub(crate) report: Option<ShedReport>,
 }
 
 /// A refusal that reached a caller.
--- a/crates/trial/src/firm.rs
+++ b/crates/trial/src/firm.rs
@@ -1,4 +1,5 @@
-use model::CallImportance;
+use graph::CallTarget;
+use model::{CallImportance, CallName};
 
 /// One service of a firm.
 #[derive(Clone, Debug)]
@@ -160,6 +161,13 @@
         });
     }
 
+    /// Returns the name of a call.
+    #[must_use]
+    pub fn target(&self, call: usize) -> CallTarget {
+        let service = self.services[self.calls[call].service].name;
+        CallTarget::new(service, CallName::new(format!("call-{call}")))
+    }
+
     /// Returns the unloaded time of a call with its children, in milliseconds, when each
     /// service's own work runs at the given speed.
     #[must_use]
--- a/crates/trial/src/main.rs
+++ b/crates/trial/src/main.rs
@@ -15,7 +15,7 @@
     #[options(help = "the number of seeds", default = "5")]
     seeds: u64,
     #[options(
-        help = "the node: naive, independent, policy or \"all\"",
+        help = "the node: naive, independent, policy, a part that is switched off, or \"all\"",
         default = "all"
     )]
     node: String,
@@ -50,7 +50,7 @@
         ]
     };
     for (name, policy) in nodes {
-        if !options.ablate && !is_chosen(&options.node, name) {
+        if !is_chosen(&options.node, name) {
             continue;
         }
         let scores = run_seeds(options.seeds, firm, workload, policy);
--- a/crates/trial/src/world.rs
+++ b/crates/trial/src/world.rs
@@ -1,6 +1,7 @@
 use std::collections::BTreeMap;
 
 use clock::ClockTime;
+use graph::{CallTarget, ChainAdmission};
 use limit::ShedCuts;
 use model::{CentreName, TeamName, VmName};
 use rand::rngs::SmallRng;
@@ -9,7 +10,6 @@
 
 use crate::backend::Backend;
 use crate::call::{Call, ClientRequest, ClientTry, RefusalNote};
-use crate::chain_view::ChainView;
 use crate::event::{EventQueue, TrialEvent};
 use crate::firm::Firm;
 use crate::ingress::Ingress;
@@ -38,7 +38,7 @@
     pub(crate) announced: u32,
     pub(crate) backend: Backend,
     pub(crate) ingress: Ingress,
-    pub(crate) view: ChainView,
+    pub(crate) admission: ChainAdmission,
     pub(crate) routers: Vec<VmRouter>,
     pub(crate) turns: Vec<usize>,
     pub(crate) linked: Vec<bool>,
@@ -62,6 +62,7 @@
     pub(crate) team_names: Vec<TeamName>,
     pub(crate) nominal_ms: Vec<f64>,
     pub(crate) tree_services: Vec<Vec<usize>>,
+    pub(crate) targets: Vec<CallTarget>,
     pub(crate) scarcest: usize,
     pub(crate) base_rate: f64,
     pub(crate) is_strained: bool,
@@ -87,6 +88,9 @@
                     .collect()
             })
             .collect();
+        let targets = (0..firm.calls.len())
+            .map(|call| firm.target(call))
+            .collect();
         let (scarcest, base_rate) = firm.scarcest(&firm.slots(), &speeds);
         let team_names = (0..firm.teams.len())
             .map(|team| TeamName::new(format!("team-{team}")))
@@ -105,6 +109,7 @@
             team_names,
             nominal_ms,
             tree_services,
+            targets,
             scarcest,
             base_rate,
             is_strained: false,
@@ -149,7 +154,7 @@
             TrialEvent::CallArrives(call) => self.call_arrives(call),
             TrialEvent::CancelArrives(call) => self.cancel_call(call),
             TrialEvent::WorkEnds(vm, generation) => self.work_ends(vm, generation),
-            TrialEvent::AnswerArrives(call, answer) => self.answer_arrives(call, &answer),
+            TrialEvent::AnswerArrives(call, answer) => self.answer_arrives(call, answer),
             TrialEvent::Tick => self.tick(),
             TrialEvent::StrainStarts => self.start_strain(),
             TrialEvent::StrainEnds => self.end_strain(),
@@ -173,7 +178,7 @@
                     announced,
                     backend: Backend::new(plan.slots),
                     ingress: Ingress::new(&self.policy, announced, seed ^ index as u64),
-                    view: ChainView::default(),
+                    admission: ChainAdmission::new(self.policy.admission),
                     routers: self.new_routers(instance % CENTRES.len()),
                     turns: vec![index; services.len()],
                     linked: vec![false; count],
--- a/crates/trial/src/world_calls.rs
+++ b/crates/trial/src/world_calls.rs
@@ -1,15 +1,15 @@
-use std::rc::Rc;
+use std::collections::BTreeSet;
 
 use clock::ClockTime;
+use graph::{CallTarget, CutReport};
 use limit::QueueTicket;
 use model::RefusalReason;
 use route::RouteOutcome;
 
 use crate::call::{Call, CallAnswer, CallResult, CallState};
-use crate::chain_view::HeardCuts;
 use crate::event::TrialEvent;
 use crate::ingress::{IngressAction, attempt_id};
-use crate::policy::NodeKind;
+use crate::policy::{ChainCheck, NodeKind};
 use crate::world::TrialWorld;
 
 impl TrialWorld {
@@ -192,6 +192,12 @@
             return;
         }
         let own_us = self.now_us - entry.started_us - entry.child_wait_us;
+        let used: BTreeSet<CallTarget> = children
+            .iter()
+            .map(|child| self.targets[*child].clone())
+            .collect();
+        let target = &self.targets[entry.plan];
+        self.vms[vm].admission.observe_uses(target, &used);
         self.end_run(call, Some(own_us / 1_000));
         self.answer(call, CallResult::Done);
     }
@@ -216,26 +222,33 @@
         } else {
             None
         };
-        let mut heard = Vec::new();
+        let mut reports = Vec::new();
+        let mut shed_report = None;
         let sample = report.map(|(sample, cuts)| {
-            heard.push(HeardCuts {
-                service: self.vms[vm].service,
-                vm,
-                at_us: self.now_us,
-                cuts: Rc::new(cuts),
-            });
+            let (now, target) = (self.now(), &self.targets[plan]);
+            let admission = &self.vms[vm].admission;
+            match self.policy.chain {
+                ChainCheck::Off => {}
+                ChainCheck::ByCall => {
+                    shed_report = admission.report_for(now, target, cuts.threshold);
+                }
+                ChainCheck::ByService => {
+                    reports = admission.cut_reports(now, target);
+                    reports.push(CutReport {
+                        service: target.service.clone(),
+                        vm: self.vms[vm].name.clone(),
+                        cuts,
+                        age_ms: 0,
+                    });
+                }
+            }
             sample
         });
-        if sample.is_some() {
-            let own = self.vms[vm].service;
-            for service in self.tree_services[plan].iter().filter(|s| **s != own) {
-                heard.extend(self.vms[vm].view.heard(*service, self.now_us).cloned());
-            }
-        }
         let answer = CallAnswer {
             result,
             sample,
-            heard: Rc::new(heard),
+            reports,
+            report: shed_report,
         };
         let at_us = self.now_us + self.wire_us(vm, caller_vm);
         self.events
@@ -243,7 +256,7 @@
     }
 
     /// Handles an answer at the node that made the call.
-    pub(crate) fn answer_arrives(&mut self, call: usize, answer: &CallAnswer) {
+    pub(crate) fn answer_arrives(&mut self, call: usize, answer: CallAnswer) {
         let entry = &self.calls[call];
         let (vm, caller_vm) = (entry.vm, entry.caller_vm);
         if !self.vms[caller_vm].is_alive {
@@ -257,15 +270,38 @@
             CallResult::Failed => RouteOutcome::Failed,
             CallResult::ChildFailed => RouteOutcome::Abandoned,
         };
-        for heard in answer.heard.iter() {
-            self.vms[caller_vm].view.note(heard);
-        }
+        self.learn(call, &answer);
         let (now, name) = (self.now(), self.vms[vm].name.clone());
         let service = self.vms[vm].service;
         self.vms[caller_vm].routers[service].finish(now, &name, outcome, answer.sample);
         self.settle(call, answer.result);
     }
 
+    /// Learns what an answer tells of the services that it passed.
+    fn learn(&mut self, call: usize, answer: &CallAnswer) {
+        if answer.sample.is_none() {
+            return;
+        }
+        let entry = &self.calls[call];
+        let now = self.now();
+        let target = &self.targets[entry.plan];
+        let name = self.vms[entry.vm].name.clone();
+        let admission = &mut self.vms[entry.caller_vm].admission;
+        match self.policy.chain {
+            ChainCheck::Off => {}
+            ChainCheck::ByCall => {
+                admission.observe_report(now, target, &name, answer.report.clone());
+            }
+            ChainCheck::ByService => {
+                admission.observe_cuts(now, target, answer.reports.iter().cloned());
+            }
+        }
+        if answer.result == CallResult::Done {
+            let span_ms = (self.now_us - entry.sent_us) / 1_000;
+            admission.observe_duration(now, target, span_ms);
+        }
+    }
+
     /// Acts on the result of a call: goes on, tries again or gives up.
     fn settle(&mut self, call: usize, result: CallResult) {
         if result != CallResult::Done && self.may_retry(call, result) {
--- a/crates/trial/src/world_clients.rs
+++ b/crates/trial/src/world_clients.rs
@@ -3,7 +3,7 @@
 
 use crate::call::{CallResult, ClientRequest, ClientTry, RefusalNote};
 use crate::event::TrialEvent;
-use crate::policy::NodeKind;
+use crate::policy::{ChainCheck, NodeKind};
 use crate::world::{CLIENT_US, TrialWorld};
 
 /// The times that a caller sends a request again.
@@ -93,7 +93,7 @@
         }
         let root = self.firm.kinds[self.kind_of(client_try)].root;
         if self.policy.kind == NodeKind::Policy
-            && self.policy.checks_chain
+            && self.policy.chain != ChainCheck::Off
             && !self.chain_admits(client_try, root)
         {
             self.answer_client(client_try, CallResult::Refused(true));
@@ -107,10 +107,16 @@
     fn chain_admits(&self, client_try: usize, root: usize) -> bool {
         let tried = &self.tries[client_try];
         let team = &self.team_names[self.requests[tried.request].team];
-        let view = &self.vms[tried.entry].view;
-        self.tree_services[root]
-            .iter()
-            .all(|service| view.admits(*service, tried.order, Some(team), self.now_us))
+        let admission = &self.vms[tried.entry].admission;
+        let (now, target) = (self.now(), &self.targets[root]);
+        let left_ms = tried.deadline_us.saturating_sub(self.now_us) / 1_000;
+        let is_taken = match self.policy.chain {
+            ChainCheck::ByService => admission.admit_team(now, target, tried.order, Some(team)),
+            ChainCheck::Off | ChainCheck::ByCall => Ok(()),
+        };
+        is_taken
+            .and_then(|()| admission.admit(now, target, tried.order, left_ms))
+            .is_ok()
     }
 
     pub(crate) fn kind_of(&self, client_try: usize) -> usize {
--- a/crates/wire/src/answer_head.rs
+++ b/crates/wire/src/answer_head.rs
@@ -1,6 +1,6 @@
 use std::fmt;
 
-use graph::ShedReport;
+use graph::{CutReport, ShedReport};
 use limit::LoadReport;
 use model::{AttemptId, RefusalReason, RequestId, RunVerdict, ServiceName};
 use serde::de::{self, SeqAccess, Visitor};
@@ -10,7 +10,7 @@
 use crate::HeaderList;
 
 /// The number of fields of a [`AnswerHead`] on the wire.
-const FIELDS: usize = 13;
+const FIELDS: usize = 14;
 
 /// What a node tells the one that called, ahead of the answer's body.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -39,6 +39,8 @@
     pub load: LoadReport,
     /// What the service, or one that it needs, sheds.
     pub report: Option<ShedReport>,
+    /// What each VM of the services below refuses, of those that shed.
+    pub cut_reports: Vec<CutReport>,
     /// The time for which the backend server ran the call, in milliseconds.
     pub run_ms: u32,
 }
@@ -58,6 +60,7 @@
         tuple.serialize_element(&self.body_bytes)?;
         tuple.serialize_element(&self.load)?;
         tuple.serialize_element(&self.report)?;
+        tuple.serialize_element(&self.cut_reports)?;
         tuple.serialize_element(&self.run_ms)?;
         tuple.end()
     }
@@ -92,7 +95,8 @@
             body_bytes: next_field(&mut fields, 9)?,
             load: next_field(&mut fields, 10)?,
             report: next_field(&mut fields, 11)?,
-            run_ms: next_field(&mut fields, 12)?,
+            cut_reports: next_field(&mut fields, 12)?,
+            run_ms: next_field(&mut fields, 13)?,
         })
     }
 }
