--- /dev/null
+++ b/crates/graph/tests/service_cuts.rs
@@ -0,0 +1,112 @@
+//! Cuts kept by service, against one threshold for each kind of call.
+
+use std::collections::BTreeSet;
+
+use clock::ClockTime;
+use lentilshift_graph::{AdmissionSettings, CallTarget, ChainAdmission, CutReport, ShedReport};
+use model::{CallImportance, RefusalReason, ShedCuts, ShedOrder, TeamCut, TeamName, VmName};
+use rstest::rstest;
+
+const LOW: ShedOrder = ShedOrder::from_parts(CallImportance::Background, 9);
+const HIGH: ShedOrder = ShedOrder::from_parts(CallImportance::High, 0);
+
+fn report(vm: &str, team: &str, threshold: ShedOrder, age_ms: u32) -> CutReport {
+    let cut = TeamCut {
+        team: Some(TeamName::new(team)),
+        threshold,
+    };
+    CutReport {
+        service: "archive".into(),
+        vm: VmName::new(vm),
+        cuts: ShedCuts {
+            threshold: ShedOrder::FIRST,
+            over_share: vec![cut],
+        },
+        age_ms,
+    }
+}
+
+fn admits(admission: &ChainAdmission, now_ms: u64, target: &CallTarget, team: &str) -> bool {
+    let team = TeamName::new(team);
+    let now = ClockTime::from_ms(now_ms);
+    match admission.admit_team(now, target, LOW, Some(&team)) {
+        Ok(()) => true,
+        Err(refusal) => {
+            assert_eq!(refusal.reason, RefusalReason::Overloaded);
+            false
+        }
+    }
+}
+
+#[rstest]
+fn a_kind_of_call_that_is_shut_out_is_not_forgotten() {
+    let (rare, common) = (CallTarget::new("front", "a"), CallTarget::new("front", "b"));
+    let mut naive = ChainAdmission::new(AdmissionSettings::default());
+    let mut ours = naive.clone();
+    let old = ShedReport::new("archive".into(), HIGH);
+    naive.observe_report(ClockTime::ZERO, &rare, &"vm-1".into(), Some(old));
+    ours.observe_cuts(ClockTime::ZERO, &rare, [report("vm-1", "x", HIGH, 0)]);
+    for now_ms in (0..2_000).step_by(50) {
+        let now = ClockTime::from_ms(now_ms);
+        let new = ShedReport::new("archive".into(), HIGH);
+        naive.observe_report(now, &common, &"vm-1".into(), Some(new));
+        ours.observe_cuts(now, &common, [report("vm-1", "x", HIGH, 0)]);
+    }
+    let now = ClockTime::from_ms(2_000);
+    assert!(naive.admit(now, &rare, LOW, 10_000).is_ok());
+    assert!(!admits(&ours, 2_000, &rare, "x"));
+}
+
+#[rstest]
+fn only_the_team_over_its_share_is_refused() {
+    let target = CallTarget::new("front", "a");
+    let mut admission = ChainAdmission::new(AdmissionSettings::default());
+    admission.observe_cuts(ClockTime::ZERO, &target, [report("vm-1", "x", HIGH, 0)]);
+    assert!(!admits(&admission, 10, &target, "x"));
+    assert!(admits(&admission, 10, &target, "y"));
+}
+
+#[rstest]
+#[case::fresh(200, false)]
+#[case::expired(1_001, true)]
+fn cuts_expire_by_the_time_they_were_made(#[case] now_ms: u64, #[case] is_admitted: bool) {
+    let target = CallTarget::new("front", "a");
+    let mut admission = ChainAdmission::new(AdmissionSettings::default());
+    admission.observe_cuts(ClockTime::ZERO, &target, [report("vm-1", "x", HIGH, 0)]);
+    assert_eq!(admits(&admission, now_ms, &target, "x"), is_admitted);
+}
+
+#[rstest]
+fn an_older_report_does_not_replace_a_newer_one() {
+    let target = CallTarget::new("front", "a");
+    let mut admission = ChainAdmission::new(AdmissionSettings::default());
+    let now = ClockTime::from_ms(5_000);
+    admission.observe_cuts(now, &target, [report("vm-1", "x", HIGH, 0)]);
+    admission.observe_cuts(now, &target, [report("vm-1", "x", ShedOrder::FIRST, 200)]);
+    assert!(!admits(&admission, 5_000, &target, "x"));
+}
+
+#[rstest]
+fn reports_go_up_with_their_age_and_only_while_something_is_shed() {
+    let (front, below) = (CallTarget::new("front", "a"), CallTarget::new("mid", "b"));
+    let mut admission = ChainAdmission::new(AdmissionSettings::default());
+    for _ in 0..20 {
+        admission.observe_uses(&front, &BTreeSet::from([below.clone()]));
+    }
+    admission.observe_cuts(ClockTime::ZERO, &below, [report("vm-1", "x", HIGH, 40)]);
+    let sent = admission.cut_reports(ClockTime::from_ms(60), &front);
+    assert_eq!(
+        sent.iter().map(|report| report.age_ms).collect::<Vec<_>>(),
+        [60]
+    );
+    let open = CutReport {
+        cuts: ShedCuts::default(),
+        ..report("vm-1", "x", HIGH, 0)
+    };
+    admission.observe_cuts(ClockTime::from_ms(90), &below, [open]);
+    assert!(
+        admission
+            .cut_reports(ClockTime::from_ms(100), &front)
+            .is_empty()
+    );
+}
--- /dev/null
+++ b/crates/limit/tests/admission_queue.rs
@@ -0,0 +1,190 @@
+//! The queue against a naive first-in-first-out one.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use clock::ClockTime;
+use lentilshift_limit::{
+    AdmissionQueue, QueueAction, QueueDecision, QueueSettings, QueueTicket, RunOutcome,
+};
+use model::{AttemptId, CallImportance, RefusalReason, RequestId, ShedOrder};
+use proptest::prelude::*;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use rstest::rstest;
+
+const RUN_MS: u64 = 20;
+
+fn ticket(id: u64, importance: CallImportance, deadline_ms: u64, depth: u8) -> QueueTicket {
+    QueueTicket {
+        id: AttemptId::from_random(u128::from(id)),
+        order: ShedOrder::new(importance, RequestId::from_random(u128::from(id))),
+        team: None,
+        team_weight: 1,
+        deadline: ClockTime::from_ms(deadline_ms),
+        depth,
+        expected_ms: RUN_MS,
+    }
+}
+
+fn queue(slots: u32) -> AdmissionQueue {
+    let mut queue = AdmissionQueue::new(QueueSettings::default(), 7);
+    queue.set_slots(slots);
+    queue
+}
+
+/// A queue under test: what starts, given what is offered and what ends.
+trait StartOrder {
+    fn offer(&mut self, now: ClockTime, ticket: QueueTicket) -> Option<AttemptId>;
+    fn finish(&mut self, now: ClockTime, id: AttemptId) -> Vec<AttemptId>;
+}
+
+/// The naive queue: first in, first out, without bounds.
+#[derive(Default)]
+struct NaiveQueue {
+    running: bool,
+    waiting: VecDeque<AttemptId>,
+}
+
+impl StartOrder for NaiveQueue {
+    fn offer(&mut self, _now: ClockTime, ticket: QueueTicket) -> Option<AttemptId> {
+        if !self.running {
+            self.running = true;
+            return Some(ticket.id);
+        }
+        self.waiting.push_back(ticket.id);
+        None
+    }
+
+    fn finish(&mut self, _now: ClockTime, _id: AttemptId) -> Vec<AttemptId> {
+        let next = self.waiting.pop_front();
+        self.running = next.is_some();
+        next.into_iter().collect()
+    }
+}
+
+impl StartOrder for AdmissionQueue {
+    fn offer(&mut self, now: ClockTime, ticket: QueueTicket) -> Option<AttemptId> {
+        let id = ticket.id;
+        (AdmissionQueue::offer(self, now, ticket) == QueueDecision::Start).then_some(id)
+    }
+
+    fn finish(&mut self, now: ClockTime, id: AttemptId) -> Vec<AttemptId> {
+        let mut actions = Vec::new();
+        let outcome = RunOutcome::Completed { own_ms: RUN_MS };
+        AdmissionQueue::finish(self, now, id, outcome, &mut actions);
+        let started = |action: &QueueAction| match action {
+            QueueAction::Start(id) => Some(*id),
+            QueueAction::Refuse(..) => None,
+        };
+        actions.iter().filter_map(started).collect()
+    }
+}
+
+/// What went wrong while a queue with one slot was offered twice what it can run.
+#[derive(Default)]
+struct Faults {
+    lesser_first: u32,
+    too_late: u32,
+}
+
+fn overload(queue: &mut impl StartOrder, seed: u64) -> Faults {
+    let mut random = SmallRng::seed_from_u64(seed);
+    let mut faults = Faults::default();
+    let mut waiting: BTreeMap<AttemptId, QueueTicket> = BTreeMap::new();
+    let mut running: Option<(AttemptId, ClockTime)> = None;
+    for step in 0..4_000_u64 {
+        let now = ClockTime::from_ms(step * 5);
+        let mut started = Vec::new();
+        if let Some((id, end)) = running
+            && end <= now
+        {
+            running = None;
+            started = queue.finish(now, id);
+        }
+        for id in started {
+            let ticket = waiting.remove(&id).expect("only what waits starts");
+            let class = ticket.order.importance();
+            let is_lesser = waiting
+                .values()
+                .any(|other| other.fits(now) && other.order.importance() > class);
+            faults.lesser_first += u32::from(is_lesser);
+            faults.too_late += u32::from(!ticket.fits(now));
+            running = Some((id, now.plus_ms(RUN_MS)));
+        }
+        if random.random::<f64>() < 0.5 {
+            let class = CallImportance::ALL[random.random_range(0..4)];
+            let offered = ticket(step, class, now.as_ms() + 200, 1);
+            match queue.offer(now, offered.clone()) {
+                Some(id) => running = Some((id, now.plus_ms(RUN_MS))),
+                None => {
+                    waiting.insert(offered.id, offered);
+                }
+            }
+        }
+    }
+    faults
+}
+
+#[rstest]
+fn important_calls_start_first_and_none_starts_too_late(#[values(1, 2, 3, 4, 5)] seed: u64) {
+    let naive = overload(&mut NaiveQueue::default(), seed);
+    assert!(naive.lesser_first > 0 && naive.too_late > 0);
+    let ours = overload(&mut queue(1), seed);
+    assert_eq!((ours.lesser_first, ours.too_late), (0, 0));
+}
+
+#[rstest]
+fn what_cannot_end_in_time_is_refused_at_once() {
+    let mut queue = queue(1);
+    let offered = ticket(1, CallImportance::Critical, RUN_MS - 1, 0);
+    let QueueDecision::Refuse(refusal) = queue.offer(ClockTime::ZERO, offered) else {
+        panic!("the request was taken");
+    };
+    assert_eq!(refusal.reason, RefusalReason::TooLate);
+    assert!(refusal.retry_after_ms > 0);
+}
+
+proptest! {
+    #[test]
+    fn each_request_that_waits_meets_one_fate(
+        offers in prop::collection::vec((0_usize..4, 20_u64..600, 0_u8..3), 1..300),
+        slots in 1_u32..5,
+    ) {
+        let mut queue = queue(slots);
+        let mut fates: BTreeMap<AttemptId, u32> = BTreeMap::new();
+        let mut running = VecDeque::new();
+        let mut actions = Vec::new();
+        for step in 0..offers.len() as u64 + 200 {
+            let now = ClockTime::from_ms(step * 10);
+            if let Some((class, left_ms, depth)) = offers.get(step as usize) {
+                let class = CallImportance::ALL[*class];
+                let offered = ticket(step, class, now.as_ms() + left_ms, *depth);
+                let id = offered.id;
+                match queue.offer(now, offered) {
+                    QueueDecision::Start => running.push_back(id),
+                    QueueDecision::Wait => {
+                        fates.insert(id, 0);
+                    }
+                    QueueDecision::Refuse(_) => {}
+                }
+            }
+            if let Some(id) = running.pop_front() {
+                let outcome = RunOutcome::Completed { own_ms: 10 };
+                queue.finish(now, id, outcome, &mut actions);
+            }
+            queue.tick(now, &mut actions);
+            for action in actions.drain(..) {
+                let id = match action {
+                    QueueAction::Start(id) => {
+                        running.push_back(id);
+                        id
+                    }
+                    QueueAction::Refuse(id, _) => id,
+                };
+                *fates.get_mut(&id).expect("only what waits is acted on") += 1;
+            }
+            prop_assert!(queue.load(now).in_flight <= slots.max(2));
+        }
+        prop_assert!(fates.values().all(|count| *count == 1));
+    }
+}
--- /dev/null
+++ b/crates/limit/tests/shed_control.rs
@@ -0,0 +1,164 @@
+//! The cuts under steady overload, and after it.
+
+use clock::ClockTime;
+use lentilshift_limit::{QueueState, QueueTicket, ShedControl, ShedSettings};
+use model::{AttemptId, CallImportance, RequestId, ShedOrder, TeamName};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use rstest::rstest;
+
+/// The capacity, in milliseconds of work a second: 500 requests of 10 ms.
+const CAPACITY: f64 = 5_000.0;
+
+/// Demand in requests a second of each class from each team, with the team's weight.
+type TeamDemand = (&'static str, u32, [f64; 4]);
+
+struct Feed {
+    control: ShedControl,
+    random: SmallRng,
+    now_ms: u64,
+    /// The work that waits, by class; the most important is done first.
+    backlog_ms: [f64; 4],
+}
+
+/// The requests let in and offered, by team and class.
+type Counts = Vec<[(u32, u32); 4]>;
+
+impl Feed {
+    fn new(settings: ShedSettings, seed: u64) -> Self {
+        Self {
+            control: ShedControl::new(settings),
+            random: SmallRng::seed_from_u64(seed),
+            now_ms: 0,
+            backlog_ms: [0.0; 4],
+        }
+    }
+
+    fn run(&mut self, span_ms: u64, teams: &[TeamDemand]) -> Counts {
+        let mut counts = vec![[(0, 0); 4]; teams.len()];
+        for _ in 0..span_ms {
+            self.now_ms += 1;
+            for (index, (team, weight, rates)) in teams.iter().enumerate() {
+                for class in CallImportance::ALL {
+                    let count = &mut counts[index][class as usize];
+                    if self.random.random::<f64>() * 1_000.0 < rates[class as usize] {
+                        count.1 += 1;
+                        count.0 += u32::from(self.offer(team, *weight, class));
+                    }
+                }
+            }
+            let is_free = self.work();
+            let state = QueueState {
+                waits_ms: self.waits_ms(),
+                capacity: CAPACITY,
+                free_share: if is_free { 0.2 } else { 0.0 },
+            };
+            self.control.update(ClockTime::from_ms(self.now_ms), state);
+        }
+        counts
+    }
+
+    /// Does one millisecond of work, and returns whether there was less to do.
+    fn work(&mut self) -> bool {
+        let mut left_ms = CAPACITY / 1_000.0;
+        for backlog_ms in self.backlog_ms.iter_mut().rev() {
+            let done_ms = left_ms.min(*backlog_ms);
+            *backlog_ms -= done_ms;
+            left_ms -= done_ms;
+        }
+        left_ms > 0.0
+    }
+
+    fn waits_ms(&self) -> [f64; 4] {
+        let wait_ms = |class: usize| -> f64 { self.backlog_ms[class..].iter().sum() };
+        [0, 1, 2, 3].map(|class| wait_ms(class) * 1_000.0 / CAPACITY)
+    }
+
+    fn offer(&mut self, team: &str, weight: u32, class: CallImportance) -> bool {
+        let request = RequestId::from_random(self.random.random());
+        let ticket = QueueTicket {
+            id: AttemptId::from_random(self.random.random()),
+            order: ShedOrder::new(class, request),
+            team: Some(TeamName::new(team)),
+            team_weight: weight,
+            deadline: ClockTime::from_ms(self.now_ms + 1_000),
+            depth: 0,
+            expected_ms: 10,
+        };
+        let is_admitted = self.control.arrive(&ticket);
+        if is_admitted {
+            self.backlog_ms[class as usize] += 10.0;
+        }
+        is_admitted
+    }
+}
+
+fn part(count: (u32, u32)) -> f64 {
+    f64::from(count.0) / f64::from(count.1.max(1))
+}
+
+#[rstest]
+fn lesser_classes_are_cut_first(#[values(1, 2, 3)] seed: u64) {
+    let mut feed = Feed::new(ShedSettings::default(), seed);
+    let demand = [("a", 1, [400.0, 300.0, 200.0, 100.0])];
+    feed.run(2_000, &demand);
+    let counts = feed.run(4_000, &demand);
+    let [background, _, high, critical] = counts[0].map(part);
+    assert!(critical > 0.999 && high > 0.97, "{counts:?}");
+    assert!(background < 0.05, "{counts:?}");
+}
+
+#[rstest]
+fn a_team_within_its_share_is_spared(#[values(1, 2, 3)] seed: u64) {
+    let demand = [
+        ("greedy", 10, [0.0, 800.0, 0.0, 0.0]),
+        ("small", 10, [0.0, 100.0, 0.0, 0.0]),
+    ];
+    let served = |shares_by_team| {
+        let settings = ShedSettings {
+            shares_by_team,
+            ..ShedSettings::default()
+        };
+        let mut feed = Feed::new(settings, seed);
+        feed.run(2_000, &demand);
+        part(feed.run(4_000, &demand)[1][CallImportance::Normal as usize])
+    };
+    assert!(served(false) < 0.8);
+    assert!(served(true) > 0.97);
+}
+
+#[rstest]
+fn the_share_that_a_team_leaves_is_lent(#[values(1, 2, 3)] seed: u64) {
+    let demand = [
+        ("greedy", 10, [0.0, 800.0, 0.0, 0.0]),
+        ("small", 10, [0.0, 100.0, 0.0, 0.0]),
+    ];
+    let mut feed = Feed::new(ShedSettings::default(), seed);
+    feed.run(2_000, &demand);
+    let lent = feed.run(4_000, &demand)[0][CallImportance::Normal as usize].0;
+    assert!(lent > 4 * 360, "{lent}");
+}
+
+#[rstest]
+fn cuts_are_gone_soon_after_overload(#[values(1, 2, 3)] seed: u64) {
+    let mut feed = Feed::new(ShedSettings::default(), seed);
+    feed.run(5_000, &[("a", 1, [900.0, 900.0, 900.0, 900.0])]);
+    assert!(!feed.control.cuts().is_open());
+    feed.run(1_000, &[("a", 1, [100.0, 100.0, 100.0, 50.0])]);
+    assert!(feed.control.cuts().is_open());
+}
+
+#[rstest]
+fn services_that_shed_drop_the_same_requests() {
+    let mut random = SmallRng::seed_from_u64(5);
+    let threshold = ShedOrder::from_parts(CallImportance::Normal, 6_554);
+    let (mut flips, mut ours) = (0, 0);
+    for _ in 0..10_000 {
+        let request = RequestId::from_random(random.random());
+        let order = ShedOrder::new(CallImportance::Normal, request);
+        ours += u32::from((0..11).all(|_| order >= threshold));
+        flips += u32::from((0..11).all(|_| random.random::<f64>() >= 0.1));
+    }
+    assert!(flips < 4_000, "{flips}");
+    assert!(ours > 8_800, "{ours}");
+}
--- /dev/null
+++ b/crates/route/tests/vm_router.rs
@@ -0,0 +1,173 @@
+//! The choice of VM against a naive round robin.
+
+use clock::ClockTime;
+use lentilshift_route::{LoadSample, RouteOutcome, RouteSettings, RouteTarget, VmRouter};
+use model::VmName;
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use rstest::rstest;
+
+fn vm(index: usize) -> VmName {
+    VmName::new(format!("vm-{index}"))
+}
+
+fn target(centre: &str, started_ms: u64) -> RouteTarget {
+    RouteTarget {
+        centre: centre.into(),
+        slots: 10,
+        started: ClockTime::from_ms(started_ms),
+    }
+}
+
+fn router(settings: RouteSettings, centres: &[&str]) -> VmRouter {
+    let mut router = VmRouter::new(settings, "north".into());
+    for (index, centre) in centres.iter().enumerate() {
+        router.upsert(vm(index), target(centre, 0));
+    }
+    router
+}
+
+/// Sends one request each millisecond from `from_ms` on, and counts those of each VM.
+fn send(
+    router: &mut VmRouter,
+    from_ms: u64,
+    latency_ms: impl Fn(&VmName) -> u64,
+    sample: impl Fn(&VmName) -> LoadSample,
+) -> Vec<usize> {
+    let mut random = SmallRng::seed_from_u64(3);
+    let mut counts = vec![0; 8];
+    let mut running: Vec<(ClockTime, VmName)> = Vec::new();
+    for time_ms in from_ms..from_ms + 6_000 {
+        let now = ClockTime::from_ms(time_ms);
+        for (_, name) in running.extract_if(.., |(end, _)| *end <= now) {
+            let latency_ms = latency_ms(&name);
+            let outcome = RouteOutcome::Succeeded { latency_ms };
+            router.finish(now, &name, outcome, Some(sample(&name)));
+        }
+        router.tick(now);
+        let name = router.choose(now, &mut random, &[]).expect("a VM is open");
+        router.begin(&name);
+        let index = (0..8)
+            .find(|index| vm(*index) == name)
+            .expect("it is known");
+        counts[index] += 1;
+        running.push((now.plus_ms(latency_ms(&name)), name));
+    }
+    counts
+}
+
+fn half_busy(_: &VmName) -> LoadSample {
+    LoadSample {
+        in_flight: 5,
+        limit: 10,
+        queued: 0,
+    }
+}
+
+#[rstest]
+fn a_slow_vm_gets_less_than_its_turn() {
+    let centres = ["north"; 4];
+    let latency = |name: &VmName| if *name == vm(0) { 40 } else { 8 };
+    let naive = RouteSettings {
+        compares_two: false,
+        prefers_local: false,
+        ..RouteSettings::default()
+    };
+    assert!(send(&mut router(naive, &centres), 10_000, latency, half_busy)[0] > 1_200);
+    let ours = RouteSettings::default();
+    assert!(send(&mut router(ours, &centres), 10_000, latency, half_busy)[0] < 700);
+}
+
+#[rstest]
+fn a_vm_that_claims_to_be_idle_is_not_flooded() {
+    let idle = LoadSample {
+        in_flight: 0,
+        limit: 100,
+        queued: 0,
+    };
+    let busy = LoadSample {
+        in_flight: 9,
+        limit: 10,
+        queued: 0,
+    };
+    let lies = |name: &VmName| if *name == vm(0) { idle } else { busy };
+    let mut router = router(RouteSettings::default(), &["south"; 4]);
+    let counts = send(&mut router, 10_000, |_| 8, lies);
+    assert!(counts[0] < 6_000 / 4 * 2, "{counts:?}");
+}
+
+#[rstest]
+fn near_vms_come_first_and_spill_when_busy() {
+    let centres = ["north", "north", "south", "south"];
+    let mut near = router(RouteSettings::default(), &centres);
+    let counts = send(&mut near, 10_000, |_| 8, half_busy);
+    assert_eq!(counts[2] + counts[3], 0);
+    let full = LoadSample {
+        in_flight: 10,
+        limit: 10,
+        queued: 4,
+    };
+    let is_near = |name: &VmName| *name == vm(0) || *name == vm(1);
+    let sample = |name: &VmName| if is_near(name) { full } else { half_busy(name) };
+    let counts = send(&mut near, 20_000, |_| 8, sample);
+    assert!(counts[2] + counts[3] > 2_000, "{counts:?}");
+}
+
+#[rstest]
+fn a_new_vm_is_ramped_up() {
+    let mut router = router(RouteSettings::default(), &["north"; 3]);
+    router.upsert(vm(3), target("north", 10_000));
+    let counts = send(&mut router, 10_000, |_| 8, half_busy);
+    assert!(counts[3] < counts[0] && counts[3] > 0, "{counts:?}");
+}
+
+#[rstest]
+fn what_is_leaving_removed_or_tried_is_not_chosen() {
+    let mut router = router(RouteSettings::default(), &["north"; 4]);
+    let mut random = SmallRng::seed_from_u64(1);
+    router.leaving(&vm(0));
+    router.remove(&vm(1));
+    for _ in 0..100 {
+        let chosen = router.choose(ClockTime::ZERO, &mut random, &[vm(2)]);
+        assert_eq!(chosen, Some(vm(3)));
+    }
+    assert_eq!(
+        router.choose(ClockTime::ZERO, &mut random, &[vm(2), vm(3)]),
+        None
+    );
+}
+
+#[rstest]
+fn an_ejected_vm_comes_back() {
+    let mut router = router(RouteSettings::default(), &["north"; 4]);
+    for _ in 0..5 {
+        router.begin(&vm(0));
+        router.finish(ClockTime::ZERO, &vm(0), RouteOutcome::Failed, None);
+    }
+    assert_eq!(router.open_count(), 3);
+    router.tick(ClockTime::from_ms(1_000));
+    assert_eq!(router.open_count(), 4);
+}
+
+proptest! {
+    #[test]
+    fn most_of_a_service_stays_open(
+        count in 1_usize..12,
+        outcomes in prop::collection::vec((0_usize..12, any::<bool>()), 0..400),
+    ) {
+        let centres = vec!["north"; count];
+        let mut router = router(RouteSettings::default(), &centres);
+        for (time_ms, (index, is_failed)) in outcomes.into_iter().enumerate() {
+            let now = ClockTime::from_ms(time_ms as u64);
+            let outcome = if is_failed {
+                RouteOutcome::Failed
+            } else {
+                RouteOutcome::Refused
+            };
+            router.finish(now, &vm(index % count), outcome, None);
+            router.tick(now);
+            prop_assert!(router.open_count() * 2 > count);
+        }
+    }
+}
