--- a/crates/graph/src/admission_settings.rs
+++ b/crates/graph/src/admission_settings.rs
@@ -44,8 +44,8 @@
         Self {
             hold_ms: 100,
             relax_ms: 300,
-            cut_hold_ms: 300,
-            cut_relax_ms: 700,
+            cut_hold_ms: 150,
+            cut_relax_ms: 350,
             calm_ms: 2_000,
             use_runs: 32,
             min_use_runs: 8,
--- a/crates/limit/src/team_demand.rs
+++ b/crates/limit/src/team_demand.rs
@@ -11,7 +11,7 @@
 /// Demand below this rate, in milliseconds of work a second, is forgotten.
 const FORGET_RATE: f64 = 0.01;
 /// Rates are smoothed over the time in which this many requests arrive.
-const ENOUGH_ARRIVALS: f64 = 10.0;
+const ENOUGH_ARRIVALS: f64 = 20.0;
 /// The longest smoothing, as a multiple of the shortest.
 const MAX_STRETCH: f64 = 8.0;
 /// The steps in which a share level is searched.
--- a/crates/limit/tests/admission_queue.rs
+++ b/crates/limit/tests/admission_queue.rs
@@ -154,9 +154,9 @@
         let mut fates: BTreeMap<AttemptId, u32> = BTreeMap::new();
         let mut running = VecDeque::new();
         let mut actions = Vec::new();
-        for step in 0..offers.len() as u64 + 200 {
+        for (step, offer) in (0_u64..).zip(offers.iter().map(Some).chain([None; 200])) {
             let now = ClockTime::from_ms(step * 10);
-            if let Some((class, left_ms, depth)) = offers.get(step as usize) {
+            if let Some((class, left_ms, depth)) = offer {
                 let class = CallImportance::ALL[*class];
                 let offered = ticket(step, class, now.as_ms() + left_ms, *depth);
                 let id = offered.id;
--- a/crates/trial/src/ingress.rs
+++ b/crates/trial/src/ingress.rs
@@ -133,10 +133,6 @@
     AttemptId::from_random(call as u128)
 }
 
-#[expect(
-    clippy::cast_possible_truncation,
-    reason = "identifiers are made from call numbers below 2^48"
-)]
 const fn call_of(id: AttemptId) -> usize {
     (id.as_u128() & 0xFFFF_FFFF_FFFF) as usize
 }
--- a/crates/trial/src/policy.rs
+++ b/crates/trial/src/policy.rs
@@ -80,10 +80,10 @@
         add("no adaptive limit", |p| p.queue.limit.is_adaptive = false);
         add("no cuts", |p| p.queue.shed.is_enabled = false);
         add("no team shares in cuts", |p| {
-            p.queue.shed.shares_by_team = false
+            p.queue.shed.shares_by_team = false;
         });
         add("no turns of teams in queue", |p| {
-            p.queue.shares_by_team = false
+            p.queue.shares_by_team = false;
         });
         add("no classes in queue", |p| p.queue.orders_by_class = false);
         add("no deadline check", |p| p.queue.checks_deadlines = false);
--- a/crates/trial/src/score.rs
+++ b/crates/trial/src/score.rs
@@ -1,3 +1,8 @@
+#![expect(
+    clippy::cast_precision_loss,
+    reason = "counts and spans are far below 2^52"
+)]
+
 use model::CallImportance;
 
 use crate::call::ClientRequest;
--- a/crates/trial/src/world.rs
+++ b/crates/trial/src/world.rs
@@ -154,7 +154,7 @@
             TrialEvent::CallArrives(call) => self.call_arrives(call),
             TrialEvent::CancelArrives(call) => self.cancel_call(call),
             TrialEvent::WorkEnds(vm, generation) => self.work_ends(vm, generation),
-            TrialEvent::AnswerArrives(call, answer) => self.answer_arrives(call, answer),
+            TrialEvent::AnswerArrives(call, answer) => self.answer_arrives(call, &answer),
             TrialEvent::Tick => self.tick(),
             TrialEvent::StrainStarts => self.start_strain(),
             TrialEvent::StrainEnds => self.end_strain(),
--- a/crates/trial/src/world_calls.rs
+++ b/crates/trial/src/world_calls.rs
@@ -256,7 +256,7 @@
     }
 
     /// Handles an answer at the node that made the call.
-    pub(crate) fn answer_arrives(&mut self, call: usize, answer: CallAnswer) {
+    pub(crate) fn answer_arrives(&mut self, call: usize, answer: &CallAnswer) {
         let entry = &self.calls[call];
         let (vm, caller_vm) = (entry.vm, entry.caller_vm);
         if !self.vms[caller_vm].is_alive {
@@ -270,7 +270,7 @@
             CallResult::Failed => RouteOutcome::Failed,
             CallResult::ChildFailed => RouteOutcome::Abandoned,
         };
-        self.learn(call, &answer);
+        self.learn(call, answer);
         let (now, name) = (self.now(), self.vms[vm].name.clone());
         let service = self.vms[vm].service;
         self.vms[caller_vm].routers[service].finish(now, &name, outcome, answer.sample);
