--- a/crates/node/src/stream_host.rs
+++ b/crates/node/src/stream_host.rs
@@ -56,11 +56,13 @@
 
     /// Answers another node's question, once there is news or its wait is over.
     pub(crate) async fn answer(&self, pull: &RelayPull) -> RelayBatch {
+        let arrived = self.clock.now();
         let has_news = self.feed.borrow().has_news(pull);
         if !has_news {
             let _ = timeout(Duration::from_millis(pull.wait_ms), self.news.wait()).await;
         }
-        self.feed.borrow().answer(self.clock.now(), pull)
+        let now = self.clock.now();
+        self.feed.borrow().answer(now, arrived, pull)
     }
 
     async fn read_log(&self, log: &impl PlatformLog, watch: &impl StreamWatch) {
--- a/crates/wire/src/answer_head.rs
+++ b/crates/wire/src/answer_head.rs
@@ -1,6 +1,6 @@
 use std::fmt;
 
-use graph::ShedReport;
+use graph::{CutReport, ShedReport};
 use limit::LoadReport;
 use model::{AttemptId, RefusalReason, RequestId, RunVerdict, ServiceName, VmName};
 use once::TableMark;
@@ -11,7 +11,7 @@
 use crate::HeaderList;
 
 /// The number of fields of a [`AnswerHead`] on the wire.
-const FIELDS: usize = 16;
+const FIELDS: usize = 17;
 
 /// What a node tells the one that called, ahead of the answer's body.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -40,6 +40,8 @@
     pub load: LoadReport,
     /// What the service, or one that it needs, sheds.
     pub report: Option<ShedReport>,
+    /// What each VM of the services below refuses, of those that shed.
+    pub cut_reports: Vec<CutReport>,
     /// The time for which the backend server ran the call, in milliseconds.
     pub run_ms: u32,
     /// The mark of the answering node's table of attempts.
@@ -65,6 +67,7 @@
         tuple.serialize_element(&self.body_bytes)?;
         tuple.serialize_element(&self.load)?;
         tuple.serialize_element(&self.report)?;
+        tuple.serialize_element(&self.cut_reports)?;
         tuple.serialize_element(&self.run_ms)?;
         tuple.serialize_element(&self.mark)?;
         tuple.serialize_element(&self.send_to)?;
@@ -102,10 +105,11 @@
             body_bytes: next_field(&mut fields, 9)?,
             load: next_field(&mut fields, 10)?,
             report: next_field(&mut fields, 11)?,
-            run_ms: next_field(&mut fields, 12)?,
-            mark: next_field(&mut fields, 13)?,
-            send_to: next_field(&mut fields, 14)?,
-            is_suspect: next_field(&mut fields, 15)?,
+            cut_reports: next_field(&mut fields, 12)?,
+            run_ms: next_field(&mut fields, 13)?,
+            mark: next_field(&mut fields, 14)?,
+            send_to: next_field(&mut fields, 15)?,
+            is_suspect: next_field(&mut fields, 16)?,
         })
     }
 }
