--- a/crates/once/tests/claim_book.rs
+++ b/crates/once/tests/claim_book.rs
@@ -14,8 +14,8 @@
     gather_ms: 0,
     appends_per_s: 50,
     batch_entries: 1_000,
-    resend_ms: 500,
-    outage_after_ms: 2_000,
+    resend_ms: 200,
+    outage_after_ms: 700,
     start_within_ms: 1_000,
     ask_every_ms: 250,
     retry_after_ms: 1_000,
@@ -183,3 +183,31 @@
         (RefusalReason::Duplicate, RunVerdict::MayHaveRun)
     );
 }
+
+#[test]
+fn call_is_refused_while_the_log_is_out_and_its_late_claim_released() {
+    let mut book = book(0);
+    let mut actions = Vec::new();
+    book.begin(time(0), request(1, b"body"), &mut actions);
+    let Some(ClaimAction::Append(lost)) = actions.pop() else {
+        panic!("no append");
+    };
+    while actions.is_empty() {
+        let now = book.next_poll();
+        assert!(now <= time(900), "the call still waits at {now}");
+        book.poll(now, &mut actions);
+        actions.retain(|action| matches!(action, ClaimAction::Refuse(..)));
+    }
+    let unavailable = (RefusalReason::ClaimUnavailable, RunVerdict::NotRun);
+    assert_eq!(refusal(&actions), unavailable);
+    actions.clear();
+    book.begin(time(2_600), request(2, b"body"), &mut actions);
+    assert_eq!(refusal(&actions), unavailable);
+    actions.clear();
+    book.receive_record(time(3_000), 0, &lost, &mut actions);
+    let Some(ClaimAction::Append(release)) = actions.pop() else {
+        panic!("no release of the claim that landed late: {actions:?}");
+    };
+    book.receive_record(time(3_010), 1, &release, &mut actions);
+    assert!(book.fold().is_empty());
+}
