--- a/crates/once/src/claim_book.rs
+++ b/crates/once/src/claim_book.rs
@@ -1,3 +1,4 @@
+mod settle;
 mod steps;
 
 use rand::SeedableRng;
@@ -10,8 +11,8 @@
 use crate::claim_upkeep::ClaimUpkeep;
 use crate::local_attempts::{EndState, LocalAttempts, LocalState};
 use crate::{
-    AnswerStore, ClaimAction, ClaimEntry, ClaimFold, ClaimOutcome, ClaimRecord, ClaimRefusal,
-    FoldEvent, HeldClaim, HolderReply, KeyDigest, OnceRequest, OnceSettings, SnapshotMark,
+    AnswerStore, ClaimAction, ClaimFold, ClaimOutcome, ClaimRecord, ClaimRefusal, FoldEvent,
+    HolderReply, KeyDigest, OnceRequest, OnceSettings, SnapshotMark,
 };
 
 /// Decides which attempts of calls that must run at most once may run beside one backend server.
@@ -65,7 +66,21 @@
         &self.fold
     }
 
+    /// Returns the number of attempts under way at this node, waiting ones included.
+    #[must_use]
+    pub fn live_attempts(&self) -> usize {
+        self.local.live_len()
+    }
+
+    /// Returns the memory that stored answers take, in bytes.
+    #[must_use]
+    pub const fn answer_bytes(&self) -> usize {
+        self.answers.bytes()
+    }
+
     /// Takes a call; every call is answered by a later [`ClaimAction`], or by one pushed here.
+    ///
+    /// An attempt that was here before is ignored.
     pub fn begin(
         &mut self,
         now: ClockTime,
@@ -269,9 +284,10 @@
                 retry_after_ms: None,
             });
         }
-        let is_known = self.fold.owner(request.key).is_some();
-        let log_is_out = self.outbox.is_stuck(now, &self.settings) && !is_known;
-        (log_is_out || !self.fold.is_complete()).then_some(ClaimRefusal {
+        let is_new = self.fold.owner(request.key).is_none();
+        let is_full = self.fold.len() >= self.settings.max_claims;
+        let is_out = is_full || self.outbox.is_stuck(now, &self.settings);
+        ((is_new && is_out) || !self.fold.is_complete()).then_some(ClaimRefusal {
             reason: RefusalReason::ClaimUnavailable,
             verdict: RunVerdict::NotRun,
             retry_after_ms: Some(self.settings.retry_after_ms),
@@ -297,106 +313,4 @@
             self.release_if_given_up(now, key);
         }
     }
-
-    /// Brings every attempt of a key at this node in line with the owner of the key.
-    fn settle(&mut self, now: ClockTime, key: KeyDigest, actions: &mut Vec<ClaimAction>) {
-        let attempts = self.local.of_key(key);
-        match self.fold.owner(key).cloned() {
-            None => self.settle_unowned(now, key, &attempts, actions),
-            Some(owner) => {
-                for attempt in attempts {
-                    self.settle_owned(now, attempt, &owner, actions);
-                }
-            }
-        }
-    }
-
-    fn settle_unowned(
-        &mut self,
-        now: ClockTime,
-        key: KeyDigest,
-        attempts: &[AttemptId],
-        actions: &mut Vec<ClaimAction>,
-    ) {
-        let state_of = |attempt: &AttemptId| self.local.get(*attempt).map(|l| l.state);
-        let is_first = |attempt: &&AttemptId| {
-            matches!(
-                state_of(attempt),
-                Some(LocalState::Pending | LocalState::Won | LocalState::Running)
-            )
-        };
-        let first = attempts.iter().find(is_first).or(attempts.first()).copied();
-        let Some(first) = first.and_then(|attempt| self.local.get(attempt).copied()) else {
-            return;
-        };
-        for attempt in attempts.iter().filter(|a| **a != first.request.attempt) {
-            self.join(now, *attempt, first.request.fingerprint, actions);
-        }
-        if matches!(first.state, LocalState::Won | LocalState::Running) {
-            return;
-        }
-        let attempt = first.request.attempt;
-        if first.state != LocalState::Pending {
-            self.local.set_state(attempt, LocalState::Pending);
-            let fingerprint = first.request.fingerprint;
-            let entry = ClaimEntry::Claim {
-                key,
-                attempt,
-                fingerprint,
-            };
-            self.outbox.push(now, &self.settings, entry);
-        }
-    }
-
-    fn settle_owned(
-        &mut self,
-        now: ClockTime,
-        attempt: AttemptId,
-        owner: &HeldClaim,
-        actions: &mut Vec<ClaimAction>,
-    ) {
-        let Some(state) = self.local.get(attempt).map(|local| local.state) else {
-            return;
-        };
-        if matches!(state, LocalState::Won | LocalState::Running) {
-            return;
-        }
-        if owner.attempt == attempt {
-            self.local.set_state(attempt, LocalState::Won);
-            actions.push(ClaimAction::Run(attempt));
-        } else if owner.vm == self.vm {
-            self.follow_local(now, attempt, owner, actions);
-        } else if !self.is_misuse(attempt, owner) {
-            self.ask_holder(now, attempt, owner, actions);
-        } else {
-            self.refuse_misuse(now, attempt, actions);
-        }
-    }
-
-    /// Treats a duplicate of an attempt that owns its key at this node.
-    fn follow_local(
-        &mut self,
-        now: ClockTime,
-        attempt: AttemptId,
-        owner: &HeldClaim,
-        actions: &mut Vec<ClaimAction>,
-    ) {
-        if self.is_misuse(attempt, owner) {
-            self.refuse_misuse(now, attempt, actions);
-            return;
-        }
-        let verdict = match self.reply_for(owner.attempt) {
-            HolderReply::Running | HolderReply::NotRun => {
-                self.local.set_state(attempt, LocalState::Joined);
-                return;
-            }
-            HolderReply::Answer(answer) => {
-                self.answer(now, attempt, answer, actions);
-                return;
-            }
-            HolderReply::Ran => RunVerdict::Ran,
-            HolderReply::MayHaveRun => RunVerdict::MayHaveRun,
-        };
-        self.refuse_as_duplicate(now, attempt, verdict, actions);
-    }
 }
--- /dev/null
+++ b/crates/once/src/claim_book/settle.rs
@@ -0,0 +1,117 @@
+//! Brings the attempts of a key in line with its owner.
+
+use clock::ClockTime;
+use model::{AttemptId, RunVerdict};
+
+use super::ClaimBook;
+use crate::local_attempts::LocalState;
+use crate::{ClaimAction, ClaimEntry, HeldClaim, HolderReply, KeyDigest};
+
+impl ClaimBook {
+    /// Brings every attempt of a key at this node in line with the owner of the key.
+    pub(super) fn settle(
+        &mut self,
+        now: ClockTime,
+        key: KeyDigest,
+        actions: &mut Vec<ClaimAction>,
+    ) {
+        let attempts = self.local.of_key(key);
+        match self.fold.owner(key).cloned() {
+            None => self.settle_unowned(now, key, &attempts, actions),
+            Some(owner) => {
+                for attempt in attempts {
+                    self.settle_owned(now, attempt, &owner, actions);
+                }
+            }
+        }
+    }
+
+    fn settle_unowned(
+        &mut self,
+        now: ClockTime,
+        key: KeyDigest,
+        attempts: &[AttemptId],
+        actions: &mut Vec<ClaimAction>,
+    ) {
+        let state_of = |attempt: &AttemptId| self.local.get(*attempt).map(|l| l.state);
+        let is_first = |attempt: &&AttemptId| {
+            matches!(
+                state_of(attempt),
+                Some(LocalState::Pending | LocalState::Won | LocalState::Running)
+            )
+        };
+        let first = attempts.iter().find(is_first).or(attempts.first()).copied();
+        let Some(first) = first.and_then(|attempt| self.local.get(attempt).copied()) else {
+            return;
+        };
+        for attempt in attempts.iter().filter(|a| **a != first.request.attempt) {
+            self.join(now, *attempt, first.request.fingerprint, actions);
+        }
+        if matches!(first.state, LocalState::Won | LocalState::Running) {
+            return;
+        }
+        let attempt = first.request.attempt;
+        if first.state != LocalState::Pending {
+            self.local.set_state(attempt, LocalState::Pending);
+            let fingerprint = first.request.fingerprint;
+            let entry = ClaimEntry::Claim {
+                key,
+                attempt,
+                fingerprint,
+            };
+            self.outbox.push(now, &self.settings, entry);
+        }
+    }
+
+    fn settle_owned(
+        &mut self,
+        now: ClockTime,
+        attempt: AttemptId,
+        owner: &HeldClaim,
+        actions: &mut Vec<ClaimAction>,
+    ) {
+        let Some(state) = self.local.get(attempt).map(|local| local.state) else {
+            return;
+        };
+        if matches!(state, LocalState::Won | LocalState::Running) {
+            return;
+        }
+        if owner.attempt == attempt {
+            self.local.set_state(attempt, LocalState::Won);
+            actions.push(ClaimAction::Run(attempt));
+        } else if owner.vm == self.vm {
+            self.follow_local(now, attempt, owner, actions);
+        } else if !self.is_misuse(attempt, owner) {
+            self.ask_holder(now, attempt, owner, actions);
+        } else {
+            self.refuse_misuse(now, attempt, actions);
+        }
+    }
+
+    /// Treats a duplicate of an attempt that owns its key at this node.
+    fn follow_local(
+        &mut self,
+        now: ClockTime,
+        attempt: AttemptId,
+        owner: &HeldClaim,
+        actions: &mut Vec<ClaimAction>,
+    ) {
+        if self.is_misuse(attempt, owner) {
+            self.refuse_misuse(now, attempt, actions);
+            return;
+        }
+        let verdict = match self.reply_for(owner.attempt) {
+            HolderReply::Running | HolderReply::NotRun => {
+                self.local.set_state(attempt, LocalState::Joined);
+                return;
+            }
+            HolderReply::Answer(answer) => {
+                self.answer(now, attempt, answer, actions);
+                return;
+            }
+            HolderReply::Ran => RunVerdict::Ran,
+            HolderReply::MayHaveRun => RunVerdict::MayHaveRun,
+        };
+        self.refuse_as_duplicate(now, attempt, verdict, actions);
+    }
+}
--- a/crates/once/src/local_attempts.rs
+++ b/crates/once/src/local_attempts.rs
@@ -58,6 +58,10 @@
         }
     }
 
+    pub(crate) fn live_len(&self) -> usize {
+        self.live.len()
+    }
+
     pub(crate) fn insert(&mut self, request: OnceRequest) {
         let state = LocalState::New;
         let attempt = request.attempt;
--- a/crates/once/src/once_settings.rs
+++ b/crates/once/src/once_settings.rs
@@ -3,6 +3,8 @@
 pub struct OnceSettings {
     /// How long duplicates are recognised, in milliseconds.
     pub horizon_ms: u64,
+    /// The most claims within the horizon; at that many, calls with new keys are refused.
+    pub max_claims: usize,
     /// How often the claims are appended anew, in milliseconds; at most a third of the retention.
     pub snapshot_every_ms: u64,
     /// The most claims in one record of a snapshot.
@@ -33,6 +35,7 @@
     fn default() -> Self {
         Self {
             horizon_ms: 4 * 60 * 60 * 1_000,
+            max_claims: 400_000,
             snapshot_every_ms: 30 * 60 * 1_000,
             snapshot_part_claims: 1_000,
             gather_ms: 4,
--- a/crates/once/tests/claim_book.rs
+++ b/crates/once/tests/claim_book.rs
@@ -9,6 +9,7 @@
 
 const SETTINGS: OnceSettings = OnceSettings {
     horizon_ms: 10_000,
+    max_claims: 5,
     snapshot_every_ms: 5_000,
     snapshot_part_claims: 1_000,
     gather_ms: 0,
@@ -211,3 +212,26 @@
     book.receive_record(time(3_010), 1, &release, &mut actions);
     assert!(book.fold().is_empty());
 }
+
+#[test]
+fn new_keys_are_refused_when_there_are_too_many_claims() {
+    let mut book = book(0);
+    for number in 0..5_u8 {
+        let claim = claim("vm-2", key(number + 1), number.into());
+        book.receive_record(time(0), number.into(), &claim, &mut Vec::new());
+    }
+    let mut actions = Vec::new();
+    let new = OnceRequest {
+        key: key(9),
+        ..request(9, b"body")
+    };
+    book.begin(time(1), new, &mut actions);
+    let unavailable = (RefusalReason::ClaimUnavailable, RunVerdict::NotRun);
+    assert_eq!(refusal(&actions), unavailable);
+    actions.clear();
+    book.begin(time(1), request(8, b"body"), &mut actions);
+    assert!(
+        matches!(actions[..], [ClaimAction::AskHolder { .. }]),
+        "{actions:?}"
+    );
+}
