--- a/crates/limit/src/team_demand.rs
+++ b/crates/limit/src/team_demand.rs
@@ -10,16 +10,25 @@
 const MIN_FRACTION: f64 = 0.004;
 /// Demand below this rate, in milliseconds of work a second, is forgotten.
 const FORGET_RATE: f64 = 0.01;
+/// Rates are smoothed over the time in which this many requests arrive.
+const ENOUGH_ARRIVALS: f64 = 20.0;
+/// The longest smoothing, as a multiple of the shortest.
+const MAX_STRETCH: f64 = 15.0;
 /// The steps in which a share level is searched.
 const LEVEL_STEPS: u32 = 40;
 /// Shares are compared with this factor, so that rounding cuts nothing.
 const ROUNDING: f64 = 1.000_001;
 
+/// The work a second that each class and those above it may use, the least important first.
+pub(crate) type ClassCapacities = [f64; 4];
+
 /// The demand of one team in one class.
 #[derive(Clone, Debug)]
 struct TeamFlow {
     weight: f64,
     arrivals: f64,
+    work_ms: f64,
+    arrival_rate: f64,
     rate: f64,
     fraction: f64,
     smooth_fraction: f64,
@@ -30,6 +39,20 @@
     fn demand(&self) -> f64 {
         self.rate / self.smooth_fraction.max(MIN_FRACTION)
     }
+
+    /// Folds the arrivals of the last `span_ms` into the rates, over at least `smooth_ms` and
+    /// longer for a flow of few arrivals.
+    fn fold(&mut self, span_ms: f64, smooth_ms: f64) {
+        let enough_ms = ENOUGH_ARRIVALS * 1_000.0 / self.arrival_rate.max(f64::MIN_POSITIVE);
+        let smooth_ms = enough_ms.clamp(smooth_ms, smooth_ms * MAX_STRETCH);
+        let gain = 1.0 - (-span_ms / smooth_ms).exp();
+        let part = 1_000.0 / span_ms;
+        self.arrival_rate += gain * (self.arrivals * part - self.arrival_rate);
+        self.rate += gain * (self.work_ms * part - self.rate);
+        self.smooth_fraction += gain * (self.fraction - self.smooth_fraction);
+        self.arrivals = 0.0;
+        self.work_ms = 0.0;
+    }
 }
 
 /// The demand of each team in each class, worked out from what is let in.
@@ -49,22 +72,21 @@
             .or_insert(TeamFlow {
                 weight: 1.0,
                 arrivals: 0.0,
+                work_ms: 0.0,
+                arrival_rate: 0.0,
                 rate: 0.0,
                 fraction: 1.0,
                 smooth_fraction: 1.0,
             });
         flow.weight = f64::from(ticket.team_weight.max(1));
-        flow.arrivals += ticket.work_ms();
+        flow.arrivals += 1.0;
+        flow.work_ms += ticket.work_ms();
     }
 
     /// Folds the arrivals of the last `span_ms` into the rates.
     pub(crate) fn fold(&mut self, span_ms: f64, smooth_ms: f64) {
-        let gain = 1.0 - (-span_ms / smooth_ms).exp();
         for flow in self.flows.values_mut() {
-            let rate = flow.arrivals * 1_000.0 / span_ms;
-            flow.rate += gain * (rate - flow.rate);
-            flow.smooth_fraction += gain * (flow.fraction - flow.smooth_fraction);
-            flow.arrivals = 0.0;
+            flow.fold(span_ms, smooth_ms);
         }
         self.flows.retain(|_, flow| flow.rate > FORGET_RATE);
     }
@@ -81,17 +103,18 @@
         }
     }
 
-    /// Divides a capacity in work a second, and returns the cuts that enforce it.
+    /// Divides what each class and those above it may use, in work a second, and returns the cuts
+    /// that enforce it.
     ///
     /// Critical calls come first, whoever sends them. What is left goes to the teams in max-min
     /// shares by weight of all that they send, and within a team to its classes from the top.
-    pub(crate) fn divide_by_team(&mut self, capacity: f64) -> ShedCuts {
+    pub(crate) fn divide_by_team(&mut self, capacities: ClassCapacities) -> ShedCuts {
         let critical = self.class_demand(CallImportance::Critical);
-        if critical >= capacity {
-            return self.divide_by_class(capacity);
+        if critical >= capacities[CallImportance::Critical as usize] {
+            return self.divide_by_class(capacities);
         }
         let teams = self.team_totals();
-        let level = share_level(&teams, capacity);
+        let level = share_level(&teams, capacities[0]);
         let mut cuts = ShedCuts::default();
         for (team, total) in &teams {
             let share = total.share(level);
@@ -106,9 +129,9 @@
         cuts
     }
 
-    /// Divides a capacity by class alone, the same for every team.
-    pub(crate) fn divide_by_class(&mut self, capacity: f64) -> ShedCuts {
-        let threshold = self.cut_flows(capacity, |_| true);
+    /// Divides capacity by class alone, the same for every team.
+    pub(crate) fn divide_by_class(&mut self, capacities: ClassCapacities) -> ShedCuts {
+        let threshold = self.cut_flows(capacities, |_| true);
         ShedCuts {
             threshold,
             over_share: Vec::new(),
@@ -116,16 +139,16 @@
     }
 
     fn cut_team(&mut self, team: Option<&TeamName>, capacity: f64) -> ShedOrder {
-        self.cut_flows(capacity, |other| other == team)
+        self.cut_flows([capacity; 4], |other| other == team)
     }
 
     /// Serves the classes of the flows chosen from the top, and returns where capacity ends.
     fn cut_flows(
         &mut self,
-        capacity: f64,
+        capacities: ClassCapacities,
         is_chosen: impl Fn(Option<&TeamName>) -> bool,
     ) -> ShedOrder {
-        let mut left = capacity;
+        let mut used = 0.0;
         let mut threshold = ShedOrder::FIRST;
         for class in CallImportance::ALL.into_iter().rev() {
             let mut flows: Vec<&mut TeamFlow> = self
@@ -135,12 +158,13 @@
                 .map(|(_, flow)| flow)
                 .collect();
             let demand: f64 = flows.iter().map(|flow| flow.demand()).sum();
+            let left = (capacities[class as usize] - used).max(0.0);
             let fraction = if demand <= left * ROUNDING {
                 1.0
             } else {
                 left / demand
             };
-            left = (left - demand).max(0.0);
+            used += demand;
             for flow in &mut flows {
                 flow.fraction = fraction;
             }
--- a/crates/node/src/announce.rs
+++ b/crates/node/src/announce.rs
@@ -29,12 +29,10 @@
             );
         }
         let now = core.now();
-        let members = core.fleet.with_state(|fleet| fleet.view.len());
+        let members = core.fleet.with(|feed| feed.fold().view().len());
         let due = core.with_random(|random| timer.take_due(now, members, random));
         if let Some(announcement) = due {
-            core.fleet
-                .with_state(|fleet| fleet.view.apply(&announcement));
-            crate::fleet_watch::put_members(&core, now);
+            core.fleet.with(|feed| feed.fold().learn(&announcement));
             if state >= MemberState::Leaving {
                 tell_peers(&core, &announcement);
             }
@@ -51,14 +49,16 @@
     if core.stop.is_given() {
         return MemberState::Leaving;
     }
-    if core.is_up.get() {
-        return MemberState::Ready;
+    if !core.has_contract() {
+        return MemberState::Starting;
     }
-    if core.is_ready() && core.backend.connect().await.is_ok() {
-        core.is_up.set(true);
-        return MemberState::Ready;
+    let is_up = core.backend.keep_spare().await;
+    core.is_up.set(is_up);
+    if is_up {
+        MemberState::Ready
+    } else {
+        MemberState::Starting
     }
-    MemberState::Starting
 }
 
 async fn append(core: &NodeCore, announcement: &MemberAnnouncement) -> bool {
--- a/crates/rate/src/team_limiter.rs
+++ b/crates/rate/src/team_limiter.rs
@@ -128,6 +128,9 @@
         let Some(fold) = self.folds.get_mut(&slot) else {
             return;
         };
+        if let Some(allocator) = self.allocators.get_mut(&slot) {
+            allocator.before_record(now, fold, &self.settings);
+        }
         if !fold.apply(now, offset, record) {
             return;
         }
@@ -188,6 +191,15 @@
         self.dispatch(now, raised, actions);
     }
 
+    /// Returns whether every team's tokens have an allocator in this data centre.
+    #[must_use]
+    pub fn is_served(&self) -> bool {
+        self.teams.keys().all(|slot| {
+            let fold = self.folds.get(slot);
+            fold.is_some_and(|fold| fold.table().is_some() && fold.holder(&self.centre).is_some())
+        })
+    }
+
     /// Counts the slots that this node allocates at `now`.
     #[must_use]
     pub fn allocated_slots(&self, now: ClockTime) -> usize {
