--- a/crates/once/src/claim_outcome.rs
+++ b/crates/once/src/claim_outcome.rs
@@ -1,3 +1,5 @@
+use serde::{Deserialize, Serialize};
+
 use crate::StoredAnswer;
 
 /// What became of an attempt that was started.
@@ -12,7 +14,7 @@
 }
 
 /// What the holder of a claim says about it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum HolderReply {
     /// The attempt waits or runs: ask again.
     Running,
