--- a/crates/once/src/claim_book.rs
+++ b/crates/once/src/claim_book.rs
@@ -160,6 +160,8 @@
     }
 
     /// Takes the record at an offset of the stream; records come in the order of offsets.
+    ///
+    /// Several services may share a stream; the records of others are passed over.
     pub fn receive_record(
         &mut self,
         now: ClockTime,
@@ -169,8 +171,12 @@
     ) {
         self.outbox.resolve(record.id);
         self.outbox.note_writer(now, &record.vm);
-        for event in self.fold.apply(offset, record) {
-            self.take_event(now, event, actions);
+        if record.service == self.service {
+            for event in self.fold.apply(offset, record) {
+                self.take_event(now, event, actions);
+            }
+        } else {
+            self.fold.skip(offset);
         }
         if self.fold.is_complete() {
             self.upkeep
--- a/crates/once/src/claim_fold.rs
+++ b/crates/once/src/claim_fold.rs
@@ -119,6 +119,11 @@
         Vec::new()
     }
 
+    /// Passes over the record at an offset, one that doesn't concern this fold.
+    pub fn skip(&mut self, offset: u64) {
+        self.next_offset = self.next_offset.max(offset + 1);
+    }
+
     /// Returns the offset below which the fold could read nothing, while it is incomplete.
     #[must_use]
     pub fn unread_below(&self) -> Option<u64> {
--- a/crates/once/tests/claim_book.rs
+++ b/crates/once/tests/claim_book.rs
@@ -3,7 +3,7 @@
 use clock::ClockTime;
 use lentilshift_once::{
     CallFingerprint, ClaimAction, ClaimBody, ClaimBook, ClaimEntry, ClaimFold, ClaimOutcome,
-    ClaimRecord, HolderReply, KeyDigest, OnceRequest, OnceSettings, StoredAnswer,
+    ClaimRecord, HolderReply, KeyDigest, OnceRequest, OnceSettings, SnapshotPart, StoredAnswer,
 };
 use model::{AttemptId, RecordId, RefusalReason, RunVerdict};
 
@@ -235,3 +235,31 @@
         "{actions:?}"
     );
 }
+
+#[test]
+fn services_that_share_a_stream_keep_to_their_own_claims() {
+    let other = |body| ClaimRecord {
+        service: "surveys".into(),
+        ..record("vm-9", body)
+    };
+    let claim_body = claim("vm-9", key(1), 9).body;
+    let mut from_start = book(0);
+    from_start.receive_record(time(0), 0, &other(claim_body), &mut Vec::new());
+    win(&mut from_start, 1, 1);
+
+    let mut late = book(3);
+    let snapshot = ClaimBody::Snapshot(SnapshotPart {
+        snapshot: RecordId::from_random(5),
+        next_offset: 4,
+        part: 0,
+        parts: 1,
+        claims: Vec::new(),
+        marks: Vec::new(),
+    });
+    late.receive_record(time(0), 3, &other(snapshot.clone()), &mut Vec::new());
+    let expire = other(ClaimBody::Expire { below: 4 });
+    late.receive_record(time(0), 4, &expire, &mut Vec::new());
+    assert!(!late.fold().is_complete());
+    late.receive_record(time(0), 5, &record("vm-2", snapshot), &mut Vec::new());
+    assert!(late.fold().is_complete());
+}
