--- a/crates/once/tests/claim_book.rs
+++ b/crates/once/tests/claim_book.rs
@@ -3,19 +3,20 @@
 use clock::ClockTime;
 use lentilshift_once::{
     CallFingerprint, ClaimAction, ClaimBody, ClaimBook, ClaimEntry, ClaimFold, ClaimOutcome,
-    ClaimRecord, HolderReply, KeyDigest, OnceRequest, OnceSettings, StoredAnswer,
+    ClaimRecord, HolderReply, KeyDigest, OnceRequest, OnceSettings, SnapshotPart, StoredAnswer,
 };
 use model::{AttemptId, RecordId, RefusalReason, RunVerdict};
 
 const SETTINGS: OnceSettings = OnceSettings {
     horizon_ms: 10_000,
+    max_claims: 5,
     snapshot_every_ms: 5_000,
     snapshot_part_claims: 1_000,
     gather_ms: 0,
     appends_per_s: 50,
     batch_entries: 1_000,
-    resend_ms: 500,
-    outage_after_ms: 2_000,
+    resend_ms: 200,
+    outage_after_ms: 700,
     start_within_ms: 1_000,
     ask_every_ms: 250,
     retry_after_ms: 1_000,
@@ -183,3 +184,82 @@
         (RefusalReason::Duplicate, RunVerdict::MayHaveRun)
     );
 }
+
+#[test]
+fn call_is_refused_while_the_log_is_out_and_its_late_claim_released() {
+    let mut book = book(0);
+    let mut actions = Vec::new();
+    book.begin(time(0), request(1, b"body"), &mut actions);
+    let Some(ClaimAction::Append(lost)) = actions.pop() else {
+        panic!("no append");
+    };
+    while actions.is_empty() {
+        let now = book.next_poll();
+        assert!(now <= time(900), "the call still waits at {now}");
+        book.poll(now, &mut actions);
+        actions.retain(|action| matches!(action, ClaimAction::Refuse(..)));
+    }
+    let unavailable = (RefusalReason::ClaimUnavailable, RunVerdict::NotRun);
+    assert_eq!(refusal(&actions), unavailable);
+    actions.clear();
+    book.begin(time(2_600), request(2, b"body"), &mut actions);
+    assert_eq!(refusal(&actions), unavailable);
+    actions.clear();
+    book.receive_record(time(3_000), 0, &lost, &mut actions);
+    let Some(ClaimAction::Append(release)) = actions.pop() else {
+        panic!("no release of the claim that landed late: {actions:?}");
+    };
+    book.receive_record(time(3_010), 1, &release, &mut actions);
+    assert!(book.fold().is_empty());
+}
+
+#[test]
+fn new_keys_are_refused_when_there_are_too_many_claims() {
+    let mut book = book(0);
+    for number in 0..5_u8 {
+        let claim = claim("vm-2", key(number + 1), number.into());
+        book.receive_record(time(0), number.into(), &claim, &mut Vec::new());
+    }
+    let mut actions = Vec::new();
+    let new = OnceRequest {
+        key: key(9),
+        ..request(9, b"body")
+    };
+    book.begin(time(1), new, &mut actions);
+    let unavailable = (RefusalReason::ClaimUnavailable, RunVerdict::NotRun);
+    assert_eq!(refusal(&actions), unavailable);
+    actions.clear();
+    book.begin(time(1), request(8, b"body"), &mut actions);
+    assert!(
+        matches!(actions[..], [ClaimAction::AskHolder { .. }]),
+        "{actions:?}"
+    );
+}
+
+#[test]
+fn services_that_share_a_stream_keep_to_their_own_claims() {
+    let other = |body| ClaimRecord {
+        service: "surveys".into(),
+        ..record("vm-9", body)
+    };
+    let claim_body = claim("vm-9", key(1), 9).body;
+    let mut from_start = book(0);
+    from_start.receive_record(time(0), 0, &other(claim_body), &mut Vec::new());
+    win(&mut from_start, 1, 1);
+
+    let mut late = book(3);
+    let snapshot = ClaimBody::Snapshot(SnapshotPart {
+        snapshot: RecordId::from_random(5),
+        next_offset: 4,
+        part: 0,
+        parts: 1,
+        claims: Vec::new(),
+        marks: Vec::new(),
+    });
+    late.receive_record(time(0), 3, &other(snapshot.clone()), &mut Vec::new());
+    let expire = other(ClaimBody::Expire { below: 4 });
+    late.receive_record(time(0), 4, &expire, &mut Vec::new());
+    assert!(!late.fold().is_complete());
+    late.receive_record(time(0), 5, &record("vm-2", snapshot), &mut Vec::new());
+    assert!(late.fold().is_complete());
+}
