--- a/crates/rate/examples/capacity.rs
+++ b/crates/rate/examples/capacity.rs
@@ -209,7 +209,7 @@
         let is_ask = matches!(message, RateMessage::Ask { .. });
         let start = Instant::now();
         self.run(to, |node, actions| {
-            node.receive(now, &sender, message, actions)
+            node.receive(now, &sender, message, actions);
         })?;
         if is_ask && self.is_measured {
             self.grants += 1;
--- a/crates/rate/src/rate_allocator.rs
+++ b/crates/rate/src/rate_allocator.rs
@@ -408,10 +408,9 @@
         self.expire_grants(now, fold, settings);
         for close in closes {
             let key = (from.clone(), close.seq);
-            if let Some(open) = self.grants.get_mut(&key) {
-                if let Some(tokens) = open.tokens.remove(&close.team) {
-                    self.settle(now, &close.team, tokens, close.returned, fold, settings);
-                }
+            let open = self.grants.get_mut(&key);
+            if let Some(tokens) = open.and_then(|open| open.tokens.remove(&close.team)) {
+                self.settle(now, &close.team, tokens, close.returned, fold, settings);
             }
         }
         for seq in abandoned {
--- a/crates/rate/tests/support/naive.rs
+++ b/crates/rate/tests/support/naive.rs
@@ -25,12 +25,13 @@
 }
 
 fn take(buckets: &mut Buckets, now: ClockTime, team: &TeamName) -> RateDecision {
-    match buckets
+    let is_there = buckets
         .get_mut(team)
-        .is_some_and(|bucket| bucket.take(now.as_ms()))
-    {
-        true => RateDecision::Admit,
-        false => REFUSE,
+        .is_some_and(|bucket| bucket.take(now.as_ms()));
+    if is_there {
+        RateDecision::Admit
+    } else {
+        REFUSE
     }
 }
 
@@ -59,7 +60,7 @@
         ClockTime::from_ms(u64::MAX)
     }
     fn poll(&mut self, _now: ClockTime, _actions: &mut Vec<SimAction<()>>) {}
-    fn receive(&mut self, _: ClockTime, _: &VmName, _: (), _: &mut Vec<SimAction<()>>) {}
+    fn receive(&mut self, _: ClockTime, _: &VmName, (): (), _: &mut Vec<SimAction<()>>) {}
     fn set_members(&mut self, _now: ClockTime, members: &Members) {
         self.buckets = buckets(&self.contract, u32::try_from(members.len()).unwrap());
     }
--- a/crates/rate/tests/support/world.rs
+++ b/crates/rate/tests/support/world.rs
@@ -283,7 +283,9 @@
             .map(|(vm, _)| vm.clone())
             .collect();
         if vms.len() < self.hosts.len() {
-            vms.iter().for_each(|vm| self.kill(vm, away_ms));
+            for vm in &vms {
+                self.kill(vm, away_ms);
+            }
         }
     }
 
@@ -348,7 +350,7 @@
                 Event::Contract(vm, version) => {
                     let contract = self.contracts[usize::try_from(version).unwrap() - 1].clone();
                     self.with_host(&vm, |host, now| {
-                        host.node.set_contract(now, &contract, version)
+                        host.node.set_contract(now, &contract, version);
                     });
                 }
                 Event::Deliver(from, to, message) => self.deliver_message(&from, &to, message),
@@ -420,7 +422,7 @@
         let (centre, log_cut_until) = (host.centre.clone(), host.log_cut_until);
         for action in actions {
             match action {
-                SimAction::Send(to, message) => self.send(vm, &centre, to, &message),
+                SimAction::Send(to, message) => self.send(vm, &centre, &to, &message),
                 SimAction::Append(record) => {
                     let is_out = self.log_out_until.max(log_cut_until) > self.now;
                     let is_late = self.chance(self.faults.late);
@@ -434,9 +436,9 @@
         }
     }
 
-    fn send(&mut self, from: &VmName, centre: &CentreName, to: VmName, message: &N::Message) {
+    fn send(&mut self, from: &VmName, centre: &CentreName, to: &VmName, message: &N::Message) {
         self.messages += 1;
-        let Some(target) = self.hosts.get(&to) else {
+        let Some(target) = self.hosts.get(to) else {
             return;
         };
         if self.is_cut(centre, &target.centre.clone()) || self.chance(self.faults.lost) {
