--- a/crates/rate/src/lib.rs
+++ b/crates/rate/src/lib.rs
@@ -18,6 +18,7 @@
 mod team_limiter;
 mod team_rate;
 mod team_share;
+mod team_use;
 mod token_holder;
 
 pub use rate_action::RateAction;
--- a/crates/rate/src/token_holder.rs
+++ b/crates/rate/src/token_holder.rs
@@ -1,10 +1,11 @@
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 
 use clock::ClockTime;
 use model::{CentreName, TeamName, VmName};
 
 use crate::rate_message::GrantClose;
 use crate::team_share::slot_of;
+use crate::team_use::{HeldGrant, TeamUse};
 use crate::{RateAction, RateDecision, RateMessage, RateSettings, TeamGrant, TeamWant};
 
 /// The time before the end of a grant at which its tokens go back, in milliseconds.
@@ -13,29 +14,6 @@
 /// A slot in a data centre.
 pub(crate) type PoolKey = (u16, CentreName);
 
-/// Tokens of one grant that are left.
-#[derive(Clone, Debug)]
-struct HeldGrant {
-    from: VmName,
-    seq: u64,
-    left: u32,
-    life_ms: u64,
-    lapses_at: ClockTime,
-    got_at: ClockTime,
-}
-
-/// What a node knows of one team.
-#[derive(Clone, Debug, Default)]
-struct TeamUse {
-    grants: VecDeque<HeldGrant>,
-    waiting: VecDeque<ClockTime>,
-    used_now: u32,
-    used_before: u32,
-    period_at: ClockTime,
-    used_at: ClockTime,
-    dry_until: BTreeMap<CentreName, ClockTime>,
-}
-
 /// An ask without an answer yet.
 #[derive(Clone, Debug)]
 struct PendingAsk {
@@ -442,67 +420,6 @@
     }
 }
 
-impl TeamUse {
-    /// Counts the requests of the period before, for which tokens are held ahead.
-    fn turn_period(&mut self, now: ClockTime, period_ms: u64) {
-        let age_ms = now.since_ms(self.period_at);
-        if age_ms >= period_ms {
-            self.used_before = if age_ms < 2 * period_ms {
-                self.used_now
-            } else {
-                0
-            };
-            self.used_now = 0;
-            self.period_at = now;
-        }
-    }
-
-    /// Tells whether nothing is held, waiting or lately used.
-    fn is_quiet(&self) -> bool {
-        self.grants.is_empty()
-            && self.waiting.is_empty()
-            && self.used_now == 0
-            && self.used_before == 0
-    }
-
-    /// Spends a token of a grant that is still alive at `now`.
-    fn spend(&mut self, now: ClockTime) -> Option<HeldGrant> {
-        self.grants.retain(|grant| now < grant.lapses_at);
-        let first = self.grants.front_mut()?;
-        first.left -= 1;
-        let spent = first.clone();
-        if spent.left == 0 {
-            self.grants.pop_front();
-        }
-        Some(spent)
-    }
-
-    /// Counts the tokens held.
-    fn held(&self, now: ClockTime) -> u32 {
-        let alive = self.grants.iter().filter(|grant| now < grant.lapses_at);
-        alive.map(|grant| grant.left).sum()
-    }
-
-    fn is_dry(&self, now: ClockTime, centre: &CentreName) -> bool {
-        self.dry_until.get(centre).is_some_and(|until| now < *until)
-    }
-
-    fn next_ms(&self, now: ClockTime) -> Option<u64> {
-        self.dry_until
-            .values()
-            .map(|until| now.until_ms(*until))
-            .min()
-    }
-
-    /// Forgets requests that have waited for longer than they may.
-    fn drop_waiting(&mut self, now: ClockTime, wait_ms: u64) {
-        let is_over = |since: &ClockTime| now.since_ms(*since) > wait_ms;
-        while self.waiting.front().is_some_and(is_over) {
-            self.waiting.pop_front();
-        }
-    }
-}
-
 fn close(seq: u64, team: &TeamName, returned: u32) -> GrantClose {
     GrantClose {
         seq,
