--- a/crates/member/src/member_feed.rs
+++ b/crates/member/src/member_feed.rs
@@ -93,9 +93,9 @@
         self.relay.has_news(pull)
     }
 
-    /// Answers another node's question that arrived at `arrived`.
+    /// Answers another node's question; add [`RelayBatch::held_ms`] when it was kept waiting.
     #[must_use]
-    pub fn answer(&self, now: ClockTime, arrived: ClockTime, pull: &RelayPull) -> RelayBatch {
+    pub fn answer(&self, now: ClockTime, pull: &RelayPull) -> RelayBatch {
         let fresh_at = self.follower.fresh_at();
         let snapshot = || {
             let snapshot = self.view.snapshot(self.relay.next());
@@ -104,11 +104,7 @@
                 body: RecordBody::encode(&snapshot),
             })
         };
-        let batch = self.relay.answer(now, pull, fresh_at, Vec::new(), snapshot);
-        RelayBatch {
-            held_ms: now.since_ms(arrived),
-            ..batch
-        }
+        self.relay.answer(now, pull, fresh_at, Vec::new(), snapshot)
     }
 
     fn apply(&mut self, now: ClockTime, news: FollowNews) -> bool {
--- a/crates/platform/examples/config_slopes.rs
+++ b/crates/platform/examples/config_slopes.rs
@@ -113,11 +113,9 @@
         wait_ms: 500,
     };
     let answer_ns = nanos_each(10_000, |_| {
-        black_box(feed.answer(now, now, &pull));
+        black_box(feed.answer(now, &pull));
     });
-    let answer_bytes = RecordBody::encode(&feed.answer(now, now, &pull))
-        .as_str()
-        .len();
+    let answer_bytes = RecordBody::encode(&feed.answer(now, &pull)).as_str().len();
     let pull_bytes = RecordBody::encode(&pull).as_str().len();
     println!(
         "services={services} idle_pull_json_bytes={pull_bytes} idle_answer_json_bytes={answer_bytes} answer_ns={answer_ns}"
--- a/crates/platform/src/config_feed.rs
+++ b/crates/platform/src/config_feed.rs
@@ -150,15 +150,14 @@
         self.relay.has_news(pull)
     }
 
-    /// Answers another node's question that arrived at `arrived`.
+    /// Answers another node's question; add [`RelayBatch::held_ms`] when it was kept waiting.
     #[must_use]
-    pub fn answer(&self, now: ClockTime, arrived: ClockTime, pull: &RelayPull) -> RelayBatch {
+    pub fn answer(&self, now: ClockTime, pull: &RelayPull) -> RelayBatch {
         let fresh_at = self.follower.fresh_at().filter(|_| self.fold.is_whole());
         let outages = self.trust.outages(now, fresh_at);
         let snapshot = || self.relay_snapshot();
         let batch = self.relay.answer(now, pull, fresh_at, outages, snapshot);
         RelayBatch {
-            held_ms: now.since_ms(arrived),
             snapshot_age_ms: self.timer.age_ms(now),
             snapshot_covers: self.timer.covers(),
             ..batch
--- a/crates/platform/src/relay_message.rs
+++ b/crates/platform/src/relay_message.rs
@@ -40,6 +40,14 @@
     pub snapshot_covers: LogOffset,
 }
 
+impl RelayBatch {
+    /// Sets the time that the question was kept waiting, in milliseconds.
+    #[must_use]
+    pub fn held_ms(self, held_ms: u64) -> Self {
+        Self { held_ms, ..self }
+    }
+}
+
 /// A whole state, covering the records before an offset.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RelaySnapshot {
--- a/crates/platform/tests/fleet/mod.rs
+++ b/crates/platform/tests/fleet/mod.rs
@@ -254,9 +254,9 @@
         let is_linked = |other: &&SimNode| other.name == pending.peer && !other.is_cut_from_peers;
         let other = self.nodes.iter().find(is_linked);
         if let Some(other) = other.filter(|_| !node.is_cut_from_peers && pending.answer.is_none()) {
-            let arrived = pending.asked.plus_ms(TICK_MS);
+            let held = waited.saturating_sub(TICK_MS);
             if other.feed.has_news(&pending.pull) || waited >= pending.pull.wait_ms {
-                pending.answer = Some(other.feed.answer(now, arrived.min(now), &pending.pull));
+                pending.answer = Some(other.feed.answer(now, &pending.pull).held_ms(held));
                 self.nodes[index].pulling = Some(pending);
                 return;
             }
