--- a/crates/adapter/tests/http_log.rs
+++ b/crates/adapter/tests/http_log.rs
@@ -110,3 +110,20 @@
     let error = log.read(STREAM, LogOffset::ZERO, 0).await.unwrap_err();
     assert!(matches!(error, ReadError::Malformed(_)), "{error}");
 }
+
+#[compio::test]
+async fn faults_are_switched_over_http() {
+    let server = LogServer::bind("127.0.0.1:0".parse().unwrap())
+        .await
+        .unwrap();
+    let url = format!("http://{}/control", server.addr().unwrap());
+    let control = server.control();
+    compio::runtime::spawn(server.run()).detach();
+    let client = cyper::Client::new().unwrap();
+    let request = client.post(&url).unwrap().body(r#"{"outage":"refuse"}"#);
+    assert!(request.send().await.unwrap().status().is_success());
+    assert_eq!(control.faults().outage, LogOutage::Refuse);
+    let request = client.post(&url).unwrap().body("nonsense");
+    assert!(request.send().await.unwrap().status().is_client_error());
+    assert_eq!(control.faults().outage, LogOutage::Refuse);
+}
--- a/crates/platform/src/config_fold.rs
+++ b/crates/platform/src/config_fold.rs
@@ -177,6 +177,9 @@
             return RecordOutcome::Unreadable;
         };
         if let ConfigRecord::Snapshot(snapshot) = &change {
+            if snapshot.covers > record.offset {
+                return RecordOutcome::Unreadable;
+            }
             self.adopt(snapshot);
             let covers = snapshot.covers;
             return RecordOutcome::Repeated { covers };
