--- a/crates/limit/src/shed_control.rs
+++ b/crates/limit/src/shed_control.rs
@@ -122,7 +122,7 @@
             .waits_ms
             .map(|wait| state.capacity * self.capacity_share(wait, state.free_share));
         self.cuts = if self.settings.shares_by_team {
-            self.demand.divide_by_team(capacities)
+            self.demand.divide_by_team(capacities, state.capacity)
         } else {
             self.demand.divide_by_class(capacities)
         };
--- a/crates/limit/src/team_demand.rs
+++ b/crates/limit/src/team_demand.rs
@@ -14,6 +14,8 @@
 const ENOUGH_ARRIVALS: f64 = 20.0;
 /// The longest smoothing, as a multiple of the shortest.
 const MAX_STRETCH: f64 = 8.0;
+/// A backlog takes at most the rest of the share of a team over it.
+const MIN_OVER_SHARE: f64 = 0.2;
 /// The steps in which a share level is searched.
 const LEVEL_STEPS: u32 = 40;
 /// Shares are compared with this factor, so that rounding cuts nothing.
@@ -108,16 +110,23 @@
     ///
     /// Critical calls come first, whoever sends them. What is left goes to the teams in max-min
     /// shares by weight of all that they send, and within a team to its classes from the top.
-    pub(crate) fn divide_by_team(&mut self, capacities: ClassCapacities) -> ShedCuts {
+    /// A backlog is charged to the teams over their share of `capacity`, as far as that goes.
+    pub(crate) fn divide_by_team(
+        &mut self,
+        capacities: ClassCapacities,
+        capacity: f64,
+    ) -> ShedCuts {
         let critical = self.class_demand(CallImportance::Critical);
         if critical >= capacities[CallImportance::Critical as usize] {
             return self.divide_by_class(capacities);
         }
         let teams = self.team_totals();
-        let level = share_level(&teams, capacities[0]);
+        let level = share_level(&teams, capacity.max(capacities[0]));
+        let over_level = over_level(&teams, level, capacities[0]);
         let mut cuts = ShedCuts::default();
         for (team, total) in &teams {
-            let share = total.share(level);
+            let is_over = total.demand > level * total.weight;
+            let share = total.share(if is_over { over_level } else { level });
             let threshold = self.cut_team(team.as_ref(), share);
             if threshold > ShedOrder::FIRST {
                 cuts.over_share.push(TeamCut {
@@ -183,8 +192,8 @@
             .sum()
     }
 
-    fn team_totals(&self) -> BTreeMap<Option<TeamName>, TeamTotal> {
-        let mut totals: BTreeMap<Option<TeamName>, TeamTotal> = BTreeMap::new();
+    fn team_totals(&self) -> TeamTotals {
+        let mut totals = TeamTotals::new();
         for ((class, team), flow) in &self.flows {
             let total = totals.entry(team.clone()).or_default();
             total.weight = flow.weight;
@@ -197,6 +206,9 @@
     }
 }
 
+/// All that each team sends.
+type TeamTotals = BTreeMap<Option<TeamName>, TeamTotal>;
+
 /// All that one team sends, in work a second.
 #[derive(Clone, Copy, Debug, Default)]
 struct TeamTotal {
@@ -213,22 +225,44 @@
 }
 
 /// Returns the level for each unit of weight at which the shares use up a capacity.
-fn share_level(teams: &BTreeMap<Option<TeamName>, TeamTotal>, capacity: f64) -> f64 {
-    let mut low = 0.0;
-    let mut high = teams
+fn share_level(teams: &TeamTotals, capacity: f64) -> f64 {
+    let high = teams
         .values()
         .map(|total| total.demand / total.weight)
         .fold(0.0, f64::max);
-    let used = |level: f64| -> f64 { teams.values().map(|total| total.share(level)).sum() };
-    if used(high) <= capacity {
+    highest_level(0.0, high, |level| {
+        let used: f64 = teams.values().map(|total| total.share(level)).sum();
+        used <= capacity
+    })
+}
+
+/// Returns the lower level for the teams over their share at which all use up a capacity.
+fn over_level(teams: &TeamTotals, level: f64, capacity: f64) -> f64 {
+    let used = |over_level: f64| -> f64 {
+        teams
+            .values()
+            .map(|total| {
+                let is_over = total.demand > level * total.weight;
+                total.share(if is_over { over_level } else { level })
+            })
+            .sum()
+    };
+    highest_level(MIN_OVER_SHARE * level, level, |over_level| {
+        used(over_level) <= capacity
+    })
+}
+
+/// Returns the highest level that fits, or `low` when none does.
+fn highest_level(mut low: f64, mut high: f64, fits: impl Fn(f64) -> bool) -> f64 {
+    if fits(high) {
         return high;
     }
     for _ in 0..LEVEL_STEPS {
         let middle = f64::midpoint(low, high);
-        if used(middle) > capacity {
-            high = middle;
-        } else {
+        if fits(middle) {
             low = middle;
+        } else {
+            high = middle;
         }
     }
     low
