fix(graph): tell callers that a service below has stopped refusing

A service that refused nothing any more was left out of the reports, so that its last cuts stood at the entry until they expired.

--- a/crates/graph/src/admission_settings.rs
+++ b/crates/graph/src/admission_settings.rs
@@ -37,6 +37,12 @@
     pub const fn threshold_life_ms(&self) -> u64 {
         self.hold_ms + self.relax_ms
     }
+
+    /// Returns the age at which the cuts of a VM count for nothing, in milliseconds.
+    #[must_use]
+    pub const fn cut_life_ms(&self) -> u64 {
+        self.cut_hold_ms + self.cut_relax_ms
+    }
 }
 
 impl Default for AdmissionSettings {
--- a/crates/graph/src/service_cuts.rs
+++ b/crates/graph/src/service_cuts.rs
@@ -10,6 +10,8 @@
 struct HeardCuts {
     made_at: ClockTime,
     cuts: ShedCuts,
+    /// When the VM last refused anything.
+    shed_at: Option<ClockTime>,
 }
 
 /// What the services below refuse, kept by service and VM.
@@ -29,15 +31,23 @@
             let services = self.below.entry(target.clone()).or_default();
             services.insert(report.service.clone());
         }
-        let heard = HeardCuts {
-            made_at: now.minus_ms(u64::from(report.age_ms)),
-            cuts: report.cuts,
-        };
+        let made_at = now.minus_ms(u64::from(report.age_ms));
         let vms = self.heard.entry(report.service).or_default();
         let known = vms.get(&report.vm);
-        if known.is_none_or(|known| known.made_at <= heard.made_at) {
-            vms.insert(report.vm, heard);
+        if known.is_some_and(|known| known.made_at > made_at) {
+            return;
         }
+        let shed_at = if report.cuts.is_open() {
+            known.and_then(|known| known.shed_at)
+        } else {
+            Some(made_at)
+        };
+        let heard = HeardCuts {
+            made_at,
+            cuts: report.cuts,
+            shed_at,
+        };
+        vms.insert(report.vm, heard);
     }
 
     /// Returns the service that refuses a new request on its way, if one does.
@@ -59,7 +69,7 @@
 
     /// Returns the reports that go on with an answer that passed some services.
     ///
-    /// A service that refuses nothing is left out.
+    /// A service that has refused nothing for as long as cuts live is left out.
     #[must_use]
     pub fn reports(
         &self,
@@ -114,7 +124,8 @@
 
     fn sheds(&self, now: ClockTime, service: &ServiceName, settings: &AdmissionSettings) -> bool {
         self.live(now, service, settings)
-            .any(|(_, heard, _)| !heard.cuts.is_open())
+            .filter_map(|(_, heard, _)| heard.shed_at)
+            .any(|shed_at| now.since_ms(shed_at) < settings.cut_life_ms())
     }
 
     fn reports_of(
--- a/crates/route/src/route_target.rs
+++ b/crates/route/src/route_target.rs
@@ -6,7 +6,8 @@
 pub struct RouteTarget {
     /// The data centre that the VM is in.
     pub centre: CentreName,
-    /// The requests that the backend server says it can run at once.
+    /// The requests that the backend server says it can run at once; shown in dumps, and not
+    /// used to weigh VMs, since a false figure would draw load.
     pub slots: u32,
     /// The moment that the backend server started, on the caller's clock.
     pub started: ClockTime,
