feat(node): overlap reads of a log that is slow to answer, and confirm withdrawals

Checked: the schedules of the platform crate run with overlapping reads; node and command tests passed.

--- a/crates/lentilshift/src/config_client.rs
+++ b/crates/lentilshift/src/config_client.rs
@@ -62,11 +62,15 @@
         record: &ConfigRecord,
         advice: &str,
     ) -> Result<RecordOutcome, CommandError> {
+        let settings = match record {
+            ConfigRecord::Withdraw { .. } => AttemptSettings::WITHDRAWAL,
+            _ => AttemptSettings::default(),
+        };
         let record = NewRecord {
             id: RecordId::from_random(rand::random()),
             body: RecordBody::encode(record),
         };
-        let status = self.follow_up(&record).await;
+        let status = self.follow_up(&record, settings).await;
         match status {
             AttemptStatus::Settled(outcome) if outcome.is_success() => Ok(outcome),
             AttemptStatus::Settled(RecordOutcome::Waiting)
@@ -77,8 +81,7 @@
         }
     }
 
-    async fn follow_up(&mut self, record: &NewRecord) -> AttemptStatus {
-        let settings = AttemptSettings::default();
+    async fn follow_up(&mut self, record: &NewRecord, settings: AttemptSettings) -> AttemptStatus {
         let mut attempt = RecordAttempt::new(self.now(), record.id, settings);
         loop {
             match attempt.next_action(self.now()) {
--- a/crates/node/src/config_state.rs
+++ b/crates/node/src/config_state.rs
@@ -99,8 +99,8 @@
         self.feed.has_news(pull)
     }
 
-    fn answer(&self, now: ClockTime, arrived: ClockTime, pull: &RelayPull) -> RelayBatch {
-        self.feed.answer(now, arrived, pull)
+    fn answer(&self, now: ClockTime, pull: &RelayPull) -> RelayBatch {
+        self.feed.answer(now, pull)
     }
 }
 
--- a/crates/node/src/fold_feed.rs
+++ b/crates/node/src/fold_feed.rs
@@ -113,12 +113,9 @@
         self.relay.has_news(pull)
     }
 
-    fn answer(&self, now: ClockTime, arrived: ClockTime, pull: &RelayPull) -> RelayBatch {
+    fn answer(&self, now: ClockTime, pull: &RelayPull) -> RelayBatch {
         let fresh_at = self.fresh_at().filter(|_| !self.fold.needs_snapshot());
         let snapshot = || self.fold.snapshot();
-        RelayBatch {
-            held_ms: now.since_ms(arrived),
-            ..self.relay.answer(now, pull, fresh_at, Vec::new(), snapshot)
-        }
+        self.relay.answer(now, pull, fresh_at, Vec::new(), snapshot)
     }
 }
--- a/crates/node/src/stream_feed.rs
+++ b/crates/node/src/stream_feed.rs
@@ -32,6 +32,6 @@
     /// Returns whether another node's question can be answered with news now.
     fn has_news(&self, pull: &RelayPull) -> bool;
 
-    /// Answers another node's question that arrived at `arrived`.
-    fn answer(&self, now: ClockTime, arrived: ClockTime, pull: &RelayPull) -> RelayBatch;
+    /// Answers another node's question.
+    fn answer(&self, now: ClockTime, pull: &RelayPull) -> RelayBatch;
 }
--- a/crates/node/src/stream_host.rs
+++ b/crates/node/src/stream_host.rs
@@ -3,8 +3,10 @@
 
 use clock::ClockTime;
 use compio::time::{sleep, timeout};
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use model::VmName;
-use platform::{FollowAction, PlatformLog, RelayBatch, RelayPull};
+use platform::{FollowAction, FollowSettings, PlatformLog, RelayBatch, RelayPull};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
@@ -62,24 +64,41 @@
             let _ = timeout(Duration::from_millis(pull.wait_ms), self.news.wait()).await;
         }
         let now = self.clock.now();
-        self.feed.borrow().answer(now, arrived, pull)
+        let batch = self.feed.borrow().answer(now, pull);
+        batch.held_ms(now.since_ms(arrived))
     }
 
+    /// Reads the log, with another read beside one that has had no answer for long.
     async fn read_log(&self, log: &impl PlatformLog, watch: &impl StreamWatch) {
         let stream = self.feed.borrow().stream();
+        let settings = FollowSettings::default();
+        let mut reads = FuturesUnordered::new();
+        let mut next_at = self.clock.now();
         loop {
             let asked = self.clock.now();
-            match self.with_random(|feed, random| feed.next_read(asked, random)) {
-                FollowAction::Read { from, wait_ms } => {
-                    let result = Box::pin(log.read(stream, from, wait_ms)).await;
-                    let now = self.clock.now();
-                    let is_news =
-                        self.with_random(|feed, random| feed.on_read(now, asked, result, random));
-                    self.tell(is_news, watch);
+            if asked >= next_at && reads.len() < settings.max_reads {
+                next_at = asked.plus_ms(settings.hedge_after_ms);
+                match self.with_random(|feed, random| feed.next_read(asked, random)) {
+                    FollowAction::Read { from, wait_ms } => reads.push(Box::pin(async move {
+                        (asked, log.read(stream, from, wait_ms).await)
+                    })),
+                    FollowAction::Wait(until) => next_at = until,
+                    FollowAction::Pull { .. } => {}
                 }
-                FollowAction::Wait(until) => self.sleep_until(until).await,
-                FollowAction::Pull { .. } => self.sleep_until(asked).await,
             }
+            if reads.is_empty() {
+                self.sleep_until(next_at).await;
+                continue;
+            }
+            let span_ms = asked.until_ms(next_at).max(1);
+            let answer = timeout(Duration::from_millis(span_ms), reads.next()).await;
+            let Ok(Some((asked, result))) = answer else {
+                continue;
+            };
+            let now = self.clock.now();
+            let is_news = self.with_random(|feed, random| feed.on_read(now, asked, result, random));
+            self.tell(is_news, watch);
+            next_at = now;
         }
     }
 
