fix(node): keep a caller's key out of paths and trailers

Cause: a key in the path went on to the backend server, and a request's trailers were sent on over links. Headers and query parameters that hold the key were stripped already. Change: a path that holds the key is refused with bad-request, not run; a request's body ends at its last data frame. expect: 100-continue is answered here and goes no further. With trailers let through, the client library drops them on HTTP/1.1 by itself, so that test alone does not tell the change.

--- a/crates/node/src/call_body.rs
+++ b/crates/node/src/call_body.rs
@@ -13,7 +13,10 @@
     Empty,
     /// All bytes at hand.
     Whole(Bytes),
-    /// A body that arrives by HTTP from a caller or the backend server.
+    /// A body that arrives by HTTP from a caller or a backend server; its trailers go no further,
+    /// since they may hold a key.
+    Upload(Incoming),
+    /// A body that the backend server answers with.
     Http(Incoming),
     /// A body that arrives from another node.
     Link(LinkBody),
@@ -36,7 +39,7 @@
         match self {
             Self::Empty => Some(0),
             Self::Whole(bytes) => Some(bytes.len() as u64),
-            Self::Http(body) => body.size_hint().exact(),
+            Self::Upload(body) | Self::Http(body) => body.size_hint().exact(),
             Self::Link(_) => None,
         }
     }
@@ -63,6 +66,13 @@
                 *self = Self::Empty;
                 Poll::Ready((!bytes.is_empty()).then(|| Ok(Frame::data(bytes))))
             }
+            Self::Upload(body) => {
+                let frame = Pin::new(body).poll_frame(context);
+                frame.map(|frame| match frame? {
+                    Ok(frame) => frame.is_data().then_some(Ok(frame)),
+                    Err(error) => Some(Err(error.into())),
+                })
+            }
             Self::Http(body) => {
                 let frame = Pin::new(body).poll_frame(context);
                 frame.map(|frame| frame.map(|result| result.map_err(CallBodyError::from)))
--- a/crates/node/src/call_headers.rs
+++ b/crates/node/src/call_headers.rs
@@ -1,4 +1,4 @@
-use http::header::{AUTHORIZATION, CONNECTION, HeaderName, PROXY_AUTHORIZATION, TE};
+use http::header::{AUTHORIZATION, CONNECTION, EXPECT, HeaderName, PROXY_AUTHORIZATION, TE};
 use http::header::{PROXY_AUTHENTICATE, TRAILER, TRANSFER_ENCODING, UPGRADE};
 use http::{HeaderMap, HeaderValue};
 use model::AttemptId;
@@ -22,8 +22,9 @@
 const OWN_PREFIX: &str = "lentilshift-";
 
 /// Headers that concern one connection only.
-const HOP_HEADERS: [HeaderName; 8] = [
+const HOP_HEADERS: [HeaderName; 9] = [
     CONNECTION,
+    EXPECT,
     PROXY_AUTHENTICATE,
     TE,
     TRAILER,
@@ -80,6 +81,12 @@
     kept
 }
 
+/// Returns whether a path, its query aside, holds the caller's key.
+pub(crate) fn is_key_in_path(path: &str, key: Option<&[u8]>) -> bool {
+    let path = path.split('?').next().unwrap_or_default();
+    holds_key(path.as_bytes(), key)
+}
+
 /// Returns a path without the query parameters that hold the caller's key.
 pub(crate) fn strip_path(path: &str, key: Option<&[u8]>) -> String {
     let Some((path, query)) = path.split_once('?') else {
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -9,7 +9,7 @@
 
 use crate::answer_body::AnswerBody;
 use crate::call_answer::CallRefusal;
-use crate::call_headers::{find_deadline_ms, find_key, strip_path, strip_request};
+use crate::call_headers::{find_deadline_ms, find_key, is_key_in_path, strip_path, strip_request};
 use crate::dispatch::dispatch_call;
 use crate::http_answer::{build_response, refuse_response};
 use crate::node_core::NodeCore;
@@ -40,6 +40,10 @@
     let request_id = core.new_request_id();
     let key = find_key(request.headers()).map(<[u8]>::to_vec);
     let key = key.as_deref();
+    if is_key_in_path(request.uri().path(), key) {
+        let refusal = CallRefusal::not_run(RefusalReason::BadRequest);
+        return refuse_response(&core, request_id, "entry", &refusal);
+    }
     let entry = find_call(&core, &request, key);
     let (entry, team) = match check_key(&core, entry, key) {
         Ok(checked) => checked,
--- a/crates/node/src/request_body.rs
+++ b/crates/node/src/request_body.rs
@@ -29,7 +29,7 @@
     match body.size_hint().exact() {
         Some(0) => return Ok(CallBody::Empty),
         Some(bytes) if bytes <= SMALL_BODY_BYTES => {}
-        _ => return Ok(CallBody::Http(body)),
+        _ => return Ok(CallBody::Upload(body)),
     }
     let left = Duration::from_millis(core.now().until_ms(deadline));
     match timeout(left, read_whole(body)).await {
--- a/crates/node/tests/whole_path.rs
+++ b/crates/node/tests/whole_path.rs
@@ -2,6 +2,7 @@
 
 mod fleet;
 
+use compio::io::{AsyncReadExt, AsyncWriteExt};
 use fleet::{Fleet, KEY};
 use rstest::rstest;
 use standin::{BackendCall, BackendSettings};
@@ -101,3 +102,37 @@
     let answer = fleet.client.get(url).unwrap().send().await.unwrap();
     assert_eq!(answer.status().as_u16(), 200);
 }
+
+#[rstest]
+#[compio::test]
+async fn a_key_in_the_path_is_refused() {
+    let fleet = chain().await;
+    let answer = fleet
+        .send(0, "GET", &format!("/filings/filings/{KEY}"))
+        .await;
+    assert_eq!(answer.status().as_u16(), 400);
+    assert!(fleet.pairs[0].backend.record().entries().is_empty());
+}
+
+#[rstest]
+#[case(0)]
+#[case(1)]
+#[compio::test]
+async fn trailers_of_a_request_go_no_further(#[case] node: usize) {
+    let fleet = chain().await;
+    let address = fleet.pairs[node].node.caller_address();
+    let head = format!(
+        "POST /filings/filings HTTP/1.1\r\nhost: a\r\nx-api-key: {KEY}\r\n\
+         transfer-encoding: chunked\r\ntrailer: x-late\r\nconnection: close\r\n\r\n"
+    );
+    let request = format!("{head}4\r\nabcd\r\n0\r\nx-late: {KEY}\r\n\r\n");
+    let mut stream = compio::net::TcpStream::connect(address).await.unwrap();
+    stream.write_all(request).await.unwrap();
+    let (_, answer) = stream.read_to_end(Vec::new()).await.unwrap();
+    let answer = String::from_utf8(answer).unwrap();
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert!(answer.contains(r#""uploaded_bytes":4"#), "{answer}");
+    let record = fleet.pairs[0].backend.record();
+    assert_eq!(record.entries().len(), 1);
+    assert_eq!(record.trailers(), 0);
+}
--- a/crates/standin/src/backend_record.rs
+++ b/crates/standin/src/backend_record.rs
@@ -21,6 +21,7 @@
     entries: RefCell<Vec<RunEntry>>,
     running: Cell<usize>,
     most_running: Cell<usize>,
+    trailers: Cell<usize>,
 }
 
 impl BackendRecord {
@@ -52,6 +53,16 @@
         self.most_running.get()
     }
 
+    /// Returns the number of requests that came with trailers.
+    #[must_use]
+    pub const fn trailers(&self) -> usize {
+        self.trailers.get()
+    }
+
+    pub(crate) fn note_trailers(&self) {
+        self.trailers.set(self.trailers.get() + 1);
+    }
+
     pub(crate) fn start(&self, trace: String, head: String) -> RunMark<'_> {
         let mut entries = self.entries.borrow_mut();
         self.running.set(self.running.get() + 1);
--- a/crates/standin/src/backend_server.rs
+++ b/crates/standin/src/backend_server.rs
@@ -150,7 +150,7 @@
             std::future::pending::<()>().await;
         }
         let call_id = request.headers().get(CALL_ID).cloned();
-        let uploaded = read_body(request.into_body()).await;
+        let uploaded = self.read_body(request.into_body()).await;
         let run_ms = query.run_ms.unwrap_or(self.settings.borrow().run_ms);
         if run_ms > 0 {
             sleep(Duration::from_millis(run_ms)).await;
@@ -166,6 +166,19 @@
         Ok(build_answer(query, &text.to_string()))
     }
 
+    /// Reads a body to its end and returns its length in bytes, or `None` when it was cut.
+    async fn read_body(&self, mut body: Incoming) -> Option<u64> {
+        let mut length = 0;
+        while let Some(frame) = poll_fn(|context| Pin::new(&mut body).poll_frame(context)).await {
+            let frame = frame.ok()?;
+            if frame.is_trailers() {
+                self.record.note_trailers();
+            }
+            length += frame.data_ref().map_or(0, Bytes::len) as u64;
+        }
+        Some(length)
+    }
+
     /// Makes the calls of the settings and returns their statuses.
     async fn call_below(&self, call_id: Option<HeaderValue>) -> Vec<u16> {
         let settings = self.settings.borrow().clone();
@@ -206,14 +219,6 @@
     )
 }
 
-async fn read_body(mut body: Incoming) -> Option<u64> {
-    let mut length = 0;
-    while let Some(frame) = poll_fn(|context| Pin::new(&mut body).poll_frame(context)).await {
-        length += frame.ok()?.data_ref().map_or(0, Bytes::len) as u64;
-    }
-    Some(length)
-}
-
 fn build_answer(query: BackendQuery, text: &str) -> Response<AnswerBody> {
     let status = query
         .status
