refactor(platform,member): one feed for every fold of a stream

Cause: the node's generic feed and the member crate's own feed held the same logic twice, and the node's stood in the crate with I/O. Change: StreamFeed, StreamFold and FoldFeed are part of the platform crate; MemberFold replaces MemberFeed and counts what it can't read instead of logging it.

--- a/crates/node/src/fleet_state.rs
+++ b/crates/member/src/member_fold.rs
@@ -1,41 +1,56 @@
 use clock::ClockTime;
-use member::{MemberAnnouncement, MemberSettings, MemberSnapshot, MemberView};
-use platform::{LogOffset, LogRecord, RecordBody, RelaySnapshot};
+use platform::{LogOffset, LogRecord, RecordBody, RelaySnapshot, StreamFold};
 
-use crate::fold_feed::StreamFold;
+use crate::{MemberAnnouncement, MemberSettings, MemberSnapshot, MemberView};
 
 /// The members of the fleet, as folded from their stream.
-pub(crate) struct FleetState {
+///
+/// The stream needs no snapshots: each member repeats its announcement within the time that the
+/// log keeps records. Between nodes the whole view travels in place of the records.
+#[derive(Clone, Debug)]
+pub struct MemberFold {
     view: MemberView,
     next: LogOffset,
     is_changed: bool,
+    unreadable: u64,
 }
 
-impl FleetState {
-    pub(crate) const fn new(settings: MemberSettings) -> Self {
+impl MemberFold {
+    /// Creates a fold without members.
+    #[must_use]
+    pub const fn new(settings: MemberSettings) -> Self {
         Self {
             view: MemberView::new(settings),
             next: LogOffset::ZERO,
             is_changed: true,
+            unreadable: 0,
         }
     }
 
-    pub(crate) const fn view(&self) -> &MemberView {
+    /// Returns the members.
+    #[must_use]
+    pub const fn view(&self) -> &MemberView {
         &self.view
     }
 
+    /// Returns the number of records and snapshots that couldn't be read.
+    #[must_use]
+    pub const fn unreadable(&self) -> u64 {
+        self.unreadable
+    }
+
     /// Notes that what depends on the members must be worked out anew.
-    pub(crate) const fn mark_changed(&mut self) {
+    pub const fn mark_changed(&mut self) {
         self.is_changed = true;
     }
 
     /// Returns whether members have changed since the last time this was asked.
-    pub(crate) const fn take_changed(&mut self) -> bool {
+    pub const fn take_changed(&mut self) -> bool {
         std::mem::replace(&mut self.is_changed, false)
     }
 
     /// Takes in what a member tells, from the log or directly.
-    pub(crate) fn learn(&mut self, announcement: &MemberAnnouncement) {
+    pub fn learn(&mut self, announcement: &MemberAnnouncement) {
         let is_repeated = self
             .view
             .get(&announcement.vm)
@@ -45,7 +60,7 @@
     }
 
     /// Takes in up to when the stream was followed, and drops what has lapsed since.
-    pub(crate) fn expire(&mut self, fresh_at: ClockTime) {
+    pub fn expire(&mut self, fresh_at: ClockTime) {
         let count = self.view.len();
         self.view.on_fresh(fresh_at);
         self.is_changed |= self.view.len() != count;
@@ -61,7 +76,7 @@
         && one.slots == other.slots
 }
 
-impl StreamFold for FleetState {
+impl StreamFold for MemberFold {
     fn lose_before(&mut self, _now: ClockTime, first: LogOffset) {
         self.next = self.next.max(first);
     }
@@ -73,10 +88,7 @@
                 self.next = self.next.max(state.covers);
                 self.is_changed = true;
             }
-            Err(error) => log::warn!(
-                "event=snapshot-unreadable stream=members error={:?}",
-                error.to_string()
-            ),
+            Err(_) => self.unreadable += 1,
         }
     }
 
@@ -84,11 +96,7 @@
         self.next = record.offset.next();
         match record.body.decode::<MemberAnnouncement>() {
             Ok(announcement) => self.learn(&announcement),
-            Err(error) => log::warn!(
-                "event=record-unreadable stream=members offset={} error={:?}",
-                record.offset,
-                error.to_string()
-            ),
+            Err(_) => self.unreadable += 1,
         }
     }
 
--- /dev/null
+++ b/crates/member/tests/member_fold.rs
@@ -0,0 +1,69 @@
+//! The members as folded from their stream.
+
+use std::net::{Ipv4Addr, SocketAddr};
+
+use lentilshift_member::{MemberAnnouncement, MemberFold, MemberSettings, MemberState};
+use model::{RecordId, VmName};
+use platform::{FoldFeed, LogOffset, LogRecord, LogStream, ReadBatch, RecordBody, StreamFeed};
+use rand::SeedableRng;
+use rstest::rstest;
+
+fn announcement(sequence: u64, state: MemberState) -> MemberAnnouncement {
+    MemberAnnouncement {
+        vm: VmName::new("registry-1"),
+        centre: "north".into(),
+        service: "registry".into(),
+        peer_addr: SocketAddr::from((Ipv4Addr::LOCALHOST, 7_000)),
+        slots: 25,
+        incarnation: 1,
+        sequence,
+        state,
+        valid_ms: 30_000,
+    }
+}
+
+fn record(offset: u64, body: RecordBody) -> LogRecord {
+    LogRecord {
+        offset: LogOffset::new(offset),
+        id: RecordId::from_random(u128::from(offset)),
+        body,
+    }
+}
+
+fn read(feed: &mut FoldFeed<MemberFold>, records: Vec<LogRecord>) {
+    let end = LogOffset::new(records.last().map_or(0, |record| record.offset.get() + 1));
+    let batch = ReadBatch {
+        first: LogOffset::ZERO,
+        end,
+        records,
+    };
+    let now = clock::ClockTime::from_ms(10);
+    let mut random = rand::rngs::SmallRng::seed_from_u64(1);
+    feed.on_read(now, now, Ok(batch), &mut random);
+}
+
+#[rstest]
+fn a_repeated_announcement_is_no_change() {
+    let fold = MemberFold::new(MemberSettings::default());
+    let mut feed = FoldFeed::new(LogStream::Members, fold);
+    assert!(feed.fold().take_changed());
+    let ready = |sequence| RecordBody::encode(&announcement(sequence, MemberState::Ready));
+    read(&mut feed, vec![record(0, ready(1))]);
+    assert!(feed.fold().take_changed());
+    read(&mut feed, vec![record(1, ready(2))]);
+    assert!(!feed.fold().take_changed());
+    let leaving = RecordBody::encode(&announcement(3, MemberState::Leaving));
+    read(&mut feed, vec![record(2, leaving)]);
+    assert!(feed.fold().take_changed());
+}
+
+#[rstest]
+fn a_record_that_cant_be_read_is_counted_and_loses_nothing() {
+    let fold = MemberFold::new(MemberSettings::default());
+    let mut feed = FoldFeed::new(LogStream::Members, fold);
+    let ready = RecordBody::encode(&announcement(1, MemberState::Ready));
+    let records = vec![record(0, RecordBody::new("nonsense")), record(1, ready)];
+    read(&mut feed, records);
+    assert_eq!(feed.fold().unreadable(), 1);
+    assert_eq!(feed.fold().view().members().count(), 1);
+}
--- a/crates/node/src/claim_state.rs
+++ b/crates/node/src/claim_state.rs
@@ -1,8 +1,6 @@
 use clock::ClockTime;
 use once::{ClaimAction, ClaimBook, ClaimRecord};
-use platform::{LogOffset, LogRecord, RelaySnapshot};
-
-use crate::fold_feed::StreamFold;
+use platform::{LogOffset, LogRecord, RelaySnapshot, StreamFold};
 
 /// The book of claims, fed by their stream, with what it wants done.
 pub(crate) struct ClaimState {
--- a/crates/node/src/config_state.rs
+++ b/crates/node/src/config_state.rs
@@ -5,12 +5,10 @@
 use model::CentreName;
 use platform::{
     AppliedRecord, ConfigFeed, ConfigVersion, FeedSettings, FollowAction, LogStream, ReadBatch,
-    ReadError, RelayBatch, RelayPull, TextCheck,
+    ReadError, RelayBatch, RelayPull, StreamFeed, TextCheck,
 };
 use rand::Rng;
 
-use crate::stream_feed::StreamFeed;
-
 /// The check that a text has to pass to be in force.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ContractCheck;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -23,9 +23,7 @@
 mod egress;
 mod entry;
 mod fate_board;
-mod fleet_state;
 mod fleet_watch;
-mod fold_feed;
 mod http_answer;
 mod http_port;
 mod ingress;
@@ -50,7 +48,6 @@
 mod running_calls;
 mod state_dump;
 mod stop_signal;
-mod stream_feed;
 mod stream_host;
 mod suspect_watch;
 
--- a/crates/node/src/node_core.rs
+++ b/crates/node/src/node_core.rs
@@ -6,10 +6,10 @@
 use clock::ClockTime;
 use contract::FleetContract;
 use graph::{AdmissionSettings, ChainAdmission};
-use member::MemberSettings;
+use member::{MemberFold, MemberSettings};
 use model::{AttemptId, RecordId, RequestId, ServiceName, VmName};
 use once::{AttemptSettings, AttemptTable, ClaimBook, OnceSettings};
-use platform::{KeyAnswer, KeyDigest, LogStream};
+use platform::{FoldFeed, KeyAnswer, KeyDigest, LogStream};
 use quarantine::{SuspectBook, SuspectSettings};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -23,8 +23,6 @@
 use crate::claim_watch::ClaimFate;
 use crate::config_state::ConfigState;
 use crate::fate_board::FateBoard;
-use crate::fleet_state::FleetState;
-use crate::fold_feed::FoldFeed;
 use crate::ingress_gate::IngressGate;
 use crate::news_bell::NewsBell;
 use crate::node_clock::NodeClock;
@@ -45,7 +43,7 @@
     pub(crate) contract: RefCell<Rc<FleetContract>>,
     pub(crate) log: HttpLog,
     pub(crate) config: StreamHost<ConfigState>,
-    pub(crate) fleet: StreamHost<FoldFeed<FleetState>>,
+    pub(crate) fleet: StreamHost<FoldFeed<MemberFold>>,
     pub(crate) rates: StreamHost<FoldFeed<RateState>>,
     pub(crate) claims: StreamHost<FoldFeed<ClaimState>>,
     pub(crate) claim_fates: FateBoard<ClaimFate>,
@@ -83,7 +81,7 @@
         let clock = NodeClock::start();
         let base = format!("http://{}", settings.platform_address);
         let log = HttpLog::new(base, HttpSettings::default())?;
-        let fleet = FleetState::new(MemberSettings::default());
+        let fleet = MemberFold::new(MemberSettings::default());
         let rates = RateState {
             limiter: TeamLimiter::new(
                 settings.vm.clone(),
--- a/crates/node/src/rate_state.rs
+++ b/crates/node/src/rate_state.rs
@@ -1,9 +1,7 @@
 use clock::ClockTime;
-use platform::{LogOffset, LogRecord, RelaySnapshot};
+use platform::{LogOffset, LogRecord, RelaySnapshot, StreamFold};
 use rate::{RateRecord, TeamLimiter};
 
-use crate::fold_feed::StreamFold;
-
 /// The limiter of the teams' rates, fed by the stream of tables and leases.
 pub(crate) struct RateState {
     pub(crate) limiter: TeamLimiter,
--- a/crates/node/src/state_dump.rs
+++ b/crates/node/src/state_dump.rs
@@ -19,6 +19,7 @@
     running_calls: usize,
     open_connections: usize,
     ready_members: usize,
+    unreadable_members: u64,
     links: Vec<VmName>,
     services: Vec<ServiceName>,
 }
@@ -43,6 +44,7 @@
                 .map(Vec::len)
                 .sum()
         }),
+        unreadable_members: core.fleet.with(|feed| feed.fold().unreadable()),
         links: core.links.names(),
         services: core.contract().services.keys().cloned().collect(),
     }
--- a/crates/node/src/stream_host.rs
+++ b/crates/node/src/stream_host.rs
@@ -6,13 +6,12 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use model::VmName;
-use platform::{FollowAction, FollowSettings, PlatformLog, RelayBatch, RelayPull};
+use platform::{FollowAction, FollowSettings, PlatformLog, RelayBatch, RelayPull, StreamFeed};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
 use crate::news_bell::NewsBell;
 use crate::node_clock::NodeClock;
-use crate::stream_feed::StreamFeed;
 
 /// What a host needs of its node.
 pub(crate) trait StreamWatch {
--- a/crates/node/src/fold_feed.rs
+++ b/crates/platform/src/fold_feed.rs
@@ -1,15 +1,14 @@
 use clock::ClockTime;
-use platform::{
+use rand::Rng;
+
+use crate::{
     FollowAction, FollowNews, FollowSettings, LogOffset, LogRecord, LogStream, NewsTime, ReadBatch,
     ReadError, RecordRelay, RelayBatch, RelayPlan, RelayPull, RelaySettings, RelaySnapshot,
-    StreamFollower,
+    StreamFeed, StreamFollower,
 };
-use rand::Rng;
-
-use crate::stream_feed::StreamFeed;
 
 /// The state that a node folds from one stream of the platform's log.
-pub(crate) trait StreamFold {
+pub trait StreamFold {
     /// Learns that records before an offset are gone.
     fn lose_before(&mut self, now: ClockTime, first: LogOffset);
 
@@ -27,14 +26,17 @@
 }
 
 /// A stream with a fold of any kind.
-pub(crate) struct FoldFeed<S> {
+#[derive(Clone, Debug)]
+pub struct FoldFeed<S> {
     follower: StreamFollower,
     relay: RecordRelay,
     fold: S,
 }
 
 impl<S: StreamFold> FoldFeed<S> {
-    pub(crate) fn new(stream: LogStream, fold: S) -> Self {
+    /// Creates a feed that has read nothing yet.
+    #[must_use]
+    pub fn new(stream: LogStream, fold: S) -> Self {
         Self {
             follower: StreamFollower::new(stream, FollowSettings::default()),
             relay: RecordRelay::new(stream, RelaySettings::default()),
@@ -42,15 +44,19 @@
         }
     }
 
-    pub(crate) const fn fold(&mut self) -> &mut S {
+    /// Returns the fold.
+    pub const fn fold(&mut self) -> &mut S {
         &mut self.fold
     }
 
-    pub(crate) fn fresh_at(&self) -> Option<NewsTime> {
+    /// Returns up to when the stream was followed.
+    #[must_use]
+    pub const fn fresh_at(&self) -> Option<NewsTime> {
         self.follower.fresh_at()
     }
 
-    pub(crate) fn set_plan(&mut self, plan: RelayPlan) {
+    /// Sets whom to ask.
+    pub fn set_plan(&mut self, plan: RelayPlan) {
         self.follower.set_plan(plan);
     }
 
--- a/crates/node/src/stream_feed.rs
+++ b/crates/platform/src/stream_feed.rs
@@ -1,9 +1,10 @@
 use clock::ClockTime;
-use platform::{FollowAction, LogStream, ReadBatch, ReadError, RelayBatch, RelayPull};
 use rand::Rng;
 
+use crate::{FollowAction, LogStream, ReadBatch, ReadError, RelayBatch, RelayPull};
+
 /// One stream of the platform's log, followed, folded and handed on, without I/O.
-pub(crate) trait StreamFeed {
+pub trait StreamFeed {
     /// Returns the stream.
     fn stream(&self) -> LogStream;
 
@@ -32,6 +33,6 @@
     /// Returns whether another node's question can be answered with news now.
     fn has_news(&self, pull: &RelayPull) -> bool;
 
-    /// Answers another node's question.
+    /// Answers another node's question; add [`RelayBatch::held_ms`] when it was kept waiting.
     fn answer(&self, now: ClockTime, pull: &RelayPull) -> RelayBatch;
 }
