test(graph): expect open reports to go up until older cuts have expired

It now asks that the open report is passed on, and that nothing is passed on once older cuts can't count any more.

--- a/crates/graph/tests/service_cuts.rs
+++ b/crates/graph/tests/service_cuts.rs
@@ -87,7 +87,7 @@
 }
 
 #[rstest]
-fn reports_go_up_with_their_age_and_only_while_something_is_shed() {
+fn reports_go_up_with_their_age_until_all_callers_know_that_nothing_is_shed() {
     let (front, below) = (CallTarget::new("front", "a"), CallTarget::new("mid", "b"));
     let mut admission = ChainAdmission::new(AdmissionSettings::default());
     for _ in 0..20 {
