--- a/crates/wire/src/answer_head.rs
+++ b/crates/wire/src/answer_head.rs
@@ -4,11 +4,12 @@
 use limit::LoadReport;
 use model::{AttemptId, RefusalReason, RequestId, RunVerdict, ServiceName, VmName};
 use once::TableMark;
-use serde::de::{self, SeqAccess, Visitor};
+use serde::de::{SeqAccess, Visitor};
 use serde::ser::SerializeTuple;
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
 use crate::HeaderList;
+use crate::field_reader::FieldReader;
 
 /// The number of fields of a [`AnswerHead`] on the wire.
 const FIELDS: usize = 17;
@@ -91,34 +92,26 @@
         write!(formatter, "a head of {FIELDS} fields")
     }
 
-    fn visit_seq<A: SeqAccess<'de>>(self, mut fields: A) -> Result<Self::Value, A::Error> {
+    fn visit_seq<A: SeqAccess<'de>>(self, fields: A) -> Result<Self::Value, A::Error> {
+        let mut fields = FieldReader::new(fields, FIELDS);
         Ok(AnswerHead {
-            request: next_field(&mut fields, 0)?,
-            attempt: next_field(&mut fields, 1)?,
-            verdict: next_field(&mut fields, 2)?,
-            refusal: next_field(&mut fields, 3)?,
-            refused_by: next_field(&mut fields, 4)?,
-            retry_after_ms: next_field(&mut fields, 5)?,
-            allowance_left: next_field(&mut fields, 6)?,
-            status: next_field(&mut fields, 7)?,
-            headers: next_field(&mut fields, 8)?,
-            body_bytes: next_field(&mut fields, 9)?,
-            load: next_field(&mut fields, 10)?,
-            report: next_field(&mut fields, 11)?,
-            cut_reports: next_field(&mut fields, 12)?,
-            run_ms: next_field(&mut fields, 13)?,
-            mark: next_field(&mut fields, 14)?,
-            send_to: next_field(&mut fields, 15)?,
-            is_suspect: next_field(&mut fields, 16)?,
+            request: fields.next()?,
+            attempt: fields.next()?,
+            verdict: fields.next()?,
+            refusal: fields.next()?,
+            refused_by: fields.next()?,
+            retry_after_ms: fields.next()?,
+            allowance_left: fields.next()?,
+            status: fields.next()?,
+            headers: fields.next()?,
+            body_bytes: fields.next()?,
+            load: fields.next()?,
+            report: fields.next()?,
+            cut_reports: fields.next()?,
+            run_ms: fields.next()?,
+            mark: fields.next()?,
+            send_to: fields.next()?,
+            is_suspect: fields.next()?,
         })
     }
 }
-
-fn next_field<'de, A, T>(fields: &mut A, index: usize) -> Result<T, A::Error>
-where
-    A: SeqAccess<'de>,
-    T: Deserialize<'de>,
-{
-    let field = fields.next_element()?;
-    field.ok_or_else(|| de::Error::invalid_length(index, &HeadVisitor))
-}
--- a/crates/wire/src/call_head.rs
+++ b/crates/wire/src/call_head.rs
@@ -2,11 +2,12 @@
 
 use model::{AttemptId, CallImportance, CallName, RequestId, ServiceName, TeamName};
 use once::TableMark;
-use serde::de::{self, SeqAccess, Visitor};
+use serde::de::{SeqAccess, Visitor};
 use serde::ser::SerializeTuple;
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
 use crate::HeaderList;
+use crate::field_reader::FieldReader;
 
 /// The number of fields of a [`CallHead`] on the wire.
 const FIELDS: usize = 17;
@@ -89,34 +90,26 @@
         write!(formatter, "a head of {FIELDS} fields")
     }
 
-    fn visit_seq<A: SeqAccess<'de>>(self, mut fields: A) -> Result<Self::Value, A::Error> {
+    fn visit_seq<A: SeqAccess<'de>>(self, fields: A) -> Result<Self::Value, A::Error> {
+        let mut fields = FieldReader::new(fields, FIELDS);
         Ok(CallHead {
-            request: next_field(&mut fields, 0)?,
-            attempt: next_field(&mut fields, 1)?,
-            service: next_field(&mut fields, 2)?,
-            call: next_field(&mut fields, 3)?,
-            team: next_field(&mut fields, 4)?,
-            team_weight: next_field(&mut fields, 5)?,
-            importance: next_field(&mut fields, 6)?,
-            mark: next_field(&mut fields, 7)?,
-            depth: next_field(&mut fields, 8)?,
-            deadline_left_ms: next_field(&mut fields, 9)?,
-            allowance: next_field(&mut fields, 10)?,
-            once: next_field(&mut fields, 11)?,
-            idempotent: next_field(&mut fields, 12)?,
-            method: next_field(&mut fields, 13)?,
-            path: next_field(&mut fields, 14)?,
-            headers: next_field(&mut fields, 15)?,
-            body_bytes: next_field(&mut fields, 16)?,
+            request: fields.next()?,
+            attempt: fields.next()?,
+            service: fields.next()?,
+            call: fields.next()?,
+            team: fields.next()?,
+            team_weight: fields.next()?,
+            importance: fields.next()?,
+            mark: fields.next()?,
+            depth: fields.next()?,
+            deadline_left_ms: fields.next()?,
+            allowance: fields.next()?,
+            once: fields.next()?,
+            idempotent: fields.next()?,
+            method: fields.next()?,
+            path: fields.next()?,
+            headers: fields.next()?,
+            body_bytes: fields.next()?,
         })
     }
 }
-
-fn next_field<'de, A, T>(fields: &mut A, index: usize) -> Result<T, A::Error>
-where
-    A: SeqAccess<'de>,
-    T: Deserialize<'de>,
-{
-    let field = fields.next_element()?;
-    field.ok_or_else(|| de::Error::invalid_length(index, &HeadVisitor))
-}
--- /dev/null
+++ b/crates/wire/src/field_reader.rs
@@ -0,0 +1,32 @@
+use serde::Deserialize;
+use serde::de::{Error, SeqAccess};
+
+/// Reads the fields of a head one after the other.
+pub(crate) struct FieldReader<A> {
+    fields: A,
+    count: usize,
+    done: usize,
+}
+
+impl<'de, A: SeqAccess<'de>> FieldReader<A> {
+    /// Creates a reader of `count` fields.
+    pub(crate) const fn new(fields: A, count: usize) -> Self {
+        Self {
+            fields,
+            count,
+            done: 0,
+        }
+    }
+
+    /// Returns the next field.
+    pub(crate) fn next<T: Deserialize<'de>>(&mut self) -> Result<T, A::Error> {
+        let field = self.fields.next_element()?;
+        let count = self.count;
+        let field = field.ok_or_else(|| {
+            let expected = format!("a head of {count} fields");
+            A::Error::invalid_length(self.done, &expected.as_str())
+        })?;
+        self.done += 1;
+        Ok(field)
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,6 +9,7 @@
 mod body_pump;
 mod call_head;
 mod codec;
+mod field_reader;
 mod fleet_secret;
 mod head_reader;
 mod header_list;
