fix(node): let copies meet, tell new siblings, charge resends, and stop without a cut

Tests over real HTTP showed these faults first: - Copies of a poisonous call sent at once through four nodes took 3 or 4 backend servers down. The stop now goes in steps. - The operator's port takes POST /leave for the backend server's drain.

--- a/crates/node/src/admin_port.rs
+++ b/crates/node/src/admin_port.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use http::header::{CONTENT_TYPE, HeaderValue};
-use http::{Request, Response, StatusCode};
+use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 
 use crate::answer_body::AnswerBody;
@@ -10,12 +10,21 @@
 use crate::node_core::NodeCore;
 use crate::state_dump::dump_state;
 
-/// Answers a request for metrics, the dump of the node's state, or readiness.
+/// Answers a request for metrics, the dump of the node's state or readiness, or lets it leave.
 pub(crate) async fn answer_admin(
     core: Rc<NodeCore>,
     request: Request<Incoming>,
 ) -> Response<AnswerBody> {
     match request.uri().path() {
+        "/leave" if request.method() == Method::POST => {
+            core.leave();
+            log::info!("event=leave-asked vm={}", core.settings.vm);
+            text_response(StatusCode::OK, "text/plain", "leaving\n".to_owned())
+        }
+        "/leave" => {
+            let text = "\"/leave\" takes POST only\n".to_owned();
+            text_response(StatusCode::METHOD_NOT_ALLOWED, "text/plain", text)
+        }
         "/metrics" => {
             let load = core.gate.load(core.now());
             core.metrics.running.set(i64::from(load.in_flight));
@@ -39,7 +48,8 @@
             text_response(StatusCode::SERVICE_UNAVAILABLE, "text/plain", text)
         }
         path => {
-            let text = format!("\"{path}\" does not exist; try /metrics, /dump or /ready\n");
+            let text =
+                format!("\"{path}\" does not exist; try /metrics, /dump, /ready or /leave\n");
             text_response(StatusCode::NOT_FOUND, "text/plain", text)
         }
     }
--- a/crates/node/src/answer_body.rs
+++ b/crates/node/src/answer_body.rs
@@ -5,6 +5,7 @@
 use http_body::{Body, Frame, SizeHint};
 
 use crate::call_body::{CallBody, CallBodyError};
+use crate::count_guard::CountGuard;
 use crate::ingress::RunGuard;
 
 /// The body of an answer, with what is held until its last byte has gone.
@@ -12,6 +13,7 @@
     body: CallBody,
     told: Option<u64>,
     run: Option<RunGuard>,
+    arrival: Option<CountGuard>,
 }
 
 impl AnswerBody {
@@ -21,9 +23,17 @@
             body,
             told,
             run: None,
+            arrival: None,
         }
     }
 
+    /// Counts a call that arrived until the body is dropped.
+    #[must_use]
+    pub(crate) fn with_arrival(mut self, arrival: CountGuard) -> Self {
+        self.arrival = Some(arrival);
+        self
+    }
+
     /// Holds a running call until the body is done.
     #[must_use]
     pub(crate) fn with_run(mut self, run: RunGuard) -> Self {
--- a/crates/node/src/call_headers.rs
+++ b/crates/node/src/call_headers.rs
@@ -2,6 +2,7 @@
 use http::header::{PROXY_AUTHENTICATE, TRAILER, TRANSFER_ENCODING, UPGRADE};
 use http::{HeaderMap, HeaderValue};
 use model::AttemptId;
+use wire::CallHead;
 
 /// The header that carries a caller's key, beside `Authorization: Bearer`.
 pub(crate) const API_KEY: HeaderName = HeaderName::from_static("x-api-key");
@@ -119,3 +120,10 @@
     };
     value.windows(key.len()).any(|window| window == key)
 }
+
+/// Returns the idempotency key of a call, unless it has none or an empty one.
+pub(crate) fn idempotency_key(head: &CallHead) -> Option<Vec<u8>> {
+    let headers = head.headers.to_map();
+    let key = headers.get(IDEMPOTENCY_KEY)?.as_bytes().trim_ascii();
+    (!key.is_empty()).then(|| key.to_vec())
+}
--- a/crates/node/src/claim_watch.rs
+++ b/crates/node/src/claim_watch.rs
@@ -10,7 +10,7 @@
 use wire::CallHead;
 
 use crate::call_answer::CallRefusal;
-use crate::call_headers::IDEMPOTENCY_KEY;
+use crate::call_headers::idempotency_key;
 use crate::config_watch::pull_from;
 use crate::node_core::NodeCore;
 use crate::node_message::{NodeMessage, NodeReply};
@@ -101,7 +101,7 @@
     body: &[u8],
     deadline: ClockTime,
 ) -> Result<ClaimPass, ClaimFate> {
-    let Some(key) = find_key(head) else {
+    let Some(key) = idempotency_key(head) else {
         return Err(ClaimFate::Refuse(ClaimRefusal {
             reason: RefusalReason::IdempotencyKeyMissing,
             verdict: RunVerdict::NotRun,
@@ -170,12 +170,6 @@
     parts.join(&0)
 }
 
-fn find_key(head: &CallHead) -> Option<Vec<u8>> {
-    let headers = head.headers.to_map();
-    let key = headers.get(IDEMPOTENCY_KEY)?.as_bytes().trim_ascii();
-    (!key.is_empty()).then(|| key.to_vec())
-}
-
 fn act_on_claims(core: &Rc<NodeCore>) {
     let actions = core
         .claims
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -3,7 +3,8 @@
 
 use clock::ClockTime;
 use compio::time::{sleep, timeout};
-use model::{RefusalReason, RunVerdict, VmName};
+use model::{RefusalReason, RunVerdict, TeamName, VmName};
+use quarantine::RequestFingerprint;
 use retry::{
     AllowanceShare, RatioSettings, RetryAllowance, RetryDecision, RetryPolicy, RetryQuestion,
     RetryRatio,
@@ -14,12 +15,22 @@
 use crate::attempt_doubt::{fresh_mark, note_mark, resolve_doubt};
 use crate::call_answer::{CallAnswer, CallRefusal};
 use crate::call_body::CallBody;
+use crate::call_headers::idempotency_key;
 use crate::chain_watch::check_chain;
 use crate::ingress::run_call;
 use crate::node_core::NodeCore;
 use crate::replay_body::ReplayBody;
 use crate::route_guard::RouteGuard;
 
+/// The retries of a route. All calls that ran on one VM may fail at once, so as many are saved
+/// up as a large VM has slots.
+const RATIO_SETTINGS: RatioSettings = RatioSettings {
+    per_thousand: 100,
+    max_saved: 200,
+};
+/// The wait before a call is tried again that failed at the VM that it was sent on to, in
+/// milliseconds: by then another VM is named when that one is down.
+const RUNNER_DOWN_MS: u64 = 250;
 /// The times that a call may be sent on to the VM that must run it.
 const MAX_REDIRECTS: u32 = 2;
 /// The time after which callers come back when no backend server is known, in milliseconds.
@@ -46,7 +57,9 @@
         tried: Vec::new(),
         retries: 0,
         send_to: None,
+        is_sent_on: false,
         redirects: 0,
+        copies: copies_of(&head),
         head,
     };
     sending.run().await
@@ -63,7 +76,11 @@
     retries: u32,
     /// The VM that the next attempt must go to.
     send_to: Option<VmName>,
+    /// Whether the last attempt went to such a VM.
+    is_sent_on: bool,
     redirects: u32,
+    /// What copies of the call have in common, where they should meet at one VM.
+    copies: Option<RequestFingerprint>,
 }
 
 impl CallSending<'_> {
@@ -101,6 +118,7 @@
         };
         let share = self.allowance.hand_down(self.head.attempt, 1);
         self.head.allowance = share.retries();
+        self.head.mark = None;
         if vm != self.core.settings.vm {
             self.head.mark = fresh_mark(self.core, &vm).await;
         }
@@ -129,11 +147,15 @@
 
     /// Chooses a VM that wasn't tried, or any when all were.
     fn choose_vm(&mut self) -> Option<VmName> {
+        self.is_sent_on = self.send_to.is_some();
         if let Some(vm) = self.send_to.take() {
             return Some(vm);
         }
         let service = &self.head.service;
-        let fresh = self.core.choose_vm(service, &self.tried);
+        let home = self
+            .copies
+            .and_then(|copies| self.core.home_of(service, copies, &self.tried));
+        let fresh = home.or_else(|| self.core.choose_vm(service, &self.tried));
         let vm = fresh.or_else(|| self.core.choose_vm(service, &[]))?;
         self.tried.push(vm.clone());
         Some(vm)
@@ -146,13 +168,13 @@
             is_service_shedding: is_shedding(answer) || !self.body.is_whole(),
             is_suspect: answer.is_suspect || answer.refusal == Some(RefusalReason::Quarantined),
             retries: self.retries,
-            retry_after_ms: None,
+            retry_after_ms: self.is_sent_on.then_some(RUNNER_DOWN_MS),
             left_ms: self.core.now().until_ms(self.deadline),
             expected_ms: u64::from(answer.run_ms),
         };
         let mut ratios = self.core.ratios.borrow_mut();
         let ratio = ratios.entry(self.head.service.clone());
-        let ratio = ratio.or_insert_with(|| RetryRatio::new(RatioSettings::default()));
+        let ratio = ratio.or_insert_with(|| RetryRatio::new(RATIO_SETTINGS));
         if answer.verdict == RunVerdict::Ran {
             ratio.succeed();
         }
@@ -163,6 +185,15 @@
     }
 }
 
+/// Returns what copies of a call have in common, for a call with an idempotency key.
+///
+/// Calls without one stay where the load is least: equal bodies are no sign of a copy.
+fn copies_of(head: &CallHead) -> Option<RequestFingerprint> {
+    let key = idempotency_key(head)?;
+    let team = head.team.clone().unwrap_or_else(|| TeamName::new(""));
+    Some(RequestFingerprint::new(&team, &head.call, &key))
+}
+
 /// Returns whether a refusal would be the same at every VM of the service.
 fn is_shedding(answer: &AnswerHead) -> bool {
     !matches!(
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -15,9 +15,11 @@
 use crate::node_core::NodeCore;
 use crate::rate_watch::admit_team;
 use crate::request_body::read_small;
+use crate::resend_charge::ResendCharge;
 
-/// The retries that a caller's request may spend over its whole chain.
-const ENTRY_ALLOWANCE: u32 = 3;
+/// The time after which a caller may send a request again whose retries are spent, in
+/// milliseconds.
+const RESENDS_SPENT_MS: u64 = 60_000;
 
 /// The time after which callers come back to a node that trusts no key, in milliseconds.
 const KEYS_STALE_MS: u64 = 2_000;
@@ -66,7 +68,7 @@
         depth: 0,
         mark: None,
         deadline_left_ms: 0,
-        allowance: ENTRY_ALLOWANCE,
+        allowance: 0,
         once: entry.contract.once,
         idempotent: entry.contract.idempotent,
         method: parts.method.as_str().to_owned(),
@@ -76,14 +78,21 @@
     };
     let started = core.now();
     let service = head.service.clone();
-    let answer = match read_small(&core, body, deadline).await {
-        Ok(body) => {
-            let body_bytes = body.known_bytes();
-            let head = CallHead { body_bytes, ..head };
-            dispatch_call(&core, head, body, deadline).await
-        }
+    let body = match read_small(&core, body, deadline).await {
+        Ok(body) => body,
         Err(refusal) => return refuse_response(&core, request_id, "entry", &refusal),
     };
+    let Some(charge) = ResendCharge::open(&core, &head) else {
+        let refusal = CallRefusal::not_run(RefusalReason::Overloaded).after_ms(RESENDS_SPENT_MS);
+        return refuse_response(&core, request_id, "entry", &refusal);
+    };
+    let head = CallHead {
+        body_bytes: body.known_bytes(),
+        allowance: charge.allowance(),
+        ..head
+    };
+    let answer = dispatch_call(&core, head, body, deadline).await;
+    charge.close(answer.head.allowance_left);
     core.metrics
         .observe_call("entry", &service, started, core.now(), &answer.head);
     build_response(request_id, answer)
--- a/crates/node/src/fleet_watch.rs
+++ b/crates/node/src/fleet_watch.rs
@@ -10,6 +10,7 @@
 use crate::config_watch::pull_from;
 use crate::node_core::NodeCore;
 use crate::stream_host::StreamWatch;
+use crate::suspect_watch::put_siblings;
 
 /// Asks other nodes for what the members stream brings.
 pub(crate) struct FleetWatch(pub(crate) Rc<NodeCore>);
@@ -23,7 +24,7 @@
 }
 
 /// Brings routers, links, rates and relay plans in line with the members, where these changed.
-pub(crate) fn put_members(core: &NodeCore, now: ClockTime) {
+pub(crate) fn put_members(core: &Rc<NodeCore>, now: ClockTime) {
     let is_changed = core.fleet.with(|feed| feed.fold().take_changed());
     if !is_changed {
         return;
@@ -34,18 +35,9 @@
         put_service(core, now, service);
     }
     put_plan(core);
-    put_siblings(core);
-}
-
-/// Tells the book of suspects the other VMs of the own service.
-fn put_siblings(core: &NodeCore) {
-    let own = &core.settings;
-    let siblings = core.fleet.with(|feed| {
-        let ready = feed.fold().view().ready(&own.service);
-        let names = ready.map(|member| member.vm.clone());
-        names.filter(|vm| *vm != own.vm).collect::<Vec<_>>()
-    });
-    core.suspects.borrow_mut().set_peers(siblings);
+    let mut siblings = core.ready_vms(&core.settings.service);
+    siblings.retain(|vm| *vm != core.settings.vm);
+    put_siblings(core, siblings);
 }
 
 fn put_links(core: &NodeCore) {
--- a/crates/node/src/http_port.rs
+++ b/crates/node/src/http_port.rs
@@ -1,4 +1,3 @@
-use std::cell::Cell;
 use std::convert::Infallible;
 use std::pin::pin;
 use std::rc::Rc;
@@ -7,12 +6,14 @@
 use compio::net::{TcpListener, TcpStream};
 use cyper_core::{CompioTimer, HyperStream};
 use futures_util::future::{Either, select};
-use http::{Request, Response};
+use http::header::{CONNECTION, HeaderValue};
+use http::{Request, Response, Version};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::server::conn::auto;
 
 use crate::answer_body::AnswerBody;
+use crate::count_guard::CountGuard;
 use crate::local_executor::LocalExecutor;
 use crate::node_core::NodeCore;
 
@@ -29,16 +30,31 @@
 /// The requests that one HTTP/2 connection may have open.
 const MAX_STREAMS: u32 = 1_000;
 
+/// Whom a port serves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum PortUser {
+    /// Callers; they are asked to move to other nodes when this one stops.
+    Caller,
+    /// The local backend server; it is served until the last running call has ended.
+    Backend,
+    /// Operators.
+    Operator,
+}
+
 /// Answers HTTP/1.1 and HTTP/2 requests on a port until the node stops.
-pub(crate) async fn serve_port<A, F>(core: Rc<NodeCore>, listener: TcpListener, answer: A)
-where
+pub(crate) async fn serve_port<A, F>(
+    core: Rc<NodeCore>,
+    user: PortUser,
+    listener: TcpListener,
+    answer: A,
+) where
     A: Fn(Rc<NodeCore>, Request<Incoming>) -> F + Clone + 'static,
     F: Future<Output = Response<AnswerBody>> + 'static,
 {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let connection = serve_connection(Rc::clone(&core), stream, answer.clone());
+                let connection = serve_connection(Rc::clone(&core), user, stream, answer.clone());
                 compio::runtime::spawn(connection).detach();
             }
             Err(error) => {
@@ -49,17 +65,31 @@
     }
 }
 
-async fn serve_connection<A, F>(core: Rc<NodeCore>, stream: TcpStream, answer: A)
+async fn serve_connection<A, F>(core: Rc<NodeCore>, user: PortUser, stream: TcpStream, answer: A)
 where
     A: Fn(Rc<NodeCore>, Request<Incoming>) -> F + 'static,
     F: Future<Output = Response<AnswerBody>> + 'static,
 {
     let _ = stream.set_nodelay(true);
-    let _open = CountGuard::new(&core.open_connections);
+    let (count, end) = match user {
+        PortUser::Caller => (Some(&core.open_connections), &core.drain),
+        PortUser::Backend => (Some(&core.egress_connections), &core.close),
+        PortUser::Operator => (None, &core.close),
+    };
+    let _open = count.map(CountGuard::new);
     let service_core = Rc::clone(&core);
     let service = service_fn(move |request| {
-        let work = answer(Rc::clone(&service_core), request);
-        async move { Ok::<_, Infallible>(work.await) }
+        let core = Rc::clone(&service_core);
+        let is_http1 = request.version() < Version::HTTP_2;
+        let work = answer(Rc::clone(&core), request);
+        async move {
+            let mut response = work.await;
+            if is_http1 && user == PortUser::Caller && core.stop.is_given() {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(CONNECTION, close);
+            }
+            Ok::<_, Infallible>(response)
+        }
     });
     let mut builder = auto::Builder::new(LocalExecutor);
     builder
@@ -76,7 +106,7 @@
         .max_header_list_size(MAX_HEADER_LIST_BYTES);
     let connection = builder.serve_connection(HyperStream::new_plain(stream), service);
     let mut connection = pin!(connection);
-    let stopping = match select(connection.as_mut(), pin!(core.stop.wait())).await {
+    let stopping = match select(connection.as_mut(), pin!(end.wait())).await {
         Either::Left((result, _)) => {
             log_end(result);
             false
@@ -94,19 +124,3 @@
         log::debug!("event=connection-ended error={:?}", error.to_string());
     }
 }
-
-/// Counts an open connection for as long as it lives.
-struct CountGuard(Rc<Cell<usize>>);
-
-impl CountGuard {
-    fn new(count: &Rc<Cell<usize>>) -> Self {
-        count.set(count.get() + 1);
-        Self(Rc::clone(count))
-    }
-}
-
-impl Drop for CountGuard {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -19,8 +19,9 @@
 use crate::call_headers::{add_call, strip_hop};
 use crate::chain_watch::{cut_reports_for, note_uses, report_for};
 use crate::claim_watch::{ClaimFate, ClaimPass, claim_call, claim_refusal};
+use crate::count_guard::CountGuard;
 use crate::node_core::NodeCore;
-use crate::request_body::read_whole;
+use crate::request_body::{gather_small, read_whole};
 use crate::running_calls::RunningCall;
 use crate::suspect_watch::{SuspectPass, SuspectRefusal, enter_run, quarantine_refusal};
 
@@ -36,6 +37,7 @@
 
 /// Runs a call on the local backend server, when its turn comes and while it is of use.
 pub(crate) async fn run_call(core: &Rc<NodeCore>, head: CallHead, body: CallBody) -> CallAnswer {
+    let arrival = CountGuard::new(&core.arrived);
     let answer = match AttemptGuard::arrive(core, &head) {
         Ok(guard) => {
             let answer = run_new(core, &head, body).await;
@@ -44,15 +46,23 @@
         }
         Err(refusal) => CallAnswer::refused(&head, &refusal, head.allowance),
     };
-    finish_answer(core, &head, answer)
+    let answer = finish_answer(core, &head, answer);
+    CallAnswer {
+        body: answer.body.with_arrival(arrival),
+        ..answer
+    }
 }
 
 async fn run_new(core: &Rc<NodeCore>, head: &CallHead, body: CallBody) -> CallAnswer {
     let deadline = core.now().plus_ms(u64::from(head.deadline_left_ms));
-    if head.service != core.settings.service || core.stop.is_given() {
+    if head.service != core.settings.service || !core.takes_work() {
         let refusal = CallRefusal::not_run(RefusalReason::NotReady);
         return CallAnswer::refused(head, &refusal, head.allowance);
     }
+    let body = match gather_small(core, body, head.body_bytes, deadline).await {
+        Ok(body) => body,
+        Err(refusal) => return CallAnswer::refused(head, &refusal, head.allowance),
+    };
     if !head.once {
         return run_in_turn(core, head, body, deadline, None).await;
     }
@@ -119,6 +129,7 @@
     deadline: ClockTime,
     mut passes: RunPasses,
 ) -> CallAnswer {
+    passes.suspect.mark_sent();
     let left = Duration::from_millis(core.now().until_ms(deadline));
     match timeout(left, send_call(core, head, body, deadline)).await {
         Ok(Ok(response)) => {
@@ -194,6 +205,7 @@
         if let Some(claim) = passes.claim {
             claim.finish(ClaimOutcome::NotRun);
         }
+        passes.suspect.fail_unsent().await;
         let refusal = CallRefusal::not_run(RefusalReason::NoBackend).after_ms(BACKEND_DOWN_MS);
         return CallAnswer::refused(head, &refusal.by(&head.service), head.allowance);
     }
--- a/crates/node/src/node_core.rs
+++ b/crates/node/src/node_core.rs
@@ -10,11 +10,11 @@
 use model::{AttemptId, RecordId, RequestId, ServiceName, VmName};
 use once::{AttemptSettings, AttemptTable, ClaimBook, OnceSettings};
 use platform::{KeyAnswer, KeyDigest, LogStream};
-use quarantine::{SuspectBook, SuspectSettings};
+use quarantine::{RequestFingerprint, SuspectBook, SuspectSettings, home_vm};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use rate::{RateSettings, TeamLimiter};
-use retry::RetryRatio;
+use retry::{ResendSettings, ResendTable, RetryRatio};
 use route::{RouteSettings, VmRouter};
 
 use crate::attempt_doubt::HeardMark;
@@ -38,6 +38,10 @@
 use crate::stream_host::StreamHost;
 use crate::suspect_watch::SuspectFate;
 
+/// The time for which a leaving backend server still takes calls that other nodes send because
+/// they haven't heard of it yet, in milliseconds.
+const LEAVE_TAKE_MS: u64 = 2_000;
+
 /// All that the tasks of a node share, on one thread.
 pub(crate) struct NodeCore {
     pub(crate) settings: NodeSettings,
@@ -56,6 +60,7 @@
     /// Rings when tokens of the teams' rates may have come.
     pub(crate) tokens: NewsBell,
     pub(crate) chain: RefCell<ChainAdmission>,
+    pub(crate) resends: RefCell<ResendTable>,
     pub(crate) ratios: RefCell<BTreeMap<ServiceName, RetryRatio>>,
     /// Whether the backend server has accepted a connection since the start.
     pub(crate) is_up: Cell<bool>,
@@ -66,7 +71,18 @@
     pub(crate) running: RunningCalls,
     pub(crate) metrics: NodeMetrics,
     pub(crate) stop: StopSignal,
+    /// Ends the connections of callers once these had time to move to other nodes.
+    pub(crate) drain: StopSignal,
+    /// Ends the backend server's connections once the last call has ended.
+    pub(crate) close: StopSignal,
+    /// When the backend server began to leave.
+    leave_at: Cell<Option<ClockTime>>,
+    /// The connections of callers.
     pub(crate) open_connections: Rc<Cell<usize>>,
+    /// The connections of the backend server for its own calls.
+    pub(crate) egress_connections: Rc<Cell<usize>>,
+    /// The calls that arrived for the backend server and aren't answered to the end yet.
+    pub(crate) arrived: Rc<Cell<usize>>,
     random: RefCell<StdRng>,
 }
 
@@ -121,6 +137,7 @@
             marks: RefCell::default(),
             tokens: NewsBell::default(),
             chain: RefCell::new(ChainAdmission::new(AdmissionSettings::default())),
+            resends: RefCell::new(ResendTable::new(ResendSettings::default())),
             ratios: RefCell::default(),
             is_up: Cell::new(false),
             routers: RefCell::default(),
@@ -130,7 +147,12 @@
             running: RunningCalls::default(),
             metrics: NodeMetrics::new(),
             stop: StopSignal::new(),
+            drain: StopSignal::new(),
+            close: StopSignal::new(),
+            leave_at: Cell::new(None),
             open_connections: Rc::default(),
+            egress_connections: Rc::default(),
+            arrived: Rc::default(),
             random: RefCell::new(random),
             settings,
         })
@@ -168,6 +190,29 @@
         router.choose(self.now(), &mut *self.random.borrow_mut(), tried)
     }
 
+    /// Returns the VMs of a service that take work.
+    pub(crate) fn ready_vms(&self, service: &ServiceName) -> Vec<VmName> {
+        self.fleet.with(|feed| {
+            let ready = feed.fold().view().ready(service);
+            ready.map(|member| member.vm.clone()).collect()
+        })
+    }
+
+    /// Returns the VM where copies of a call meet: the same one at every node that knows the
+    /// same VMs, unless that was tried or is ejected.
+    pub(crate) fn home_of(
+        &self,
+        service: &ServiceName,
+        copies: RequestFingerprint,
+        tried: &[VmName],
+    ) -> Option<VmName> {
+        let mut ready = self.ready_vms(service);
+        let routers = self.routers.borrow();
+        let router = routers.get(service)?;
+        ready.retain(|vm| !tried.contains(vm) && !router.is_ejected(vm));
+        home_vm(copies, &ready).cloned()
+    }
+
     /// Calls a function with the router of a service.
     pub(crate) fn with_router(&self, service: &ServiceName, change: impl FnOnce(&mut VmRouter)) {
         if let Some(router) = self.routers.borrow_mut().get_mut(service) {
@@ -207,6 +252,24 @@
     /// Returns whether the node can serve callers.
     pub(crate) fn is_ready(&self) -> bool {
         let is_served = self.rates.with(|feed| feed.fold().limiter.is_served());
-        self.has_contract() && is_served && !self.stop.is_given()
+        self.has_contract() && is_served && !self.is_leaving()
+    }
+
+    /// Lets the backend server leave: other nodes send it no new calls.
+    pub(crate) fn leave(&self) {
+        if !self.is_leaving() {
+            self.leave_at.set(Some(self.now()));
+        }
+    }
+
+    /// Returns whether the backend server leaves.
+    pub(crate) const fn is_leaving(&self) -> bool {
+        self.leave_at.get().is_some()
+    }
+
+    /// Returns whether new calls may run; those sent before others knew of a leave still may.
+    pub(crate) fn takes_work(&self) -> bool {
+        let left_at = self.leave_at.get();
+        left_at.is_none_or(|left_at| self.now().since_ms(left_at) < LEAVE_TAKE_MS)
     }
 }
--- a/crates/node/src/node_message.rs
+++ b/crates/node/src/node_message.rs
@@ -23,6 +23,8 @@
     AskHolder(AttemptId),
     /// Tells of requests that crashed backend servers.
     Suspect(NewsId, Vec<SuspectNews>),
+    /// Tells of all requests that are suspect or in quarantine.
+    SuspectList(Vec<SuspectNews>),
     /// Tells that such news was taken.
     SuspectAck(NewsId, Vec<SuspectNews>),
 }
--- a/crates/node/src/node_process.rs
+++ b/crates/node/src/node_process.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use clock::ClockTime;
 use compio::net::TcpListener;
 use compio::runtime::spawn;
 use compio::time::sleep;
@@ -18,17 +19,19 @@
 use crate::egress::answer_backend;
 use crate::entry::answer_caller;
 use crate::fleet_watch::{FleetWatch, put_members, seed_plan, use_plan};
-use crate::http_port::serve_port;
+use crate::http_port::{PortUser, serve_port};
 use crate::node_core::NodeCore;
 use crate::node_settings::NodeSettings;
 use crate::peer_port::PeerPort;
 use crate::rate_watch::{RateWatch, poll_rates};
-use crate::suspect_watch::poll_suspects;
+use crate::suspect_watch::{greet_siblings, poll_suspects};
 
 /// The time between two looks at what has become due, in milliseconds.
 const TICK_MS: u64 = 10;
 /// The time for which a stop lets callers and nodes move away, in milliseconds.
 const LEAVE_MS: u64 = 3_000;
+/// The time for which a stop lets the last bytes leave the links, in milliseconds.
+const FLUSH_MS: u64 = 250;
 
 /// Why a node can't run.
 #[derive(Debug, Error)]
@@ -76,9 +79,27 @@
             core: Rc::new(NodeCore::new(settings).map_err(NodeError::Client)?),
         };
         let core = &node.core;
-        spawn(serve_port(Rc::clone(core), callers, answer_caller)).detach();
-        spawn(serve_port(Rc::clone(core), egress, answer_backend)).detach();
-        spawn(serve_port(Rc::clone(core), admin, answer_admin)).detach();
+        spawn(serve_port(
+            Rc::clone(core),
+            PortUser::Caller,
+            callers,
+            answer_caller,
+        ))
+        .detach();
+        spawn(serve_port(
+            Rc::clone(core),
+            PortUser::Backend,
+            egress,
+            answer_backend,
+        ))
+        .detach();
+        spawn(serve_port(
+            Rc::clone(core),
+            PortUser::Operator,
+            admin,
+            answer_admin,
+        ))
+        .detach();
         spawn(serve_peers(Rc::clone(core), peers)).detach();
         spawn(keep_time(Rc::clone(core))).detach();
         node.follow_log();
@@ -139,18 +160,28 @@
     }
 
     /// Stops the node gracefully: it takes no new calls, and those that run come to their end.
+    ///
+    /// The other nodes learn of it first and callers are asked to move; then the connections of
+    /// callers end, then those of the backend server, each after its last answer.
     pub async fn stop(&self) {
-        let limit_ms = self.core.settings.stop_limit_ms;
-        let deadline = self.core.now().plus_ms(limit_ms);
-        self.core.stop.give();
+        let core = &self.core;
+        let deadline = core.now().plus_ms(core.settings.stop_limit_ms);
+        core.leave();
+        core.stop.give();
         sleep(Duration::from_millis(LEAVE_MS)).await;
-        while self.is_busy() && self.core.now() < deadline {
-            sleep(Duration::from_millis(TICK_MS)).await;
-        }
+        core.drain.give();
+        let is_serving = || core.arrived.get() > 0 || core.open_connections.get() > 0;
+        self.wait_while(is_serving, deadline).await;
+        core.close.give();
+        let is_calling = || core.egress_connections.get() > 0;
+        self.wait_while(is_calling, deadline).await;
+        sleep(Duration::from_millis(FLUSH_MS)).await;
     }
 
-    fn is_busy(&self) -> bool {
-        self.core.running.len() > 0 || self.core.open_connections.get() > 0
+    async fn wait_while(&self, is_busy: impl Fn() -> bool, deadline: ClockTime) {
+        while is_busy() && self.core.now() < deadline {
+            sleep(Duration::from_millis(TICK_MS)).await;
+        }
     }
 }
 
@@ -224,6 +255,7 @@
         poll_rates(&core, now);
         poll_claims(&core, now);
         poll_suspects(&core, now);
+        greet_siblings(&core);
         for router in core.routers.borrow_mut().values_mut() {
             router.tick(now);
         }
--- a/crates/node/src/peer_links.rs
+++ b/crates/node/src/peer_links.rs
@@ -15,7 +15,10 @@
 
 /// The links to other nodes, by VM; opened when first needed.
 #[derive(Default)]
-pub(crate) struct PeerLinks(RefCell<BTreeMap<VmName, Rc<LinkSlot>>>);
+pub(crate) struct PeerLinks {
+    slots: RefCell<BTreeMap<VmName, Rc<LinkSlot>>>,
+    opened: RefCell<Vec<VmName>>,
+}
 
 /// One other node: its address, and the link once it is open.
 struct LinkSlot {
@@ -34,7 +37,7 @@
     /// Keeps the links to these members and to the addresses of the settings.
     pub(crate) fn keep_only(&self, members: &[MemberAnnouncement]) {
         let names: BTreeSet<&VmName> = members.iter().map(|member| &member.vm).collect();
-        self.0
+        self.slots
             .borrow_mut()
             .retain(|vm, _| names.contains(vm) || vm.as_str().starts_with(SEED_PREFIX));
         for member in members {
@@ -43,7 +46,7 @@
     }
 
     fn upsert(&self, vm: VmName, address: SocketAddr) {
-        let mut slots = self.0.borrow_mut();
+        let mut slots = self.slots.borrow_mut();
         if slots.get(&vm).is_some_and(|slot| slot.address == address) {
             return;
         }
@@ -56,7 +59,12 @@
 
     /// Returns the names of the known VMs.
     pub(crate) fn names(&self) -> Vec<VmName> {
-        self.0.borrow().keys().cloned().collect()
+        self.slots.borrow().keys().cloned().collect()
+    }
+
+    /// Takes the names of the VMs to which a link was opened since this was last asked.
+    pub(crate) fn take_opened(&self) -> Vec<VmName> {
+        self.opened.take()
     }
 
     /// Returns the link to a VM, opened anew when the last one broke.
@@ -65,7 +73,7 @@
         settings: &NodeSettings,
         vm: &VmName,
     ) -> Result<Rc<PeerLink>, LinkError> {
-        let slot = self.0.borrow().get(vm).cloned();
+        let slot = self.slots.borrow().get(vm).cloned();
         let slot = slot.ok_or_else(|| {
             let text = format!("VM \"{vm}\" has announced no address");
             LinkError::Connect(std::io::Error::new(std::io::ErrorKind::NotFound, text))
@@ -78,6 +86,7 @@
             PeerLink::connect(slot.address, &settings.vm, &settings.secret, &settings.link);
         let opened = Rc::new(opened.await?);
         *link = Some(Rc::clone(&opened));
+        self.opened.borrow_mut().push(vm.clone());
         Ok(opened)
     }
 }
--- a/crates/node/src/peer_port.rs
+++ b/crates/node/src/peer_port.rs
@@ -12,7 +12,7 @@
 use crate::node_core::NodeCore;
 use crate::node_message::{NodeMessage, NodeReply};
 use crate::rate_watch::receive_rate;
-use crate::suspect_watch::{receive_ack, receive_news};
+use crate::suspect_watch::{receive_ack, receive_list, receive_news};
 
 /// What a node does with the calls and messages of other nodes.
 pub(crate) struct PeerPort(Rc<NodeCore>);
@@ -45,6 +45,7 @@
                 return NodeReply::Holder(answer_holder(core, owner));
             }
             NodeMessage::Suspect(id, news) => receive_news(core, from, id, &news),
+            NodeMessage::SuspectList(news) => receive_list(core, &news),
             NodeMessage::SuspectAck(id, news) => receive_ack(core, from, id, &news),
         }
         NodeReply::Nothing
--- a/crates/node/src/request_body.rs
+++ b/crates/node/src/request_body.rs
@@ -39,8 +39,39 @@
     }
 }
 
+/// Reads a small body that another node sends whole, so that copies of its call are recognised
+/// by the same bytes at every node.
+///
+/// # Errors
+///
+/// Returns a refusal when the body is cut or doesn't arrive before the deadline.
+pub(crate) async fn gather_small(
+    core: &NodeCore,
+    body: CallBody,
+    told: Option<u64>,
+    deadline: ClockTime,
+) -> Result<CallBody, CallRefusal> {
+    let CallBody::Link(link) = body else {
+        return Ok(body);
+    };
+    match told {
+        Some(0) => return Ok(CallBody::Empty),
+        Some(bytes) if bytes <= SMALL_BODY_BYTES => {}
+        _ => return Ok(CallBody::Link(link)),
+    }
+    let left = Duration::from_millis(core.now().until_ms(deadline));
+    match timeout(left, read_whole(link)).await {
+        Ok(Ok(bytes)) => Ok(CallBody::Whole(bytes)),
+        Ok(Err(_)) => Err(CallRefusal::not_run(RefusalReason::LinkBroken)),
+        Err(_) => Err(CallRefusal::not_run(RefusalReason::DeadlinePassed)),
+    }
+}
+
 /// Reads a body to its end.
-pub(crate) async fn read_whole(mut body: Incoming) -> Result<Bytes, hyper::Error> {
+pub(crate) async fn read_whole<B>(mut body: B) -> Result<Bytes, B::Error>
+where
+    B: Body<Data = Bytes> + Unpin,
+{
     let mut whole = BytesMut::new();
     while let Some(frame) = poll_fn(|context| Pin::new(&mut body).poll_frame(context)).await {
         if let Ok(data) = frame?.into_data() {
--- a/crates/node/src/suspect_watch.rs
+++ b/crates/node/src/suspect_watch.rs
@@ -9,6 +9,7 @@
 use wire::CallHead;
 
 use crate::call_answer::CallRefusal;
+use crate::call_headers::idempotency_key;
 use crate::node_core::NodeCore;
 use crate::node_message::NodeMessage;
 use crate::peer_talk::ask_peer;
@@ -16,6 +17,8 @@
 /// The time for which a failed call waits to learn whether its backend server crashed, in
 /// milliseconds.
 const CRASH_LOOK_MS: u64 = 10;
+/// The time between two looks at whether the peers know of a crash, in milliseconds.
+const TELL_LOOK_MS: u64 = 2;
 /// The longest time for which a failed call waits for peers to learn of it, in milliseconds.
 const FAIL_WAIT_MS: u64 = 2_000;
 
@@ -44,14 +47,41 @@
 pub(crate) struct SuspectPass {
     core: Rc<NodeCore>,
     attempt: AttemptId,
+    fingerprint: RequestFingerprint,
     fate: Option<oneshot::Receiver<SuspectFate>>,
-    is_answered: bool,
+    stage: RunStage,
+}
+
+/// How far a call has come at the backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RunStage {
+    /// No byte of it was sent.
+    Unsent,
+    /// It may run.
+    Sent,
+    /// The backend server answered.
+    Answered,
 }
 
 impl SuspectPass {
+    /// Notes that the call goes to the backend server.
+    pub(crate) const fn mark_sent(&mut self) {
+        self.stage = RunStage::Sent;
+    }
+
     /// Notes that the backend server answered.
     pub(crate) const fn mark_answered(&mut self) {
-        self.is_answered = true;
+        self.stage = RunStage::Answered;
+    }
+
+    /// Waits until the peers know of the crash that may have kept the call from being sent, so
+    /// that it meets nodes that know when it is sent to another one.
+    pub(crate) async fn fail_unsent(mut self) {
+        self.stage = RunStage::Unsent;
+        if !self.core.backend.is_marked_down() {
+            sleep(Duration::from_millis(2 * CRASH_LOOK_MS)).await;
+        }
+        wait_told(&self.core, self.fingerprint).await;
     }
 
     /// Learns whether the backend server crashed, and then waits until the peers know of it.
@@ -80,10 +110,10 @@
         let now = self.core.now();
         let mut actions = Vec::new();
         let mut book = self.core.suspects.borrow_mut();
-        if self.is_answered {
-            book.finish(now, self.attempt, &mut actions);
-        } else {
-            book.abandon(now, self.attempt, &mut actions);
+        match self.stage {
+            RunStage::Unsent => book.withdraw(now, self.attempt, &mut actions),
+            RunStage::Sent => book.abandon(now, self.attempt, &mut actions),
+            RunStage::Answered => book.finish(now, self.attempt, &mut actions),
         }
         drop(book);
         act_on_suspects(&self.core, actions);
@@ -101,7 +131,7 @@
     body: &[u8],
 ) -> Result<SuspectPass, SuspectRefusal> {
     let fingerprint = fingerprint_of(head, body);
-    let is_single = !matches!(head.method.as_str(), "GET" | "HEAD" | "OPTIONS");
+    let is_single = !head.once && idempotency_key(head).is_some();
     loop {
         let fate = core.suspect_fates.wait_for(head.attempt);
         let now = core.now();
@@ -112,17 +142,17 @@
         let mut pass = SuspectPass {
             core: Rc::clone(core),
             attempt: head.attempt,
+            fingerprint,
             fate: Some(fate),
-            is_answered: false,
+            stage: RunStage::Unsent,
         };
         match decision {
             SuspectDecision::Run | SuspectDecision::RunAlone => return Ok(pass),
             SuspectDecision::Refuse => {
-                pass.mark_answered();
                 return Err(SuspectRefusal::Quarantined);
             }
             SuspectDecision::SendTo(vm) => {
-                pass.mark_answered();
+                wait_told(core, fingerprint).await;
                 return Err(SuspectRefusal::SendTo(vm));
             }
             SuspectDecision::Wait => {}
@@ -130,16 +160,20 @@
         let Some(fate) = pass.fate.take() else {
             continue;
         };
-        match fate.await {
-            Ok(SuspectFate::Start) => {
-                pass.fate = Some(core.suspect_fates.wait_for(head.attempt));
-                return Ok(pass);
-            }
-            _ => pass.mark_answered(),
+        if let Ok(SuspectFate::Start) = fate.await {
+            pass.fate = Some(core.suspect_fates.wait_for(head.attempt));
+            return Ok(pass);
         }
     }
 }
 
+/// Waits until the peers know of the crashes of a request.
+async fn wait_told(core: &Rc<NodeCore>, fingerprint: RequestFingerprint) {
+    while core.suspects.borrow().is_telling(fingerprint) {
+        sleep(Duration::from_millis(TELL_LOOK_MS)).await;
+    }
+}
+
 /// Returns the refusal of a call that is in quarantine.
 pub(crate) const fn quarantine_refusal() -> CallRefusal {
     CallRefusal::not_run(RefusalReason::Quarantined)
@@ -213,19 +247,50 @@
     }
 }
 
-/// Sends news to the other nodes of the own service.
+/// Sends news to the other nodes of the own service, the same ones that the book waits for.
 fn tell_service(core: &Rc<NodeCore>, id: NewsId, news: &[SuspectNews]) {
-    let service = &core.settings.service;
-    let peers = core.fleet.with(|feed| {
-        let ready = feed.fold().view().ready(service);
-        let names = ready.map(|member| member.vm.clone());
-        names.collect::<Vec<_>>()
-    });
-    for vm in peers.into_iter().filter(|vm| *vm != core.settings.vm) {
+    let peers = core.suspects.borrow().peers().to_vec();
+    for vm in peers {
         send_news(core, vm, NodeMessage::Suspect(id, news.to_vec()));
     }
 }
 
+/// Tells the book the other VMs of the own service, and new ones all that it knows.
+pub(crate) fn put_siblings(core: &Rc<NodeCore>, siblings: Vec<VmName>) {
+    let mut book = core.suspects.borrow_mut();
+    let known = book.peers().to_vec();
+    book.set_peers(siblings.clone());
+    drop(book);
+    for vm in siblings.into_iter().filter(|vm| !known.contains(vm)) {
+        send_list(core, vm);
+    }
+}
+
+/// Tells the other nodes of the own service to which a link was opened anew all that is known.
+pub(crate) fn greet_siblings(core: &Rc<NodeCore>) {
+    for vm in core.links.take_opened() {
+        let is_sibling = core.suspects.borrow().peers().contains(&vm);
+        if is_sibling {
+            send_list(core, vm);
+        }
+    }
+}
+
+/// Takes all that a peer knows.
+pub(crate) fn receive_list(core: &Rc<NodeCore>, news: &[SuspectNews]) {
+    let now = core.now();
+    let mut actions = Vec::new();
+    core.suspects.borrow_mut().take(now, news, &mut actions);
+    act_on_suspects(core, actions);
+}
+
+fn send_list(core: &Rc<NodeCore>, vm: VmName) {
+    let news = core.suspects.borrow().list().news(core.now());
+    if !news.is_empty() {
+        send_news(core, vm, NodeMessage::SuspectList(news));
+    }
+}
+
 fn send_news(core: &Rc<NodeCore>, vm: VmName, message: NodeMessage) {
     let core = Rc::clone(core);
     let sending = async move {
--- a/crates/node/tests/fleet/mod.rs
+++ b/crates/node/tests/fleet/mod.rs
@@ -103,6 +103,18 @@
 
     /// Starts a backend server with its node.
     pub async fn add(&mut self, name: &str, service: &str, backend: BackendSettings) {
+        self.add_with(name, service, backend, |settings| settings)
+            .await;
+    }
+
+    /// Starts a backend server with a node of changed settings.
+    pub async fn add_with(
+        &mut self,
+        name: &str,
+        service: &str,
+        backend: BackendSettings,
+        change: impl FnOnce(NodeSettings) -> NodeSettings,
+    ) {
         let backend = BackendSettings {
             service: service.into(),
             ..backend
@@ -114,7 +126,7 @@
             platform_address: self.log_address,
             ..NodeSettings::loopback(VmName::new(name), service.into(), secret)
         };
-        let node = NodeProcess::start(settings).await.unwrap();
+        let node = NodeProcess::start(change(settings)).await.unwrap();
         backend.set_egress(node.egress_address());
         self.pairs.push(Pair { backend, node });
     }
@@ -156,6 +168,15 @@
         true
     }
 
+    /// Returns how often the backend servers started a request with a trace.
+    #[allow(dead_code, reason = "not every test file counts runs")]
+    pub fn runs(&self, trace: &str) -> usize {
+        let records = self.pairs.iter().map(|pair| pair.backend.record());
+        records
+            .map(|record| record.runs_by_trace().get(trace).copied().unwrap_or(0))
+            .sum()
+    }
+
     /// Sends a request to a node's caller port with the tests' key.
     pub async fn send(&self, node: usize, method: &str, path: &str) -> cyper::Response {
         self.send_with(node, method, path, &[]).await
@@ -178,4 +199,26 @@
         }
         request.send().await.unwrap()
     }
+
+    /// Sends a request again while the team's tokens are on their way; such a refusal ran nothing.
+    #[allow(
+        dead_code,
+        reason = "not every test file sends more than the tokens at hand"
+    )]
+    pub async fn send_admitted(
+        &self,
+        node: usize,
+        method: &str,
+        path: &str,
+        headers: &[(&'static str, &str)],
+    ) -> cyper::Response {
+        loop {
+            let answer = self.send_with(node, method, path, headers).await;
+            if answer.status().as_u16() != 429 {
+                return answer;
+            }
+            assert_eq!(answer.headers()["lentilshift-verdict"], "not-run");
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
 }
--- a/crates/node/tests/once_calls.rs
+++ b/crates/node/tests/once_calls.rs
@@ -94,3 +94,25 @@
     assert_eq!(answer.status().as_u16(), 400);
     assert_eq!(answer.headers()["lentilshift-verdict"], "not-run");
 }
+
+#[rstest]
+#[compio::test]
+async fn a_duplicate_with_a_body_is_recognised_at_every_node() {
+    let fleet = two_filings().await;
+    for key in ["b1", "b2", "b3", "b4", "b5", "b6"] {
+        for node in [0, 1] {
+            let url = format!(
+                "http://{}/filings/charges",
+                fleet.pairs[node].node.caller_address()
+            );
+            let request = fleet.client.post(url).unwrap();
+            let request = request.header("x-api-key", fleet::KEY).unwrap();
+            let request = request.header("idempotency-key", key).unwrap();
+            let request = request.header("x-trace", key).unwrap();
+            let answer = request.body("amount=7").send().await.unwrap();
+            let status = answer.status().as_u16();
+            assert_eq!(status, 200, "{}", answer.text().await.unwrap());
+        }
+        assert_eq!(runs(&fleet, key), 1);
+    }
+}
--- a/crates/quarantine/src/held_failures.rs
+++ b/crates/quarantine/src/held_failures.rs
@@ -38,6 +38,11 @@
         id
     }
 
+    pub(crate) fn is_about(&self, fingerprint: RequestFingerprint) -> bool {
+        let mut held = self.held.values();
+        held.any(|news| news.fingerprints.contains(&fingerprint))
+    }
+
     pub(crate) fn note_ack(&mut self, id: NewsId, peer: &VmName) {
         if let Some(news) = self.held.get_mut(&id) {
             news.waiting_for.remove(peer);
--- a/crates/quarantine/src/suspect_book.rs
+++ b/crates/quarantine/src/suspect_book.rs
@@ -63,6 +63,20 @@
         self.held.keep_peers(&self.peers);
     }
 
+    /// Returns the other VMs of the service.
+    #[must_use]
+    pub fn peers(&self) -> &[VmName] {
+        &self.peers
+    }
+
+    /// Returns whether peers are still being told of a crash of the request.
+    ///
+    /// Until then a copy sent to another VM might run there as an ordinary request.
+    #[must_use]
+    pub fn is_telling(&self, fingerprint: RequestFingerprint) -> bool {
+        self.held.is_about(fingerprint)
+    }
+
     /// Returns the requests known as suspect or in quarantine.
     #[must_use]
     pub const fn list(&self) -> &SuspectList {
@@ -112,6 +126,20 @@
         self.pay_acks(now, actions);
     }
 
+    /// Notes that an attempt ended before any byte of it reached the backend server.
+    ///
+    /// It tells nothing about the request, neither that it crashes nor that it is clean.
+    pub fn withdraw(
+        &mut self,
+        now: ClockTime,
+        attempt: AttemptId,
+        actions: &mut Vec<SuspectAction>,
+    ) {
+        self.gate.leave(attempt);
+        self.admit(actions);
+        self.pay_acks(now, actions);
+    }
+
     /// Notes that a run ended without proof that the backend server survives it: its caller
     /// left, or its deadline passed.
     pub fn abandon(
--- a/crates/quarantine/tests/suspect_book.rs
+++ b/crates/quarantine/tests/suspect_book.rs
@@ -181,3 +181,34 @@
     book.poll(time(200), &mut Vec::new());
     assert!(book.list().is_empty());
 }
+
+#[test]
+fn a_withdrawn_attempt_is_neither_suspect_nor_clean() {
+    let mut book = book("vm-1", &["vm-2"]);
+    let mut actions = Vec::new();
+    for number in [1, 2] {
+        book.begin(time(0), request(number), attempt(number.into()), false);
+    }
+    book.withdraw(time(1), attempt(1), &mut actions);
+    book.crash(time(2), &mut actions);
+    assert!(book.list().get(request(1)).is_none(), "suspect");
+    assert!(book.list().get(request(2)).is_some());
+    book.begin(time(3), request(1), attempt(3), false);
+    book.crash(time(4), &mut actions);
+    assert!(book.list().get(request(1)).is_some(), "let off as clean");
+}
+
+#[test]
+fn peers_are_being_told_until_all_have_taken_the_news() {
+    let mut book = book("vm-1", &["vm-2"]);
+    let mut actions = Vec::new();
+    book.begin(time(0), request(1), attempt(1), false);
+    book.crash(time(1), &mut actions);
+    assert!(book.is_telling(request(1)));
+    assert!(!book.is_telling(request(2)));
+    let Some(SuspectAction::Tell(id, _)) = actions.first() else {
+        panic!("no news is told: {actions:?}");
+    };
+    book.receive_ack(time(2), &"vm-2".into(), *id, &[], &mut Vec::new());
+    assert!(!book.is_telling(request(1)));
+}
--- a/crates/route/src/vm_router.rs
+++ b/crates/route/src/vm_router.rs
@@ -76,6 +76,13 @@
         }
     }
 
+    /// Returns whether a VM is known and gets no requests for a while because of its failures.
+    #[must_use]
+    pub fn is_ejected(&self, vm: &VmName) -> bool {
+        let state = self.states.get(vm);
+        state.is_some_and(|state| state.health.is_ejected())
+    }
+
     /// Returns the names of the VMs, in order.
     pub fn names(&self) -> impl Iterator<Item = &VmName> {
         self.states.keys()
