--- a/crates/node/tests/faults_stop.rs
+++ b/crates/node/tests/faults_stop.rs
@@ -102,7 +102,9 @@
                 });
             assert_eq!(slow.status().as_u16(), 200);
         }
-        is_over.iter().for_each(|node| node.set(true));
+        for node in &is_over {
+            node.set(true);
+        }
     };
     let senders = (0..6).map(|node| send_until(&fleet, node, &is_over[node]));
     let (counts, ()) = futures_util::join!(futures_util::future::join_all(senders), stops);
