--- a/crates/lentilshift/src/app.rs
+++ b/crates/lentilshift/src/app.rs
@@ -30,7 +30,7 @@
         AppCommand::Show(args) => show::run_show(args).await,
         AppCommand::Key(args) => key::run_key(args).await,
         AppCommand::Dump(args) => dump::run_dump(args).await,
-        AppCommand::Demo(args) => demo::run_demo(args),
+        AppCommand::Demo(args) => demo::run_demo(args).await,
     }
 }
 
--- a/crates/lentilshift/src/command_error.rs
+++ b/crates/lentilshift/src/command_error.rs
@@ -5,6 +5,7 @@
 use platform::{ReadError, RecordOutcome};
 use thiserror::Error;
 
+use crate::demo::DemoError;
 use crate::exit_status::ExitStatus;
 use crate::fault_report::FaultReport;
 use crate::setting_fault::SettingFaults;
@@ -27,9 +28,9 @@
     /// The contract text is at fault.
     #[error(transparent)]
     InvalidContract(#[from] ContractError),
-    /// The command isn't part of this build.
-    #[error("the command \"{0}\" isn't part of this build")]
-    NotBuilt(&'static str),
+    /// The demo couldn't be run to its end.
+    #[error(transparent)]
+    Demo(#[from] DemoError),
     /// The event loop can't be started.
     #[error("the event loop can't be started: {0}")]
     Runtime(std::io::Error),
@@ -75,7 +76,7 @@
             Self::UnknownYet(_) => ExitStatus::UnknownYet,
             Self::ReadLog(_) | Self::NotWritten(_) | Self::NoDump { .. } => ExitStatus::Unreachable,
             Self::ReadFile { .. }
-            | Self::NotBuilt(_)
+            | Self::Demo(_)
             | Self::Runtime(_)
             | Self::Node(_)
             | Self::Logging(_)
--- a/crates/lentilshift/src/commands/key.rs
+++ b/crates/lentilshift/src/commands/key.rs
@@ -69,7 +69,8 @@
     Err(CommandError::UnknownTeam(team.clone()))
 }
 
-fn new_key() -> String {
+/// Makes a key that nobody can guess.
+pub(crate) fn new_key() -> String {
     let mut random = StdRng::from_os_rng();
     let (high, low): (u128, u128) = random.random();
     format!("{KEY_PREFIX}{high:032x}{low:032x}")
--- a/crates/lentilshift/src/commands/node.rs
+++ b/crates/lentilshift/src/commands/node.rs
@@ -35,7 +35,8 @@
     Ok(())
 }
 
-async fn wait_for_stop() {
+/// Waits until the process is asked to stop.
+pub(crate) async fn wait_for_stop() {
     let interrupt = signal(SIGINT).fuse();
     let terminate = signal(SIGTERM).fuse();
     futures_util::pin_mut!(interrupt, terminate);
--- a/crates/lentilshift/src/main.rs
+++ b/crates/lentilshift/src/main.rs
@@ -5,6 +5,7 @@
 mod command_error;
 mod commands;
 mod config_client;
+mod demo;
 mod exit_status;
 mod fault_report;
 mod process_log;
