feat(lentilshift): keep the demo's overload up for two seconds

Sending 300 requests at one moment measured the start of the overload only; now 600 come evenly over about 2 s, a fourth of them critical.

--- a/crates/lentilshift/src/demo/demo_caller.rs
+++ b/crates/lentilshift/src/demo/demo_caller.rs
@@ -56,7 +56,11 @@
         *request.uri_mut() = Uri::from_static(path);
         let bearer = self.key.as_ref().map(|key| format!("Bearer {key}"));
         put_header(&mut request, AUTHORIZATION, bearer.as_deref());
-        put_header(&mut request, IDEMPOTENCY_KEY, self.idempotency_key.as_deref());
+        put_header(
+            &mut request,
+            IDEMPOTENCY_KEY,
+            self.idempotency_key.as_deref(),
+        );
         put_header(&mut request, TRACE, self.idempotency_key.as_deref());
         self.connection.send(request).await
     }
--- a/crates/lentilshift/src/demo/demo_error.rs
+++ b/crates/lentilshift/src/demo/demo_error.rs
@@ -14,6 +14,9 @@
     /// The fleet wasn't ready in time.
     #[error("the nodes weren't ready within {0} ms")]
     NotReady(u64),
+    /// A task that sent a request came to no end.
+    #[error("a request was sent and its task came to no end")]
+    TaskFailed,
     /// Something happened that should not.
     #[error("not as promised: {0}")]
     BrokenPromise(String),
--- a/crates/lentilshift/src/demo/demo_fleet.rs
+++ b/crates/lentilshift/src/demo/demo_fleet.rs
@@ -23,9 +23,9 @@
 /// The time between two looks at whether they are, in milliseconds.
 const LOOK_MS: u64 = 20;
 /// The time that a backend server of the demo takes for a request, in milliseconds.
-const RUN_MS: u64 = 10;
+const RUN_MS: u64 = 20;
 /// The requests that a backend server of the demo can run at once.
-const SLOTS: u32 = 16;
+const SLOTS: u32 = 4;
 
 /// A backend server with its node.
 pub(crate) struct DemoPair {
--- a/crates/lentilshift/src/demo/demo_steps.rs
+++ b/crates/lentilshift/src/demo/demo_steps.rs
@@ -1,7 +1,10 @@
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use compio::runtime::JoinHandle;
 use compio::time::{sleep, timeout};
 use futures_util::future::{join, try_join_all};
+use http::Method;
 
 use crate::command_error::CommandError;
 use crate::demo::caller_connection::CallerAnswer;
@@ -13,12 +16,12 @@
 const LOOK_UPS: usize = 10;
 /// The requests that the eager team sends at once.
 const EAGER_REQUESTS: usize = 60;
-/// The requests of each importance that are sent at once in the overload.
-const OVERLOAD_REQUESTS: usize = 150;
-/// The time that a request runs in the overload, in milliseconds.
-const OVERLOAD_RUN_MS: u64 = 200;
-/// The time that a request runs outside of the overload, in milliseconds.
-const USUAL_RUN_MS: u64 = 10;
+/// The requests that are sent in the overload.
+const OVERLOAD_REQUESTS: usize = 600;
+/// The time between two requests of the overload, in milliseconds.
+const OVERLOAD_GAP_MS: u64 = 3;
+/// The number of requests in the overload of which one is critical.
+const CRITICAL_EVERY: usize = 4;
 /// The longest that a withdrawn key may still work, in milliseconds.
 const WITHDRAW_LIMIT_MS: u64 = 5_000;
 /// The time between two requests with the key that is withdrawn, in milliseconds.
@@ -156,18 +159,57 @@
     Ok(row.with_note(note).expect(is_within))
 }
 
-/// Sends more than the backend servers can run, half of it of normal importance.
+/// Sends more than the backend servers can run for a while, a fourth of it critical.
 async fn overload(fleet: &DemoFleet, key: &str) -> Result<[DemoRow; 2], DemoError> {
-    set_run_ms(fleet, OVERLOAD_RUN_MS);
-    let low = send_at_once(fleet, key, "/filings/records/7", OVERLOAD_REQUESTS);
-    let critical = post_at_once(fleet, key, "/filings/records/7", OVERLOAD_REQUESTS);
-    let (low, critical) = join(low, critical).await;
-    set_run_ms(fleet, USUAL_RUN_MS);
-    let low = DemoRow::count("overload: 150 look-ups of normal importance", &low?);
-    let critical = DemoRow::count("overload: 150 filings of critical importance", &critical?);
-    let is_ranked = critical.served >= low.served;
-    let low = low.with_note("both sent at the same moment");
-    Ok([low.expect(true), critical.expect(is_ranked)])
+    let mut normal = Vec::new();
+    let mut critical = Vec::new();
+    for n in 0..OVERLOAD_REQUESTS {
+        let address = fleet.pairs[n % fleet.pairs.len()].node.caller_address();
+        let method = if n % CRITICAL_EVERY == 0 {
+            Method::POST
+        } else {
+            Method::GET
+        };
+        let is_critical = method == Method::POST;
+        let sending = compio::runtime::spawn(send_one(address, key.to_owned(), method));
+        if is_critical {
+            critical.push(sending)
+        } else {
+            normal.push(sending)
+        }
+        sleep(Duration::from_millis(OVERLOAD_GAP_MS)).await;
+    }
+    let normal = DemoRow::count(
+        "overload: look-ups of normal importance",
+        &collect(normal).await?,
+    );
+    let critical = DemoRow::count(
+        "overload: filings of critical importance",
+        &collect(critical).await?,
+    );
+    let is_ranked = critical.served * normal.sent() >= normal.served * critical.sent();
+    let normal = normal.with_note("both over the same 2 s");
+    Ok([normal.expect(true), critical.expect(is_ranked)])
+}
+
+async fn send_one(
+    address: SocketAddr,
+    key: String,
+    method: Method,
+) -> Result<CallerAnswer, DemoError> {
+    let mut caller = DemoCaller::connect(address).await?.with_key(key);
+    caller.send(method, "/filings/records/7").await
+}
+
+async fn collect(
+    sendings: Vec<JoinHandle<Result<CallerAnswer, DemoError>>>,
+) -> Result<Vec<CallerAnswer>, DemoError> {
+    let mut answers = Vec::new();
+    for sending in sendings {
+        let answer = sending.await.map_err(|_| DemoError::TaskFailed)?;
+        answers.push(answer?);
+    }
+    Ok(answers)
 }
 
 async fn withdraw_key(fleet: &DemoFleet) -> Result<DemoRow, CommandError> {
@@ -221,16 +263,6 @@
     try_join_all(callers.iter_mut().map(|caller| caller.get(path))).await
 }
 
-async fn post_at_once(
-    fleet: &DemoFleet,
-    key: &str,
-    path: &'static str,
-    count: usize,
-) -> Result<Vec<CallerAnswer>, DemoError> {
-    let mut callers = connect_all(fleet, key, count).await?;
-    try_join_all(callers.iter_mut().map(|caller| caller.post(path))).await
-}
-
 /// Opens connections to the nodes in turn.
 async fn connect_all(
     fleet: &DemoFleet,
@@ -245,12 +277,6 @@
     Ok(callers)
 }
 
-fn set_run_ms(fleet: &DemoFleet, run_ms: u64) {
-    for pair in &fleet.pairs {
-        pair.backend.set_run_ms(run_ms);
-    }
-}
-
 fn count_runs(fleet: &DemoFleet, trace: &str) -> usize {
     let records = fleet.pairs.iter().map(|pair| pair.backend.record());
     records
