feat(load): measure nodes as real processes under load on loopback

Cause: latency, throughput, memory, idle control cost and the worst cases of overload had no command that repeats them on real processes.

Change: a crate that is never published starts stand-ins and the node binary, drives bounded load and prints tables.

--- /dev/null
+++ b/crates/load/src/load_error.rs
@@ -0,0 +1,2 @@
+/// Why a measurement can't go on.
+pub(crate) type LoadError = Box<dyn std::error::Error>;
