fix(rate): wait for the ask that is out, and ask on at once when it falls short

Without it, requests behind an ask waited for the next poll of the driver.

Change: while an ask to the own data centre is out and not slow, nobody else is asked; its answer triggers the next ask at once when more requests wait than tokens came. Ruled out: a second ask to the same allocator, as overtaken asks are dropped there.

--- a/crates/rate/src/token_holder.rs
+++ b/crates/rate/src/token_holder.rs
@@ -146,7 +146,7 @@
         if is_first {
             using.waiting.push_back(now);
         }
-        self.is_dirty |= is_first || !is_asked;
+        self.is_dirty |= !is_asked;
         RateDecision::Ask {
             wait_ms: settings.wait_ms,
         }
@@ -354,9 +354,13 @@
             .map(|(centre, _)| centre)
             .filter(is_free)
             .collect();
-        let is_slow = self.is_slow(now, slot, settings);
-        if !is_slow && open.contains(&&self.centre) {
-            return vec![self.centre.clone()];
+        if !self.is_slow(now, slot, settings) {
+            if open.contains(&&self.centre) {
+                return vec![self.centre.clone()];
+            }
+            if !using.is_dry(now, &self.centre) && self.is_out(team, slot, &self.centre) {
+                return Vec::new();
+            }
         }
         open.into_iter().cloned().collect()
     }
@@ -416,6 +420,7 @@
                     got_at: now,
                 });
             }
+            self.is_dirty |= using.waiting.len() > using.held(now) as usize;
         }
     }
 }
--- a/crates/rate/tests/support/world.rs
+++ b/crates/rate/tests/support/world.rs
@@ -65,6 +65,7 @@
     log_cut_until: u64,
     next_read: u64,
     read: usize,
+    next_poll: u64,
     waiting: Vec<(TeamName, u64)>,
 }
 
@@ -108,6 +109,10 @@
     starts: BTreeMap<(u64, u64), CentreName>,
     pub teams: BTreeMap<TeamName, TeamOutcome>,
     pub messages: u64,
+    /// The shortest time between two polls of a node, in milliseconds.
+    pub poll_every_ms: u64,
+    /// When requests begin to come.
+    pub traffic_from: u64,
 }
 
 impl<N: SimNode> World<N> {
@@ -148,6 +153,8 @@
             starts: BTreeMap::new(),
             teams,
             messages: 0,
+            poll_every_ms: 1,
+            traffic_from: WARM_UP_MS,
         };
         for index in 0..vms {
             world.start(CentreName::new(format!("dc-{}", index % 3)));
@@ -167,6 +174,7 @@
             log_cut_until: 0,
             next_read: self.now,
             read: 0,
+            next_poll: 0,
             waiting: Vec::new(),
         };
         let contract = self.contracts.last().unwrap();
@@ -220,7 +228,7 @@
             for vm in &vms {
                 self.step(vm);
             }
-            if self.now > WARM_UP_MS {
+            if self.now > self.traffic_from {
                 self.send_requests();
             }
         }
@@ -398,14 +406,24 @@
             host.node.log_caught_up(now);
             host.next_read = self.now + self.random.random_range(5..80);
         }
-        let mut actions = Vec::new();
-        if host.node.next_poll() <= now {
-            host.node.poll(now, &mut actions);
+        if host.next_poll <= self.now {
+            host.next_poll = self.now + self.poll_every_ms;
+            self.poll(vm);
         }
-        self.carry_out(vm, actions);
         self.retry_waiting(vm);
     }
 
+    /// Polls a node if that is due by its own word.
+    pub fn poll(&mut self, vm: &VmName) {
+        let mut actions = Vec::new();
+        self.with_host(vm, |host, now| {
+            if host.node.next_poll() <= now {
+                host.node.poll(now, &mut actions);
+            }
+        });
+        self.carry_out(vm, actions);
+    }
+
     fn is_cut(&self, one: &CentreName, other: &CentreName) -> bool {
         let is_cut = |centre| {
             self.cut_until
--- a/crates/rate/tests/wrongful_refusals.rs
+++ b/crates/rate/tests/wrongful_refusals.rs
@@ -109,3 +109,25 @@
     assert!(admitted_of_whole_burst(FixedNode::new) < 40);
     assert_eq!(admitted_of_whole_burst(limiter), 40);
 }
+
+#[rstest]
+fn burst_behind_an_ask_is_admitted_whole(
+    #[values("dc-0", "dc-1", "dc-2")] centre: &str,
+    #[values(1, 2, 3)] seed: u64,
+    #[values(10, 50)] poll_every_ms: u64,
+) {
+    let loads = [("quiet", load(1, 40, 0, 1))];
+    let mut world = World::new(seed, VMS, &loads, Faults::default(), limiter);
+    world.run_until(WARM_UP_MS + 60_000);
+    world.poll_every_ms = poll_every_ms;
+    let team = TeamName::new("quiet");
+    let vm = world.vm_in(centre);
+    let sent = world.messages;
+    for _ in 0..40 {
+        world.request(&vm, &team);
+        world.poll(&vm);
+    }
+    assert!(world.messages > sent);
+    world.run_until(world.now + 30);
+    assert_eq!(world.teams[&team].admitted.len(), 40);
+}
