fix(trial): judge a critical refusal by the service that refused it

That isn't the same bottleneck, so each refusal is now compared with the starts of the service that refused it. A refusal for want of time names no service and is still compared with the scarcest.

Ruled out: ending the shelter of begun work while a higher class is cut.

--- a/crates/trial/src/call.rs
+++ b/crates/trial/src/call.rs
@@ -23,6 +23,8 @@
     pub(crate) is_over: bool,
     pub(crate) is_good: bool,
     pub(crate) retries_left: u32,
+    /// The service that refused the try last.
+    pub(crate) refused_by: Option<usize>,
 }
 
 /// Where a call stands.
@@ -88,6 +90,6 @@
     pub(crate) importance: CallImportance,
     /// Whether every service of the request had room.
     pub(crate) was_free: bool,
-    /// Whether a lesser request had just started at the scarcest service of the request.
+    /// Whether a lesser request had just started at the service that refused this one.
     pub(crate) was_inverted: bool,
 }
--- a/crates/trial/src/score.rs
+++ b/crates/trial/src/score.rs
@@ -34,7 +34,8 @@
     pub wrongful: f64,
     /// Critical requests refused.
     pub critical_refused: u64,
-    /// Critical requests refused while a lesser one was started at the scarcest service.
+    /// Critical requests refused by a service while it started a lesser one, or while the
+    /// scarcest service did when the refusal names none.
     pub inverted: u64,
     /// Work on tries that failed, as a share of capacity, at the service where it is greatest.
     pub wasted: f64,
--- a/crates/trial/src/world_calls.rs
+++ b/crates/trial/src/world_calls.rs
@@ -132,6 +132,9 @@
                 IngressAction::Wait => {}
                 IngressAction::Refuse(call, reason) => {
                     let is_shed = reason != RefusalReason::NoBackend;
+                    let is_late = reason == RefusalReason::TooLate;
+                    let tried = &mut self.tries[self.calls[call].client_try];
+                    tried.refused_by = (!is_late).then_some(self.vms[vm].service);
                     self.answer(call, CallResult::Refused(is_shed));
                 }
             }
