--- a/crates/load/src/control.rs
+++ b/crates/load/src/control.rs
@@ -5,6 +5,7 @@
 use crate::fleet_plan::PairPlan;
 use crate::load_error::LoadError;
 use crate::load_fleet::LoadFleet;
+use crate::node_child::NodeChild;
 
 /// The sizes of the fleet.
 const SIZES: [usize; 4] = [4, 16, 64, 128];
@@ -47,7 +48,7 @@
     let peer = 2.0 * per_node(fleet.peer_bytes.get() - peer);
     let log = per_node(fleet.log_bytes.get() - log);
     let records = (fleet.appended().await? - appended) as f64 / span_s;
-    let memory = fleet.nodes.iter().map(|node| node.resident_kb());
+    let memory = fleet.nodes.iter().map(NodeChild::resident_kb);
     let most_kb = memory.filter_map(Result::ok).max().unwrap_or(0);
     println!(
         "| {run} | {size} | {settled_s:.1} | {share:.3} | {peer:.0} | {log:.0} | {records:.2} | {most_kb} |"
