refactor(node): serve callers and backend servers by functions that refuse in one place

Change: both return a refusal by ?, and the chain is asked before the team's tokens are spent. Checked: tests of node and command passed.

--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -16,7 +16,6 @@
 use crate::call_answer::{CallAnswer, CallRefusal};
 use crate::call_body::CallBody;
 use crate::call_headers::idempotency_key;
-use crate::chain_watch::check_chain;
 use crate::ingress::run_call;
 use crate::node_core::NodeCore;
 use crate::replay_body::ReplayBody;
@@ -45,9 +44,6 @@
     body: CallBody,
     deadline: ClockTime,
 ) -> CallAnswer {
-    if let Err(refusal) = check_chain(core, &head, deadline) {
-        return CallAnswer::refused(&head, &refusal, head.allowance);
-    }
     let allowance = RetryAllowance::new(AllowanceShare::new(head.allowance));
     let sending = CallSending {
         core,
--- a/crates/node/src/egress.rs
+++ b/crates/node/src/egress.rs
@@ -13,6 +13,7 @@
 use crate::call_answer::{CallAnswer, CallRefusal};
 use crate::call_body::CallBody;
 use crate::call_headers::{CALL_ID, find_deadline_ms};
+use crate::chain_watch::check_chain;
 use crate::dispatch::dispatch_call;
 use crate::entry::{EntryCall, call_headers, find_call};
 use crate::http_answer::{build_response, refuse_response};
@@ -32,44 +33,52 @@
     core: Rc<NodeCore>,
     request: Request<Incoming>,
 ) -> Response<AnswerBody> {
-    let parent = match find_parent(&core, request.headers()) {
-        Ok(parent) => parent,
-        Err(refusal) => {
-            let request_id = core.new_request_id();
-            return refuse_response(&core, request_id, "egress", &refusal);
-        }
+    let parent = find_parent(&core, request.headers());
+    let request_id = match &parent {
+        Ok(Some(parent)) => parent.request,
+        _ => core.new_request_id(),
     };
-    let request_id = parent
-        .as_ref()
-        .map_or_else(|| core.new_request_id(), |parent| parent.request);
-    let Some(entry) = find_call(&core, &request, None) else {
-        let refusal = CallRefusal::not_run(RefusalReason::NoSuchCall);
-        return refuse_response(&core, request_id, "egress", &refusal);
-    };
-    let deadline = find_deadline(&core, &request, &entry, parent.as_deref());
-    let head = build_head(&core, request_id, entry, &request, parent.as_deref());
-    let body = match read_small(&core, request.into_body(), deadline).await {
-        Ok(body) => body,
-        Err(refusal) => return refuse_response(&core, request_id, "egress", &refusal),
+    let served = match parent {
+        Ok(parent) => serve_backend(&core, request_id, request, parent).await,
+        Err(refusal) => Err(refusal),
     };
+    match served {
+        Ok(answer) => build_response(request_id, answer),
+        Err(refusal) => refuse_response(&core, request_id, "egress", &refusal),
+    }
+}
+
+/// Sends a backend server's call on its way, as a part of the request that it serves.
+async fn serve_backend(
+    core: &Rc<NodeCore>,
+    request_id: RequestId,
+    request: Request<Incoming>,
+    parent: Option<Rc<RunningCall>>,
+) -> Result<CallAnswer, CallRefusal> {
+    let started = core.now();
+    let entry = find_call(core, &request, None);
+    let entry = entry.ok_or_else(|| CallRefusal::not_run(RefusalReason::NoSuchCall))?;
+    let deadline = find_deadline(core, &request, &entry, parent.as_deref());
+    let head = build_head(core, request_id, entry, &request, parent.as_deref());
+    check_chain(core, &head, deadline)?;
+    let body = read_small(core, request.into_body(), deadline).await?;
     let body_bytes = body.known_bytes();
     let mut head = CallHead { body_bytes, ..head };
     if let Some(parent) = &parent
         && !take_share(parent, &mut head, &body)
     {
-        let refusal = CallRefusal::not_run(RefusalReason::Overloaded).after_ms(REPEATS_SPENT_MS);
-        return refuse_response(&core, request_id, "egress", &refusal);
+        let refusal = CallRefusal::not_run(RefusalReason::Overloaded);
+        return Err(refusal.after_ms(REPEATS_SPENT_MS));
     }
-    let started = core.now();
     let (service, attempt) = (head.service.clone(), head.attempt);
-    let answer = dispatch_call(&core, head, body, deadline).await;
+    let answer = dispatch_call(core, head, body, deadline).await;
     let now = core.now();
     core.metrics
         .observe_call("egress", &service, started, now, &answer.head);
     if let Some(parent) = &parent {
         settle_with(parent, attempt, &answer, now.since_ms(started));
     }
-    build_response(request_id, answer)
+    Ok(answer)
 }
 
 /// Returns the running call that a backend server's call serves, if it names one.
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -1,15 +1,17 @@
 use std::rc::Rc;
 
 use contract::CallContract;
+use http::request::Parts;
 use http::{HeaderMap, Request, Response};
 use hyper::body::Incoming;
-use model::{CallName, RefusalReason, ServiceName, TeamName};
+use model::{CallName, RefusalReason, RequestId, ServiceName, TeamName};
 use platform::KeyAnswer;
 use wire::{CallHead, HeaderList};
 
 use crate::answer_body::AnswerBody;
-use crate::call_answer::CallRefusal;
+use crate::call_answer::{CallAnswer, CallRefusal};
 use crate::call_headers::{find_deadline_ms, find_key, is_key_in_path, strip_path, strip_request};
+use crate::chain_watch::check_chain;
 use crate::dispatch::dispatch_call;
 use crate::http_answer::{build_response, refuse_response};
 use crate::node_core::NodeCore;
@@ -20,7 +22,6 @@
 /// The time after which a caller may send a request again whose retries are spent, in
 /// milliseconds.
 const RESENDS_SPENT_MS: u64 = 60_000;
-
 /// The time after which callers come back to a node that trusts no key, in milliseconds.
 const KEYS_STALE_MS: u64 = 2_000;
 
@@ -40,34 +41,71 @@
     request: Request<Incoming>,
 ) -> Response<AnswerBody> {
     let request_id = core.new_request_id();
+    match serve_caller(&core, request_id, request).await {
+        Ok(answer) => build_response(request_id, answer),
+        Err(refusal) => refuse_response(&core, request_id, "entry", &refusal),
+    }
+}
+
+/// Sends a caller's request on its way once nothing speaks against it.
+///
+/// A request that the chain would shed spends none of its team's tokens.
+async fn serve_caller(
+    core: &Rc<NodeCore>,
+    request_id: RequestId,
+    request: Request<Incoming>,
+) -> Result<CallAnswer, CallRefusal> {
+    let started = core.now();
     let key = find_key(request.headers()).map(<[u8]>::to_vec);
     let key = key.as_deref();
     if is_key_in_path(request.uri().path(), key) {
-        let refusal = CallRefusal::not_run(RefusalReason::BadRequest);
-        return refuse_response(&core, request_id, "entry", &refusal);
-    }
-    let entry = find_call(&core, &request, key);
-    let (entry, team) = match check_key(&core, entry, key) {
-        Ok(checked) => checked,
-        Err(refusal) => return refuse_response(&core, request_id, "entry", &refusal),
-    };
-    if let Some(team) = &team
-        && let Err(refusal) = admit_team(&core, team).await
-    {
-        return refuse_response(&core, request_id, "entry", &refusal);
+        return Err(CallRefusal::not_run(RefusalReason::BadRequest));
     }
-    let weight = team_weight(&core, team.as_ref());
+    let entry = find_call(core, &request, key);
+    let (entry, team) = check_key(core, entry, key)?;
     let allowed_ms = entry.contract.deadline_ms;
     let wanted_ms = find_deadline_ms(request.headers()).unwrap_or(allowed_ms);
-    let deadline = core.now().plus_ms(wanted_ms.min(allowed_ms));
+    let deadline = started.plus_ms(wanted_ms.min(allowed_ms));
     let (parts, body) = request.into_parts();
+    let head = build_head(core, request_id, entry, team, &parts, key);
+    check_chain(core, &head, deadline)?;
+    if let Some(team) = &head.team {
+        admit_team(core, team).await?;
+    }
+    let body = read_small(core, body, deadline).await?;
+    let charge = ResendCharge::open(core, &head);
+    let charge = charge.ok_or_else(|| {
+        CallRefusal::not_run(RefusalReason::Overloaded).after_ms(RESENDS_SPENT_MS)
+    })?;
     let head = CallHead {
+        body_bytes: body.known_bytes(),
+        allowance: charge.allowance(),
+        ..head
+    };
+    let service = head.service.clone();
+    let answer = dispatch_call(core, head, body, deadline).await;
+    charge.close(answer.head.allowance_left);
+    core.metrics
+        .observe_call("entry", &service, started, core.now(), &answer.head);
+    Ok(answer)
+}
+
+fn build_head(
+    core: &NodeCore,
+    request_id: RequestId,
+    entry: EntryCall,
+    team: Option<TeamName>,
+    parts: &Parts,
+    key: Option<&[u8]>,
+) -> CallHead {
+    let team_weight = team_weight(core, team.as_ref());
+    CallHead {
         request: request_id,
         attempt: core.new_attempt_id(),
         service: entry.service,
         call: entry.call,
         team,
-        team_weight: weight,
+        team_weight,
         importance: entry.contract.importance,
         depth: 0,
         mark: None,
@@ -79,27 +117,7 @@
         path: entry.path,
         headers: HeaderList::from(&strip_request(&parts.headers, key)),
         body_bytes: None,
-    };
-    let started = core.now();
-    let service = head.service.clone();
-    let body = match read_small(&core, body, deadline).await {
-        Ok(body) => body,
-        Err(refusal) => return refuse_response(&core, request_id, "entry", &refusal),
-    };
-    let Some(charge) = ResendCharge::open(&core, &head) else {
-        let refusal = CallRefusal::not_run(RefusalReason::Overloaded).after_ms(RESENDS_SPENT_MS);
-        return refuse_response(&core, request_id, "entry", &refusal);
-    };
-    let head = CallHead {
-        body_bytes: body.known_bytes(),
-        allowance: charge.allowance(),
-        ..head
-    };
-    let answer = dispatch_call(&core, head, body, deadline).await;
-    charge.close(answer.head.allowance_left);
-    core.metrics
-        .observe_call("entry", &service, started, core.now(), &answer.head);
-    build_response(request_id, answer)
+    }
 }
 
 /// Returns the call of the contract that a request is.
