feat(platform,node): divide the claims over 20 streams by service

A node read the claims of all services: 280 KB/s a node at 4,000 nodes against 24 KB/s allowed. A service's claims now go to the stream that a hash of its name gives; a node reads that stream only and asks only nodes that read it too. Ruled out: a stream for each service, which takes one append pause for each of 530 streams. The streams with once-calls divide 200 appends a second, so the wait at today's sizes stays as it was.

--- a/crates/member/src/member_view.rs
+++ b/crates/member/src/member_view.rs
@@ -143,11 +143,19 @@
     /// Returns the VMs of each data centre that take work, ordered by name.
     #[must_use]
     pub fn ready_by_centre(&self) -> BTreeMap<CentreName, Vec<VmName>> {
+        self.ready_by_centre_of(|_| true)
+    }
+
+    /// Returns the VMs of each data centre that take work and are selected by their service.
+    #[must_use]
+    pub fn ready_by_centre_of(
+        &self,
+        is_selected: impl Fn(&ServiceName) -> bool,
+    ) -> BTreeMap<CentreName, Vec<VmName>> {
         let mut centres: BTreeMap<CentreName, Vec<VmName>> = BTreeMap::new();
-        for member in self
-            .members()
-            .filter(|member| member.state == MemberState::Ready)
-        {
+        let is_ready = |member: &&MemberAnnouncement| member.state == MemberState::Ready;
+        let ready = self.members().filter(is_ready);
+        for member in ready.filter(|member| is_selected(&member.service)) {
             let names = centres.entry(member.centre.clone()).or_default();
             names.push(member.vm.clone());
         }
--- a/crates/node/src/claim_watch.rs
+++ b/crates/node/src/claim_watch.rs
@@ -6,7 +6,9 @@
     CallFingerprint, ClaimAction, ClaimOutcome, ClaimRecord, ClaimRefusal, HolderReply, KeyDigest,
     OnceRequest, StoredAnswer,
 };
-use platform::{AppendError, LogStream, NewRecord, PlatformLog, RecordBody, RelayBatch, RelayPull};
+use platform::{
+    AppendError, ClaimShard, LogStream, NewRecord, PlatformLog, RecordBody, RelayBatch, RelayPull,
+};
 use wire::CallHead;
 
 use crate::call_answer::CallRefusal;
@@ -199,13 +201,11 @@
 async fn append_claim(core: Rc<NodeCore>, record: ClaimRecord) {
     let id = record.id;
     let body = RecordBody::encode(&record);
-    let appended = core
-        .log
-        .append(LogStream::Claims, vec![NewRecord { id, body }])
-        .await;
+    let stream = LogStream::Claims(ClaimShard::of(&core.settings.service));
+    let appended = core.log.append(stream, vec![NewRecord { id, body }]).await;
     let Err(error) = appended else { return };
     log::warn!(
-        "event=append-failed stream=claims error={:?}",
+        "event=append-failed stream={stream} error={:?}",
         error.to_string()
     );
     if let AppendError::NotWritten(_) = error {
--- a/crates/node/src/fleet_watch.rs
+++ b/crates/node/src/fleet_watch.rs
@@ -1,10 +1,10 @@
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
 use clock::ClockTime;
 use member::{MemberAnnouncement, MemberState, MemberSubset};
 use model::{CentreName, ServiceName, VmName};
-use platform::{PlanSettings, RelayBatch, RelayPlan, RelayPull};
+use platform::{ClaimShard, PlanSettings, RelayBatch, RelayPlan, RelayPull};
 use route::RouteTarget;
 
 use crate::config_watch::pull_from;
@@ -84,13 +84,28 @@
 
 /// Plans whom this node asks for news of the log.
 fn put_plan(core: &NodeCore) {
-    let settings = PlanSettings::default();
     let own = &core.settings;
-    let (by_centre, has_peers) = core.fleet.with(|feed| {
+    let shard = ClaimShard::of(&own.service);
+    let (by_centre, of_shard, has_peers) = core.fleet.with(|feed| {
         let view = feed.fold().view();
         let has_peers = view.members().any(|member| member.vm != own.vm);
-        (view.ready_by_centre(), has_peers)
+        let of_shard = view.ready_by_centre_of(|service| ClaimShard::of(service) == shard);
+        (view.ready_by_centre(), of_shard, has_peers)
     });
+    let mut plan = plan_for(core, &by_centre);
+    if plan.sources().is_empty() {
+        plan = seed_plan(core);
+    }
+    let claims_plan = plan_for(core, &of_shard);
+    core.claims.with(|feed| feed.set_plan(claims_plan));
+    let centres = by_centre.keys().cloned().collect();
+    use_plan(core, &plan, centres, has_peers);
+}
+
+/// Plans whom this node asks among some VMs that take work.
+fn plan_for(core: &NodeCore, by_centre: &BTreeMap<CentreName, Vec<VmName>>) -> RelayPlan {
+    let settings = PlanSettings::default();
+    let own = &core.settings;
     let local = by_centre.get(&own.centre).map_or(&[][..], Vec::as_slice);
     let others = by_centre
         .iter()
@@ -98,15 +113,10 @@
     let remote: Vec<VmName> = others
         .flat_map(|(_, names)| RelayPlan::readers(names, &settings))
         .collect();
-    let mut plan = RelayPlan::new(&own.vm, local, &remote, &settings);
-    if plan.sources().is_empty() {
-        plan = seed_plan(core);
-    }
-    let centres = by_centre.keys().cloned().collect();
-    use_plan(core, &plan, centres, has_peers);
+    RelayPlan::new(&own.vm, local, &remote, &settings)
 }
 
-/// Follows all streams by a plan.
+/// Follows the streams that all nodes read by a plan.
 pub(crate) fn use_plan(
     core: &NodeCore,
     plan: &RelayPlan,
@@ -115,7 +125,6 @@
 ) {
     core.fleet.with(|feed| feed.set_plan(plan.clone()));
     core.rates.with(|feed| feed.set_plan(plan.clone()));
-    core.claims.with(|feed| feed.set_plan(plan.clone()));
     core.config
         .with(|state| state.feed.set_members(plan.clone(), centres, has_peers));
 }
--- a/crates/node/src/node_core.rs
+++ b/crates/node/src/node_core.rs
@@ -1,5 +1,5 @@
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
 use adapter::{HttpLog, HttpSettings};
@@ -9,7 +9,7 @@
 use member::{MemberFold, MemberSettings};
 use model::{AttemptId, RecordId, RequestId, ServiceName, VmName};
 use once::{AttemptSettings, AttemptTable, ClaimBook, OnceSettings};
-use platform::{FoldFeed, KeyAnswer, KeyDigest, LogStream};
+use platform::{ClaimShard, FoldFeed, KeyAnswer, KeyDigest, LogStream};
 use quarantine::{RequestFingerprint, SuspectBook, SuspectSettings, home_vm};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -36,6 +36,8 @@
 use crate::stream_host::StreamHost;
 use crate::suspect_watch::SuspectFate;
 
+/// The appends a second that the claims of the whole fleet may take of the platform's log.
+const CLAIM_APPENDS_PER_S: u64 = 200;
 /// The time for which a leaving backend server still takes calls that other nodes send because
 /// they haven't heard of it yet, in milliseconds.
 const LEAVE_TAKE_MS: u64 = 2_000;
@@ -113,6 +115,7 @@
             0,
             random.random(),
         );
+        let shard = ClaimShard::of(&settings.service);
         let claims = ClaimState {
             book,
             actions: Vec::new(),
@@ -127,7 +130,7 @@
             config: StreamHost::new(clock, ConfigState::new(settings.centre.clone())),
             fleet: StreamHost::new(clock, FoldFeed::new(LogStream::Members, fleet)),
             rates: StreamHost::new(clock, FoldFeed::new(LogStream::Rates, rates)),
-            claims: StreamHost::new(clock, FoldFeed::new(LogStream::Claims, claims)),
+            claims: StreamHost::new(clock, FoldFeed::new(LogStream::Claims(shard), claims)),
             claim_fates: FateBoard::default(),
             suspects: RefCell::new(suspects),
             suspect_fates: FateBoard::default(),
@@ -230,6 +233,9 @@
         }
         drop(routers);
         self.chain.borrow_mut().forget_absent(&contract);
+        let budget = claim_budget(&contract);
+        let set_budget = |state: &mut ClaimState| state.book.set_appends_per_s(budget);
+        self.claims.with(|feed| set_budget(feed.fold()));
         self.contract.replace(contract);
         put_rates(self);
     }
@@ -271,3 +277,12 @@
         left_at.is_none_or(|left_at| self.now().since_ms(left_at) < LEAVE_TAKE_MS)
     }
 }
+
+/// Returns the claims' appends a second for each shard that has calls which must run once.
+fn claim_budget(contract: &FleetContract) -> u64 {
+    let services = contract.services.iter();
+    let with_once = services.filter(|(_, service)| service.calls.values().any(|call| call.once));
+    let shards: BTreeSet<ClaimShard> = with_once.map(|(name, _)| ClaimShard::of(name)).collect();
+    let count = u64::try_from(shards.len()).unwrap_or(u64::MAX).max(1);
+    (CLAIM_APPENDS_PER_S / count).min(OnceSettings::default().appends_per_s)
+}
--- a/crates/node/src/peer_port.rs
+++ b/crates/node/src/peer_port.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use model::VmName;
-use platform::{LogStream, RelayBatch, RelayPull};
+use platform::{ClaimShard, LogStream, RelayBatch, RelayPull};
 use wire::{AnswerHead, CallHead, LinkBody, PeerHandler};
 
 use crate::answer_body::AnswerBody;
@@ -57,7 +57,10 @@
         LogStream::Config => Some(core.config.answer(pull).await),
         LogStream::Members => Some(core.fleet.answer(pull).await),
         LogStream::Rates => Some(core.rates.answer(pull).await),
-        LogStream::Claims => Some(core.claims.answer(pull).await),
+        LogStream::Claims(shard) if shard == ClaimShard::of(&core.settings.service) => {
+            Some(core.claims.answer(pull).await)
+        }
+        LogStream::Claims(_) => None,
     }
 }
 
--- a/crates/once/src/claim_book.rs
+++ b/crates/once/src/claim_book.rs
@@ -60,6 +60,12 @@
         book
     }
 
+    /// Sets the most appends a second of all nodes that write to the stream, which depends on
+    /// how many streams of claims the fleet uses.
+    pub const fn set_appends_per_s(&mut self, appends_per_s: u64) {
+        self.settings.appends_per_s = appends_per_s;
+    }
+
     /// Returns the state derived from the stream.
     #[must_use]
     pub const fn fold(&self) -> &ClaimFold {
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -6,6 +6,7 @@
 //! nodes, [`RecordAttempt`] learns what became of an append, and [`KeyTrust`] says for how
 //! long the news may be relied on. Nothing here does I/O.
 
+mod claim_shard;
 mod config_feed;
 mod config_fold;
 mod config_record;
@@ -28,6 +29,7 @@
 mod stream_follower;
 mod text_change;
 
+pub use claim_shard::ClaimShard;
 pub use config_feed::{AppliedRecord, ConfigFeed, FeedSettings, KeyAnswer};
 pub use config_fold::{ConfigFold, TextCheck, TextFault, VersionedText};
 pub use config_record::{ConfigRecord, ConfigVersion, RecordOutcome};
--- a/crates/platform/src/log_stream.rs
+++ b/crates/platform/src/log_stream.rs
@@ -2,6 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::ClaimShard;
+
 /// A stream of the platform's log, ordered by itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
@@ -12,13 +14,18 @@
     Members,
     /// Division of the teams' rates between data centres, and leases of allocators.
     Rates,
-    /// Claims of calls that must run at most once.
-    Claims,
+    /// Claims of calls that must run at most once, for a part of the services.
+    Claims(ClaimShard),
 }
 
 impl LogStream {
-    /// All streams.
-    pub const ALL: [Self; 4] = [Self::Config, Self::Members, Self::Rates, Self::Claims];
+    /// Returns all streams.
+    pub fn all() -> impl Iterator<Item = Self> {
+        let single = [Self::Config, Self::Members, Self::Rates];
+        single
+            .into_iter()
+            .chain(ClaimShard::all().map(Self::Claims))
+    }
 
     /// Returns the name used in addresses and metrics.
     #[must_use]
@@ -27,14 +34,14 @@
             Self::Config => "config",
             Self::Members => "members",
             Self::Rates => "rates",
-            Self::Claims => "claims",
+            Self::Claims(shard) => shard.as_str(),
         }
     }
 
     /// Parses a name, or returns `None` when there is no such stream.
     #[must_use]
     pub fn parse(name: &str) -> Option<Self> {
-        Self::ALL.into_iter().find(|stream| stream.as_str() == name)
+        Self::all().find(|stream| stream.as_str() == name)
     }
 }
 
--- /dev/null
+++ b/crates/platform/tests/claim_shard.rs
@@ -0,0 +1,35 @@
+//! Checks how services are divided over the streams of claims.
+
+use std::collections::BTreeSet;
+
+use lentilshift_platform::{ClaimShard, LogStream};
+use rstest::rstest;
+
+/// A service's shard must never change: its claims would be forgotten.
+#[rstest]
+#[case("filings", 10)]
+#[case("booking", 9)]
+fn shards_of_services_stay(#[case] service: &str, #[case] index: usize) {
+    assert_eq!(ClaimShard::of(&service.into()).index(), index);
+}
+
+#[test]
+fn services_spread_over_all_shards() {
+    let services = (0..530).map(|n| format!("service-{n}"));
+    let shards = services.map(|name| ClaimShard::of(&name.as_str().into()).index());
+    let mut counts = [0; ClaimShard::COUNT];
+    shards.for_each(|index| counts[index] += 1);
+    assert!(
+        counts.iter().all(|count| (10..50).contains(count)),
+        "{counts:?}"
+    );
+}
+
+#[test]
+fn every_stream_has_a_name_of_its_own() {
+    let names: BTreeSet<&str> = LogStream::all().map(LogStream::as_str).collect();
+    assert_eq!(names.len(), LogStream::all().count());
+    for stream in LogStream::all() {
+        assert_eq!(LogStream::parse(stream.as_str()), Some(stream));
+    }
+}
