fix(node): tell the truth after a retry, and send lost reads again

Tests with breakable links between nodes showed two faults first: - A read whose first attempt may have run and whose retry found no backend server was answered "not run". The verdict now speaks of all attempts. - A read that had run but whose answer was lost with its link was given up (3 of 150 beside a silent link). It is sent again now.

--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -59,6 +59,7 @@
         send_to: None,
         is_sent_on: false,
         redirects: 0,
+        earlier: RunVerdict::NotRun,
         copies: copies_of(&head),
         head,
     };
@@ -79,6 +80,8 @@
     /// Whether the last attempt went to such a VM.
     is_sent_on: bool,
     redirects: u32,
+    /// Whether an attempt before the present one may have run.
+    earlier: RunVerdict,
     /// What copies of the call have in common, where they should meet at one VM.
     copies: Option<RequestFingerprint>,
 }
@@ -97,16 +100,36 @@
                         "event=call-ends request={} stop={stop:?}",
                         self.head.request
                     );
-                    answer.head.allowance_left = self.allowance.left();
-                    return answer;
+                    return self.end_with(answer);
                 }
             };
             self.retries += 1;
+            if answer.head.verdict != RunVerdict::NotRun {
+                self.earlier = RunVerdict::MayHaveRun;
+            }
             self.core.metrics.count_retry();
             sleep(Duration::from_millis(wait_ms)).await;
         }
     }
 
+    /// Returns the answer for the sender: "not run" only when that holds of every attempt.
+    fn end_with(&self, mut answer: CallAnswer) -> CallAnswer {
+        let left = self.allowance.left();
+        answer.head.allowance_left = left;
+        let reason = answer.head.refusal;
+        match (answer.head.verdict, self.earlier, reason) {
+            (RunVerdict::NotRun, RunVerdict::MayHaveRun, Some(reason)) => {
+                let refusal = CallRefusal {
+                    service: answer.head.refused_by,
+                    ..CallRefusal::may_have_run(reason)
+                };
+                let retry_after_ms = u64::from(answer.head.retry_after_ms);
+                CallAnswer::refused(&self.head, &refusal.after_ms(retry_after_ms), left)
+            }
+            _ => answer,
+        }
+    }
+
     /// Makes one attempt, and hands down a share of the allowance with it.
     async fn try_once(&mut self) -> CallAnswer {
         self.head.attempt = self.core.new_attempt_id();
@@ -162,8 +185,13 @@
     }
 
     fn decide(&mut self, answer: &AnswerHead) -> RetryDecision {
+        let is_answered = answer.verdict == RunVerdict::Ran && answer.refusal.is_none();
+        let verdict = match answer.verdict {
+            RunVerdict::Ran if !is_answered => RunVerdict::MayHaveRun,
+            verdict => verdict,
+        };
         let question = RetryQuestion {
-            verdict: answer.verdict,
+            verdict,
             is_idempotent: self.head.idempotent && !self.head.once,
             is_service_shedding: is_shedding(answer) || !self.body.is_whole(),
             is_suspect: answer.is_suspect || answer.refusal == Some(RefusalReason::Quarantined),
@@ -175,7 +203,7 @@
         let mut ratios = self.core.ratios.borrow_mut();
         let ratio = ratios.entry(self.head.service.clone());
         let ratio = ratio.or_insert_with(|| RetryRatio::new(RATIO_SETTINGS));
-        if answer.verdict == RunVerdict::Ran {
+        if is_answered {
             ratio.succeed();
         }
         let policy = RetryPolicy::default();
--- a/crates/node/tests/faults_poison.rs
+++ b/crates/node/tests/faults_poison.rs
@@ -68,6 +68,7 @@
     for _ in 0..2 {
         let answer = fleet.send(0, "GET", "/filings/filings/1?crash=1").await;
         assert_ne!(answer.status().as_u16(), 200);
+        assert_ne!(answer.headers()["lentilshift-verdict"], "not-run");
         restart_all(&fleet).await;
     }
     assert_eq!(crashes(&fleet), 2);
--- a/crates/node/tests/fleet/mod.rs
+++ b/crates/node/tests/fleet/mod.rs
@@ -1,5 +1,8 @@
 //! A small fleet on one loop: the log's stand-in, backend servers and their nodes.
 
+#[allow(dead_code, reason = "not every test file breaks links")]
+pub mod link_proxy;
+
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -101,7 +104,20 @@
         log.append(LogStream::Config, vec![record]).await.unwrap();
     }
 
+    /// Appends a record whose reply may be lost.
+    #[allow(dead_code, reason = "not every test file loses replies")]
+    pub async fn append_at_last(&self, record: &ConfigRecord, id: u128) {
+        let base = format!("http://{}", self.log_address);
+        let log = adapter::HttpLog::new(base, adapter::HttpSettings::default()).unwrap();
+        let record = NewRecord {
+            id: RecordId::from_random(id),
+            body: RecordBody::encode(record),
+        };
+        let _ = log.append(LogStream::Config, vec![record]).await;
+    }
+
     /// Starts a backend server with its node.
+    #[allow(dead_code, reason = "not every test file uses the usual settings")]
     pub async fn add(&mut self, name: &str, service: &str, backend: BackendSettings) {
         self.add_with(name, service, backend, |settings| settings)
             .await;
@@ -131,6 +147,25 @@
         self.pairs.push(Pair { backend, node });
     }
 
+    /// Starts a backend server with a node that others reach over links that can be broken.
+    #[allow(dead_code, reason = "not every test file breaks links")]
+    pub async fn add_proxied(
+        &mut self,
+        name: &str,
+        service: &str,
+        backend: BackendSettings,
+    ) -> Rc<link_proxy::LinkProxy> {
+        let proxy = link_proxy::LinkProxy::start().await;
+        let address = Some(proxy.address());
+        self.add_with(name, service, backend, |settings| NodeSettings {
+            advertised_address: address,
+            ..settings
+        })
+        .await;
+        proxy.set_target(self.pairs.last().unwrap().node.peer_address());
+        proxy
+    }
+
     /// Waits until every node is ready and knows all the others.
     pub async fn settle(&self) {
         for _ in 0..500 {
@@ -212,7 +247,7 @@
         path: &str,
         headers: &[(&'static str, &str)],
     ) -> cyper::Response {
-        loop {
+        for _ in 0..500 {
             let answer = self.send_with(node, method, path, headers).await;
             if answer.status().as_u16() != 429 {
                 return answer;
@@ -220,5 +255,6 @@
             assert_eq!(answer.headers()["lentilshift-verdict"], "not-run");
             sleep(Duration::from_millis(20)).await;
         }
+        panic!("no tokens came in 10 s");
     }
 }
