--- /dev/null
+++ b/crates/node/tests/faults_keys.rs
@@ -0,0 +1,117 @@
+//! Callers' keys stay out of everything that a node writes.
+
+mod fleet;
+
+use std::sync::Mutex;
+use std::time::Duration;
+
+use compio::time::sleep;
+use fleet::{Fleet, KEY};
+use log::{LevelFilter, Log, Metadata, Record};
+use platform::{LogOffset, LogStream};
+use rstest::rstest;
+use standin::{BackendCall, BackendSettings};
+
+static LINES: Mutex<Vec<String>> = Mutex::new(Vec::new());
+
+/// Keeps every log line.
+struct LineKeeper;
+
+impl Log for LineKeeper {
+    fn enabled(&self, _metadata: &Metadata<'_>) -> bool {
+        true
+    }
+
+    fn log(&self, record: &Record<'_>) {
+        let line = format!("{} {}", record.target(), record.args());
+        LINES.lock().unwrap().push(line);
+    }
+
+    fn flush(&self) {}
+}
+
+async fn chain() -> Fleet {
+    let mut fleet = Fleet::start().await;
+    let calls = vec![BackendCall {
+        method: "GET".parse().unwrap(),
+        path: "/registry/records/7".into(),
+    }];
+    let filings = BackendSettings {
+        calls,
+        ..BackendSettings::default()
+    };
+    fleet.add("filings-1", "filings", filings).await;
+    let registry = BackendSettings::default();
+    fleet.add("registry-1", "registry", registry).await;
+    fleet.settle().await;
+    fleet
+}
+
+/// Sends requests that are answered, refused, crash a backend server, and run once.
+async fn send_all_kinds(fleet: &Fleet) {
+    let ways = [
+        ("GET", "/filings/filings/1"),
+        ("GET", "/filings/nothing"),
+        ("GET", "/nowhere"),
+        ("POST", "/filings/charges?a=1"),
+        ("POST", "/filings/filings?status=500"),
+        ("GET", "/filings/filings/1?crash=1"),
+        ("GET", "/filings/filings/2"),
+    ];
+    for (n, (method, path)) in ways.into_iter().enumerate() {
+        let key = format!("once-{n}");
+        let headers = [
+            ("idempotency-key", key.as_str()),
+            ("x-api-key", KEY),
+            ("cookie", KEY),
+        ];
+        let _ = fleet.send_admitted(n % 2, method, path, &headers).await;
+        let _ = fleet
+            .send(n % 2, method, &format!("{path}&key={KEY}"))
+            .await;
+    }
+}
+
+async fn admin_text(fleet: &Fleet, node: usize, path: &str) -> String {
+    let url = format!("http://{}{path}", fleet.pairs[node].node.admin_address());
+    let answer = fleet.client.get(url).unwrap().send().await.unwrap();
+    answer.text().await.unwrap()
+}
+
+#[rstest]
+#[compio::test]
+async fn no_key_is_written_anywhere() {
+    log::set_logger(&LineKeeper).unwrap();
+    log::set_max_level(LevelFilter::Trace);
+    let fleet = chain().await;
+    send_all_kinds(&fleet).await;
+    sleep(Duration::from_millis(300)).await;
+    for node in 0..2 {
+        for path in ["/dump", "/metrics", "/ready"] {
+            let text = admin_text(&fleet, node, path).await;
+            assert!(!text.contains(KEY), "{path}: {text}");
+        }
+        for entry in fleet.pairs[node].backend.record().entries() {
+            assert!(!entry.head.contains(KEY), "{}", entry.head);
+        }
+    }
+    let mut records = 0;
+    for stream in LogStream::all() {
+        let batch = fleet
+            .log
+            .with_store(|store| store.read(stream, LogOffset::ZERO));
+        for record in batch.unwrap().records {
+            records += 1;
+            let text = record.body.as_str();
+            assert!(!text.contains(KEY), "{stream}: {text}");
+        }
+    }
+    let lines = LINES.lock().unwrap();
+    let leaks: Vec<&String> = lines.iter().filter(|line| line.contains(KEY)).collect();
+    assert!(leaks.is_empty(), "{leaks:?}");
+    assert!(
+        records > 3 && lines.len() > 10,
+        "{records} records, {} lines",
+        lines.len()
+    );
+}
--- a/crates/node/tests/faults_links.rs
+++ b/crates/node/tests/faults_links.rs
@@ -190,7 +190,9 @@
 async fn answers_are_whole_and_of_their_own_request(#[case] seed: u64) {
     let (fleet, proxies) = two_behind_links(LinkSettings::default()).await;
     let mut random = SmallRng::seed_from_u64(seed);
-    proxies.iter().for_each(|proxy| proxy.set_delay_ms(3));
+    for proxy in &proxies {
+        proxy.set_delay_ms(3);
+    }
     let plan: Vec<(usize, u64, u64)> = (0..80)
         .map(|n| {
             let bytes = random.random_range(0..400) * 101 + n;
