perf(rate): end lapsed grants in order, and hold tokens ahead for steady traffic only

Cause: every ask walked all open grants of its allocator, and each lone request was followed by an ask ahead whose token came back unused.

Change: grants lapse from an ordered set; tokens are held ahead from two requests in 50 ms.

--- a/crates/rate/src/rate_allocator.rs
+++ b/crates/rate/src/rate_allocator.rs
@@ -56,6 +56,7 @@
     promised_until: ClockTime,
     buckets: BTreeMap<TeamName, TeamBucket>,
     grants: BTreeMap<(VmName, u64), OpenGrant>,
+    lapses: BTreeSet<(ClockTime, VmName, u64)>,
     askers: BTreeMap<VmName, LastAsk>,
     busy_askers: u64,
     counted_at: ClockTime,
@@ -79,6 +80,7 @@
             promised_until: ClockTime::ZERO,
             buckets: BTreeMap::new(),
             grants: BTreeMap::new(),
+            lapses: BTreeSet::new(),
             askers: BTreeMap::new(),
             busy_askers: 0,
             counted_at: ClockTime::ZERO,
@@ -133,6 +135,7 @@
     fn forget(&mut self) {
         self.buckets.clear();
         self.grants.clear();
+        self.lapses.clear();
         self.promises.clear();
         self.promise_asks.clear();
     }
@@ -336,6 +339,7 @@
             tokens: tokens.collect(),
         };
         if !open.tokens.is_empty() {
+            self.lapses.insert((open.lapses_at, from.clone(), seq));
             self.grants.insert((from.clone(), seq), open);
         }
         Some(RateMessage::Grant {
@@ -412,16 +416,28 @@
             if let Some(tokens) = open.and_then(|open| open.tokens.remove(&close.team)) {
                 self.settle(now, &close.team, tokens, close.returned, fold, settings);
             }
+            if self
+                .grants
+                .get(&key)
+                .is_some_and(|open| open.tokens.is_empty())
+            {
+                self.remove_grant(&key);
+            }
         }
         for seq in abandoned {
-            let open = self.grants.remove(&(from.clone(), *seq));
+            let open = self.remove_grant(&(from.clone(), *seq));
             for (team, tokens) in open.into_iter().flat_map(|open| open.tokens) {
                 self.settle(now, &team, tokens, tokens, fold, settings);
             }
             let last = self.askers.entry(from.clone()).or_default();
             last.seq = last.seq.max(*seq);
         }
-        self.grants.retain(|_, open| !open.tokens.is_empty());
+    }
+
+    fn remove_grant(&mut self, key: &(VmName, u64)) -> Option<OpenGrant> {
+        let open = self.grants.remove(key)?;
+        self.lapses.remove(&(open.lapses_at, key.0.clone(), key.1));
+        Some(open)
     }
 
     fn settle(
@@ -442,12 +458,11 @@
 
     /// Counts the tokens of grants that have lapsed as spent.
     fn expire_grants(&mut self, now: ClockTime, fold: &LeaseFold, settings: &RateSettings) {
-        let lapsed = |(key, open): (&(VmName, u64), &OpenGrant)| {
-            (open.lapses_at <= now).then(|| key.clone())
-        };
-        let keys: Vec<_> = self.grants.iter().filter_map(lapsed).collect();
-        for key in keys {
-            let open = self.grants.remove(&key);
+        while self.lapses.first().is_some_and(|first| first.0 <= now) {
+            let Some((_, vm, seq)) = self.lapses.pop_first() else {
+                return;
+            };
+            let open = self.grants.remove(&(vm, seq));
             for (team, tokens) in open.into_iter().flat_map(|open| open.tokens) {
                 self.settle(now, &team, tokens, 0, fold, settings);
             }
--- a/crates/rate/src/rate_settings.rs
+++ b/crates/rate/src/rate_settings.rs
@@ -28,6 +28,8 @@
     pub idle_ms: u64,
     /// The period of demand that a node holds tokens for, in milliseconds.
     pub ahead_ms: u64,
+    /// The requests in such a period from which tokens are held ahead.
+    pub ahead_from: u32,
     /// The shortest time between two asks for a team that is out of tokens, in milliseconds.
     pub dry_ms: u64,
     /// The longest time between two such asks, in milliseconds.
@@ -54,6 +56,7 @@
             ask_timeout_ms: 400,
             idle_ms: 60,
             ahead_ms: 50,
+            ahead_from: 2,
             dry_ms: 10,
             most_dry_ms: 5_000,
             asks_per_s: 2_000,
--- a/crates/rate/src/token_holder.rs
+++ b/crates/rate/src/token_holder.rs
@@ -312,7 +312,8 @@
         using.drop_waiting(now, settings.wait_ms);
         let held = using.held(now);
         let waiting = u32::try_from(using.waiting.len()).unwrap_or(u32::MAX);
-        let ahead = if held * 2 < using.used_before {
+        let is_steady = using.used_before >= settings.ahead_from;
+        let ahead = if is_steady && held * 2 < using.used_before {
             using.used_before
         } else {
             0
