feat(rate): start with whole buckets where no token was ever granted

Cause: buckets filled from the begin of the allocator's lease already, yet a slow team on a fresh fleet waits burst/rate for its burst.

Change: the first lease of a data centre, while all leases of the slot were under one table, begins with whole buckets: nobody can have spent from the share before. Take-overs and later tables begin empty as before.

No excess in 30 schedules with traffic from the first millisecond under kills, pauses, changes and lost data centres.

--- a/crates/rate/src/lease_fold.rs
+++ b/crates/rate/src/lease_fold.rs
@@ -19,6 +19,7 @@
 pub(crate) struct LeaseFold {
     tables: BTreeMap<u64, (TableRecord, ClockTime)>,
     leases: BTreeMap<CentreName, LeaseState>,
+    first_epoch: Option<u64>,
 }
 
 impl LeaseFold {
@@ -56,6 +57,7 @@
             read_at: now,
         };
         self.leases.insert(lease.centre.clone(), state);
+        self.first_epoch.get_or_insert(lease.epoch);
         let oldest = self.agreed_epoch();
         self.tables.retain(|epoch, _| *epoch >= oldest);
         true
@@ -87,6 +89,19 @@
         &self.leases
     }
 
+    /// Tells whether nobody can have granted tokens of a data centre's share before its lease.
+    ///
+    /// That is so when the lease is the data centre's first and every lease of the slot so far
+    /// was under the same table.
+    pub(crate) fn is_untouched(&self, centre: &CentreName) -> bool {
+        let newest = self.table().map(|table| table.epoch);
+        let is_first = self
+            .leases
+            .get(centre)
+            .is_some_and(|state| state.record.base.is_none());
+        is_first && newest.is_some() && newest == self.first_epoch
+    }
+
     /// Returns the allocator of a data centre.
     pub(crate) fn holder(&self, centre: &CentreName) -> Option<&VmName> {
         self.leases.get(centre)?.record.holder.as_ref()
--- a/crates/rate/src/rate_allocator.rs
+++ b/crates/rate/src/rate_allocator.rs
@@ -115,7 +115,10 @@
     }
 
     /// Takes note that the lease of this data centre changed.
-    pub(crate) fn observe(&mut self, state: &LeaseState, settings: &RateSettings) {
+    pub(crate) fn observe(&mut self, fold: &LeaseFold, settings: &RateSettings) {
+        let Some(state) = fold.lease(&self.centre) else {
+            return;
+        };
         let Some(pending) = self.pending.take() else {
             return self.forget_unless_held(state);
         };
@@ -129,6 +132,16 @@
             .asked_at
             .plus_ms(settings.shorter_ms(settings.abandon_ms));
         self.renew_at = pending.asked_at.plus_ms(settings.lease_ms / 3);
+        if fold.is_untouched(&self.centre) {
+            self.fill_up(fold);
+        }
+    }
+
+    /// Fills the buckets whole, when no token of them was ever granted.
+    fn fill_up(&mut self, fold: &LeaseFold) {
+        for (team, bucket) in &mut self.buckets {
+            bucket.fill_up(fold.share(team, &self.centre));
+        }
     }
 
     /// Drops all buckets, grants and promises.
--- a/crates/rate/src/team_bucket.rs
+++ b/crates/rate/src/team_bucket.rs
@@ -33,6 +33,11 @@
         self.filled_at = self.filled_at.max(now);
     }
 
+    /// Adds all that is missing to the whole burst.
+    pub(crate) fn fill_up(&mut self, share: TeamShare) {
+        self.parts = share.burst.saturating_sub(self.granted) * TOKEN_PARTS;
+    }
+
     /// Moves up to `wanted` whole tokens from free to granted.
     pub(crate) fn grant(&mut self, wanted: u32) -> u32 {
         let free = u32::try_from(self.parts / TOKEN_PARTS).unwrap_or(u32::MAX);
--- a/crates/rate/src/team_limiter.rs
+++ b/crates/rate/src/team_limiter.rs
@@ -137,10 +137,8 @@
         if lease.centre != self.centre {
             return;
         }
-        if let (Some(allocator), Some(state)) =
-            (self.allocators.get_mut(&slot), fold.lease(&self.centre))
-        {
-            allocator.observe(state, &self.settings);
+        if let Some(allocator) = self.allocators.get_mut(&slot) {
+            allocator.observe(fold, &self.settings);
         }
     }
 
--- a/crates/rate/tests/any_window.rs
+++ b/crates/rate/tests/any_window.rs
@@ -135,3 +135,16 @@
     assert!(run(1, faults, FailoverNode::new).excess() > 0);
     assert_eq!(run(1, faults, limiter).excess(), 0);
 }
+
+#[rstest]
+#[case::all(Faults::ALL)]
+#[case::kills(Faults { kills: 1_000, pauses: 1_000, contract_changes: 1_000, late: 20_000, ..Faults::default() })]
+#[case::centres_come_and_go(Faults { centre_kills: 300, node_log_cuts: 1_000, ..Faults::default() })]
+fn limiter_never_exceeds_from_the_first_millisecond(#[case] faults: Faults) {
+    for seed in 0..seeds(10) {
+        let mut world = World::new(seed, 12, &LOADS, faults, limiter);
+        world.traffic_from = 0;
+        world.run_until(10_000);
+        assert_eq!(world.excess(), 0, "seed {seed}");
+    }
+}
--- a/crates/rate/tests/wrongful_refusals.rs
+++ b/crates/rate/tests/wrongful_refusals.rs
@@ -131,3 +131,20 @@
     world.run_until(world.now + 30);
     assert_eq!(world.teams[&team].admitted.len(), 40);
 }
+
+#[rstest]
+fn fresh_fleet_admits_the_whole_burst_at_once(#[values(1, 2, 3, 4, 5)] seed: u64) {
+    let loads = [("quiet", load(1, 40, 0, 1))];
+    let mut world = World::new(seed, VMS, &loads, Faults::default(), limiter);
+    while !world.nodes().all(|(_, node, _)| node.is_served()) {
+        world.run_until(world.now + 1);
+        assert!(world.now < WARM_UP_MS);
+    }
+    let team = TeamName::new("quiet");
+    let vm = world.vm_in("dc-1");
+    for _ in 0..40 {
+        world.request(&vm, &team);
+    }
+    world.run_until(world.now + 30);
+    assert_eq!(world.teams[&team].admitted.len(), 40);
+}
