feat(rate): let nodes start after the stream has lost its first records

Cause: the state of a slot was folded from the first record on. A node that starts later took the stream for empty and began the tables anew.

--- a/crates/rate/src/lease_fold.rs
+++ b/crates/rate/src/lease_fold.rs
@@ -4,7 +4,7 @@
 use model::{CentreName, TeamName, VmName};
 
 use crate::team_share::TeamShare;
-use crate::{LeaseRecord, RateRecord, TableRecord};
+use crate::{LeaseEntry, LeaseRecord, RateRecord, SnapshotRecord, TableRecord};
 
 /// The lease in force for a slot in a data centre.
 #[derive(Clone, Debug)]
@@ -14,23 +14,124 @@
     pub(crate) read_at: ClockTime,
 }
 
+/// Records read by a node that lacks those before `first`.
+#[derive(Clone, Debug)]
+struct LateRead {
+    first: u64,
+    kept: Vec<(u64, RateRecord)>,
+}
+
 /// What the log says of one slot.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct LeaseFold {
     tables: BTreeMap<u64, (TableRecord, ClockTime)>,
     leases: BTreeMap<CentreName, LeaseState>,
     first_epoch: Option<u64>,
+    late: Option<LateRead>,
+    snapshot_at: Option<ClockTime>,
+    reset_at: Option<ClockTime>,
 }
 
 impl LeaseFold {
-    /// Folds a record in and tells whether it is valid.
+    /// Folds a record in and tells whether it changed anything.
     pub(crate) fn apply(&mut self, now: ClockTime, offset: u64, record: &RateRecord) -> bool {
+        match record {
+            RateRecord::Reset(_) => {
+                self.begin_anew(now);
+                return true;
+            }
+            RateRecord::Snapshot(snapshot) => return self.apply_snapshot(now, snapshot),
+            RateRecord::Table(_) | RateRecord::Lease(_) => {}
+        }
+        if let Some(late) = &mut self.late {
+            late.kept.push((offset, record.clone()));
+            return false;
+        }
         match record {
             RateRecord::Table(table) => self.apply_table(now, table),
             RateRecord::Lease(lease) => self.apply_lease(now, offset, lease),
+            RateRecord::Snapshot(_) | RateRecord::Reset(_) => false,
         }
     }
 
+    /// Forgets all, as the records before `first` can't be read any more.
+    pub(crate) fn lose_before(&mut self, first: u64) {
+        let kept = Vec::new();
+        *self = Self {
+            late: Some(LateRead { first, kept }),
+            ..Self::default()
+        };
+    }
+
+    /// Tells whether records are missing that no snapshot has made up for.
+    pub(crate) const fn is_late(&self) -> bool {
+        self.late.is_some()
+    }
+
+    /// Returns when the slot was begun anew, if it was.
+    pub(crate) const fn reset_at(&self) -> Option<ClockTime> {
+        self.reset_at
+    }
+
+    /// Returns when a snapshot was read last.
+    pub(crate) const fn snapshot_at(&self) -> Option<ClockTime> {
+        self.snapshot_at
+    }
+
+    /// Returns the state, where `covers` is the offset of the next record.
+    pub(crate) fn snapshot(&self, slot: u16, covers: u64) -> SnapshotRecord {
+        let entry = |state: &LeaseState| LeaseEntry {
+            offset: state.offset,
+            lease: state.record.clone(),
+        };
+        SnapshotRecord {
+            slot,
+            covers,
+            tables: self
+                .tables
+                .values()
+                .map(|(table, _)| table.clone())
+                .collect(),
+            leases: self.leases.values().map(entry).collect(),
+        }
+    }
+
+    fn begin_anew(&mut self, now: ClockTime) {
+        *self = Self {
+            first_epoch: Some(0),
+            reset_at: Some(now),
+            ..Self::default()
+        };
+    }
+
+    /// Takes a snapshot in if it makes up for what is missing.
+    fn apply_snapshot(&mut self, now: ClockTime, snapshot: &SnapshotRecord) -> bool {
+        self.snapshot_at = Some(now);
+        let Some(late) = self.late.take_if(|late| snapshot.covers >= late.first) else {
+            return false;
+        };
+        let tables = snapshot.tables.iter();
+        self.tables = tables
+            .map(|table| (table.epoch, (table.clone(), now)))
+            .collect();
+        let state = |entry: &LeaseEntry| LeaseState {
+            record: entry.lease.clone(),
+            offset: entry.offset,
+            read_at: now,
+        };
+        let leases = snapshot.leases.iter();
+        self.leases = leases
+            .map(|entry| (entry.lease.centre.clone(), state(entry)))
+            .collect();
+        self.first_epoch = Some(0);
+        for (offset, record) in &late.kept {
+            if *offset >= snapshot.covers {
+                self.apply(now, *offset, record);
+            }
+        }
+        true
+    }
+
     fn apply_table(&mut self, now: ClockTime, table: &TableRecord) -> bool {
         let is_next = self.table().is_none_or(|last| {
             table.epoch == last.epoch + 1 && table.contract_version >= last.contract_version
--- a/crates/rate/src/lib.rs
+++ b/crates/rate/src/lib.rs
@@ -24,7 +24,9 @@
 pub use rate_action::RateAction;
 pub use rate_decision::RateDecision;
 pub use rate_message::{GrantClose, RateMessage, TeamGrant, TeamWant};
-pub use rate_record::{LeaseRecord, RateRecord, TableRecord, TeamEntry};
+pub use rate_record::{
+    LeaseEntry, LeaseRecord, RateRecord, SnapshotRecord, TableRecord, TeamEntry,
+};
 pub use rate_settings::RateSettings;
 pub use team_limiter::TeamLimiter;
 pub use team_rate::TeamRate;
--- a/crates/rate/src/rate_allocator.rs
+++ b/crates/rate/src/rate_allocator.rs
@@ -45,6 +45,7 @@
     vm: VmName,
     centre: CentreName,
     pending: Option<PendingLease>,
+    observed: Option<u64>,
     renewals: u64,
     leased_until: ClockTime,
     stops_at: ClockTime,
@@ -69,6 +70,7 @@
             vm,
             centre,
             pending: None,
+            observed: None,
             renewals: 0,
             leased_until: ClockTime::ZERO,
             stops_at: ClockTime::ZERO,
@@ -119,6 +121,9 @@
         let Some(state) = fold.lease(&self.centre) else {
             return;
         };
+        if self.observed.replace(state.offset) == Some(state.offset) {
+            return;
+        }
         let Some(pending) = self.pending.take() else {
             return self.forget_unless_held(state);
         };
--- a/crates/rate/src/rate_record.rs
+++ b/crates/rate/src/rate_record.rs
@@ -46,6 +46,28 @@
     pub epoch: u64,
 }
 
+/// A lease in force and where it stands on the stream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseEntry {
+    /// The offset of the record.
+    pub offset: u64,
+    /// The lease.
+    pub lease: LeaseRecord,
+}
+
+/// What the stream says of a slot up to some offset, for readers who lack older records.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SnapshotRecord {
+    /// The slot.
+    pub slot: u16,
+    /// The offset of the first record that is left out.
+    pub covers: u64,
+    /// The tables that may be in force, oldest first.
+    pub tables: Vec<TableRecord>,
+    /// The newest lease of each data centre.
+    pub leases: Vec<LeaseEntry>,
+}
+
 /// A record on the stream of rate records.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RateRecord {
@@ -53,4 +75,21 @@
     Table(TableRecord),
     /// A lease, a renewal or a take-over.
     Lease(LeaseRecord),
+    /// The state of a slot.
+    Snapshot(SnapshotRecord),
+    /// Begins a slot anew, when its whole state has gone from the stream.
+    Reset(u16),
+}
+
+impl RateRecord {
+    /// Returns the slot that the record is about.
+    #[must_use]
+    pub const fn slot(&self) -> u16 {
+        match self {
+            Self::Table(table) => table.slot,
+            Self::Lease(lease) => lease.slot,
+            Self::Snapshot(snapshot) => snapshot.slot,
+            Self::Reset(slot) => *slot,
+        }
+    }
 }
--- a/crates/rate/src/rate_settings.rs
+++ b/crates/rate/src/rate_settings.rs
@@ -14,6 +14,9 @@
     /// The time after which any node of the data centre may replace a silent allocator, in
     /// milliseconds. An allocator cut off from the log stops by then.
     pub abandon_ms: u64,
+    /// The longest time between two snapshots of a slot on the stream, in milliseconds. Records
+    /// have to be kept for several times as long.
+    pub snapshot_ms: u64,
     /// The number of successors that a lease names.
     pub successors: usize,
     /// The most by which a clock runs fast or slow, in parts per million.
@@ -49,6 +52,7 @@
             lease_ms: 15_000,
             promise_ms: 3_000,
             abandon_ms: 900_000,
+            snapshot_ms: 60_000,
             successors: 2,
             drift_ppm: 500,
             wait_ms: 20,
--- a/crates/rate/src/team_limiter.rs
+++ b/crates/rate/src/team_limiter.rs
@@ -20,6 +20,9 @@
 /// The head start of a node over the next in rank when a lease is vacant, in milliseconds.
 const RANK_STEP_MS: u64 = 2_000;
 
+/// The snapshots that a node without any state misses before it begins a slot anew.
+const LATE_SNAPSHOTS: u64 = 3;
+
 /// Keeps the teams to their rates on one node.
 #[derive(Clone, Debug)]
 pub struct TeamLimiter {
@@ -35,6 +38,8 @@
     version: Option<u64>,
     caught_up_at: Option<ClockTime>,
     tables_tried: BTreeMap<u16, ClockTime>,
+    snapshots_tried: BTreeMap<u16, ClockTime>,
+    next_offset: u64,
     polled_at: ClockTime,
     control_at: ClockTime,
 }
@@ -59,6 +64,8 @@
             version: None,
             caught_up_at: None,
             tables_tried: BTreeMap::new(),
+            snapshots_tried: BTreeMap::new(),
+            next_offset: 0,
             polled_at: ClockTime::ZERO,
             control_at: ClockTime::ZERO,
         }
@@ -114,12 +121,29 @@
         self.caught_up_at.get_or_insert(now);
     }
 
-    /// Folds in a record of the stream; records come in order of offset, from the first one on.
+    /// Learns that the records before the offset `first` are gone from the stream unread.
+    ///
+    /// Until a snapshot makes up for them this node neither allocates nor knows allocators.
+    pub fn lose_before(&mut self, first: u64) {
+        self.next_offset = first;
+        self.caught_up_at = None;
+        for fold in self.folds.values_mut() {
+            fold.lose_before(first);
+        }
+        self.holder.forget_allocators();
+    }
+
+    /// Tells whether records are missing that no snapshot has made up for.
+    #[must_use]
+    pub fn is_late(&self) -> bool {
+        self.folds.values().any(LeaseFold::is_late)
+    }
+
+    /// Folds in a record of the stream; records come in order of offset, from the first one on or
+    /// from the one that [`TeamLimiter::lose_before`] named.
     pub fn receive_record(&mut self, now: ClockTime, offset: u64, record: &RateRecord) {
-        let slot = match record {
-            RateRecord::Table(table) => table.slot,
-            RateRecord::Lease(lease) => lease.slot,
-        };
+        self.next_offset = offset + 1;
+        let slot = record.slot();
         let Some(fold) = self.folds.get_mut(&slot) else {
             return;
         };
@@ -129,13 +153,12 @@
         if !fold.apply(now, offset, record) {
             return;
         }
-        let RateRecord::Lease(lease) = record else {
-            return;
-        };
-        self.holder
-            .set_allocator((slot, lease.centre.clone()), fold.holder(&lease.centre));
-        if lease.centre != self.centre {
-            return;
+        if matches!(record, RateRecord::Reset(_)) {
+            self.holder.forget_allocators_of(slot);
+        }
+        for centre in fold.leases().keys() {
+            let pool = (slot, centre.clone());
+            self.holder.set_allocator(pool, fold.holder(centre));
         }
         if let Some(allocator) = self.allocators.get_mut(&slot) {
             allocator.observe(fold, &self.settings);
@@ -151,6 +174,7 @@
             self.poll_allocators(now, &mut raised);
             self.propose_tables(now, &mut raised);
             self.vacate_leases(now, &mut raised);
+            self.keep_snapshots(now, &mut raised);
         }
         self.holder.poll(now, &self.settings, &mut raised);
         self.dispatch(now, raised, actions);
@@ -297,8 +321,50 @@
     /// Returns when this node may begin a vacant lease, the first in rank before the others.
     fn begin_at(&self, slot: u16) -> Option<ClockTime> {
         let rank = self.ranks.get(&slot)?.own?;
+        let settled_at = self.settled_at(slot)?;
+        Some(settled_at.plus_ms(RANK_STEP_MS * rank))
+    }
+
+    /// Returns when the stream was read and no lease from before a reset can be alive any more.
+    fn settled_at(&self, slot: u16) -> Option<ClockTime> {
+        let settings = &self.settings;
+        let life_ms =
+            settings.longer_ms(settings.abandon_ms) + settings.longer_ms(settings.grant_ms);
+        let reset_at = self.folds.get(&slot)?.reset_at();
+        let free_at = reset_at.map_or(ClockTime::ZERO, |time| time.plus_ms(life_ms));
+        Some(self.caught_up_at?.max(free_at))
+    }
+
+    /// Appends snapshots before the stream loses older records, and resets where all are lost.
+    fn keep_snapshots(&mut self, now: ClockTime, raised: &mut Vec<RateAction>) {
+        for slot in 0..self.settings.slots {
+            let tried_at = self.snapshots_tried.get(&slot);
+            if tried_at.is_some_and(|time| now.since_ms(*time) < RANK_STEP_MS) {
+                continue;
+            }
+            if let Some(record) = self.next_snapshot(now, slot) {
+                self.snapshots_tried.insert(slot, now);
+                raised.push(RateAction::Append(record));
+            }
+        }
+    }
+
+    fn next_snapshot(&self, now: ClockTime, slot: u16) -> Option<RateRecord> {
+        let fold = self.folds.get(&slot)?;
         let caught_up_at = self.caught_up_at?;
-        Some(caught_up_at.plus_ms(RANK_STEP_MS * rank))
+        let silent_ms = now.since_ms(fold.snapshot_at().unwrap_or(caught_up_at));
+        if fold.is_late() {
+            let rank = self.ranks.get(&slot)?.own?;
+            let wait_ms = LATE_SNAPSHOTS * self.settings.snapshot_ms + RANK_STEP_MS * rank;
+            let is_lost = now.since_ms(caught_up_at) >= wait_ms && silent_ms >= wait_ms;
+            return is_lost.then_some(RateRecord::Reset(slot));
+        }
+        if !self.allocators.get(&slot)?.may_grant(now, fold) {
+            return None;
+        }
+        let place = fold.leases().keys().position(|c| *c == self.centre)? as u64;
+        let is_due = silent_ms >= self.settings.snapshot_ms + RANK_STEP_MS * place;
+        is_due.then(|| RateRecord::Snapshot(fold.snapshot(slot, self.next_offset)))
     }
 
     /// Appends a table where the contract or the data centres changed.
@@ -321,6 +387,9 @@
     fn next_table(&self, now: ClockTime, slot: u16, version: u64) -> Option<TableRecord> {
         let fold = self.folds.get(&slot)?;
         let teams = self.teams.get(&slot).cloned().unwrap_or_default();
+        if fold.is_late() {
+            return None;
+        }
         let Some(last) = fold.table() else {
             let may_begin = self.begin_at(slot).is_some_and(|time| time <= now);
             return (may_begin && !teams.is_empty()).then(|| TableRecord {
--- a/crates/rate/src/token_holder.rs
+++ b/crates/rate/src/token_holder.rs
@@ -78,6 +78,16 @@
         };
     }
 
+    /// Forgets who allocates.
+    pub(crate) fn forget_allocators(&mut self) {
+        self.allocators.clear();
+    }
+
+    /// Forgets who allocates in a slot.
+    pub(crate) fn forget_allocators_of(&mut self, slot: u16) {
+        self.allocators.retain(|pool, _| pool.0 != slot);
+    }
+
     /// Tells whether something waits to be sent.
     pub(crate) const fn is_dirty(&self) -> bool {
         self.is_dirty
--- /dev/null
+++ b/crates/rate/tests/retention.rs
@@ -0,0 +1,138 @@
+//! Nodes that start after the stream has lost its first records.
+
+mod support;
+
+use std::collections::BTreeSet;
+
+use clock::ClockTime;
+use lentilshift_rate::{
+    RateDecision, RateMessage, RateRecord, RateSettings, TeamLimiter, TeamRate,
+};
+use model::{CentreName, TeamName, VmName};
+use rstest::rstest;
+use support::world::{Faults, TeamLoad, World};
+use support::{Contract, Members, SimAction, SimNode, seeds};
+
+const RETAIN_MS: u64 = 6_000;
+const LOADS: [(&str, TeamLoad); 2] = [("steady", load(300, 100)), ("changing", load(100, 50))];
+
+const fn load(rate_per_s: u32, burst: u32) -> TeamLoad {
+    TeamLoad {
+        rate: TeamRate { rate_per_s, burst },
+        sent_per_s: 600,
+        on_ms: 2_000,
+        period_ms: 3_000,
+        vms: 12,
+    }
+}
+
+fn limiter(vm: VmName, centre: CentreName) -> TeamLimiter {
+    let settings = RateSettings {
+        lease_ms: 3_000,
+        promise_ms: 1_000,
+        abandon_ms: 5_000,
+        snapshot_ms: 1_500,
+        successors: 1,
+        ..RateSettings::default()
+    };
+    TeamLimiter::new(vm, centre, settings)
+}
+
+/// Takes no note of lost records.
+struct NaiveReader(TeamLimiter);
+
+impl SimNode for NaiveReader {
+    type Message = RateMessage;
+
+    fn admit(&mut self, now: ClockTime, team: &TeamName, is_first: bool) -> RateDecision {
+        SimNode::admit(&mut self.0, now, team, is_first)
+    }
+    fn next_poll(&self) -> ClockTime {
+        self.0.next_poll()
+    }
+    fn poll(&mut self, now: ClockTime, actions: &mut Vec<SimAction<RateMessage>>) {
+        SimNode::poll(&mut self.0, now, actions);
+    }
+    fn receive(
+        &mut self,
+        now: ClockTime,
+        from: &VmName,
+        message: RateMessage,
+        actions: &mut Vec<SimAction<RateMessage>>,
+    ) {
+        SimNode::receive(&mut self.0, now, from, message, actions);
+    }
+    fn set_members(&mut self, now: ClockTime, members: &Members) {
+        SimNode::set_members(&mut self.0, now, members);
+    }
+    fn set_contract(&mut self, now: ClockTime, contract: &Contract, version: u64) {
+        SimNode::set_contract(&mut self.0, now, contract, version);
+    }
+    fn receive_record(&mut self, now: ClockTime, offset: u64, record: &RateRecord) {
+        self.0.receive_record(now, offset, record);
+    }
+    fn log_caught_up(&mut self, now: ClockTime) {
+        self.0.log_caught_up(now);
+    }
+}
+
+fn world<N: SimNode>(seed: u64, faults: Faults, make: fn(VmName, CentreName) -> N) -> World<N> {
+    let mut world = World::new(seed, 12, &LOADS, faults, make);
+    world.retain_ms = RETAIN_MS;
+    world
+}
+
+/// Replaces all nodes one by one, and tells how many are served and the excess.
+fn replace_all<N: SimNode>(
+    make: fn(VmName, CentreName) -> N,
+    is_served: fn(&N) -> bool,
+) -> (usize, usize) {
+    let mut world = world(1, Faults::default(), make);
+    world.run_until(20_000);
+    let vms: Vec<VmName> = world.nodes().map(|(vm, ..)| vm.clone()).collect();
+    for vm in vms {
+        world.kill(&vm, 0);
+        world.run_until(world.now + 8_000);
+    }
+    world.run_until(world.now + 10_000);
+    let served = world.nodes().filter(|(_, node, _)| is_served(node));
+    (served.count(), world.excess())
+}
+
+#[test]
+fn nodes_replaced_one_by_one_are_served() {
+    let naive = |vm, centre| NaiveReader(limiter(vm, centre));
+    let (_, excess) = replace_all(naive, |node| node.0.is_served());
+    assert!(excess > 0);
+    assert_eq!(replace_all(limiter, TeamLimiter::is_served), (12, 0));
+}
+
+#[rstest]
+fn all_nodes_replaced_at_once_are_served(#[values(1, 2, 3)] seed: u64) {
+    let mut world = world(seed, Faults::default(), limiter);
+    world.run_until(20_000);
+    let vms: Vec<VmName> = world.nodes().map(|(vm, ..)| vm.clone()).collect();
+    for vm in &vms[1..] {
+        world.kill(vm, 0);
+    }
+    world.kill(&vms[0], 0);
+    world.log_out_until = world.now + 2 * RETAIN_MS;
+    world.run_until(world.now + 50_000);
+    assert_eq!(world.excess(), 0);
+    assert!(world.nodes().all(|(_, node, _)| node.is_served()));
+}
+
+#[rstest]
+#[case::all(Faults::ALL)]
+#[case::kills(Faults { kills: 300, pauses: 300, ..Faults::default() })]
+#[case::log(Faults { log_outages: 100, node_log_cuts: 1_000, kills: 100, contract_changes: 300, ..Faults::default() })]
+#[case::centres(Faults { centre_kills: 60, pauses: 300, late: 20_000, ..Faults::default() })]
+fn limiter_never_exceeds_with_retention(#[case] faults: Faults) {
+    for seed in 0..seeds(5) {
+        let mut world = world(seed, faults, limiter);
+        world.run_until(60_000);
+        assert_eq!(world.excess(), 0, "seed {seed}");
+        let (exact, short) = world.shortfall(&BTreeSet::new());
+        println!("seed={seed} exact={exact} short={short}");
+    }
+}
--- a/crates/rate/tests/support/mod.rs
+++ b/crates/rate/tests/support/mod.rs
@@ -36,6 +36,7 @@
     fn set_members(&mut self, now: ClockTime, members: &Members);
     fn set_contract(&mut self, now: ClockTime, contract: &Contract, version: u64);
     fn receive_record(&mut self, _now: ClockTime, _offset: u64, _record: &RateRecord) {}
+    fn lose_before(&mut self, _first: u64) {}
     fn log_caught_up(&mut self, _now: ClockTime) {}
 }
 
@@ -91,6 +92,10 @@
         Self::receive_record(self, now, offset, record);
     }
 
+    fn lose_before(&mut self, first: u64) {
+        Self::lose_before(self, first);
+    }
+
     fn log_caught_up(&mut self, now: ClockTime) {
         Self::log_caught_up(self, now);
     }
--- a/crates/rate/tests/support/world.rs
+++ b/crates/rate/tests/support/world.rs
@@ -102,7 +102,7 @@
     hosts: BTreeMap<VmName, Host<N>>,
     events: BTreeMap<(u64, u64), Event<N::Message>>,
     event_count: u64,
-    log: Vec<RateRecord>,
+    log: Vec<(u64, RateRecord)>,
     pub log_out_until: u64,
     cut_until: BTreeMap<CentreName, u64>,
     contracts: Vec<Contract>,
@@ -113,6 +113,8 @@
     pub poll_every_ms: u64,
     /// When requests begin to come.
     pub traffic_from: u64,
+    /// How long the log keeps records, in milliseconds.
+    pub retain_ms: u64,
 }
 
 impl<N: SimNode> World<N> {
@@ -155,6 +157,7 @@
             messages: 0,
             poll_every_ms: 1,
             traffic_from: WARM_UP_MS,
+            retain_ms: u64::MAX,
         };
         for index in 0..vms {
             world.start(CentreName::new(format!("dc-{}", index % 3)));
@@ -228,7 +231,7 @@
             for vm in &vms {
                 self.step(vm);
             }
-            if self.now > self.traffic_from {
+            if self.now > self.traffic_from && !self.hosts.is_empty() {
                 self.send_requests();
             }
         }
@@ -351,7 +354,7 @@
                 return;
             }
             match entry.remove() {
-                Event::Append(record) => self.log.push(record),
+                Event::Append(record) => self.log.push((self.now, record)),
                 Event::Members(vm, members) => {
                     self.with_host(&vm, |host, now| host.node.set_members(now, &members));
                 }
@@ -399,7 +402,13 @@
         let now = host.time(self.now);
         let is_cut = host.log_cut_until > self.now || self.log_out_until > self.now;
         if !is_cut && host.next_read <= self.now {
-            for (offset, record) in self.log.iter().enumerate().skip(host.read) {
+            let oldest = self.now.saturating_sub(self.retain_ms);
+            let first = self.log.partition_point(|(at, _)| *at < oldest);
+            if first > host.read {
+                host.node.lose_before(first as u64);
+                host.read = first;
+            }
+            for (offset, (_, record)) in self.log.iter().enumerate().skip(host.read) {
                 host.node.receive_record(now, offset as u64, record);
             }
             host.read = self.log.len();
