feat(rate,node): hand the state of the rates stream on between nodes

A node that lacks records adopts the state of a peer through the relay, the log being out or not, and replays what follows it.

--- a/crates/node/src/rate_state.rs
+++ b/crates/node/src/rate_state.rs
@@ -1,6 +1,6 @@
 use clock::ClockTime;
-use platform::{LogOffset, LogRecord, RelaySnapshot};
-use rate::{RateRecord, TeamLimiter};
+use platform::{LogOffset, LogRecord, RecordBody, RelaySnapshot};
+use rate::{RateRecord, RateSnapshot, TeamLimiter};
 
 use crate::fold_feed::StreamFold;
 
@@ -11,14 +11,19 @@
 
 impl StreamFold for RateState {
     fn lose_before(&mut self, _now: ClockTime, first: LogOffset) {
-        log::warn!("event=records-lost stream=rates before={first}");
+        log::info!("event=records-lost stream=rates before={first}");
+        self.limiter.lose_before(first.get());
     }
 
-    fn adopt(&mut self, _now: ClockTime, snapshot: &RelaySnapshot) {
-        log::warn!(
-            "event=snapshot-unexpected stream=rates covers={}",
-            snapshot.covers
-        );
+    fn adopt(&mut self, now: ClockTime, snapshot: &RelaySnapshot) {
+        match snapshot.body.decode::<RateSnapshot>() {
+            Ok(state) => self.limiter.adopt(now, &state),
+            Err(error) => log::warn!(
+                "event=snapshot-unreadable stream=rates covers={} error={:?}",
+                snapshot.covers,
+                error.to_string()
+            ),
+        }
     }
 
     fn apply(&mut self, now: ClockTime, record: &LogRecord) {
@@ -35,10 +40,14 @@
     }
 
     fn snapshot(&self) -> Option<RelaySnapshot> {
-        None
+        let state = self.limiter.snapshot()?;
+        Some(RelaySnapshot {
+            covers: LogOffset::new(state.covers),
+            body: RecordBody::encode(&state),
+        })
     }
 
     fn needs_snapshot(&self) -> bool {
-        false
+        self.limiter.is_late()
     }
 }
--- a/crates/rate/src/lib.rs
+++ b/crates/rate/src/lib.rs
@@ -13,6 +13,7 @@
 mod rate_message;
 mod rate_record;
 mod rate_settings;
+mod rate_snapshot;
 mod slot_rank;
 mod team_bucket;
 mod team_limiter;
@@ -28,5 +29,6 @@
     LeaseEntry, LeaseRecord, RateRecord, SnapshotRecord, TableRecord, TeamEntry,
 };
 pub use rate_settings::RateSettings;
+pub use rate_snapshot::RateSnapshot;
 pub use team_limiter::TeamLimiter;
 pub use team_rate::TeamRate;
--- a/crates/rate/src/team_limiter.rs
+++ b/crates/rate/src/team_limiter.rs
@@ -9,8 +9,8 @@
 use crate::team_share::slot_of;
 use crate::token_holder::TokenHolder;
 use crate::{
-    LeaseRecord, RateAction, RateDecision, RateMessage, RateRecord, RateSettings, TableRecord,
-    TeamEntry, TeamRate,
+    LeaseRecord, RateAction, RateDecision, RateMessage, RateRecord, RateSettings, RateSnapshot,
+    TableRecord, TeamEntry, TeamRate,
 };
 
 /// The time between two looks at leases and tables, in milliseconds.
@@ -139,10 +139,37 @@
         self.folds.values().any(LeaseFold::is_late)
     }
 
+    /// Returns the state of all slots, or `None` while some lack records.
+    #[must_use]
+    pub fn snapshot(&self) -> Option<RateSnapshot> {
+        let covers = self.next_offset;
+        let slots = self.folds.iter();
+        (!self.is_late()).then(|| RateSnapshot {
+            covers,
+            slots: slots
+                .map(|(slot, fold)| fold.snapshot(*slot, covers))
+                .collect(),
+        })
+    }
+
+    /// Takes in the state of another node, in place of records that this one lacks.
+    pub fn adopt(&mut self, now: ClockTime, snapshot: &RateSnapshot) {
+        if snapshot.covers > self.next_offset {
+            self.lose_before(snapshot.covers);
+        }
+        for slot in &snapshot.slots {
+            self.fold_in(now, snapshot.covers, &RateRecord::Snapshot(slot.clone()));
+        }
+    }
+
     /// Folds in a record of the stream; records come in order of offset, from the first one on or
     /// from the one that [`TeamLimiter::lose_before`] named.
     pub fn receive_record(&mut self, now: ClockTime, offset: u64, record: &RateRecord) {
         self.next_offset = offset + 1;
+        self.fold_in(now, offset, record);
+    }
+
+    fn fold_in(&mut self, now: ClockTime, offset: u64, record: &RateRecord) {
         let slot = record.slot();
         let Some(fold) = self.folds.get_mut(&slot) else {
             return;
--- a/crates/rate/tests/retention.rs
+++ b/crates/rate/tests/retention.rs
@@ -136,3 +136,35 @@
         println!("seed={seed} exact={exact} short={short}");
     }
 }
+
+fn read(node: &mut TeamLimiter, records: &[RateRecord], from: usize, to: usize) {
+    for (offset, record) in records.iter().enumerate().take(to).skip(from) {
+        node.receive_record(ClockTime::from_ms(offset as u64), offset as u64, record);
+    }
+}
+
+#[rstest]
+fn readers_agree_wherever_they_begin(#[values(1, 2, 3)] seed: u64) {
+    let mut world = world(seed, Faults::ALL, limiter);
+    world.run_until(60_000);
+    let records: Vec<RateRecord> = world.records().cloned().collect();
+    let node = || limiter(VmName::new("reader"), CentreName::new("dc-0"));
+    let mut whole = node();
+    read(&mut whole, &records, 0, records.len());
+    for covers in (1..records.len()).step_by(7) {
+        let mut peer = node();
+        read(&mut peer, &records, 0, covers);
+        for begin in [covers / 2, covers] {
+            let mut late = node();
+            late.lose_before(begin as u64);
+            assert!(late.is_late());
+            late.adopt(ClockTime::ZERO, &peer.snapshot().unwrap());
+            read(&mut late, &records, covers, records.len());
+            assert_eq!(late.snapshot(), whole.snapshot());
+        }
+        let mut late = node();
+        late.lose_before(covers as u64);
+        read(&mut late, &records, covers, records.len());
+        assert!(late.is_late() || late.snapshot() == whole.snapshot());
+    }
+}
--- a/crates/rate/tests/support/world.rs
+++ b/crates/rate/tests/support/world.rs
@@ -558,6 +558,11 @@
         self.cut_until.insert(CentreName::new(centre), until);
     }
 
+    /// Returns all records, those that the log no longer keeps included.
+    pub fn records(&self) -> impl Iterator<Item = &RateRecord> {
+        self.log.iter().map(|(_, record)| record)
+    }
+
     pub fn nodes(&self) -> impl Iterator<Item = (&VmName, &N, ClockTime)> {
         self.hosts
             .iter()
