--- a/crates/rate/src/slot_rank.rs
+++ b/crates/rate/src/slot_rank.rs
@@ -14,16 +14,22 @@
     /// Ranks `nodes` by a hash that differs per slot.
     pub(crate) fn new(slot: u16, own: &VmName, nodes: &[&VmName], successors: usize) -> Self {
         let hash = |vm: &VmName| xxh3_64_with_seed(vm.as_str().as_bytes(), u64::from(slot));
-        let mut ranked: Vec<(u64, &VmName)> = nodes.iter().map(|vm| (hash(vm), *vm)).collect();
-        ranked.sort_unstable();
-        let place = ranked.iter().position(|(_, vm)| *vm == own);
-        let others = ranked.iter().filter(|(_, vm)| *vm != own);
+        let own_key = (hash(own), own);
+        let mut is_known = false;
+        let mut place = 0;
+        let mut first: Vec<(u64, &VmName)> = Vec::with_capacity(successors + 1);
+        for key in nodes.iter().map(|vm| (hash(vm), *vm)) {
+            is_known |= key == own_key;
+            place += u64::from(key < own_key);
+            if key != own_key {
+                let at = first.partition_point(|other| *other < key);
+                first.insert(at, key);
+                first.truncate(successors);
+            }
+        }
         Self {
-            successors: others
-                .take(successors)
-                .map(|(_, vm)| (*vm).clone())
-                .collect(),
-            own: place.map(|place| place as u64),
+            successors: first.into_iter().map(|(_, vm)| vm.clone()).collect(),
+            own: is_known.then_some(place),
         }
     }
 }
--- a/crates/rate/tests/support/world.rs
+++ b/crates/rate/tests/support/world.rs
@@ -165,7 +165,7 @@
         world
     }
 
-    fn start(&mut self, centre: CentreName) {
+    pub fn start(&mut self, centre: CentreName) {
         self.event_count += 1;
         let vm = VmName::new(format!("vm-{:05}", self.event_count));
         let mut host = Host {
@@ -554,6 +554,10 @@
         self.hosts.get_mut(vm).unwrap().paused_until = until;
     }
 
+    pub fn cut_from_log(&mut self, vm: &VmName, until: u64) {
+        self.hosts.get_mut(vm).unwrap().log_cut_until = until;
+    }
+
     pub fn cut(&mut self, centre: &str, until: u64) {
         self.cut_until.insert(CentreName::new(centre), until);
     }
