--- a/crates/rate/src/lib.rs
+++ b/crates/rate/src/lib.rs
@@ -13,6 +13,7 @@
 mod rate_message;
 mod rate_record;
 mod rate_settings;
+mod rate_snapshot;
 mod slot_rank;
 mod team_bucket;
 mod team_limiter;
@@ -24,7 +25,10 @@
 pub use rate_action::RateAction;
 pub use rate_decision::RateDecision;
 pub use rate_message::{GrantClose, RateMessage, TeamGrant, TeamWant};
-pub use rate_record::{LeaseRecord, RateRecord, TableRecord, TeamEntry};
+pub use rate_record::{
+    LeaseEntry, LeaseRecord, RateRecord, SnapshotRecord, TableRecord, TeamEntry,
+};
 pub use rate_settings::RateSettings;
+pub use rate_snapshot::RateSnapshot;
 pub use team_limiter::TeamLimiter;
 pub use team_rate::TeamRate;
--- a/crates/rate/src/rate_settings.rs
+++ b/crates/rate/src/rate_settings.rs
@@ -14,6 +14,9 @@
     /// The time after which any node of the data centre may replace a silent allocator, in
     /// milliseconds. An allocator cut off from the log stops by then.
     pub abandon_ms: u64,
+    /// The longest time between two snapshots of a slot on the stream, in milliseconds. Records
+    /// have to be kept for several times as long.
+    pub snapshot_ms: u64,
     /// The number of successors that a lease names.
     pub successors: usize,
     /// The most by which a clock runs fast or slow, in parts per million.
@@ -28,6 +31,8 @@
     pub idle_ms: u64,
     /// The period of demand that a node holds tokens for, in milliseconds.
     pub ahead_ms: u64,
+    /// The requests in such a period from which tokens are held ahead.
+    pub ahead_from: u32,
     /// The shortest time between two asks for a team that is out of tokens, in milliseconds.
     pub dry_ms: u64,
     /// The longest time between two such asks, in milliseconds.
@@ -47,6 +52,7 @@
             lease_ms: 15_000,
             promise_ms: 3_000,
             abandon_ms: 900_000,
+            snapshot_ms: 60_000,
             successors: 2,
             drift_ppm: 500,
             wait_ms: 20,
@@ -54,6 +60,7 @@
             ask_timeout_ms: 400,
             idle_ms: 60,
             ahead_ms: 50,
+            ahead_from: 2,
             dry_ms: 10,
             most_dry_ms: 5_000,
             asks_per_s: 2_000,
--- a/crates/rate/src/token_holder.rs
+++ b/crates/rate/src/token_holder.rs
@@ -78,6 +78,16 @@
         };
     }
 
+    /// Forgets who allocates.
+    pub(crate) fn forget_allocators(&mut self) {
+        self.allocators.clear();
+    }
+
+    /// Forgets who allocates in a slot.
+    pub(crate) fn forget_allocators_of(&mut self, slot: u16) {
+        self.allocators.retain(|pool, _| pool.0 != slot);
+    }
+
     /// Tells whether something waits to be sent.
     pub(crate) const fn is_dirty(&self) -> bool {
         self.is_dirty
@@ -312,7 +322,8 @@
         using.drop_waiting(now, settings.wait_ms);
         let held = using.held(now);
         let waiting = u32::try_from(using.waiting.len()).unwrap_or(u32::MAX);
-        let ahead = if held * 2 < using.used_before {
+        let is_steady = using.used_before >= settings.ahead_from;
+        let ahead = if is_steady && held * 2 < using.used_before {
             using.used_before
         } else {
             0
