feat(limit): fill a queue below its target at once

A wait below the target was filled up over 300 ms, like a backlog.

Change: it is filled up over 75 ms; a backlog is still worked off over 300 ms.

--- a/crates/limit/src/shed_control.rs
+++ b/crates/limit/src/shed_control.rs
@@ -14,6 +14,8 @@
     pub target_wait_ms: u64,
     /// The time in which a wait above the target should be worked off, in milliseconds.
     pub horizon_ms: u64,
+    /// The time in which a wait below the target should be filled up, in milliseconds.
+    pub refill_ms: u64,
     /// The time between two changes of the cuts, in milliseconds.
     pub update_ms: u64,
     /// The time over which demand is smoothed, in milliseconds.
@@ -27,6 +29,7 @@
             shares_by_team: true,
             target_wait_ms: 80,
             horizon_ms: 300,
+            refill_ms: 75,
             update_ms: 40,
             smooth_ms: 200,
         }
@@ -135,7 +138,12 @@
     /// slots fill up.
     fn capacity_share(&self, wait_ms: f64, free_share: f64) -> f64 {
         let target = to_float(self.settings.target_wait_ms);
-        let correction = (target - wait_ms) / to_float(self.settings.horizon_ms);
+        let span = if wait_ms < target {
+            self.settings.refill_ms
+        } else {
+            self.settings.horizon_ms
+        };
+        let correction = (target - wait_ms) / to_float(span);
         (1.0 + correction + FREE_GAIN * free_share).max(MIN_CAPACITY_SHARE)
     }
 }
