feat(limit): repay teams what they were let in less than their share

Shares rest on a demand measured from few arrivals, and on requests that pass the cuts because they were begun upstream, and nothing compared them with what was let in.

Change: each VM keeps what each team over its share was let in less than its part, and gives it back over 3 s, at most 1 s of its share. It is forgotten once nothing is cut.

--- a/crates/limit/src/admission_queue.rs
+++ b/crates/limit/src/admission_queue.rs
@@ -108,6 +108,7 @@
         }
         if self.has_slot() && self.line.len() == 0 {
             self.start(now, &ticket);
+            self.shed.charge(&ticket);
             self.line.charge(&ticket);
             return QueueDecision::Start;
         }
@@ -119,6 +120,7 @@
         if wait > self.settings.max_wait_ms && !is_sheltered {
             return QueueDecision::Refuse(self.refusal(RefusalReason::Overloaded));
         }
+        self.shed.charge(&ticket);
         self.line.push(ticket, now);
         QueueDecision::Wait
     }
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -12,6 +12,7 @@
 mod queue_settings;
 mod queue_ticket;
 mod shed_control;
+mod team_credits;
 mod team_demand;
 mod wait_line;
 
--- a/crates/limit/src/shed_control.rs
+++ b/crates/limit/src/shed_control.rs
@@ -10,6 +10,8 @@
     pub is_enabled: bool,
     /// Whether teams get max-min shares when something is cut.
     pub shares_by_team: bool,
+    /// Whether a team that was let in less than its share is let in more later.
+    pub repays_teams: bool,
     /// The wait that is held while requests are cut, in milliseconds.
     pub target_wait_ms: u64,
     /// The time in which a wait above the target should be worked off, in milliseconds.
@@ -27,6 +29,7 @@
         Self {
             is_enabled: true,
             shares_by_team: true,
+            repays_teams: true,
             target_wait_ms: 80,
             horizon_ms: 300,
             refill_ms: 75,
@@ -104,6 +107,13 @@
         is_admitted
     }
 
+    /// Charges a team for a request that was let in, whether by the cuts or in spite of them.
+    pub fn charge(&mut self, ticket: &QueueTicket) {
+        if self.settings.repays_teams && !self.cuts.is_open() {
+            self.demand.charge(ticket);
+        }
+    }
+
     /// Changes the cuts when it is time to.
     pub fn update(&mut self, now: ClockTime, state: QueueState) {
         let span = now.since_ms(self.updated);
--- a/crates/limit/src/team_demand.rs
+++ b/crates/limit/src/team_demand.rs
@@ -2,6 +2,7 @@
 
 use model::{CallImportance, ShedOrder, TeamName};
 
+use crate::team_credits::TeamCredits;
 use crate::{QueueTicket, ShedCuts, TeamCut};
 
 /// The ranks within a class.
@@ -63,6 +64,7 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct DemandTable {
     flows: BTreeMap<(CallImportance, Option<TeamName>), TeamFlow>,
+    credits: TeamCredits,
 }
 
 impl DemandTable {
@@ -85,6 +87,11 @@
         flow.work_ms += ticket.work_ms();
     }
 
+    /// Charges a team for a request that was let in.
+    pub(crate) fn charge(&mut self, ticket: &QueueTicket) {
+        self.credits.charge(ticket.team.as_ref(), ticket.work_ms());
+    }
+
     /// Folds the arrivals of the last `span_ms` into the rates.
     pub(crate) fn fold(&mut self, span_ms: f64, smooth_ms: f64) {
         for flow in self.flows.values_mut() {
@@ -100,6 +107,7 @@
 
     /// Lets everything in.
     pub(crate) fn open(&mut self) {
+        self.credits = TeamCredits::default();
         for flow in self.flows.values_mut() {
             flow.fraction = 1.0;
         }
@@ -123,10 +131,18 @@
         let teams = self.team_totals();
         let level = share_level(&teams, capacity.max(capacities[0]));
         let over_level = over_level(&teams, level, capacities[0]);
+        let over: BTreeMap<Option<TeamName>, f64> = teams
+            .iter()
+            .filter(|(_, total)| total.demand > level * total.weight)
+            .map(|(team, total)| (team.clone(), total.share(over_level)))
+            .collect();
+        self.credits.settle(&over);
         let mut cuts = ShedCuts::default();
         for (team, total) in &teams {
-            let is_over = total.demand > level * total.weight;
-            let share = total.share(if is_over { over_level } else { level });
+            let share = match over.get(team) {
+                Some(share) => (share + self.credits.rate(team.as_ref())).max(total.critical),
+                None => total.share(level),
+            };
             let threshold = self.cut_team(team.as_ref(), share);
             if threshold > ShedOrder::FIRST {
                 cuts.over_share.push(TeamCut {
--- a/crates/limit/tests/shed_control.rs
+++ b/crates/limit/tests/shed_control.rs
@@ -10,6 +10,9 @@
 /// The capacity, in milliseconds of work a second: 500 requests of 10 ms.
 const CAPACITY: f64 = 5_000.0;
 
+/// A team of whose requests three tenths were begun upstream, and so aren't cut.
+const BEGUN_TEAM: &str = "begun";
+
 /// Demand in requests a second of each class from each team, with the team's weight.
 type TeamDemand = (&'static str, u32, [f64; 4]);
 
@@ -82,11 +85,12 @@
             team: Some(TeamName::new(team)),
             team_weight: weight,
             deadline: ClockTime::from_ms(self.now_ms + 1_000),
-            depth: 0,
+            depth: u8::from(team == BEGUN_TEAM && self.random.random::<f64>() < 0.3),
             expected_ms: 10,
         };
-        let is_admitted = self.control.arrive(&ticket);
+        let is_admitted = self.control.arrive(&ticket) || ticket.is_begun();
         if is_admitted {
+            self.control.charge(&ticket);
             self.backlog_ms[class as usize] += 10.0;
         }
         is_admitted
@@ -127,6 +131,27 @@
     assert!(served(true) > 0.97);
 }
 
+#[rstest]
+fn a_team_repays_what_it_got_past_the_cuts(#[values(1, 2, 3)] seed: u64) {
+    let demand = [
+        (BEGUN_TEAM, 10, [0.0, 500.0, 0.0, 0.0]),
+        ("new", 10, [0.0, 500.0, 0.0, 0.0]),
+    ];
+    let lead = |repays_teams| {
+        let settings = ShedSettings {
+            repays_teams,
+            ..ShedSettings::default()
+        };
+        let mut feed = Feed::new(settings, seed);
+        feed.run(2_000, &demand);
+        let counts = feed.run(8_000, &demand);
+        part(counts[0][CallImportance::Normal as usize])
+            / part(counts[1][CallImportance::Normal as usize])
+    };
+    assert!(lead(false) > 1.3, "{}", lead(false));
+    assert!(lead(true) < 1.1, "{}", lead(true));
+}
+
 #[rstest]
 fn the_share_that_a_team_leaves_is_lent(#[values(1, 2, 3)] seed: u64) {
     let demand = [
--- a/crates/trial/src/policy.rs
+++ b/crates/trial/src/policy.rs
@@ -82,6 +82,9 @@
         add("no team shares in cuts", |p| {
             p.queue.shed.shares_by_team = false;
         });
+        add("no repayment between teams", |p| {
+            p.queue.shed.repays_teams = false;
+        });
         add("no turns of teams in queue", |p| {
             p.queue.shares_by_team = false;
         });
