feat(trial): try a thrashing service and VMs that stay cold

Cause: the trial's backend servers never lost throughput by running too many requests, so the adaptive limit could only cost, and its cold starts were mild and kept the first start of a VM, so that the ramp was never in force.

Change: thrashing, in which the scarcest service has half of the slots that it announces and loses throughput in proportion to what runs beyond them; cold-steps, in which a third of the VMs run at a fifth of their speed for 10 s at 0.8 of capacity. A restarted VM is now withdrawn and announced anew.

--- a/crates/trial/src/backend.rs
+++ b/crates/trial/src/backend.rs
@@ -5,6 +5,7 @@
 pub(crate) struct Backend {
     slots: f64,
     speed: f64,
+    thrash: f64,
     held: u32,
     progress_ms: f64,
     changed_us: u64,
@@ -18,6 +19,7 @@
         Self {
             slots: f64::from(slots),
             speed: 1.0,
+            thrash: 0.0,
             held: 0,
             progress_ms: 0.0,
             changed_us: 0,
@@ -31,6 +33,18 @@
         self.held
     }
 
+    /// Sets the power of occupancy by which throughput falls beyond the slots.
+    pub(crate) fn set_thrash(&mut self, now_us: u64, thrash: f64) {
+        self.catch_up(now_us);
+        self.thrash = thrash;
+    }
+
+    /// Sets the slots that the backend server really has.
+    pub(crate) fn set_slots(&mut self, now_us: u64, slots: f64) {
+        self.catch_up(now_us);
+        self.slots = slots;
+    }
+
     pub(crate) fn set_speed(&mut self, now_us: u64, speed: f64) {
         self.catch_up(now_us);
         self.speed = speed;
@@ -92,7 +106,8 @@
     }
 
     fn rate(&self) -> f64 {
-        self.speed * (self.slots / f64::from(self.held.max(1))).min(1.0)
+        let part = (self.slots / f64::from(self.held.max(1))).min(1.0);
+        self.speed * part.powf(1.0 + self.thrash)
     }
 
     #[expect(clippy::cast_precision_loss, reason = "spans are small")]
--- a/crates/trial/src/score.rs
+++ b/crates/trial/src/score.rs
@@ -8,7 +8,7 @@
 use crate::call::ClientRequest;
 use crate::workload::{AFTER_MS, GREEDY_TEAM, WARM_MS, Workload};
 use crate::world::TrialWorld;
-use crate::world_script::SLOW_SPEED;
+use crate::world_script::{SLOW_SPEED, THRASH_SLOTS};
 
 /// The part of normal goodput that counts as recovered.
 const RECOVERED_SHARE: f64 = 0.95;
@@ -98,11 +98,15 @@
             .map(|vm| vm.slots)
             .sum();
         let strain_ms = world.workload.strain_ms();
+        let slot_share = match world.workload {
+            Workload::Thrashing => THRASH_SLOTS,
+            _ => 1.0,
+        };
         Self {
             start_us: WARM_MS * 1_000,
             end_us: (WARM_MS + strain_ms) * 1_000,
             work_ms,
-            capacity_ms: f64::from(slots) * strain_ms as f64,
+            capacity_ms: f64::from(slots) * slot_share * strain_ms as f64,
         }
     }
 
--- a/crates/trial/src/workload.rs
+++ b/crates/trial/src/workload.rs
@@ -15,8 +15,14 @@
     SlowService,
     /// One team sends eight times its rate.
     GreedyTeam,
+    /// The backend servers of the scarcest service have half of the slots that they announce
+    /// for 10 s, and do less work the more they run beyond them.
+    Thrashing,
     /// A third of the VMs start cold.
     ColdStarts,
+    /// Demand at 0.8 of capacity, and a third of the VMs run at a fifth of their speed for 10 s
+    /// from their start on.
+    ColdSteps,
     /// A third of the backend servers announce three times their slots and no load; the reports
     /// of another third come 2 s late.
     FalseReports,
@@ -31,7 +37,7 @@
 
 impl Workload {
     /// All workloads.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 12] = [
         Self::SteadyHalf,
         Self::SteadyFull,
         Self::Demand2,
@@ -39,7 +45,9 @@
         Self::Demand10,
         Self::SlowService,
         Self::GreedyTeam,
+        Self::Thrashing,
         Self::ColdStarts,
+        Self::ColdSteps,
         Self::FalseReports,
         Self::VmsGone,
     ];
@@ -55,7 +63,9 @@
             Self::Demand10 => "demand-10",
             Self::SlowService => "slow-service",
             Self::GreedyTeam => "greedy-team",
+            Self::Thrashing => "thrashing",
             Self::ColdStarts => "cold-starts",
+            Self::ColdSteps => "cold-steps",
             Self::FalseReports => "false-reports",
             Self::VmsGone => "vms-gone",
         }
--- a/crates/trial/src/world_script.rs
+++ b/crates/trial/src/world_script.rs
@@ -11,6 +11,12 @@
 const COLD_SPEED: f64 = 0.1;
 /// The time in which a cold backend server reaches full speed, in milliseconds.
 const COLD_MS: u64 = 8_000;
+/// The speed of a backend server that stays cold for a while.
+const COLD_STEP_SPEED: f64 = 0.2;
+/// The part of its announced slots that a thrashing backend server has.
+pub(crate) const THRASH_SLOTS: f64 = 0.5;
+/// The power of occupancy by which a thrashing backend server loses throughput.
+const THRASH_POWER: f64 = 1.0;
 /// The time after which nodes learn that VMs are gone, in microseconds.
 const FORGET_US: u64 = 2_000_000;
 /// The age that late reports reach, in microseconds.
@@ -31,7 +37,7 @@
             }
         }
         match self.workload {
-            Workload::ColdStarts if self.is_strained => self.warm_up(),
+            Workload::ColdStarts | Workload::ColdSteps if self.is_strained => self.warm_up(),
             Workload::FalseReports => self.falsify(),
             _ => {}
         }
@@ -42,7 +48,8 @@
         self.is_strained = true;
         match self.workload {
             Workload::SlowService => self.set_speed(self.scarcest, SLOW_SPEED),
-            Workload::ColdStarts => self.restart_third(),
+            Workload::Thrashing => self.set_thrashing(THRASH_SLOTS, THRASH_POWER),
+            Workload::ColdStarts | Workload::ColdSteps => self.restart_third(),
             Workload::VmsGone => self.kill_third(),
             _ => {}
         }
@@ -56,6 +63,9 @@
         for service in 0..self.firm.services.len() {
             self.set_speed(service, 1.0);
         }
+        if self.workload == Workload::Thrashing {
+            self.set_thrashing(1.0, 0.0);
+        }
     }
 
     fn set_speed(&mut self, service: usize, speed: f64) {
@@ -67,6 +77,17 @@
         }
     }
 
+    fn set_thrashing(&mut self, slot_share: f64, power: f64) {
+        for vm in 0..self.vms.len() {
+            if self.vms[vm].service == self.scarcest {
+                let slots = f64::from(self.vms[vm].slots) * slot_share;
+                self.vms[vm].backend.set_slots(self.now_us, slots);
+                self.vms[vm].backend.set_thrash(self.now_us, power);
+                self.plan_work_end(vm);
+            }
+        }
+    }
+
     fn third(&self) -> impl Iterator<Item = usize> + use<> {
         (0..self.vms.len()).step_by(3)
     }
@@ -75,6 +96,7 @@
         let now = self.now();
         for vm in self.third() {
             self.vms[vm].ingress.reset();
+            self.withdraw(vm);
             self.announce(vm, now);
         }
         self.warm_up();
@@ -84,7 +106,10 @@
     fn warm_up(&mut self) {
         let age_ms = (self.now_us / 1_000).saturating_sub(WARM_MS);
         let part = (age_ms as f64 / COLD_MS as f64).min(1.0);
-        let speed = COLD_SPEED + part * (1.0 - COLD_SPEED);
+        let speed = match self.workload {
+            Workload::ColdSteps => COLD_STEP_SPEED,
+            _ => COLD_SPEED + part * (1.0 - COLD_SPEED),
+        };
         for vm in self.third() {
             self.vms[vm].backend.set_speed(self.now_us, speed);
             self.plan_work_end(vm);
@@ -140,10 +165,15 @@
                 continue;
             }
             self.vms[vm].is_known = false;
-            let (name, service) = (self.vms[vm].name.clone(), self.vms[vm].service);
-            for other in &mut self.vms {
-                other.routers[service].remove(&name);
-            }
+            self.withdraw(vm);
+        }
+    }
+
+    /// Lets all nodes forget a VM.
+    fn withdraw(&mut self, vm: usize) {
+        let (name, service) = (self.vms[vm].name.clone(), self.vms[vm].service);
+        for other in &mut self.vms {
+            other.routers[service].remove(&name);
         }
     }
 }
