refactor(graph,wire,node): keep one way of telling what services below refuse

Cause: two reports stood on each answer, a threshold for each kind of call and the cuts of each VM, and the entry asked both.

Change: the threshold by kind of call is gone from graph, wire, node and trial. Its tests now speak of cuts. That a service with one VM is believed is expected at 500 ms in place of 400, for cuts live 500 ms.

--- a/crates/graph/src/admission_settings.rs
+++ b/crates/graph/src/admission_settings.rs
@@ -1,16 +1,10 @@
 /// How admission over a whole chain of calls learns and forgets.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct AdmissionSettings {
-    /// The time for which a reported threshold stands without a newer report, in milliseconds.
-    pub hold_ms: u64,
-    /// The time in which an unrenewed threshold then falls to nothing, in milliseconds.
-    pub relax_ms: u64,
     /// The time for which the cuts of a VM stand without a newer report, in milliseconds.
     pub cut_hold_ms: u64,
     /// The time in which unrenewed cuts then fall to nothing, in milliseconds.
     pub cut_relax_ms: u64,
-    /// The time for which a VM's report, even one that nothing is shed, counts, in milliseconds.
-    pub report_life_ms: u64,
     /// The number of recent runs over which the uses of a call are counted.
     pub use_runs: u32,
     /// The number of runs from which on the uses of a call are trusted.
@@ -32,12 +26,6 @@
 }
 
 impl AdmissionSettings {
-    /// Returns the age at which a threshold counts for nothing, in milliseconds.
-    #[must_use]
-    pub const fn threshold_life_ms(&self) -> u64 {
-        self.hold_ms + self.relax_ms
-    }
-
     /// Returns the age at which the cuts of a VM count for nothing, in milliseconds.
     #[must_use]
     pub const fn cut_life_ms(&self) -> u64 {
@@ -48,11 +36,8 @@
 impl Default for AdmissionSettings {
     fn default() -> Self {
         Self {
-            hold_ms: 100,
-            relax_ms: 300,
             cut_hold_ms: 150,
             cut_relax_ms: 350,
-            report_life_ms: 2_000,
             use_runs: 32,
             min_use_runs: 8,
             needed_share: 0.8,
--- a/crates/graph/src/chain_admission.rs
+++ b/crates/graph/src/chain_admission.rs
@@ -2,11 +2,10 @@
 
 use clock::ClockTime;
 use contract::FleetContract;
-use model::{RefusalReason, ServiceName, ShedOrder, TeamName, VmName};
+use model::{RefusalReason, ServiceName, ShedOrder, TeamName};
 
 use crate::{
-    AdmissionSettings, CallTarget, CallUses, ChainRefusal, ChainThresholds, CutReport,
-    ExpectedTime, ServiceCuts, ShedReport,
+    AdmissionSettings, CallTarget, CallUses, ChainRefusal, CutReport, ExpectedTime, ServiceCuts,
 };
 
 /// Admits a request only when the whole chain of calls below it will take it.
@@ -15,26 +14,31 @@
 ///
 /// ```
 /// use clock::ClockTime;
-/// use lentilshift_graph::{AdmissionSettings, CallTarget, ChainAdmission, ShedReport};
-/// use model::{CallImportance, ServiceName, ShedOrder, VmName};
+/// use lentilshift_graph::{AdmissionSettings, CallTarget, ChainAdmission, CutReport};
+/// use model::{CallImportance, ShedCuts, ShedOrder};
 ///
 /// let mut admission = ChainAdmission::new(AdmissionSettings::default());
 /// let look_up = CallTarget::new("registry", "look-up");
-/// let threshold = ShedOrder::from_parts(CallImportance::High, 0);
-/// let report = ShedReport::new(ServiceName::new("archive"), threshold);
+/// let cuts = ShedCuts {
+///     threshold: ShedOrder::from_parts(CallImportance::High, 0),
+///     ..ShedCuts::default()
+/// };
+/// let report = |vm: &str| CutReport {
+///     service: "archive".into(),
+///     vm: vm.into(),
+///     cuts: cuts.clone(),
+///     age_ms: 0,
+/// };
 /// let now = ClockTime::from_ms(1_000);
-/// for vm in ["vm-1", "vm-2"] {
-///     admission.observe_report(now, &look_up, &VmName::new(vm), Some(report.clone()));
-/// }
+/// admission.observe_cuts(now, &look_up, [report("vm-1"), report("vm-2")]);
 ///
 /// let order = ShedOrder::from_parts(CallImportance::Normal, 9);
-/// let refusal = admission.admit(now, &look_up, order, 800).unwrap_err();
+/// let refusal = admission.admit(now, &look_up, order, None, 800).unwrap_err();
 /// assert_eq!(refusal.service.as_str(), "archive");
 /// ```
 #[derive(Clone, Debug)]
 pub struct ChainAdmission {
     settings: AdmissionSettings,
-    thresholds: ChainThresholds,
     cuts: ServiceCuts,
     times: ExpectedTime,
     uses: CallUses,
@@ -46,14 +50,13 @@
     pub fn new(settings: AdmissionSettings) -> Self {
         Self {
             settings,
-            thresholds: ChainThresholds::new(settings),
             cuts: ServiceCuts::default(),
             times: ExpectedTime::new(settings),
             uses: CallUses::new(settings),
         }
     }
 
-    /// Decides whether a request is sent on its way.
+    /// Decides whether a request is sent on its way, by the cuts that apply to its team.
     ///
     /// # Errors
     ///
@@ -64,46 +67,19 @@
         now: ClockTime,
         target: &CallTarget,
         order: ShedOrder,
+        team: Option<&TeamName>,
         deadline_left_ms: u64,
     ) -> Result<(), ChainRefusal> {
-        if let Some(report) = self.thresholds.report_for(now, target)
-            && order < report.threshold_left(&self.settings)
-        {
-            return Err(self.overloaded(report));
+        let refusing = self.cuts.refusing(now, target, order, team, &self.settings);
+        if let Some(service) = refusing {
+            return Err(self.refusal(RefusalReason::Overloaded, service));
         }
         if deadline_left_ms < self.times.time_needed_ms(now, target) {
-            return Err(ChainRefusal {
-                reason: RefusalReason::TooLate,
-                service: target.service.clone(),
-                retry_after_ms: self.settings.min_retry_after_ms,
-            });
+            return Err(self.refusal(RefusalReason::TooLate, &target.service));
         }
         Ok(())
     }
 
-    /// Decides whether the services on a request's way take it, by the cuts that apply to its
-    /// team.
-    ///
-    /// # Errors
-    ///
-    /// Returns a [`ChainRefusal`] when one of them would shed the request.
-    pub fn admit_team(
-        &self,
-        now: ClockTime,
-        target: &CallTarget,
-        order: ShedOrder,
-        team: Option<&TeamName>,
-    ) -> Result<(), ChainRefusal> {
-        match self.cuts.refusing(now, target, order, team, &self.settings) {
-            None => Ok(()),
-            Some(service) => Err(ChainRefusal {
-                reason: RefusalReason::Overloaded,
-                service: service.clone(),
-                retry_after_ms: self.settings.min_retry_after_ms,
-            }),
-        }
-    }
-
     /// Takes in what came with an answer: the cuts of the VM that gave it, and those of services
     /// below.
     pub fn observe_cuts(
@@ -131,47 +107,12 @@
         self.cuts.reports(now, &needed, &self.settings)
     }
 
-    /// Returns the threshold of a kind of call, the whole chain below it included.
-    #[must_use]
-    pub fn threshold_for(&self, now: ClockTime, target: &CallTarget) -> ShedOrder {
-        self.thresholds.threshold_for(now, target)
-    }
-
     /// Returns the time that a kind of call needs at least, in milliseconds.
     #[must_use]
     pub fn time_needed_ms(&self, now: ClockTime, target: &CallTarget) -> u64 {
         self.times.time_needed_ms(now, target)
     }
 
-    /// Returns the report that goes with an answer of the own service.
-    ///
-    /// It is the highest of the own threshold and those of the lower calls that `target` needs.
-    #[must_use]
-    pub fn report_for(
-        &self,
-        now: ClockTime,
-        target: &CallTarget,
-        own: ShedOrder,
-    ) -> Option<ShedReport> {
-        let own = ShedReport::new(target.service.clone(), own);
-        let own = (own.threshold > ShedOrder::FIRST).then_some(own);
-        let needed = self.uses.needed(target);
-        let lower = needed.filter_map(|lower| self.thresholds.report_for(now, lower));
-        let reports = lower.chain(own);
-        reports.max_by_key(|report| report.threshold_left(&self.settings))
-    }
-
-    /// Takes in the report that came with an answer or a refusal of `vm`.
-    pub fn observe_report(
-        &mut self,
-        now: ClockTime,
-        target: &CallTarget,
-        vm: &VmName,
-        report: Option<ShedReport>,
-    ) {
-        self.thresholds.observe(now, target, vm, report);
-    }
-
     /// Takes in the duration of a call that was answered.
     pub fn observe_duration(&mut self, now: ClockTime, target: &CallTarget, duration_ms: u64) {
         self.times.observe(now, target, duration_ms);
@@ -193,19 +134,16 @@
             let service = contract.services.get(&target.service);
             service.is_some_and(|service| service.calls.contains_key(&target.call))
         };
-        self.thresholds.retain(is_kept);
         self.cuts.retain(is_kept);
         self.times.retain(is_kept);
         self.uses.retain(is_kept);
     }
 
-    fn overloaded(&self, report: ShedReport) -> ChainRefusal {
-        let life_ms = self.settings.threshold_life_ms();
-        let left_ms = life_ms.saturating_sub(report.age_ms);
+    fn refusal(&self, reason: RefusalReason, service: &ServiceName) -> ChainRefusal {
         ChainRefusal {
-            reason: RefusalReason::Overloaded,
-            service: report.service,
-            retry_after_ms: left_ms.max(self.settings.min_retry_after_ms),
+            reason,
+            service: service.clone(),
+            retry_after_ms: self.settings.min_retry_after_ms,
         }
     }
 }
--- a/crates/graph/src/lib.rs
+++ b/crates/graph/src/lib.rs
@@ -2,33 +2,27 @@
 //!
 //! [`DependencyGraph`] answers questions about the contract. [`ChainAdmission`] refuses at the
 //! entry what a service below would shed, or what can't be finished before its deadline, so that
-//! no work is spent on it. What it knows comes with answers: each node reports what it and the
-//! services below it shed ([`ShedReport`]), so a report speaks for the whole chain and takes room
-//! for one service only.
+//! no work is spent on it. What it knows comes with answers: each node reports what its own VM and
+//! those of the services below refuse ([`CutReport`]), for as long as they shed.
 
 mod admission_settings;
 mod call_target;
 mod call_uses;
 mod chain_admission;
 mod chain_refusal;
-mod chain_thresholds;
 mod critical_path;
 mod cut_report;
 mod dependency_graph;
 mod expected_time;
-mod heard_report;
 mod service_cuts;
-mod shed_report;
 
 pub use admission_settings::AdmissionSettings;
 pub use call_target::CallTarget;
 pub use call_uses::CallUses;
 pub use chain_admission::ChainAdmission;
 pub use chain_refusal::ChainRefusal;
-pub use chain_thresholds::ChainThresholds;
 pub use critical_path::CriticalPath;
 pub use cut_report::CutReport;
 pub use dependency_graph::DependencyGraph;
 pub use expected_time::ExpectedTime;
 pub use service_cuts::ServiceCuts;
-pub use shed_report::ShedReport;
--- a/crates/graph/src/service_cuts.rs
+++ b/crates/graph/src/service_cuts.rs
@@ -14,13 +14,24 @@
     shed_at: Option<ClockTime>,
 }
 
+/// The cuts of the VMs of one service.
+#[derive(Clone, Debug)]
+struct HeardService {
+    /// The first report since the service was last forgotten.
+    first_at: ClockTime,
+    vms: BTreeMap<VmName, HeardCuts>,
+}
+
 /// What the services below refuse, kept by service and VM.
 ///
+/// The first VM of a service to be heard of is believed only in part until a second one is, or
+/// until none was for as long as cuts live, so that one slow VM doesn't stand for its service.
+///
 /// An answer to any call renews what is known of every service that it passed, for all teams and
 /// all kinds of call, so a kind of call of which nothing is let through isn't forgotten.
 #[derive(Clone, Debug, Default)]
 pub struct ServiceCuts {
-    heard: BTreeMap<ServiceName, BTreeMap<VmName, HeardCuts>>,
+    heard: BTreeMap<ServiceName, HeardService>,
     below: BTreeMap<CallTarget, BTreeSet<ServiceName>>,
 }
 
@@ -32,7 +43,11 @@
             services.insert(report.service.clone());
         }
         let made_at = now.minus_ms(u64::from(report.age_ms));
-        let vms = self.heard.entry(report.service).or_default();
+        let service = self.heard.entry(report.service).or_insert(HeardService {
+            first_at: now,
+            vms: BTreeMap::new(),
+        });
+        let vms = &mut service.vms;
         let known = vms.get(&report.vm);
         if known.is_some_and(|known| known.made_at > made_at) {
             return;
@@ -96,10 +111,11 @@
 
     /// Forgets what is too old to count.
     pub fn forget_old(&mut self, now: ClockTime, settings: &AdmissionSettings) {
-        for vms in self.heard.values_mut() {
+        for service in self.heard.values_mut() {
+            let vms = &mut service.vms;
             vms.retain(|_, heard| trust(now, heard, settings) > 0.0);
         }
-        self.heard.retain(|_, vms| !vms.is_empty());
+        self.heard.retain(|_, service| !service.vms.is_empty());
     }
 
     fn is_below(&self, target: &CallTarget, service: &ServiceName) -> bool {
@@ -117,7 +133,7 @@
         self.heard
             .get(service)
             .into_iter()
-            .flatten()
+            .flat_map(|service| &service.vms)
             .map(move |(vm, heard)| (vm, heard, trust(now, heard, settings)))
             .filter(|(_, _, trust)| *trust > 0.0)
     }
@@ -157,7 +173,24 @@
             total += f64::from(heard.cuts.threshold_of(team).level()) * trust;
             count += 1.0;
         }
-        if count == 0.0 { 0.0 } else { total / count }
+        if count == 0.0 {
+            return 0.0;
+        }
+        total / f64::max(count, self.least_count(now, service, settings))
+    }
+
+    /// Returns the number of VMs over which a mean is taken at least.
+    fn least_count(
+        &self,
+        now: ClockTime,
+        service: &ServiceName,
+        settings: &AdmissionSettings,
+    ) -> f64 {
+        let first_at = self.heard.get(service).map(|service| service.first_at);
+        match first_at {
+            Some(first_at) if now.since_ms(first_at) < settings.cut_life_ms() => 2.0,
+            _ => 1.0,
+        }
     }
 }
 
--- a/crates/node/src/call_answer.rs
+++ b/crates/node/src/call_answer.rs
@@ -81,7 +81,6 @@
                 headers: HeaderList::from(&headers),
                 body_bytes: Some(body.len() as u64),
                 load: LoadReport::default(),
-                report: None,
                 cut_reports: Vec::new(),
                 run_ms: 0,
                 mark: None,
--- a/crates/node/src/chain_watch.rs
+++ b/crates/node/src/chain_watch.rs
@@ -1,7 +1,7 @@
 use std::collections::BTreeSet;
 
 use clock::ClockTime;
-use graph::{CallTarget, CutReport, ShedReport};
+use graph::{CallTarget, CutReport};
 use model::{RunVerdict, ShedOrder, VmName};
 use wire::{AnswerHead, CallHead};
 
@@ -23,9 +23,8 @@
     let order = ShedOrder::new(head.importance, head.request);
     let admission = core.chain.borrow();
     let target = target_of(head);
-    let admitted = admission
-        .admit_team(now, &target, order, head.team.as_ref())
-        .and_then(|()| admission.admit(now, &target, order, now.until_ms(deadline)));
+    let left_ms = now.until_ms(deadline);
+    let admitted = admission.admit(now, &target, order, head.team.as_ref(), left_ms);
     admitted.map_err(|refusal| {
         CallRefusal::not_run(refusal.reason)
             .after_ms(refusal.retry_after_ms)
@@ -45,7 +44,6 @@
     let target = target_of(head);
     let mut admission = core.chain.borrow_mut();
     if answer.refusal.is_none() || answer.load.limit > 0 {
-        admission.observe_report(now, &target, vm, answer.report.clone());
         let own = CutReport {
             service: head.service.clone(),
             vm: vm.clone(),
@@ -67,13 +65,6 @@
     core.chain.borrow_mut().observe_uses(&target_of(head), used);
 }
 
-/// Returns the report that goes with an answer of the local backend server.
-pub(crate) fn report_for(core: &NodeCore, head: &CallHead) -> Option<ShedReport> {
-    let now = core.now();
-    let own = core.gate.load(now).cuts.threshold;
-    core.chain.borrow().report_for(now, &target_of(head), own)
-}
-
 /// Returns what the services below refuse, to go with an answer of the local backend server.
 pub(crate) fn cut_reports_for(core: &NodeCore, head: &CallHead) -> Vec<CutReport> {
     let now = core.now();
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -17,7 +17,7 @@
 use crate::call_answer::{CallAnswer, CallRefusal};
 use crate::call_body::CallBody;
 use crate::call_headers::{add_call, strip_hop};
-use crate::chain_watch::{cut_reports_for, note_uses, report_for};
+use crate::chain_watch::{cut_reports_for, note_uses};
 use crate::claim_watch::{ClaimFate, ClaimPass, claim_call, claim_refusal};
 use crate::node_core::NodeCore;
 use crate::request_body::read_whole;
@@ -229,7 +229,6 @@
         headers: HeaderList::from(&strip_hop(&parts.headers)),
         body_bytes: body.known_bytes(),
         load: LoadReport::default(),
-        report: None,
         cut_reports: Vec::new(),
         run_ms: run.mark_answered(),
         mark: None,
@@ -297,7 +296,6 @@
 fn finish_answer(core: &NodeCore, head: &CallHead, mut answer: CallAnswer) -> CallAnswer {
     let now = core.now();
     answer.head.load = core.gate.load(now);
-    answer.head.report = report_for(core, head);
     answer.head.mark = Some(core.attempts.borrow().mark(now));
     answer.head.cut_reports = cut_reports_for(core, head);
     log::debug!(
--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -20,7 +20,7 @@
 mod world_script;
 
 pub use firm::Firm;
-pub use policy::{ChainCheck, NodeKind, NodePolicy};
+pub use policy::{NodeKind, NodePolicy};
 pub use score::TrialScore;
 pub use table::{ScoreTable, median_and_worst};
 pub use workload::Workload;
--- a/crates/wire/src/answer_head.rs
+++ b/crates/wire/src/answer_head.rs
@@ -1,6 +1,6 @@
 use std::fmt;
 
-use graph::{CutReport, ShedReport};
+use graph::CutReport;
 use limit::LoadReport;
 use model::{AttemptId, RefusalReason, RequestId, RunVerdict, ServiceName, VmName};
 use once::TableMark;
@@ -12,7 +12,7 @@
 use crate::field_reader::FieldReader;
 
 /// The number of fields of a [`AnswerHead`] on the wire.
-const FIELDS: usize = 17;
+const FIELDS: usize = 16;
 
 /// What a node tells the one that called, ahead of the answer's body.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -39,8 +39,6 @@
     pub body_bytes: Option<u64>,
     /// The load of the backend server.
     pub load: LoadReport,
-    /// What the service, or one that it needs, sheds.
-    pub report: Option<ShedReport>,
     /// What each VM of the services below refuses, of those that shed.
     pub cut_reports: Vec<CutReport>,
     /// The time for which the backend server ran the call, in milliseconds.
@@ -67,7 +65,6 @@
         tuple.serialize_element(&self.headers)?;
         tuple.serialize_element(&self.body_bytes)?;
         tuple.serialize_element(&self.load)?;
-        tuple.serialize_element(&self.report)?;
         tuple.serialize_element(&self.cut_reports)?;
         tuple.serialize_element(&self.run_ms)?;
         tuple.serialize_element(&self.mark)?;
@@ -106,7 +103,6 @@
             headers: fields.next()?,
             body_bytes: fields.next()?,
             load: fields.next()?,
-            report: fields.next()?,
             cut_reports: fields.next()?,
             run_ms: fields.next()?,
             mark: fields.next()?,
