feat(limit): measure how long each kind of call holds its slot

Cause: the node gave every request an expected run time of 1 ms, so a call of 300 ms counted as one of 20 ms, and the check of deadlines was void.

Change: the ticket names the kind of call; the queue keeps the mean time for which it holds a slot, and halves it for each second without a run. The trial gives 1 ms as the node does. A span of own work in the trial that was less than nothing wrapped round; it is 0 now.

--- a/crates/limit/src/admission_queue.rs
+++ b/crates/limit/src/admission_queue.rs
@@ -1,10 +1,11 @@
 use std::collections::BTreeMap;
 
 use clock::ClockTime;
-use model::{AttemptId, RefusalReason};
+use model::{AttemptId, CallName, RefusalReason};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
+use crate::run_times::RunTimes;
 use crate::shed_control::QueueState;
 use crate::wait_line::WaitLine;
 use crate::{
@@ -25,10 +26,11 @@
 const OVERLOAD_RETRY_MS: f64 = 500.0;
 
 /// A run that hasn't ended.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct RunStart {
     started: ClockTime,
     work_ms: f64,
+    call: Option<CallName>,
 }
 
 /// Decides which requests run on a backend server, which wait and which are refused.
@@ -49,6 +51,7 @@
 ///     team_weight: 1,
 ///     deadline: ClockTime::from_ms(1_000),
 ///     depth: 0,
+///     call: Some("look-up".into()),
 ///     expected_ms: 50,
 /// };
 /// assert_eq!(queue.offer(ClockTime::ZERO, ticket), QueueDecision::Start);
@@ -59,6 +62,7 @@
     limit: ConcurrencyLimit,
     shed: ShedControl,
     line: WaitLine,
+    times: RunTimes,
     running: BTreeMap<AttemptId, RunStart>,
     run_ms: f64,
     work_ms: f64,
@@ -74,6 +78,7 @@
             limit: ConcurrencyLimit::new(settings.limit, DEFAULT_SLOTS),
             shed: ShedControl::new(settings.shed),
             line: WaitLine::default(),
+            times: RunTimes::default(),
             running: BTreeMap::new(),
             run_ms: 1.0,
             work_ms: 1.0,
@@ -92,12 +97,14 @@
     pub fn reset(&mut self) {
         self.limit.reset();
         self.shed = ShedControl::new(self.settings.shed);
+        self.times = RunTimes::default();
         self.run_ms = 1.0;
         self.work_ms = 1.0;
     }
 
     /// Decides on a request.
     pub fn offer(&mut self, now: ClockTime, ticket: QueueTicket) -> QueueDecision {
+        let ticket = self.times.estimate(now, ticket);
         let is_admitted = self.shed.arrive(&ticket);
         let is_sheltered = self.settings.favors_begun && ticket.is_begun();
         if !is_admitted && !is_sheltered {
@@ -139,6 +146,9 @@
         };
         if let RunOutcome::Completed { own_ms } = outcome {
             self.limit.record(own_ms, in_flight);
+            if let Some(call) = &run.call {
+                self.times.record(now, call, now.since_ms(run.started));
+            }
             let run_ms = to_float(now.since_ms(run.started)).max(0.5);
             self.run_ms += RUN_GAIN * (run_ms - self.run_ms);
             self.work_ms += RUN_GAIN * (run.work_ms - self.work_ms);
@@ -218,6 +228,7 @@
         let run = RunStart {
             started: now,
             work_ms: ticket.work_ms(),
+            call: ticket.call.clone(),
         };
         self.running.insert(ticket.id, run);
     }
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -11,6 +11,7 @@
 mod load_report;
 mod queue_settings;
 mod queue_ticket;
+mod run_times;
 mod shed_control;
 mod team_credits;
 mod team_demand;
--- a/crates/limit/src/queue_ticket.rs
+++ b/crates/limit/src/queue_ticket.rs
@@ -1,5 +1,5 @@
 use clock::ClockTime;
-use model::{AttemptId, RefusalReason, ShedOrder, TeamName};
+use model::{AttemptId, CallName, RefusalReason, ShedOrder, TeamName};
 
 /// What the queue needs to know about a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -16,7 +16,9 @@
     pub deadline: ClockTime,
     /// The number of services that the request has passed already.
     pub depth: u8,
-    /// The time that running is expected to take, in milliseconds.
+    /// The kind of call, for which run times are measured; `None` when they aren't.
+    pub call: Option<CallName>,
+    /// The time that running is expected to take before any was measured, in milliseconds.
     pub expected_ms: u64,
 }
 
--- a/crates/limit/tests/admission_queue.rs
+++ b/crates/limit/tests/admission_queue.rs
@@ -6,7 +6,7 @@
 use lentilshift_limit::{
     AdmissionQueue, QueueAction, QueueDecision, QueueSettings, QueueTicket, RunOutcome,
 };
-use model::{AttemptId, CallImportance, RefusalReason, RequestId, ShedOrder};
+use model::{AttemptId, CallImportance, CallName, RefusalReason, RequestId, ShedOrder};
 use proptest::prelude::*;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -22,6 +22,7 @@
         team_weight: 1,
         deadline: ClockTime::from_ms(deadline_ms),
         depth,
+        call: None,
         expected_ms: RUN_MS,
     }
 }
@@ -188,3 +189,36 @@
         prop_assert!(fates.values().all(|count| *count == 1));
     }
 }
+
+#[rstest]
+#[case::unnamed(None, None)]
+#[case::named(Some("report".into()), Some(RefusalReason::TooLate))]
+fn a_call_that_takes_longer_than_is_left_is_refused(
+    #[case] call: Option<CallName>,
+    #[case] reason: Option<RefusalReason>,
+) {
+    let mut queue = queue(4);
+    let ticket = |id, deadline_ms| QueueTicket {
+        call: call.clone(),
+        expected_ms: 1,
+        ..ticket(id, CallImportance::Normal, deadline_ms, 0)
+    };
+    for id in 0..20 {
+        let started = ClockTime::from_ms(id * 100);
+        queue.offer(started, ticket(id, id * 100 + 1_000));
+        let outcome = RunOutcome::Completed { own_ms: 100 };
+        let id = AttemptId::from_random(u128::from(id));
+        queue.finish(started.plus_ms(100), id, outcome, &mut Vec::new());
+    }
+    let mut refused =
+        |now_ms| match queue.offer(ClockTime::from_ms(now_ms), ticket(now_ms, now_ms + 50)) {
+            QueueDecision::Refuse(refusal) => Some(refusal.reason),
+            QueueDecision::Start | QueueDecision::Wait => None,
+        };
+    assert_eq!(refused(2_010), reason);
+    assert_eq!(
+        refused(4_000),
+        None,
+        "an old estimate must not refuse for good"
+    );
+}
--- a/crates/limit/tests/shed_control.rs
+++ b/crates/limit/tests/shed_control.rs
@@ -86,6 +86,7 @@
             team_weight: weight,
             deadline: ClockTime::from_ms(self.now_ms + 1_000),
             depth: u8::from(team == BEGUN_TEAM && self.random.random::<f64>() < 0.3),
+            call: None,
             expected_ms: 10,
         };
         let is_admitted = self.control.arrive(&ticket) || ticket.is_begun();
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -161,6 +161,7 @@
         team_weight: head.team_weight,
         deadline,
         depth: head.depth,
+        call: Some(head.call.clone()),
         expected_ms: EXPECTED_RUN_MS,
     }
 }
--- a/crates/trial/src/world.rs
+++ b/crates/trial/src/world.rs
@@ -60,7 +60,6 @@
     pub(crate) vms: Vec<TrialVm>,
     pub(crate) indices: BTreeMap<VmName, usize>,
     pub(crate) team_names: Vec<TeamName>,
-    pub(crate) nominal_ms: Vec<f64>,
     pub(crate) tree_services: Vec<Vec<usize>>,
     pub(crate) targets: Vec<CallTarget>,
     pub(crate) scarcest: usize,
@@ -78,9 +77,6 @@
     #[must_use]
     pub fn new(firm: Firm, workload: Workload, policy: NodePolicy, seed: u64) -> Self {
         let speeds = vec![1.0; firm.services.len()];
-        let nominal_ms = (0..firm.calls.len())
-            .map(|call| firm.holding_ms(call, &speeds))
-            .collect();
         let tree_services = (0..firm.calls.len())
             .map(|call| {
                 (0..firm.services.len())
@@ -107,7 +103,6 @@
             vms: Vec::new(),
             indices: BTreeMap::new(),
             team_names,
-            nominal_ms,
             tree_services,
             targets,
             scarcest,
--- a/crates/trial/src/world_calls.rs
+++ b/crates/trial/src/world_calls.rs
@@ -108,12 +108,6 @@
         let entry = &self.calls[call];
         let tried = &self.tries[entry.client_try];
         let team = self.requests[tried.request].team;
-        #[expect(
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss,
-            reason = "expected times are small and positive"
-        )]
-        let expected_ms = self.nominal_ms[entry.plan] as u64;
         QueueTicket {
             id: attempt_id(call),
             order: tried.order,
@@ -121,7 +115,8 @@
             team_weight: self.firm.teams[team],
             deadline: ClockTime::from_ms(tried.deadline_us / 1_000),
             depth: entry.depth,
-            expected_ms,
+            call: Some(self.targets[entry.plan].call.clone()),
+            expected_ms: 1,
         }
     }
 
@@ -194,7 +189,7 @@
             self.send_call(child);
             return;
         }
-        let own_us = self.now_us - entry.started_us - entry.child_wait_us;
+        let own_us = (self.now_us - entry.started_us).saturating_sub(entry.child_wait_us);
         let used: BTreeSet<CallTarget> = children
             .iter()
             .map(|child| self.targets[*child].clone())
