feat(limit): list at most 16 teams in the cuts told to callers

Cause: nothing bounded the teams listed on each answer while a service sheds, at about 20 bytes each.

Change: the queue applies all cuts, but tells callers those of the 16 teams that use the most. Requests of the others are met by the queue itself.

--- a/crates/limit/src/team_demand.rs
+++ b/crates/limit/src/team_demand.rs
@@ -137,8 +137,10 @@
             .map(|(team, total)| (team.clone(), total.share(over_level)))
             .collect();
         self.credits.settle(&over);
+        let mut users: Vec<_> = teams.iter().collect();
+        users.sort_by(|a, b| b.1.demand.total_cmp(&a.1.demand));
         let mut cuts = ShedCuts::default();
-        for (team, total) in &teams {
+        for (team, total) in users {
             let share = match over.get(team) {
                 Some(share) => (share + self.credits.rate(team.as_ref())).max(total.critical),
                 None => total.share(level),
--- a/crates/limit/tests/admission_queue.rs
+++ b/crates/limit/tests/admission_queue.rs
@@ -6,7 +6,9 @@
 use lentilshift_limit::{
     AdmissionQueue, QueueAction, QueueDecision, QueueSettings, QueueTicket, RunOutcome,
 };
-use model::{AttemptId, CallImportance, CallName, RefusalReason, RequestId, ShedOrder};
+use model::{
+    AttemptId, CallImportance, CallName, RefusalReason, RequestId, ShedOrder, TeamCut, TeamName,
+};
 use proptest::prelude::*;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -222,3 +224,26 @@
         "an old estimate must not refuse for good"
     );
 }
+
+#[rstest]
+fn reports_list_the_teams_that_use_the_most() {
+    let mut queue = queue(1);
+    let mut actions = Vec::new();
+    for now_ms in 0..1_000 {
+        for team in 0..if now_ms % 5 == 0 { 40 } else { 10 } {
+            let ticket = QueueTicket {
+                team: Some(TeamName::new(format!("team-{team}"))),
+                ..ticket(now_ms * 100 + team, CallImportance::Normal, now_ms + 300, 0)
+            };
+            queue.offer(ClockTime::from_ms(now_ms), ticket);
+        }
+        queue.tick(ClockTime::from_ms(now_ms), &mut actions);
+    }
+    let listed = queue.load(ClockTime::from_ms(1_000)).cuts.over_share;
+    let large = |cut: &&TeamCut| {
+        let name = cut.team.as_ref().map_or("", TeamName::as_str);
+        name.len() == "team-0".len()
+    };
+    assert_eq!(listed.len(), 16);
+    assert_eq!(listed.iter().filter(large).count(), 10, "{listed:?}");
+}
--- a/crates/model/src/shed_cuts.rs
+++ b/crates/model/src/shed_cuts.rs
@@ -25,7 +25,7 @@
 pub struct ShedCuts {
     /// The threshold for every team that isn't listed in `over_share`.
     pub threshold: ShedOrder,
-    /// The higher thresholds of teams that use more than their share, in the order of teams.
+    /// The higher thresholds of teams that use more than their share, the greatest users first.
     pub over_share: Vec<TeamCut>,
 }
 
@@ -39,6 +39,15 @@
 }
 
 impl ShedCuts {
+    /// Returns the cuts with at most `limit` teams listed, those that use the most.
+    #[must_use]
+    pub fn bounded(&self, limit: usize) -> Self {
+        Self {
+            threshold: self.threshold,
+            over_share: self.over_share.iter().take(limit).cloned().collect(),
+        }
+    }
+
     /// Returns the threshold that applies to a team.
     #[must_use]
     pub fn threshold_of(&self, team: Option<&TeamName>) -> ShedOrder {
