--- a/crates/limit/src/admission_queue.rs
+++ b/crates/limit/src/admission_queue.rs
@@ -1,10 +1,11 @@
 use std::collections::BTreeMap;
 
 use clock::ClockTime;
-use model::{AttemptId, RefusalReason};
+use model::{AttemptId, CallName, RefusalReason};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
+use crate::run_times::RunTimes;
 use crate::shed_control::QueueState;
 use crate::wait_line::WaitLine;
 use crate::{
@@ -24,11 +25,15 @@
 /// milliseconds.
 const OVERLOAD_RETRY_MS: f64 = 500.0;
 
+/// The most teams whose cuts are told to callers; those of the others are met at the queue.
+const MAX_TEAM_CUTS: usize = 16;
+
 /// A run that hasn't ended.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct RunStart {
     started: ClockTime,
     work_ms: f64,
+    call: Option<CallName>,
 }
 
 /// Decides which requests run on a backend server, which wait and which are refused.
@@ -49,6 +54,7 @@
 ///     team_weight: 1,
 ///     deadline: ClockTime::from_ms(1_000),
 ///     depth: 0,
+///     call: Some("look-up".into()),
 ///     expected_ms: 50,
 /// };
 /// assert_eq!(queue.offer(ClockTime::ZERO, ticket), QueueDecision::Start);
@@ -59,6 +65,7 @@
     limit: ConcurrencyLimit,
     shed: ShedControl,
     line: WaitLine,
+    times: RunTimes,
     running: BTreeMap<AttemptId, RunStart>,
     run_ms: f64,
     work_ms: f64,
@@ -74,6 +81,7 @@
             limit: ConcurrencyLimit::new(settings.limit, DEFAULT_SLOTS),
             shed: ShedControl::new(settings.shed),
             line: WaitLine::default(),
+            times: RunTimes::default(),
             running: BTreeMap::new(),
             run_ms: 1.0,
             work_ms: 1.0,
@@ -92,12 +100,14 @@
     pub fn reset(&mut self) {
         self.limit.reset();
         self.shed = ShedControl::new(self.settings.shed);
+        self.times = RunTimes::default();
         self.run_ms = 1.0;
         self.work_ms = 1.0;
     }
 
     /// Decides on a request.
     pub fn offer(&mut self, now: ClockTime, ticket: QueueTicket) -> QueueDecision {
+        let ticket = self.times.estimate(now, ticket);
         let is_admitted = self.shed.arrive(&ticket);
         let is_sheltered = self.settings.favors_begun && ticket.is_begun();
         if !is_admitted && !is_sheltered {
@@ -108,6 +118,7 @@
         }
         if self.has_slot() && self.line.len() == 0 {
             self.start(now, &ticket);
+            self.shed.charge(&ticket);
             self.line.charge(&ticket);
             return QueueDecision::Start;
         }
@@ -119,6 +130,7 @@
         if wait > self.settings.max_wait_ms && !is_sheltered {
             return QueueDecision::Refuse(self.refusal(RefusalReason::Overloaded));
         }
+        self.shed.charge(&ticket);
         self.line.push(ticket, now);
         QueueDecision::Wait
     }
@@ -137,6 +149,9 @@
         };
         if let RunOutcome::Completed { own_ms } = outcome {
             self.limit.record(own_ms, in_flight);
+            if let Some(call) = &run.call {
+                self.times.record(now, call, now.since_ms(run.started));
+            }
             let run_ms = to_float(now.since_ms(run.started)).max(0.5);
             self.run_ms += RUN_GAIN * (run_ms - self.run_ms);
             self.work_ms += RUN_GAIN * (run.work_ms - self.work_ms);
@@ -175,7 +190,7 @@
             limit: self.limit.current(),
             queued: u32::try_from(self.line.len()).unwrap_or(u32::MAX),
             wait_ms: u32::try_from(self.wait_now()).unwrap_or(u32::MAX),
-            cuts: self.shed.cuts().clone(),
+            cuts: self.shed.cuts().bounded(MAX_TEAM_CUTS),
         }
     }
 
@@ -216,6 +231,7 @@
         let run = RunStart {
             started: now,
             work_ms: ticket.work_ms(),
+            call: ticket.call.clone(),
         };
         self.running.insert(ticket.id, run);
     }
--- a/crates/limit/src/shed_control.rs
+++ b/crates/limit/src/shed_control.rs
@@ -10,10 +10,14 @@
     pub is_enabled: bool,
     /// Whether teams get max-min shares when something is cut.
     pub shares_by_team: bool,
+    /// Whether a team that was let in less than its share is let in more later.
+    pub repays_teams: bool,
     /// The wait that is held while requests are cut, in milliseconds.
     pub target_wait_ms: u64,
     /// The time in which a wait above the target should be worked off, in milliseconds.
     pub horizon_ms: u64,
+    /// The time in which a wait below the target should be filled up, in milliseconds.
+    pub refill_ms: u64,
     /// The time between two changes of the cuts, in milliseconds.
     pub update_ms: u64,
     /// The time over which demand is smoothed, in milliseconds.
@@ -25,8 +29,10 @@
         Self {
             is_enabled: true,
             shares_by_team: true,
+            repays_teams: true,
             target_wait_ms: 80,
             horizon_ms: 300,
+            refill_ms: 75,
             update_ms: 40,
             smooth_ms: 200,
         }
@@ -101,6 +107,13 @@
         is_admitted
     }
 
+    /// Charges a team for a request that was let in, whether by the cuts or in spite of them.
+    pub fn charge(&mut self, ticket: &QueueTicket) {
+        if self.settings.repays_teams && !self.cuts.is_open() {
+            self.demand.charge(ticket);
+        }
+    }
+
     /// Changes the cuts when it is time to.
     pub fn update(&mut self, now: ClockTime, state: QueueState) {
         let span = now.since_ms(self.updated);
@@ -135,7 +148,12 @@
     /// slots fill up.
     fn capacity_share(&self, wait_ms: f64, free_share: f64) -> f64 {
         let target = to_float(self.settings.target_wait_ms);
-        let correction = (target - wait_ms) / to_float(self.settings.horizon_ms);
+        let span = if wait_ms < target {
+            self.settings.refill_ms
+        } else {
+            self.settings.horizon_ms
+        };
+        let correction = (target - wait_ms) / to_float(span);
         (1.0 + correction + FREE_GAIN * free_share).max(MIN_CAPACITY_SHARE)
     }
 }
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -17,7 +17,7 @@
 use crate::call_answer::{CallAnswer, CallRefusal};
 use crate::call_body::CallBody;
 use crate::call_headers::{add_call, strip_hop};
-use crate::chain_watch::{cut_reports_for, note_uses, report_for};
+use crate::chain_watch::{cut_reports_for, note_uses};
 use crate::claim_watch::{ClaimFate, ClaimPass, claim_call, claim_refusal};
 use crate::count_guard::CountGuard;
 use crate::node_core::NodeCore;
@@ -172,6 +172,7 @@
         team_weight: head.team_weight,
         deadline,
         depth: head.depth,
+        call: Some(head.call.clone()),
         expected_ms: EXPECTED_RUN_MS,
     }
 }
@@ -241,7 +242,6 @@
         headers: HeaderList::from(&strip_hop(&parts.headers)),
         body_bytes: body.known_bytes(),
         load: LoadReport::default(),
-        report: None,
         cut_reports: Vec::new(),
         run_ms: run.mark_answered(),
         mark: None,
@@ -309,7 +309,6 @@
 fn finish_answer(core: &NodeCore, head: &CallHead, mut answer: CallAnswer) -> CallAnswer {
     let now = core.now();
     answer.head.load = core.gate.load(now);
-    answer.head.report = report_for(core, head);
     answer.head.mark = Some(core.attempts.borrow().mark(now));
     answer.head.cut_reports = cut_reports_for(core, head);
     log::debug!(
