--- a/crates/load/src/control.rs
+++ b/crates/load/src/control.rs
@@ -9,9 +9,9 @@
 /// The sizes of the fleet.
 const SIZES: [usize; 4] = [4, 16, 64, 128];
 /// The time that a fleet has to come to rest, in seconds.
-const REST_S: u64 = 5;
+const REST_S: u64 = 3;
 /// The time over which the cost is measured, in seconds.
-const SPAN_S: u64 = 15;
+const SPAN_S: u64 = 10;
 
 /// Measures what an idle node costs, by size of the fleet.
 pub(crate) async fn measure(repeats: u32) -> Result<(), LoadError> {
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -14,6 +14,7 @@
 mod node_child;
 mod open_load;
 mod overload;
+mod router_slopes;
 mod standin_thread;
 mod throughput;
 
@@ -45,6 +46,8 @@
     Memory(CommandArgs),
     #[options(help = "idle control cost of a node by size of the fleet")]
     Control(CommandArgs),
+    #[options(help = "cost of routers to all services by size of the fleet")]
+    Routers(CommandArgs),
     #[options(help = "goodput and recovery under overload")]
     Overload(CommandArgs),
 }
@@ -74,6 +77,7 @@
         Some(LoadCommand::Throughput(_)) => throughput::measure(args.repeats).await,
         Some(LoadCommand::Memory(_)) => memory::measure(args.repeats).await,
         Some(LoadCommand::Control(_)) => control::measure(args.repeats).await,
+        Some(LoadCommand::Routers(_)) => router_slopes::measure(args.repeats),
         Some(LoadCommand::Overload(_)) => overload::measure(args.repeats).await,
         None => {
             println!("{}", LoadArgs::usage());
