perf(wire): let idle links sleep, and show latency apart from the scheduler

Cause: the keeper of each link woke four times a second, also while nothing waited for an answer: 16,000 wakes a second for a node with 4,000 links.

Change: a keeper sleeps until the next probe of an idle link, ten seconds, or until a call begins. A call that waits is probed for after 250 ms as before. The load tool measures idle links, and repeats the latency paths with nodes on one loop with the client, where no other process has to be scheduled.

--- a/crates/load/src/latency.rs
+++ b/crates/load/src/latency.rs
@@ -1,3 +1,4 @@
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use compio::time::sleep_until;
@@ -7,6 +8,7 @@
 use crate::load_client::LoadConnection;
 use crate::load_error::LoadError;
 use crate::load_fleet::LoadFleet;
+use crate::local_fleet::LocalFleet;
 
 /// The most that a two-node path may add at the 99th percentile, in microseconds.
 const TARGET_US: u64 = 1_300;
@@ -35,32 +37,56 @@
     two_nodes: LoadConnection,
 }
 
+/// The addresses where the three paths start.
+struct PathStarts {
+    direct: SocketAddr,
+    one_node: SocketAddr,
+    two_nodes: SocketAddr,
+}
+
 /// Measures the latency that paths through nodes add to a direct call.
 pub(crate) async fn measure(repeats: u32) -> Result<(), LoadError> {
     println!("Target: two nodes add at most {TARGET_US} us at the 99th percentile.\n");
+    println!("| run | nodes as | path | median us | 99th us | 99.9th us | most us |");
+    println!("|---|---|---|---|---|---|---|");
     let plans = [PairPlan::new("front"), PairPlan::new("deep")];
     let fleet = LoadFleet::start(&plans, false).await?;
     fleet.warm_up("/deep/read").await?;
-    println!("| run | path | median us | 99th us | 99.9th us | most us |");
-    println!("|---|---|---|---|---|---|");
+    let starts = PathStarts {
+        direct: fleet.standins.backends[1],
+        one_node: fleet.callers(1),
+        two_nodes: fleet.callers(0),
+    };
+    let local = LocalFleet::start(["front", "deep"]).await?;
+    let local_starts = PathStarts {
+        direct: local.backends[1].address(),
+        one_node: local.nodes[1].caller_address(),
+        two_nodes: local.nodes[0].caller_address(),
+    };
     for run in 1..=repeats {
-        let mut connections = PathConnections {
-            direct: LoadConnection::open(fleet.standins.backends[1]).await?,
-            one_node: LoadConnection::open(fleet.callers(1)).await?,
-            two_nodes: LoadConnection::open(fleet.callers(0)).await?,
-        };
-        run_rounds(&mut connections, WARM_ROUNDS).await?;
-        let spans = run_rounds(&mut connections, ROUNDS).await?;
-        print_spans(run, "direct", &spans.direct);
-        print_spans(run, "one node", &spans.one_node);
-        print_spans(run, "two nodes", &spans.two_nodes);
-        print_spans(run, "added by one node", &spans.one_added);
-        print_spans(run, "added by two nodes", &spans.two_added);
+        measure_paths(&format!("{run} | processes"), &starts).await?;
+        measure_paths(&format!("{run} | one loop with the client"), &local_starts).await?;
     }
     Ok(())
 }
 
-fn print_spans(run: u32, path: &str, spans: &Histogram<u64>) {
+async fn measure_paths(run: &str, starts: &PathStarts) -> Result<(), LoadError> {
+    let mut connections = PathConnections {
+        direct: LoadConnection::open(starts.direct).await?,
+        one_node: LoadConnection::open(starts.one_node).await?,
+        two_nodes: LoadConnection::open(starts.two_nodes).await?,
+    };
+    run_rounds(&mut connections, WARM_ROUNDS).await?;
+    let spans = run_rounds(&mut connections, ROUNDS).await?;
+    print_spans(run, "direct", &spans.direct);
+    print_spans(run, "one node", &spans.one_node);
+    print_spans(run, "two nodes", &spans.two_nodes);
+    print_spans(run, "added by one node", &spans.one_added);
+    print_spans(run, "added by two nodes", &spans.two_added);
+    Ok(())
+}
+
+fn print_spans(run: &str, path: &str, spans: &Histogram<u64>) {
     println!(
         "| {run} | {path} | {} | {} | {} | {} |",
         spans.value_at_quantile(0.5),
--- a/crates/load/src/load_fleet.rs
+++ b/crates/load/src/load_fleet.rs
@@ -45,7 +45,7 @@
             peer_bytes: Rc::default(),
             log_bytes: Rc::default(),
         };
-        fleet.publish().await?;
+        publish(&fleet.log()?).await?;
         let mut platform = fleet.standins.log;
         if is_counted {
             let relay = ByteRelay::start(platform, Rc::clone(&fleet.log_bytes)).await?;
@@ -96,21 +96,7 @@
     }
 
     fn log(&self) -> Result<HttpLog, LoadError> {
-        let base = format!("http://{}", self.standins.log);
-        Ok(HttpLog::new(base, HttpSettings::default())?)
-    }
-
-    async fn publish(&self) -> Result<(), LoadError> {
-        let publish = ConfigRecord::publish(ConfigVersion::NONE, "", CONTRACT);
-        let records = [publish, grant(KEY, "clubs"), grant(OTHER_KEY, "wardens")];
-        for (id, record) in (1..).zip(&records) {
-            let record = NewRecord {
-                id: RecordId::from_random(id),
-                body: RecordBody::encode(record),
-            };
-            self.log()?.append(LogStream::Config, vec![record]).await?;
-        }
-        Ok(())
+        log_at(self.standins.log)
     }
 
     async fn settle(&self) -> Result<(), LoadError> {
@@ -160,6 +146,26 @@
     }
 }
 
+/// Returns a client of the log's stand-in.
+pub(crate) fn log_at(address: SocketAddr) -> Result<HttpLog, LoadError> {
+    let base = format!("http://{address}");
+    Ok(HttpLog::new(base, HttpSettings::default())?)
+}
+
+/// Puts the contract and both keys on the log.
+pub(crate) async fn publish(log: &HttpLog) -> Result<(), LoadError> {
+    let publish = ConfigRecord::publish(ConfigVersion::NONE, "", CONTRACT);
+    let records = [publish, grant(KEY, "clubs"), grant(OTHER_KEY, "wardens")];
+    for (id, record) in (1..).zip(&records) {
+        let record = NewRecord {
+            id: RecordId::from_random(id),
+            body: RecordBody::encode(record),
+        };
+        log.append(LogStream::Config, vec![record]).await?;
+    }
+    Ok(())
+}
+
 fn grant(key: &str, team: &str) -> ConfigRecord {
     ConfigRecord::Grant {
         digest: KeyDigest::of_key(key.as_bytes()),
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -10,6 +10,7 @@
 mod load_client;
 mod load_error;
 mod load_fleet;
+mod local_fleet;
 mod memory;
 mod node_child;
 mod open_load;
--- a/crates/load/src/memory.rs
+++ b/crates/load/src/memory.rs
@@ -12,7 +12,7 @@
 use crate::load_client::LoadConnection;
 use crate::load_error::LoadError;
 use crate::load_fleet::LoadFleet;
-use crate::node_child::{SECRET, resident_kb};
+use crate::node_child::{SECRET, cpu_us, resident_kb};
 
 /// The sizes at which connections and links are counted.
 const COUNTS: [usize; 4] = [100, 250, 500, 1_000];
@@ -20,6 +20,8 @@
 const LARGE_BYTES: usize = 100 * 1024 * 1024;
 /// The time between two looks at a node's memory, in milliseconds.
 const LOOK_MS: u64 = 10;
+/// The time over which idle links are measured, in seconds.
+const IDLE_S: u64 = 10;
 /// The time that a node has to come to rest, in milliseconds.
 const REST_MS: u64 = 500;
 
@@ -81,7 +83,19 @@
         let state = format!("{count} links to the other node ({own} kB more at their near ends)");
         print_now(fleet, run, &state)?;
     }
-    Ok(())
+    measure_idle_links(fleet, run, links.len()).await
+}
+
+/// Measures the processor time of links that carry nothing, at both ends.
+async fn measure_idle_links(fleet: &LoadFleet, run: u32, count: usize) -> Result<(), LoadError> {
+    let before = [cpu_us("self")?, fleet.nodes[1].cpu_us()?];
+    sleep(Duration::from_secs(IDLE_S)).await;
+    let near_us = (cpu_us("self")? - before[0]) / IDLE_S;
+    let far_us = (fleet.nodes[1].cpu_us()? - before[1]) / IDLE_S;
+    let state = format!(
+        "{count} idle links: {near_us} us/s in the process of the near ends, {far_us} us/s in the other node"
+    );
+    print_now(fleet, run, &state)
 }
 
 /// The most memory that two nodes had.
--- a/crates/load/src/node_child.rs
+++ b/crates/load/src/node_child.rs
@@ -80,15 +80,9 @@
         Ok(Self { child, ports })
     }
 
-    /// Returns the processor time of all threads of the node, in microseconds.
+    /// Returns the processor time of the node, in microseconds.
     pub(crate) fn cpu_us(&self) -> Result<u64, LoadError> {
-        let mut total_ns = 0;
-        for task in fs::read_dir(format!("/proc/{}/task", self.child.id()))? {
-            let text = fs::read_to_string(task?.path().join("schedstat"))?;
-            let first = text.split(' ').next().unwrap_or_default();
-            total_ns += first.parse::<u64>()?;
-        }
-        Ok(total_ns / 1_000)
+        cpu_us(&self.child.id().to_string())
     }
 
     /// Returns the resident memory of the node, in kilobytes.
@@ -97,6 +91,17 @@
     }
 }
 
+/// Returns the processor time of all threads of a process, in microseconds.
+pub(crate) fn cpu_us(process: &str) -> Result<u64, LoadError> {
+    let mut total_ns = 0;
+    for task in fs::read_dir(format!("/proc/{process}/task"))? {
+        let text = fs::read_to_string(task?.path().join("schedstat"))?;
+        let first = text.split(' ').next().unwrap_or_default();
+        total_ns += first.parse::<u64>()?;
+    }
+    Ok(total_ns / 1_000)
+}
+
 /// Returns the resident memory of a process, in kilobytes.
 pub(crate) fn resident_kb(process: &str) -> Result<u64, LoadError> {
     let text = fs::read_to_string(format!("/proc/{process}/status"))?;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -14,6 +14,7 @@
 mod head_reader;
 mod header_list;
 mod hello_message;
+mod link_activity;
 mod link_body;
 mod link_error;
 mod link_settings;
--- a/crates/wire/src/peer_link.rs
+++ b/crates/wire/src/peer_link.rs
@@ -1,7 +1,6 @@
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::future::poll_fn;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -20,6 +19,7 @@
 use crate::body_pump::{pump_body, send_all};
 use crate::head_reader::{frame_head, read_head, read_message};
 use crate::hello_message::{HelloAnswer, HelloMessage};
+use crate::link_activity::LinkActivity;
 use crate::{
     AnswerHead, CallHead, FleetSecret, LinkBody, LinkError, LinkSettings, WIRE_VERSION, decode,
     encode,
@@ -32,7 +32,7 @@
 pub struct PeerLink {
     sender: RefCell<SendRequest<Bytes>>,
     down: Shared<oneshot::Receiver<()>>,
-    waiting: Rc<Cell<usize>>,
+    activity: LinkActivity,
 }
 
 impl PeerLink {
@@ -74,8 +74,8 @@
             .map_err(LinkError::NotSent)?;
         let pings = connection.ping_pong();
         let (down_sender, down) = oneshot::channel();
-        let waiting = Rc::new(Cell::new(0));
-        let keeper = keep_alive(pings, Rc::clone(&waiting), *settings);
+        let activity = LinkActivity::default();
+        let keeper = keep_alive(pings, activity.clone(), *settings);
         compio::runtime::spawn(async move {
             let keeper = std::pin::pin!(keeper);
             select(connection, keeper).await;
@@ -85,7 +85,7 @@
         let link = Self {
             sender: RefCell::new(sender),
             down: down.shared(),
-            waiting,
+            activity,
         };
         link.prove(own, secret).await?;
         Ok(link)
@@ -100,7 +100,7 @@
     /// Returns the number of calls and messages that wait for an answer.
     #[must_use]
     pub fn waiting(&self) -> usize {
-        self.waiting.get()
+        self.activity.waiting()
     }
 
     /// Sends a call and returns the head of its answer with the body that follows.
@@ -118,7 +118,7 @@
     where
         B: Body<Data = Bytes> + Unpin + 'static,
     {
-        let _guard = WaitGuard::new(&self.waiting);
+        let _guard = self.activity.begin();
         let frame = frame_head(head)?;
         let (response, mut stream) = self.send("/call").await?;
         let sender = compio::runtime::spawn(async move {
@@ -175,7 +175,7 @@
     }
 
     async fn send_message(&self, path: &str, message: Bytes) -> Result<Bytes, LinkError> {
-        let _guard = WaitGuard::new(&self.waiting);
+        let _guard = self.activity.begin();
         let (response, mut stream) = self.send(path).await?;
         let sending = async move {
             if send_all(&mut stream, message).await.is_ok() {
@@ -227,18 +227,12 @@
 }
 
 /// Probes the link and returns when it doesn't answer in time.
-async fn keep_alive(pings: Option<PingPong>, waiting: Rc<Cell<usize>>, settings: LinkSettings) {
+async fn keep_alive(pings: Option<PingPong>, activity: LinkActivity, settings: LinkSettings) {
     let Some(mut pings) = pings else {
         return std::future::pending().await;
     };
-    let mut idle_ms = 0;
     loop {
-        sleep(Duration::from_millis(settings.busy_probe_ms)).await;
-        idle_ms += settings.busy_probe_ms;
-        if waiting.get() == 0 && idle_ms < settings.idle_probe_ms {
-            continue;
-        }
-        idle_ms = 0;
+        wait_for_probe(&activity, &settings).await;
         let probe = pings.ping(Ping::opaque());
         let limit = Duration::from_millis(settings.probe_timeout_ms);
         if !matches!(timeout(limit, probe).await, Ok(Ok(_))) {
@@ -247,18 +241,16 @@
     }
 }
 
-/// Counts a waiting call for as long as it lives.
-struct WaitGuard(Rc<Cell<usize>>);
-
-impl WaitGuard {
-    fn new(waiting: &Rc<Cell<usize>>) -> Self {
-        waiting.set(waiting.get() + 1);
-        Self(Rc::clone(waiting))
-    }
-}
-
-impl Drop for WaitGuard {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
+/// Waits until an answer is overdue, or the link has been idle for long.
+async fn wait_for_probe(activity: &LinkActivity, settings: &LinkSettings) {
+    let idle = Duration::from_millis(settings.idle_probe_ms);
+    loop {
+        if activity.is_idle() && timeout(idle, activity.begins()).await.is_err() {
+            return;
+        }
+        sleep(Duration::from_millis(settings.busy_probe_ms)).await;
+        if !activity.is_idle() {
+            return;
+        }
     }
 }
