--- a/crates/load/src/throughput.rs
+++ b/crates/load/src/throughput.rs
@@ -8,7 +8,7 @@
 use crate::load_fleet::LoadFleet;
 
 /// The time that a run takes, in seconds.
-const RUN_S: u32 = 5;
+const RUN_S: u32 = 3;
 
 /// Measures requests per second and processor time per request, in a closed loop.
 pub(crate) async fn measure(repeats: u32) -> Result<(), LoadError> {
