--- a/crates/load/src/router_slopes.rs
+++ b/crates/load/src/router_slopes.rs
@@ -65,14 +65,14 @@
         node.routers.iter_mut().for_each(|router| router.tick(now));
     });
     let mut random = SmallRng::seed_from_u64(1);
-    let choice_us = time_us(|round| {
+    let rounds_us = time_us(|round| {
         let now = ClockTime::from_ms(u64::from(round));
         for router in &mut node.routers {
             std::hint::black_box(router.choose(now, &mut random, &[]));
         }
     });
     let share = (expiry_us + look_us) / (MEMBER_TICK_MS * 1_000.0) * 100.0;
-    let choice_ns = choice_us * 1_000.0 / services as f64;
+    let choice_ns = rounds_us * 1_000.0 / services as f64;
     println!(
         "| {run} | {services} | {members} | {routers_kb} | {expiry_us:.0} | {put_us:.0} | {look_us:.0} | {share:.3} | {choice_ns:.0} |"
     );
