--- a/crates/load/src/control.rs
+++ b/crates/load/src/control.rs
@@ -10,9 +10,9 @@
 /// The sizes of the fleet.
 const SIZES: [usize; 4] = [4, 16, 64, 128];
 /// The time that a fleet has to come to rest, in seconds.
-const REST_S: u64 = 5;
+const REST_S: u64 = 3;
 /// The time over which the cost is measured, in seconds.
-const SPAN_S: u64 = 15;
+const SPAN_S: u64 = 8;
 
 /// Measures what an idle node costs, by size of the fleet.
 pub(crate) async fn measure(repeats: u32) -> Result<(), LoadError> {
--- a/crates/node/src/http_port.rs
+++ b/crates/node/src/http_port.rs
@@ -81,7 +81,7 @@
     let service = service_fn(move |request| {
         let core = Rc::clone(&service_core);
         let is_http1 = request.version() < Version::HTTP_2;
-        let work = answer(Rc::clone(&core), request);
+        let work = Box::pin(answer(Rc::clone(&core), request));
         async move {
             let mut response = work.await;
             if is_http1 && user == PortUser::Caller && core.stop.is_given() {
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -37,6 +37,7 @@
 
 /// Runs a call on the local backend server, when its turn comes and while it is of use.
 pub(crate) async fn run_call(core: &Rc<NodeCore>, head: CallHead, body: CallBody) -> CallAnswer {
+    core.activity.ring();
     let arrival = CountGuard::new(&core.arrived);
     let answer = match AttemptGuard::arrive(core, &head) {
         Ok(guard) => {
--- a/crates/node/src/node_core.rs
+++ b/crates/node/src/node_core.rs
@@ -59,6 +59,8 @@
     pub(crate) marks: RefCell<BTreeMap<VmName, HeardMark>>,
     /// Rings when tokens of the teams' rates may have come.
     pub(crate) tokens: NewsBell,
+    /// Rings when a call arrives, so that time passes for it.
+    pub(crate) activity: NewsBell,
     pub(crate) chain: RefCell<ChainAdmission>,
     pub(crate) resends: RefCell<ResendTable>,
     pub(crate) ratios: RefCell<BTreeMap<ServiceName, RetryRatio>>,
@@ -137,6 +139,7 @@
             attempts: RefCell::new(attempts),
             marks: RefCell::default(),
             tokens: NewsBell::default(),
+            activity: NewsBell::default(),
             chain: RefCell::new(ChainAdmission::new(AdmissionSettings::default())),
             resends: RefCell::new(ResendTable::new(ResendSettings::default())),
             ratios: RefCell::default(),
