--- a/crates/load/src/load_fleet.rs
+++ b/crates/load/src/load_fleet.rs
@@ -79,7 +79,7 @@
     pub(crate) async fn appended(&self) -> Result<u64, LoadError> {
         let log = self.log()?;
         let mut appended = 0;
-        for stream in LogStream::ALL {
+        for stream in LogStream::all() {
             let batch = log.read(stream, LogOffset::ZERO, 0).await?;
             appended += batch.end.get();
         }
