--- /dev/null
+++ b/crates/node/tests/faults_kills.rs
@@ -0,0 +1,226 @@
+//! Kills and restarts of nodes while calls that must run once are on their way.
+
+mod fleet;
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use compio::time::{sleep, timeout};
+use fleet::{Fleet, KEY};
+use futures_channel::oneshot;
+use futures_util::future::join_all;
+use lentilshift_node::{NodeProcess, NodeSettings};
+use model::VmName;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use rstest::rstest;
+use standin::{BackendServer, BackendSettings};
+use wire::FleetSecret;
+
+/// The nodes of the service.
+const NODES: usize = 3;
+/// The kills of one schedule.
+const KILLS: usize = 4;
+/// The number of schedules, unless `LENTILSHIFT_SEEDS` says otherwise.
+const SEEDS: u64 = 1;
+
+/// A node on a thread of its own, which dies with all its connections when this is dropped.
+struct KillableNode {
+    callers: SocketAddr,
+    _kill: oneshot::Sender<()>,
+}
+
+impl KillableNode {
+    fn start(settings: NodeSettings) -> Self {
+        let (kill, killed) = oneshot::channel();
+        let (tell, told) = std::sync::mpsc::channel();
+        std::thread::spawn(move || {
+            let runtime = compio::runtime::Runtime::new().unwrap();
+            runtime.block_on(async move {
+                let node = NodeProcess::start(settings).await.unwrap();
+                tell.send(node.caller_address()).unwrap();
+                let _ = killed.await;
+            });
+        });
+        Self {
+            callers: told.recv().unwrap(),
+            _kill: kill,
+        }
+    }
+}
+
+/// The backend servers of a service with a killable node beside each.
+struct KillableService {
+    fleet: Fleet,
+    backends: Vec<Rc<BackendServer>>,
+    nodes: Vec<KillableNode>,
+    starts: usize,
+}
+
+impl KillableService {
+    async fn start() -> Self {
+        let mut fleet = Fleet::start().await;
+        let stays = BackendSettings::default();
+        fleet.add("stays", "registry", stays).await;
+        fleet.settle().await;
+        let mut service = Self {
+            fleet,
+            backends: Vec::new(),
+            nodes: Vec::new(),
+            starts: 0,
+        };
+        for _ in 0..NODES {
+            let settings = BackendSettings {
+                run_ms: 10,
+                ..BackendSettings::default()
+            };
+            let backend = BackendServer::start(settings).await.unwrap();
+            service.backends.push(backend);
+            let node = service.new_node(service.backends.len() - 1);
+            service.nodes.push(node);
+        }
+        service.wait_ready().await;
+        service
+    }
+
+    fn new_node(&mut self, index: usize) -> KillableNode {
+        self.starts += 1;
+        let name = VmName::new(format!("filings-{index}-{}", self.starts));
+        let secret = FleetSecret::new("a secret for tests only").unwrap();
+        KillableNode::start(NodeSettings {
+            backend_address: self.backends[index].address(),
+            platform_address: self.fleet.log_address,
+            ..NodeSettings::loopback(name, "filings".into(), secret)
+        })
+    }
+
+    /// Kills a node and starts another beside its backend server.
+    fn replace(&mut self, index: usize) {
+        self.nodes[index] = self.new_node(index);
+    }
+
+    async fn wait_ready(&self) {
+        for node in &self.nodes {
+            let url = format!("http://{}/filings/status", node.callers);
+            for _ in 0..500 {
+                let request = self.fleet.client.get(&url).unwrap();
+                let answer = timeout(Duration::from_secs(1), request.send()).await;
+                if matches!(answer, Ok(Ok(answer)) if answer.status() == 200) {
+                    break;
+                }
+                sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+
+    fn runs(&self, key: &str) -> usize {
+        let records = self.backends.iter().map(|backend| backend.record());
+        let runs = records.map(|record| record.runs_by_trace().get(key).copied());
+        runs.map(Option::unwrap_or_default).sum()
+    }
+}
+
+/// Sends a call that must run once and returns what its caller learns; `None` for a connection
+/// that broke.
+async fn send_once(address: SocketAddr, key: &str, wait_ms: u64) -> Option<(u16, String)> {
+    sleep(Duration::from_millis(wait_ms)).await;
+    let client = cyper::Client::new().unwrap();
+    let request = client
+        .post(format!("http://{address}/filings/charges"))
+        .unwrap();
+    let request = request.header("x-api-key", KEY).unwrap();
+    let request = request.header("x-trace", key).unwrap();
+    let request = request.header("idempotency-key", key).unwrap();
+    let request = request.header("lentilshift-deadline-ms", "3000").unwrap();
+    let sending = request.body("amount=7").send();
+    let answer = timeout(Duration::from_secs(4), sending).await.ok()?.ok()?;
+    let verdict = answer.headers()["lentilshift-verdict"].to_str().unwrap();
+    Some((answer.status().as_u16(), verdict.to_owned()))
+}
+
+#[derive(Debug, Default)]
+struct KillCounts {
+    calls: usize,
+    answered: usize,
+    not_run: usize,
+    unknown: usize,
+}
+
+async fn run_schedule(seed: u64, counts: &mut KillCounts) {
+    let mut random = SmallRng::seed_from_u64(seed);
+    let mut service = KillableService::start().await;
+    for kill in 0..KILLS {
+        let keys: Vec<String> = (0..4).map(|n| format!("{seed}-{kill}-{n}")).collect();
+        let mut copies = Vec::new();
+        for key in &keys {
+            for _ in 0..3 {
+                let address = service.nodes[random.random_range(0..NODES)].callers;
+                copies.push((key.clone(), address, random.random_range(0..60)));
+            }
+        }
+        let sending = copies.into_iter().map(|(key, address, wait_ms)| {
+            let task = async move { (send_once(address, &key, wait_ms).await, key) };
+            compio::runtime::spawn(task)
+        });
+        let sending: Vec<_> = sending.collect();
+        sleep(Duration::from_millis(random.random_range(0..90))).await;
+        service.replace(random.random_range(0..NODES));
+        let mut told: Vec<_> = join_all(sending)
+            .await
+            .into_iter()
+            .map(Result::unwrap)
+            .collect();
+        service.wait_ready().await;
+        for key in &keys {
+            let address = service.nodes[random.random_range(0..NODES)].callers;
+            told.push((send_once(address, key, 0).await, key.clone()));
+        }
+        for key in &keys {
+            check_key(&service, key, &told, counts);
+        }
+    }
+}
+
+/// Compares what the callers of one key were told with what ran.
+fn check_key(
+    service: &KillableService,
+    key: &str,
+    told: &[(Option<(u16, String)>, String)],
+    counts: &mut KillCounts,
+) {
+    let runs = service.runs(key);
+    let of_key = told.iter().filter(|(_, other)| other == key);
+    let answers: Vec<_> = of_key.map(|(answer, _)| answer).collect();
+    assert!(runs <= 1, "{key} ran {runs} times: {answers:?}");
+    let is_not_run = |answer: &Option<(u16, String)>| {
+        answer
+            .as_ref()
+            .is_some_and(|(_, verdict)| verdict == "not-run")
+    };
+    let is_ok =
+        |answer: &Option<(u16, String)>| answer.as_ref().is_some_and(|(status, _)| *status == 200);
+    if answers.iter().all(|answer| is_not_run(answer)) {
+        assert_eq!(runs, 0, "{key}: {answers:?}");
+    }
+    if answers.iter().any(|answer| is_ok(answer)) {
+        assert_eq!(runs, 1, "{key}: {answers:?}");
+    }
+    counts.calls += answers.len();
+    counts.answered += answers.iter().filter(|answer| is_ok(answer)).count();
+    counts.not_run += answers.iter().filter(|answer| is_not_run(answer)).count();
+    counts.unknown = counts.calls - counts.answered - counts.not_run;
+}
+
+#[rstest]
+#[compio::test]
+async fn kills_between_the_steps_of_a_call_double_nothing() {
+    let seeds = std::env::var("LENTILSHIFT_SEEDS").ok();
+    let seeds = seeds.map_or(SEEDS, |seeds| seeds.parse().unwrap());
+    let mut counts = KillCounts::default();
+    for seed in 0..seeds {
+        run_schedule(seed, &mut counts).await;
+    }
+    println!("{seeds} schedules of {KILLS} kills: {counts:?}");
+    assert!(counts.answered > 0);
+}
