--- a/crates/rate/tests/table_changes.rs
+++ b/crates/rate/tests/table_changes.rs
@@ -24,9 +24,13 @@
 }
 
 fn world(seed: u64, vms: usize, sent_per_s: u32) -> World<TeamLimiter> {
+    world_at(50, seed, vms, sent_per_s)
+}
+
+fn world_at(rate_per_s: u32, seed: u64, vms: usize, sent_per_s: u32) -> World<TeamLimiter> {
     let load = TeamLoad {
         rate: TeamRate {
-            rate_per_s: 50,
+            rate_per_s,
             burst: BURST,
         },
         sent_per_s,
@@ -85,6 +89,28 @@
     assert_eq!(world.excess(), 0);
 }
 
+#[rstest]
+fn first_lease_of_a_later_centre_begins_empty(#[values(1, 2, 3)] seed: u64) {
+    let mut world = world_at(2, seed, 1, 0);
+    world.start(CentreName::new("dc-0"));
+    world.run_until(WARM_UP_MS + 60_000);
+    let is_second =
+        |record: &RateRecord| matches!(record, RateRecord::Table(table) if table.epoch == 2);
+    world.start(CentreName::new("dc-1"));
+    let vm = world.vm_in("dc-1");
+    while !world.records().any(is_second) {
+        world.run_until(world.now + 1);
+    }
+    world.pause(&vm, world.now + 3_000);
+    burst_everywhere(&mut world);
+    assert_eq!(admitted(&world), BURST as usize);
+    while allocators(&world).len() < 2 {
+        world.run_until(world.now + 1);
+    }
+    burst_everywhere(&mut world);
+    assert_eq!(world.excess(), 0);
+}
+
 #[rstest]
 fn paused_holder_grants_nothing_after_its_lease_moved(#[values(1, 2, 3)] seed: u64) {
     let mut world = world(seed, 6, 0);
