--- a/crates/node/src/state_dump.rs
+++ b/crates/node/src/state_dump.rs
@@ -19,6 +19,7 @@
     running_calls: usize,
     open_connections: usize,
     ready_members: usize,
+    unreadable_members: u64,
     links: Vec<VmName>,
     services: Vec<ServiceName>,
 }
@@ -30,7 +31,7 @@
         centre: core.settings.centre.clone(),
         service: core.settings.service.clone(),
         is_ready: core.is_ready(),
-        is_leaving: core.stop.is_given(),
+        is_leaving: core.is_leaving(),
         backend_address: core.settings.backend_address,
         load: core.gate.load(core.now()),
         running_calls: core.running.len(),
@@ -43,6 +44,7 @@
                 .map(Vec::len)
                 .sum()
         }),
+        unreadable_members: core.fleet.with(|feed| feed.fold().unreadable()),
         links: core.links.names(),
         services: core.contract().services.keys().cloned().collect(),
     }
