feat(trial): measure whether callers that come back as told are served

Change: with "callers wait as told" a refused caller comes back after the Retry-After that it was given; the table gives the share served of those that come after the cause has ended.

--- a/crates/trial/src/call.rs
+++ b/crates/trial/src/call.rs
@@ -9,6 +9,8 @@
     pub(crate) arrived_us: u64,
     pub(crate) answered_us: Option<u64>,
     pub(crate) resends_left: u32,
+    /// Whether the next try is sent after the time that the caller was told.
+    pub(crate) comes_as_told: bool,
 }
 
 /// One try of a caller.
@@ -25,6 +27,10 @@
     pub(crate) retries_left: u32,
     /// The service that refused the try last.
     pub(crate) refused_by: Option<usize>,
+    /// The time after which the caller was told to come back, in milliseconds; 0 when it wasn't.
+    pub(crate) told_ms: u64,
+    /// Whether the caller was told to come back now.
+    pub(crate) comes_as_told: bool,
 }
 
 /// Where a call stands.
--- a/crates/trial/src/ingress.rs
+++ b/crates/trial/src/ingress.rs
@@ -1,16 +1,24 @@
 use clock::ClockTime;
-use limit::{AdmissionQueue, QueueAction, QueueDecision, QueueTicket, RunOutcome, ShedCuts};
+use limit::{
+    AdmissionQueue, QueueAction, QueueDecision, QueueRefusal, QueueTicket, RunOutcome, ShedCuts,
+};
 use model::{AttemptId, RefusalReason};
 
 use crate::baseline::{BaselineDecision, BaselineQueue};
 use crate::policy::{NodeKind, NodePolicy};
 
+/// The refusal of a baseline, which tells no time.
+const BASELINE_REFUSAL: QueueRefusal = QueueRefusal {
+    reason: RefusalReason::Overloaded,
+    retry_after_ms: 0,
+};
+
 /// What an ingress does with a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum IngressAction {
     Start(usize),
     Wait,
-    Refuse(usize, RefusalReason),
+    Refuse(usize, QueueRefusal),
 }
 
 /// The queue in front of one backend server, of any kind of node.
@@ -43,12 +51,12 @@
             Self::Baseline(queue) => match queue.offer(call) {
                 BaselineDecision::Start => IngressAction::Start(call),
                 BaselineDecision::Wait => IngressAction::Wait,
-                BaselineDecision::Refuse => IngressAction::Refuse(call, RefusalReason::Overloaded),
+                BaselineDecision::Refuse => IngressAction::Refuse(call, BASELINE_REFUSAL),
             },
             Self::Policy(queue) => match queue.offer(now, ticket) {
                 QueueDecision::Start => IngressAction::Start(call),
                 QueueDecision::Wait => IngressAction::Wait,
-                QueueDecision::Refuse(refusal) => IngressAction::Refuse(call, refusal.reason),
+                QueueDecision::Refuse(refusal) => IngressAction::Refuse(call, refusal),
             },
         }
     }
@@ -140,6 +148,6 @@
 fn action_of(action: QueueAction) -> IngressAction {
     match action {
         QueueAction::Start(id) => IngressAction::Start(call_of(id)),
-        QueueAction::Refuse(id, refusal) => IngressAction::Refuse(call_of(id), refusal.reason),
+        QueueAction::Refuse(id, refusal) => IngressAction::Refuse(call_of(id), refusal),
     }
 }
--- a/crates/trial/src/policy.rs
+++ b/crates/trial/src/policy.rs
@@ -28,6 +28,8 @@
     pub admission: AdmissionSettings,
     /// Whether cancellations go down the chain.
     pub cancels: bool,
+    /// Whether callers that were told when to come back wait until then.
+    pub callers_wait: bool,
     /// The retries that a whole request may use.
     pub chain_retries: u32,
 }
@@ -43,6 +45,7 @@
             checks_chain: true,
             admission: AdmissionSettings::default(),
             cancels: true,
+            callers_wait: false,
             chain_retries: 2,
         }
     }
@@ -83,6 +86,7 @@
         add("no rank order in queue", |p| p.queue.orders_by_rank = false);
         add("no chain check at entry", |p| p.checks_chain = false);
         add("no cancellation", |p| p.cancels = false);
+        add("callers wait as told", |p| p.callers_wait = true);
         add("no retries", |p| p.chain_retries = 0);
         add("random VM", |p| p.route.compares_two = false);
         add("no load reports", |p| p.route.uses_reports = false);
--- a/crates/trial/src/score.rs
+++ b/crates/trial/src/score.rs
@@ -39,6 +39,9 @@
     pub inverted: u64,
     /// Work on tries that failed, as a share of capacity, at the service where it is greatest.
     pub wasted: f64,
+    /// The share served of tries that came when their caller had been told to, once the cause
+    /// had ended; `None` without such tries.
+    pub told_served: Option<f64>,
     /// The tries that callers made.
     pub tries: u64,
 }
@@ -65,6 +68,7 @@
             critical_refused: critical.len() as u64,
             inverted: critical.iter().filter(|note| note.was_inverted).count() as u64,
             wasted: window.wasted(world),
+            told_served: window.told_served(world),
             tries: world.tries.len() as u64,
         }
     }
@@ -186,6 +190,16 @@
             .fold(f64::MAX, f64::min)
     }
 
+    fn told_served(&self, world: &TrialWorld) -> Option<f64> {
+        let came = world
+            .tries
+            .iter()
+            .filter(|tried| tried.comes_as_told && tried.is_over && tried.sent_us > self.end_us);
+        let total = came.clone().count();
+        let good = came.filter(|tried| tried.is_good).count();
+        (total > 0).then(|| ratio(good as f64, total as f64))
+    }
+
     fn wasted(&self, world: &TrialWorld) -> f64 {
         let mut wasted_ms = vec![0.0; world.firm.services.len()];
         for call in &world.calls {
--- a/crates/trial/src/table.rs
+++ b/crates/trial/src/table.rs
@@ -9,8 +9,8 @@
 
 /// The columns of every table.
 const HEAD: &str = "| firm | workload | node | goodput | others | recovery ms | worst team | \
-     refused though free, of 10,000 | critical refused | of them before a lesser | wasted | tries |\n\
-     |---|---|---|---|---|---|---|---|---|---|---|---|";
+     refused though free, of 10,000 | critical refused | of them before a lesser | wasted | served as told | tries |\n\
+     |---|---|---|---|---|---|---|---|---|---|---|---|---|";
 
 /// One row: the scores of several seeds.
 #[derive(Clone, Debug)]
@@ -58,9 +58,14 @@
         } else {
             low(|score| score.recovery_ms.unwrap_or(0) as f64, 0)
         };
+        let told = if self.scores.iter().all(|score| score.told_served.is_none()) {
+            "–".to_owned()
+        } else {
+            high(|score| score.told_served.unwrap_or(1.0))
+        };
         write!(
             formatter,
-            "| {} | {} | {} | {} | {} | {recovery} | {} | {} | {} | {} | {} | {} |",
+            "| {} | {} | {} | {} | {} | {recovery} | {} | {} | {} | {} | {} | {told} | {} |",
             self.firm,
             self.workload,
             self.node,
--- a/crates/trial/src/world_calls.rs
+++ b/crates/trial/src/world_calls.rs
@@ -125,11 +125,12 @@
             match action {
                 IngressAction::Start(call) => self.start_call(vm, call),
                 IngressAction::Wait => {}
-                IngressAction::Refuse(call, reason) => {
-                    let is_shed = reason != RefusalReason::NoBackend;
-                    let is_late = reason == RefusalReason::TooLate;
+                IngressAction::Refuse(call, refusal) => {
+                    let is_shed = refusal.reason != RefusalReason::NoBackend;
+                    let is_late = refusal.reason == RefusalReason::TooLate;
                     let tried = &mut self.tries[self.calls[call].client_try];
                     tried.refused_by = (!is_late).then_some(self.vms[vm].service);
+                    tried.told_ms = refusal.retry_after_ms;
                     self.answer(call, CallResult::Refused(is_shed));
                 }
             }
--- a/crates/trial/src/world_clients.rs
+++ b/crates/trial/src/world_clients.rs
@@ -31,6 +31,7 @@
             arrived_us: self.now_us,
             answered_us: None,
             resends_left: RESENDS,
+            comes_as_told: false,
         });
         self.send_try(self.requests.len() - 1);
         let gap = -(1.0 - self.arrivals.random::<f64>()).ln() / total;
@@ -71,6 +72,8 @@
             is_good: false,
             retries_left: self.policy.chain_retries,
             refused_by: None,
+            told_ms: 0,
+            comes_as_told: self.requests[request].comes_as_told,
         });
         let client_try = self.tries.len() - 1;
         self.events.push(
@@ -116,6 +119,7 @@
         let Err(refusal) = admitted else {
             return true;
         };
+        self.tries[client_try].told_ms = refusal.retry_after_ms;
         if refusal.reason == RefusalReason::Overloaded {
             let services = &self.firm.services;
             let is_named = |service: &FirmService| service.name == refusal.service.as_str();
@@ -157,7 +161,7 @@
     }
 
     /// Handles an answer that reaches the caller.
-    pub(crate) fn client_answered(&mut self, client_try: usize, is_good: bool, _refused: bool) {
+    pub(crate) fn client_answered(&mut self, client_try: usize, is_good: bool, is_refused: bool) {
         let tried = &mut self.tries[client_try];
         if tried.is_over {
             return;
@@ -168,7 +172,8 @@
         if is_good {
             self.requests[request].answered_us = Some(self.now_us);
         } else {
-            self.resend(request);
+            let told_ms = if is_refused { tried.told_ms } else { 0 };
+            self.resend(request, told_ms);
         }
     }
 
@@ -180,7 +185,7 @@
         }
         tried.is_over = true;
         let (request, root) = (tried.request, tried.root);
-        self.resend(request);
+        self.resend(request, 0);
         if self.policy.kind == NodeKind::Policy
             && self.policy.cancels
             && let Some(call) = root
@@ -190,15 +195,22 @@
         }
     }
 
-    fn resend(&mut self, request: usize) {
-        if self.requests[request].resends_left == 0 {
+    fn resend(&mut self, request: usize, told_ms: u64) {
+        let (low, high) = RESEND_US;
+        let soon_us = self.random.random_range(low..high);
+        let entry = &mut self.requests[request];
+        if entry.resends_left == 0 {
             return;
         }
-        self.requests[request].resends_left -= 1;
-        let (low, high) = RESEND_US;
-        let wait = self.random.random_range(low..high);
+        entry.resends_left -= 1;
+        entry.comes_as_told = self.policy.callers_wait && told_ms > 0;
+        let wait_us = if entry.comes_as_told {
+            told_ms * 1_000
+        } else {
+            soon_us
+        };
         self.events
-            .push(self.now_us + wait, TrialEvent::Resend(request));
+            .push(self.now_us + wait_us, TrialEvent::Resend(request));
     }
 }
 
