fix(load): give runs beside one another ports of their own

Cause: two commands started at once tried the same ports, and nodes of the second ended with "address already in use". Found by running them so.

--- a/crates/load/src/node_child.rs
+++ b/crates/load/src/node_child.rs
@@ -8,8 +8,12 @@
 
 /// The fleet's secret of the measurements.
 pub(crate) const SECRET: &str = "a secret for measurements only";
-/// The first port that is tried for nodes; it lies below those that the system gives out.
-const FIRST_PORT: u16 = 21_000;
+/// The first port for nodes; it lies below those that the system gives out.
+const FIRST_PORT: u16 = 11_000;
+/// The ports that one run may use.
+const RUN_PORTS: u16 = 2_000;
+/// The runs that may go on beside one another.
+const MAX_RUNS: u16 = 10;
 
 /// The four ports of a node.
 #[derive(Clone, Copy, Debug)]
@@ -33,9 +37,11 @@
 }
 
 fn free_address() -> SocketAddr {
-    static NEXT_PORT: AtomicU16 = AtomicU16::new(FIRST_PORT);
+    static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
+    let run = u16::try_from(std::process::id() % u32::from(MAX_RUNS)).unwrap_or(0);
     loop {
-        let port = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+        let number = NEXT_PORT.fetch_add(1, Ordering::Relaxed) % RUN_PORTS;
+        let port = FIRST_PORT + run * RUN_PORTS + number;
         let address = SocketAddr::from(([127, 0, 0, 1], port));
         if TcpListener::bind(address).is_ok() {
             return address;
