fix(node): let a leaving node take work until the others know

Cause: a stop refused all calls of other nodes at once, while these learn of it 50 ms later or more, and closed idle connections of callers and of its own backend server at once.

Change: a graceful shutdown has three stages. Leaving: announced, work is still taken, HTTP/1.1 answers say Connection: close. Closed after 2.5 s: new work is refused and callers' connections are closed. Drained: nothing runs, the egress and admin connections are closed too.

--- a/crates/node/src/announce.rs
+++ b/crates/node/src/announce.rs
@@ -46,7 +46,7 @@
 
 /// Returns whether the node takes work now.
 async fn present_state(core: &NodeCore) -> MemberState {
-    if core.stop.is_given() {
+    if core.leave.leaving.is_given() {
         return MemberState::Leaving;
     }
     if !core.has_contract() {
--- a/crates/node/src/http_port.rs
+++ b/crates/node/src/http_port.rs
@@ -7,12 +7,14 @@
 use compio::net::{TcpListener, TcpStream};
 use cyper_core::{CompioTimer, HyperStream};
 use futures_util::future::{Either, select};
-use http::{Request, Response};
+use http::header::{CONNECTION, HeaderValue};
+use http::{Request, Response, Version};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::server::conn::auto;
 
 use crate::answer_body::AnswerBody;
+use crate::leave_stages::CloseStage;
 use crate::local_executor::LocalExecutor;
 use crate::node_core::NodeCore;
 
@@ -29,16 +31,20 @@
 /// The requests that one HTTP/2 connection may have open.
 const MAX_STREAMS: u32 = 1_000;
 
-/// Answers HTTP/1.1 and HTTP/2 requests on a port until the node stops.
-pub(crate) async fn serve_port<A, F>(core: Rc<NodeCore>, listener: TcpListener, answer: A)
-where
+/// Answers HTTP/1.1 and HTTP/2 requests on a port, and closes its connections at a stage.
+pub(crate) async fn serve_port<A, F>(
+    core: Rc<NodeCore>,
+    listener: TcpListener,
+    answer: A,
+    close: CloseStage,
+) where
     A: Fn(Rc<NodeCore>, Request<Incoming>) -> F + Clone + 'static,
     F: Future<Output = Response<AnswerBody>> + 'static,
 {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let connection = serve_connection(Rc::clone(&core), stream, answer.clone());
+                let connection = serve_connection(Rc::clone(&core), stream, answer.clone(), close);
                 compio::runtime::spawn(connection).detach();
             }
             Err(error) => {
@@ -49,7 +55,7 @@
     }
 }
 
-async fn serve_connection<A, F>(core: Rc<NodeCore>, stream: TcpStream, answer: A)
+async fn serve_connection<A, F>(core: Rc<NodeCore>, stream: TcpStream, answer: A, close: CloseStage)
 where
     A: Fn(Rc<NodeCore>, Request<Incoming>) -> F + 'static,
     F: Future<Output = Response<AnswerBody>> + 'static,
@@ -58,8 +64,17 @@
     let _open = CountGuard::new(&core.open_connections);
     let service_core = Rc::clone(&core);
     let service = service_fn(move |request| {
-        let work = answer(Rc::clone(&service_core), request);
-        async move { Ok::<_, Infallible>(work.await) }
+        let core = Rc::clone(&service_core);
+        let version = request.version();
+        let work = answer(Rc::clone(&core), request);
+        async move {
+            let mut response = work.await;
+            if version < Version::HTTP_2 && core.leave.leaving.is_given() {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(CONNECTION, close);
+            }
+            Ok::<_, Infallible>(response)
+        }
     });
     let mut builder = auto::Builder::new(LocalExecutor);
     builder
@@ -76,17 +91,15 @@
         .max_header_list_size(MAX_HEADER_LIST_BYTES);
     let connection = builder.serve_connection(HyperStream::new_plain(stream), service);
     let mut connection = pin!(connection);
-    let stopping = match select(connection.as_mut(), pin!(core.stop.wait())).await {
-        Either::Left((result, _)) => {
-            log_end(result);
-            false
+    // A connection opened after the stage is answered once, then its head times out.
+    if !close(&core).is_given() {
+        let closing = pin!(close(&core).wait());
+        if let Either::Left((result, _)) = select(connection.as_mut(), closing).await {
+            return log_end(result);
         }
-        Either::Right(_) => true,
-    };
-    if stopping {
         connection.as_mut().graceful_shutdown();
-        log_end(connection.await);
     }
+    log_end(connection.await);
 }
 
 fn log_end(result: Result<(), Box<dyn std::error::Error + Send + Sync>>) {
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -49,7 +49,7 @@
 
 async fn run_new(core: &Rc<NodeCore>, head: &CallHead, body: CallBody) -> CallAnswer {
     let deadline = core.now().plus_ms(u64::from(head.deadline_left_ms));
-    if head.service != core.settings.service || core.stop.is_given() {
+    if head.service != core.settings.service || core.leave.closed.is_given() {
         let refusal = CallRefusal::not_run(RefusalReason::NotReady);
         return CallAnswer::refused(head, &refusal, head.allowance);
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -28,6 +28,7 @@
 mod http_port;
 mod ingress;
 mod ingress_gate;
+mod leave_stages;
 mod local_executor;
 mod news_bell;
 mod node_clock;
--- a/crates/node/src/node_core.rs
+++ b/crates/node/src/node_core.rs
@@ -24,6 +24,7 @@
 use crate::config_state::ConfigState;
 use crate::fate_board::FateBoard;
 use crate::ingress_gate::IngressGate;
+use crate::leave_stages::LeaveStages;
 use crate::news_bell::NewsBell;
 use crate::node_clock::NodeClock;
 use crate::node_metrics::NodeMetrics;
@@ -32,7 +33,6 @@
 use crate::rate_state::RateState;
 use crate::rate_watch::put_rates;
 use crate::running_calls::RunningCalls;
-use crate::stop_signal::StopSignal;
 use crate::stream_host::StreamHost;
 use crate::suspect_watch::SuspectFate;
 
@@ -63,7 +63,7 @@
     pub(crate) gate: IngressGate,
     pub(crate) running: RunningCalls,
     pub(crate) metrics: NodeMetrics,
-    pub(crate) stop: StopSignal,
+    pub(crate) leave: LeaveStages,
     pub(crate) open_connections: Rc<Cell<usize>>,
     random: RefCell<StdRng>,
 }
@@ -127,7 +127,7 @@
             gate,
             running: RunningCalls::default(),
             metrics: NodeMetrics::new(),
-            stop: StopSignal::new(),
+            leave: LeaveStages::new(),
             open_connections: Rc::default(),
             random: RefCell::new(random),
             settings,
@@ -205,6 +205,6 @@
     /// Returns whether the node can serve callers.
     pub(crate) fn is_ready(&self) -> bool {
         let is_served = self.rates.with(|feed| feed.fold().limiter.is_served());
-        self.has_contract() && is_served && !self.stop.is_given()
+        self.has_contract() && is_served && !self.leave.leaving.is_given()
     }
 }
--- a/crates/node/src/node_process.rs
+++ b/crates/node/src/node_process.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use clock::ClockTime;
 use compio::net::TcpListener;
 use compio::runtime::spawn;
 use compio::time::sleep;
@@ -27,8 +28,8 @@
 
 /// The time between two looks at what has become due, in milliseconds.
 const TICK_MS: u64 = 10;
-/// The time for which a stop lets callers and nodes move away, in milliseconds.
-const LEAVE_MS: u64 = 3_000;
+/// The time for which a node that leaves still takes work, in milliseconds.
+const LEAVE_MS: u64 = 2_500;
 
 /// Why a node can't run.
 #[derive(Debug, Error)]
@@ -76,9 +77,24 @@
             core: Rc::new(NodeCore::new(settings).map_err(NodeError::Client)?),
         };
         let core = &node.core;
-        spawn(serve_port(Rc::clone(core), callers, answer_caller)).detach();
-        spawn(serve_port(Rc::clone(core), egress, answer_backend)).detach();
-        spawn(serve_port(Rc::clone(core), admin, answer_admin)).detach();
+        spawn(serve_port(
+            Rc::clone(core),
+            callers,
+            answer_caller,
+            |core| &core.leave.closed,
+        ))
+        .detach();
+        spawn(serve_port(
+            Rc::clone(core),
+            egress,
+            answer_backend,
+            |core| &core.leave.drained,
+        ))
+        .detach();
+        spawn(serve_port(Rc::clone(core), admin, answer_admin, |core| {
+            &core.leave.drained
+        }))
+        .detach();
         spawn(serve_peers(Rc::clone(core), peers)).detach();
         spawn(keep_time(Rc::clone(core))).detach();
         node.follow_log();
@@ -142,15 +158,21 @@
     pub async fn stop(&self) {
         let limit_ms = self.core.settings.stop_limit_ms;
         let deadline = self.core.now().plus_ms(limit_ms);
-        self.core.stop.give();
+        let leave = &self.core.leave;
+        leave.leaving.give();
         sleep(Duration::from_millis(LEAVE_MS)).await;
-        while self.is_busy() && self.core.now() < deadline {
-            sleep(Duration::from_millis(TICK_MS)).await;
-        }
+        leave.closed.give();
+        self.wait_while(deadline, |core| core.running.len() > 0)
+            .await;
+        leave.drained.give();
+        self.wait_while(deadline, |core| core.open_connections.get() > 0)
+            .await;
     }
 
-    fn is_busy(&self) -> bool {
-        self.core.running.len() > 0 || self.core.open_connections.get() > 0
+    async fn wait_while(&self, deadline: ClockTime, is_busy: fn(&NodeCore) -> bool) {
+        while is_busy(&self.core) && self.core.now() < deadline {
+            sleep(Duration::from_millis(TICK_MS)).await;
+        }
     }
 }
 
--- a/crates/node/src/state_dump.rs
+++ b/crates/node/src/state_dump.rs
@@ -31,7 +31,7 @@
         centre: core.settings.centre.clone(),
         service: core.settings.service.clone(),
         is_ready: core.is_ready(),
-        is_leaving: core.stop.is_given(),
+        is_leaving: core.leave.leaving.is_given(),
         backend_address: core.settings.backend_address,
         load: core.gate.load(core.now()),
         running_calls: core.running.len(),
