fix(route): make a failing VM the last resort where it can't be ejected

Cause: of a service with two VMs none could be ejected, as at most 0.4 of a service is.

Ruled out: ejecting half of a service, as most of it must stay open.

Change: a VM that would be ejected stays open for that time, with a score a million times worse, and doesn't hold back the spill to other data centres.

After: of 6,000 requests to two VMs, one of which always fails, fewer than 20 go to it (test); more than 1,000 without.

--- a/crates/route/src/vm_health.rs
+++ b/crates/route/src/vm_health.rs
@@ -8,6 +8,8 @@
     failures: u32,
     ejections: u32,
     ejected_until: Option<ClockTime>,
+    /// Whether an ejection leaves the VM as the last resort, so that most of a service stays open.
+    is_last_resort: bool,
 }
 
 impl VmHealth {
@@ -16,6 +18,7 @@
             failures: 0,
             ejections: 0,
             ejected_until: None,
+            is_last_resort: false,
         }
     }
 
@@ -34,7 +37,9 @@
         self.ejected_until.is_none() && self.failures >= settings.eject_failures
     }
 
-    pub(crate) fn eject(&mut self, now: ClockTime, settings: &RouteSettings) {
+    /// Ejects the VM for a while, or makes it the last resort of its service for that time.
+    pub(crate) fn eject(&mut self, now: ClockTime, is_last_resort: bool, settings: &RouteSettings) {
+        self.is_last_resort = is_last_resort;
         let factor = 1_u64 << self.ejections.min(16);
         let span = (settings.eject_ms * factor).min(settings.max_eject_ms);
         self.ejected_until = Some(now.plus_ms(span));
@@ -49,6 +54,10 @@
     }
 
     pub(crate) const fn is_ejected(&self) -> bool {
-        self.ejected_until.is_some()
+        self.ejected_until.is_some() && !self.is_last_resort
+    }
+
+    pub(crate) const fn is_last_resort(&self) -> bool {
+        self.ejected_until.is_some() && self.is_last_resort
     }
 }
--- a/crates/route/src/vm_router.rs
+++ b/crates/route/src/vm_router.rs
@@ -142,8 +142,8 @@
         if let RouteOutcome::Succeeded { latency_ms } = outcome {
             state.note_latency(latency_ms);
         }
-        if state.health.note(outcome, &settings) && settings.ejects && can_eject {
-            state.health.eject(now, &settings);
+        if state.health.note(outcome, &settings) && settings.ejects {
+            state.health.eject(now, !can_eject, &settings);
         }
     }
 
@@ -164,7 +164,8 @@
     }
 
     fn has_room(&self, now: ClockTime, state: &VmState) -> bool {
-        state.load(now, &self.settings) < self.settings.spill_load
+        !state.health.is_last_resort()
+            && state.load(now, &self.settings) < self.settings.spill_load
             && state.slowness(self.usual_ms) < SLOW_FACTOR
     }
 
--- a/crates/route/src/vm_state.rs
+++ b/crates/route/src/vm_state.rs
@@ -13,6 +13,8 @@
 const UNKNOWN_LOAD: f64 = 0.5;
 /// Bounds on how far a VM's latency against the others' changes its score.
 const LATENCY_BOUNDS: (f64, f64) = (0.5, 8.0);
+/// How much less attractive a VM is that must stay open though it fails.
+const LAST_RESORT_FACTOR: f64 = 1e6;
 
 /// What a caller knows about one VM.
 #[derive(Clone, Debug)]
@@ -77,7 +79,11 @@
     pub(crate) fn score(&self, now: ClockTime, settings: &RouteSettings, usual_ms: f64) -> f64 {
         let own = f64::from(self.in_flight) + 1.0;
         let slowness = self.slowness(usual_ms);
-        own / self.ramp(now, settings) * (0.5 + self.load(now, settings)) * slowness
+        let score = own / self.ramp(now, settings) * (0.5 + self.load(now, settings)) * slowness;
+        if self.health.is_last_resort() {
+            return score * LAST_RESORT_FACTOR;
+        }
+        score
     }
 
     /// Returns the VM's latency against the service's usual one, within bounds.
--- a/crates/route/tests/vm_router.rs
+++ b/crates/route/tests/vm_router.rs
@@ -150,6 +150,40 @@
     assert_eq!(router.open_count(), 4);
 }
 
+/// Sends a request each millisecond to two VMs, of which the first always fails at once.
+fn failures_of_two(settings: RouteSettings) -> usize {
+    let mut router = router(settings, &["north"; 2]);
+    let mut random = SmallRng::seed_from_u64(5);
+    let mut failures = 0;
+    for time_ms in 0..6_000 {
+        let now = ClockTime::from_ms(time_ms);
+        router.tick(now);
+        let name = router.choose(now, &mut random, &[]).expect("one is open");
+        router.begin(&name);
+        let is_failed = name == vm(0);
+        failures += usize::from(is_failed);
+        let outcome = if is_failed {
+            RouteOutcome::Failed
+        } else {
+            RouteOutcome::Succeeded { latency_ms: 5 }
+        };
+        router.finish(now, &name, outcome, None);
+    }
+    failures
+}
+
+#[rstest]
+fn of_two_vms_the_failing_one_is_the_last_resort() {
+    let naive = RouteSettings {
+        ejects: false,
+        ..RouteSettings::default()
+    };
+    let naive = failures_of_two(naive);
+    assert!(naive > 1_000, "{naive}");
+    let ours = failures_of_two(RouteSettings::default());
+    assert!(ours < 20, "{ours}");
+}
+
 proptest! {
     #[test]
     fn most_of_a_service_stays_open(
