fix(node,wire): bound stalls, endless heads and unproven peers

Causes: the answer of a caller that stopped reading held its backend server's slot for ever, and so did a body that stalled; a connection that sent nothing, or the first bytes of the HTTP/2 preface only, stayed open, as the head's time limit starts after the version is known; a peer could connect and prove nothing for ever. A text that stays out of force was named nowhere.

Change: no progress for 30 s cuts a transfer: a write to a caller cuts the connection, a body that stops arriving is a cut body, an answer that nobody reads lets go of its slot (HTTP/2 streams too, and at the node beside the backend server). The preface has the head's time limit, 10 s; a peer has 5 s to prove the secret. /dump names the contract's version, the newest, and why that stays out of force; lentilshift_contract_version and lentilshift_contract_refused_version show both.

--- a/crates/node/src/admin_port.rs
+++ b/crates/node/src/admin_port.rs
@@ -21,6 +21,12 @@
             core.metrics.running.set(i64::from(load.in_flight));
             core.metrics.queued.set(i64::from(load.queued));
             core.metrics.limit.set(i64::from(load.limit));
+            let (version, refused) = core.config.with(|state| {
+                let fold = state.feed.fold();
+                let refused = fold.fault().map(|fault| fault.version);
+                (fold.in_force().version, refused)
+            });
+            core.metrics.set_contract(version, refused);
             text_response(
                 StatusCode::OK,
                 "text/plain; version=0.0.4",
--- a/crates/node/src/answer_body.rs
+++ b/crates/node/src/answer_body.rs
@@ -1,34 +1,42 @@
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
 
 use crate::call_body::{CallBody, CallBodyError};
-use crate::ingress::RunGuard;
+use crate::held_answer::HeldAnswer;
 
 /// The body of an answer, with what is held until its last byte has gone.
 pub(crate) struct AnswerBody {
-    body: CallBody,
+    source: AnswerSource,
     told: Option<u64>,
-    run: Option<RunGuard>,
+}
+
+/// Where the bytes of an answer come from.
+enum AnswerSource {
+    /// From a body that holds nothing else.
+    Body(CallBody),
+    /// From the local backend server, whose slot is held meanwhile.
+    Held(Rc<HeldAnswer>),
 }
 
 impl AnswerBody {
     /// Creates a body of `told` bytes, when its length is known.
     pub(crate) const fn new(body: CallBody, told: Option<u64>) -> Self {
         Self {
-            body,
+            source: AnswerSource::Body(body),
             told,
-            run: None,
         }
     }
 
-    /// Holds a running call until the body is done.
-    #[must_use]
-    pub(crate) fn with_run(mut self, run: RunGuard) -> Self {
-        self.run = Some(run);
-        self
+    /// Creates the body of a call that the local backend server runs.
+    pub(crate) const fn held(answer: Rc<HeldAnswer>, told: Option<u64>) -> Self {
+        Self {
+            source: AnswerSource::Held(answer),
+            told,
+        }
     }
 }
 
@@ -47,11 +55,10 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, CallBodyError>>> {
-        let frame = Pin::new(&mut self.body).poll_frame(context);
-        if let Poll::Ready(None | Some(Err(_))) = frame {
-            self.run = None;
+        match &mut self.source {
+            AnswerSource::Body(body) => Pin::new(body).poll_frame(context),
+            AnswerSource::Held(answer) => answer.poll_frame(context),
         }
-        frame
     }
 
     fn size_hint(&self) -> SizeHint {
--- a/crates/node/src/call_body.rs
+++ b/crates/node/src/call_body.rs
@@ -3,10 +3,11 @@
 
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
-use hyper::body::Incoming;
 use thiserror::Error;
 use wire::{BodyError, LinkBody};
 
+use crate::http_body::HttpBody;
+
 /// The body of a call or an answer, wherever it comes from.
 pub(crate) enum CallBody {
     /// No bytes.
@@ -15,9 +16,9 @@
     Whole(Bytes),
     /// A body that arrives by HTTP from a caller or a backend server; its trailers go no further,
     /// since they may hold a key.
-    Upload(Incoming),
+    Upload(HttpBody),
     /// A body that the backend server answers with.
-    Http(Incoming),
+    Http(HttpBody),
     /// A body that arrives from another node.
     Link(LinkBody),
 }
@@ -28,6 +29,9 @@
     /// The HTTP connection that it arrived on broke.
     #[error("the HTTP body was cut: {0}")]
     Http(#[from] hyper::Error),
+    /// Its sender or its reader stalled.
+    #[error("the body was cut: one end made no progress")]
+    Stalled,
     /// The link that it arrived on broke.
     #[error(transparent)]
     Link(#[from] BodyError),
@@ -70,13 +74,10 @@
                 let frame = Pin::new(body).poll_frame(context);
                 frame.map(|frame| match frame? {
                     Ok(frame) => frame.is_data().then_some(Ok(frame)),
-                    Err(error) => Some(Err(error.into())),
+                    Err(error) => Some(Err(error)),
                 })
             }
-            Self::Http(body) => {
-                let frame = Pin::new(body).poll_frame(context);
-                frame.map(|frame| frame.map(|result| result.map_err(CallBodyError::from)))
-            }
+            Self::Http(body) => Pin::new(body).poll_frame(context),
             Self::Link(body) => {
                 let frame = Pin::new(body).poll_frame(context);
                 frame.map(|frame| frame.map(|result| result.map_err(CallBodyError::from)))
--- /dev/null
+++ b/crates/node/src/caller_stream.rs
@@ -0,0 +1,149 @@
+use std::cell::Cell;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+
+use compio::net::TcpStream;
+use cyper_core::HyperStream;
+use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
+
+use crate::node_settings::NodeSettings;
+use crate::stall_timer::StallTimer;
+
+/// The bytes that tell HTTP/1.1 from HTTP/2; the server's own limits hold after them.
+const PREFACE_BYTES: usize = 24;
+
+/// A connection that is cut when its other end stops reading, or never says what it speaks.
+pub(crate) struct CallerStream {
+    stream: HyperStream<TcpStream>,
+    preface: Option<PrefaceWait>,
+    writing: StallTimer,
+}
+
+/// The wait for the first bytes of a connection.
+struct PrefaceWait {
+    seen_bytes: usize,
+    has_request: Rc<Cell<bool>>,
+    timer: StallTimer,
+}
+
+impl PrefaceWait {
+    /// Reads no further than the preface, and fails when that takes too long.
+    fn poll_read(
+        &mut self,
+        stream: &mut HyperStream<TcpStream>,
+        context: &mut Context<'_>,
+        mut buffer: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        let mut bytes = [0; PREFACE_BYTES];
+        let left = (PREFACE_BYTES - self.seen_bytes).min(buffer.remaining());
+        let mut first = ReadBuf::new(&mut bytes[..left]);
+        match Pin::new(stream).poll_read(context, first.unfilled()) {
+            Poll::Ready(Ok(())) => {
+                self.seen_bytes += first.filled().len();
+                buffer.put_slice(first.filled());
+                Poll::Ready(Ok(()))
+            }
+            Poll::Ready(Err(error)) => Poll::Ready(Err(error)),
+            Poll::Pending => {
+                let stalled = self.timer.poll_stalled(context);
+                stalled.map(|()| Err(io::ErrorKind::TimedOut.into()))
+            }
+        }
+    }
+
+    fn is_over(&self) -> bool {
+        self.seen_bytes == PREFACE_BYTES || self.has_request.get()
+    }
+}
+
+impl CallerStream {
+    /// Creates a connection whose preface and each write have time limits, in milliseconds;
+    /// `has_request` tells that a request has come.
+    pub(crate) fn new(
+        stream: TcpStream,
+        has_request: Rc<Cell<bool>>,
+        settings: &NodeSettings,
+    ) -> Self {
+        let preface = PrefaceWait {
+            seen_bytes: 0,
+            has_request,
+            timer: StallTimer::new(settings.head_limit_ms),
+        };
+        Self {
+            stream: HyperStream::new_plain(stream),
+            preface: Some(preface),
+            writing: StallTimer::new(settings.stall_limit_ms),
+        }
+    }
+
+    /// Fails a write that has waited too long.
+    fn bound<T>(
+        &mut self,
+        context: &mut Context<'_>,
+        poll: Poll<io::Result<T>>,
+    ) -> Poll<io::Result<T>> {
+        if poll.is_ready() {
+            self.writing.note_progress();
+            return poll;
+        }
+        let stalled = self.writing.poll_stalled(context);
+        stalled.map(|()| Err(io::ErrorKind::TimedOut.into()))
+    }
+}
+
+impl Read for CallerStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        let connection = &mut *self;
+        if connection
+            .preface
+            .as_ref()
+            .is_some_and(PrefaceWait::is_over)
+        {
+            connection.preface = None;
+        }
+        match &mut connection.preface {
+            Some(preface) => preface.poll_read(&mut connection.stream, context, buffer),
+            None => Pin::new(&mut connection.stream).poll_read(context, buffer),
+        }
+    }
+}
+
+impl Write for CallerStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let poll = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.bound(context, poll)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        pieces: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let poll = Pin::new(&mut self.stream).poll_write_vectored(context, pieces);
+        self.bound(context, poll)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let poll = Pin::new(&mut self.stream).poll_flush(context);
+        self.bound(context, poll)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let poll = Pin::new(&mut self.stream).poll_shutdown(context);
+        self.bound(context, poll)
+    }
+}
--- /dev/null
+++ b/crates/node/src/held_answer.rs
@@ -0,0 +1,94 @@
+use std::cell::{Cell, RefCell};
+use std::pin::Pin;
+use std::rc::{Rc, Weak};
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use clock::ClockTime;
+use http_body::{Body, Frame};
+
+use crate::call_body::{CallBody, CallBodyError};
+use crate::ingress::RunGuard;
+
+/// How far an answer has come.
+enum HeldState {
+    /// More may follow.
+    Open(CallBody, RunGuard),
+    /// It came to its end.
+    Done,
+    /// It was cut, as nobody read it.
+    Cut,
+}
+
+/// An answer of the local backend server that is on its way out.
+pub(crate) struct HeldAnswer {
+    state: RefCell<HeldState>,
+    /// Since when the reader has not asked for more, while there is more.
+    unread_since: Cell<Option<ClockTime>>,
+}
+
+impl HeldAnswer {
+    pub(crate) const fn new(body: CallBody, run: RunGuard) -> Self {
+        Self {
+            state: RefCell::new(HeldState::Open(body, run)),
+            unread_since: Cell::new(None),
+        }
+    }
+
+    /// Returns the next frame, and lets go of the slot with the last one.
+    pub(crate) fn poll_frame(
+        &self,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, CallBodyError>>> {
+        let mut state = self.state.borrow_mut();
+        let (body, run) = match &mut *state {
+            HeldState::Open(body, run) => (body, run),
+            HeldState::Done => return Poll::Ready(None),
+            HeldState::Cut => return Poll::Ready(Some(Err(CallBodyError::Stalled))),
+        };
+        self.unread_since.set(None);
+        match Pin::new(body).poll_frame(context) {
+            Poll::Pending => Poll::Pending,
+            Poll::Ready(Some(Ok(frame))) => {
+                self.unread_since.set(Some(run.now()));
+                Poll::Ready(Some(Ok(frame)))
+            }
+            Poll::Ready(end) => {
+                *state = HeldState::Done;
+                Poll::Ready(end)
+            }
+        }
+    }
+
+    /// Lets go of the slot when the reader has stopped reading for too long.
+    fn cut_unread(&self, now: ClockTime, stall_limit_ms: u64) {
+        let unread = self.unread_since.get();
+        if unread.is_some_and(|since| now.since_ms(since) >= stall_limit_ms) {
+            self.unread_since.set(None);
+            self.state.replace(HeldState::Cut);
+        }
+    }
+}
+
+/// The answers that are on their way out.
+#[derive(Default)]
+pub(crate) struct HeldAnswers(RefCell<Vec<Weak<HeldAnswer>>>);
+
+impl HeldAnswers {
+    pub(crate) fn add(&self, answer: &Rc<HeldAnswer>) {
+        self.0.borrow_mut().push(Rc::downgrade(answer));
+    }
+
+    /// Cuts the answers that nobody reads, and forgets those that are done.
+    pub(crate) fn cut_unread(&self, now: ClockTime, stall_limit_ms: u64) {
+        let mut open = self.0.take();
+        open.retain(|answer| match answer.upgrade() {
+            Some(answer) => {
+                answer.cut_unread(now, stall_limit_ms);
+                true
+            }
+            None => false,
+        });
+        self.0.borrow_mut().append(&mut open);
+    }
+}
--- a/crates/node/src/http_port.rs
+++ b/crates/node/src/http_port.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use compio::net::{TcpListener, TcpStream};
-use cyper_core::{CompioTimer, HyperStream};
+use cyper_core::CompioTimer;
 use futures_util::future::{Either, select};
 use http::header::{CONNECTION, HeaderValue};
 use http::{Request, Response, Version};
@@ -14,6 +14,7 @@
 use hyper_util::server::conn::auto;
 
 use crate::answer_body::AnswerBody;
+use crate::caller_stream::CallerStream;
 use crate::leave_stages::CloseStage;
 use crate::local_executor::LocalExecutor;
 use crate::node_core::NodeCore;
@@ -22,8 +23,6 @@
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// The largest head of an HTTP/2 request, in bytes.
 const MAX_HEADER_LIST_BYTES: u32 = 64 * 1024;
-/// The time in which a head must arrive whole.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 /// The time between probes of an HTTP/2 connection.
 const PROBE_INTERVAL: Duration = Duration::from_secs(20);
 /// The time after which an HTTP/2 connection that doesn't answer a probe is closed.
@@ -63,7 +62,10 @@
     let _ = stream.set_nodelay(true);
     let _open = CountGuard::new(&core.open_connections);
     let service_core = Rc::clone(&core);
+    let has_request = Rc::new(Cell::new(false));
+    let request_mark = Rc::clone(&has_request);
     let service = service_fn(move |request| {
+        request_mark.set(true);
         let core = Rc::clone(&service_core);
         let version = request.version();
         let work = answer(Rc::clone(&core), request);
@@ -76,11 +78,12 @@
             Ok::<_, Infallible>(response)
         }
     });
+    let settings = &core.settings;
     let mut builder = auto::Builder::new(LocalExecutor);
     builder
         .http1()
         .timer(CompioTimer)
-        .header_read_timeout(HEAD_TIMEOUT)
+        .header_read_timeout(Duration::from_millis(settings.head_limit_ms))
         .max_buf_size(MAX_HEAD_BYTES);
     builder
         .http2()
@@ -89,7 +92,8 @@
         .keep_alive_timeout(PROBE_TIMEOUT)
         .max_concurrent_streams(MAX_STREAMS)
         .max_header_list_size(MAX_HEADER_LIST_BYTES);
-    let connection = builder.serve_connection(HyperStream::new_plain(stream), service);
+    let stream = CallerStream::new(stream, has_request, settings);
+    let connection = builder.serve_connection(stream, service);
     let mut connection = pin!(connection);
     // A connection opened after the stage is answered once, then its head times out.
     if !close(&core).is_given() {
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -19,6 +19,8 @@
 use crate::call_headers::{add_call, strip_hop};
 use crate::chain_watch::{cut_reports_for, note_uses, report_for};
 use crate::claim_watch::{ClaimFate, ClaimPass, claim_call, claim_refusal};
+use crate::held_answer::HeldAnswer;
+use crate::http_body::HttpBody;
 use crate::node_core::NodeCore;
 use crate::request_body::read_whole;
 use crate::running_calls::RunningCall;
@@ -216,6 +218,7 @@
     if parts.status.is_success() {
         note_uses(core, head, &run.call.used.borrow());
     }
+    let body = HttpBody::new(body, core.settings.stall_limit_ms);
     let mut body = CallBody::Http(body);
     let mut answer = AnswerHead {
         request: head.request,
@@ -246,9 +249,11 @@
         }
     }
     let told = answer.body_bytes;
+    let outgoing = Rc::new(HeldAnswer::new(body, run));
+    core.held.add(&outgoing);
     CallAnswer {
         head: answer,
-        body: AnswerBody::new(body, told).with_run(run),
+        body: AnswerBody::held(outgoing, told),
     }
 }
 
@@ -387,6 +392,10 @@
         }
     }
 
+    pub(crate) fn now(&self) -> ClockTime {
+        self.core.now()
+    }
+
     /// Takes what is left of the call's allowance, to go back with the answer.
     fn take_allowance(&self) -> u32 {
         self.call.allowance.take().close().retries()
--- a/crates/node/src/node_core.rs
+++ b/crates/node/src/node_core.rs
@@ -23,6 +23,7 @@
 use crate::claim_watch::ClaimFate;
 use crate::config_state::ConfigState;
 use crate::fate_board::FateBoard;
+use crate::held_answer::HeldAnswers;
 use crate::ingress_gate::IngressGate;
 use crate::leave_stages::LeaveStages;
 use crate::news_bell::NewsBell;
@@ -62,6 +63,7 @@
     pub(crate) backend: Rc<BackendPool>,
     pub(crate) gate: IngressGate,
     pub(crate) running: RunningCalls,
+    pub(crate) held: HeldAnswers,
     pub(crate) metrics: NodeMetrics,
     pub(crate) leave: LeaveStages,
     pub(crate) open_connections: Rc<Cell<usize>>,
@@ -126,6 +128,7 @@
             backend: Rc::new(BackendPool::new(settings.backend_address)),
             gate,
             running: RunningCalls::default(),
+            held: HeldAnswers::default(),
             metrics: NodeMetrics::new(),
             leave: LeaveStages::new(),
             open_connections: Rc::default(),
--- a/crates/node/src/node_metrics.rs
+++ b/crates/node/src/node_metrics.rs
@@ -1,5 +1,6 @@
 use clock::ClockTime;
 use model::{RefusalReason, ServiceName};
+use platform::ConfigVersion;
 use prometheus::{
     HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
 };
@@ -20,6 +21,8 @@
     latency: HistogramVec,
     retries: IntCounter,
     backend_failures: IntCounter,
+    contract_version: IntGauge,
+    refused_version: IntGauge,
     pub(crate) running: IntGauge,
     pub(crate) queued: IntGauge,
     pub(crate) limit: IntGauge,
@@ -56,6 +59,14 @@
                 "lentilshift_backend_failures_total",
                 "Calls that the backend server failed while they ran.",
             ),
+            contract_version: gauge(
+                "lentilshift_contract_version",
+                "Version of the contract in force; 0 for none.",
+            ),
+            refused_version: gauge(
+                "lentilshift_contract_refused_version",
+                "Version of the newest text that stays out of force for its faults; 0 for none.",
+            ),
             running: gauge(
                 "lentilshift_running_calls",
                 "Calls that the backend server runs now.",
@@ -96,6 +107,13 @@
         self.backend_failures.inc();
     }
 
+    /// Sets the version in force and that of a newer text that isn't.
+    pub(crate) fn set_contract(&self, version: ConfigVersion, refused: Option<ConfigVersion>) {
+        let number = |version: ConfigVersion| i64::try_from(version.get()).unwrap_or(i64::MAX);
+        self.contract_version.set(number(version));
+        self.refused_version.set(refused.map_or(0, number));
+    }
+
     /// Counts a call and the time it took.
     pub(crate) fn observe_call(
         &self,
@@ -116,12 +134,14 @@
     }
 
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 8] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 10] = [
             Box::new(self.calls.clone()),
             Box::new(self.refusals.clone()),
             Box::new(self.latency.clone()),
             Box::new(self.retries.clone()),
             Box::new(self.backend_failures.clone()),
+            Box::new(self.contract_version.clone()),
+            Box::new(self.refused_version.clone()),
             Box::new(self.running.clone()),
             Box::new(self.queued.clone()),
             Box::new(self.limit.clone()),
--- a/crates/node/src/node_process.rs
+++ b/crates/node/src/node_process.rs
@@ -234,6 +234,7 @@
     loop {
         sleep(Duration::from_millis(TICK_MS)).await;
         let now = core.now();
+        core.held.cut_unread(now, core.settings.stall_limit_ms);
         if core.gate.next_tick().is_some_and(|due| due <= now) {
             core.gate.tick(now);
         }
--- a/crates/node/src/node_settings.rs
+++ b/crates/node/src/node_settings.rs
@@ -34,6 +34,10 @@
     pub secret: FleetSecret,
     /// The longest time that a stop waits for running calls, in milliseconds.
     pub stop_limit_ms: u64,
+    /// The time after which a transfer that makes no progress is cut, in milliseconds.
+    pub stall_limit_ms: u64,
+    /// The time in which the head of a request must arrive whole, in milliseconds.
+    pub head_limit_ms: u64,
     /// The settings of links to other nodes.
     pub link: LinkSettings,
 }
@@ -58,6 +62,8 @@
             peers: Vec::new(),
             secret,
             stop_limit_ms: 60_000,
+            stall_limit_ms: 30_000,
+            head_limit_ms: 10_000,
             link: LinkSettings::default(),
         }
     }
--- a/crates/node/src/request_body.rs
+++ b/crates/node/src/request_body.rs
@@ -10,7 +10,8 @@
 use model::RefusalReason;
 
 use crate::call_answer::CallRefusal;
-use crate::call_body::CallBody;
+use crate::call_body::{CallBody, CallBodyError};
+use crate::http_body::HttpBody;
 use crate::node_core::NodeCore;
 
 /// The largest body that is read whole before it is sent on, in bytes.
@@ -26,6 +27,7 @@
     body: Incoming,
     deadline: ClockTime,
 ) -> Result<CallBody, CallRefusal> {
+    let body = HttpBody::new(body, core.settings.stall_limit_ms);
     match body.size_hint().exact() {
         Some(0) => return Ok(CallBody::Empty),
         Some(bytes) if bytes <= SMALL_BODY_BYTES => {}
@@ -40,7 +42,7 @@
 }
 
 /// Reads a body to its end.
-pub(crate) async fn read_whole(mut body: Incoming) -> Result<Bytes, hyper::Error> {
+pub(crate) async fn read_whole(mut body: HttpBody) -> Result<Bytes, CallBodyError> {
     let mut whole = BytesMut::new();
     while let Some(frame) = poll_fn(|context| Pin::new(&mut body).poll_frame(context)).await {
         if let Ok(data) = frame?.into_data() {
--- a/crates/node/src/state_dump.rs
+++ b/crates/node/src/state_dump.rs
@@ -2,6 +2,7 @@
 
 use limit::LoadReport;
 use model::{CentreName, ServiceName, VmName};
+use platform::ConfigVersion;
 use serde::Serialize;
 
 use crate::node_core::NodeCore;
@@ -21,9 +22,25 @@
     ready_members: usize,
     unreadable_members: u64,
     links: Vec<VmName>,
+    contract: ContractDump,
     services: Vec<ServiceName>,
 }
 
+/// The contract in force and a newer text that isn't.
+#[derive(Serialize)]
+struct ContractDump {
+    version: ConfigVersion,
+    newest_version: ConfigVersion,
+    refused: Option<RefusedText>,
+}
+
+/// A text that stays out of force.
+#[derive(Serialize)]
+struct RefusedText {
+    version: ConfigVersion,
+    reason: String,
+}
+
 /// Returns the state of a node.
 pub(crate) fn dump_state(core: &NodeCore) -> StateDump {
     StateDump {
@@ -46,6 +63,22 @@
         }),
         unreadable_members: core.fleet.with(|feed| feed.fold().unreadable()),
         links: core.links.names(),
+        contract: dump_contract(core),
         services: core.contract().services.keys().cloned().collect(),
     }
 }
+
+fn dump_contract(core: &NodeCore) -> ContractDump {
+    core.config.with(|state| {
+        let fold = state.feed.fold();
+        let refused = fold.fault().map(|fault| RefusedText {
+            version: fault.version,
+            reason: fault.reason.clone(),
+        });
+        ContractDump {
+            version: fold.in_force().version,
+            newest_version: fold.newest().version,
+            refused,
+        }
+    })
+}
--- a/crates/node/tests/fleet/mod.rs
+++ b/crates/node/tests/fleet/mod.rs
@@ -63,6 +63,8 @@
     pub log_address: SocketAddr,
     pub pairs: Vec<Pair>,
     pub client: cyper::Client,
+    /// The stall and head limits of nodes that are added, in milliseconds.
+    pub limits_ms: (u64, u64),
 }
 
 impl Fleet {
@@ -79,6 +81,7 @@
             log_address,
             pairs: Vec::new(),
             client: cyper::Client::new().unwrap(),
+            limits_ms: (30_000, 10_000),
         };
         let publish = ConfigRecord::publish(ConfigVersion::NONE, "", CONTRACT);
         let grant = ConfigRecord::Grant {
@@ -112,6 +115,8 @@
         let settings = NodeSettings {
             backend_address: backend.address(),
             platform_address: self.log_address,
+            stall_limit_ms: self.limits_ms.0,
+            head_limit_ms: self.limits_ms.1,
             ..NodeSettings::loopback(VmName::new(name), service.into(), secret)
         };
         let node = NodeProcess::start(settings).await.unwrap();
--- a/crates/wire/src/link_error.rs
+++ b/crates/wire/src/link_error.rs
@@ -14,6 +14,9 @@
     /// Connecting took too long.
     #[error("connection to the node wasn't ready after {0} ms")]
     ConnectTimeout(u64),
+    /// The node that connected didn't prove the secret in time.
+    #[error("the node at the other end didn't prove the fleet's secret within {0} ms")]
+    ProofTimeout(u64),
     /// The other node doesn't hold the fleet's secret.
     #[error("the node at the other end didn't prove the fleet's secret")]
     Unproven,
--- a/crates/wire/src/link_settings.rs
+++ b/crates/wire/src/link_settings.rs
@@ -3,6 +3,8 @@
 pub struct LinkSettings {
     /// The time allowed for connecting and proving the secret, in milliseconds.
     pub connect_timeout_ms: u64,
+    /// The time in which a node that connects must prove the secret, in milliseconds.
+    pub prove_timeout_ms: u64,
     /// The time between probes while an answer is awaited, in milliseconds.
     pub busy_probe_ms: u64,
     /// The time between probes of an idle link, in milliseconds.
@@ -19,6 +21,7 @@
     fn default() -> Self {
         Self {
             connect_timeout_ms: 1_000,
+            prove_timeout_ms: 5_000,
             busy_probe_ms: 250,
             idle_probe_ms: 10_000,
             probe_timeout_ms: 750,
--- a/crates/wire/src/peer_server.rs
+++ b/crates/wire/src/peer_server.rs
@@ -1,9 +1,11 @@
 use std::cell::RefCell;
 use std::future::poll_fn;
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use compio::net::TcpStream;
+use compio::time::timeout_at;
 use cyper_core::HyperStream;
 use futures_util::future::{Either, select};
 use h2::server::SendResponse;
@@ -22,6 +24,9 @@
     encode,
 };
 
+/// The largest list of HTTP/2 headers that another node may send, in bytes.
+const MAX_HEADER_LIST_BYTES: u32 = 16 * 1024;
+
 /// What a node does with the calls and messages of other nodes.
 pub trait PeerHandler: 'static {
     /// The body of an answer.
@@ -65,15 +70,33 @@
     pub async fn serve(&self, stream: TcpStream) -> Result<(), LinkError> {
         stream.set_nodelay(true)?;
         let stream = TokioIo::new(HyperStream::new_plain(stream));
-        let mut connection = h2::server::Builder::new()
+        let limit_ms = self.settings.prove_timeout_ms;
+        let due = Instant::now() + Duration::from_millis(limit_ms);
+        let handshake = h2::server::Builder::new()
+            .max_header_list_size(MAX_HEADER_LIST_BYTES)
             .initial_window_size(self.settings.stream_window_bytes)
             .initial_connection_window_size(self.settings.link_window_bytes)
             .max_concurrent_streams(MAX_STREAMS)
-            .handshake::<_, Bytes>(stream)
+            .handshake::<_, Bytes>(stream);
+        let mut connection = timeout_at(due, handshake)
             .await
+            .map_err(|_| LinkError::ProofTimeout(limit_ms))?
             .map_err(LinkError::Broken)?;
         let peer = Rc::new(RefCell::new(PeerState::Unknown));
-        while let Some(accepted) = connection.accept().await {
+        loop {
+            let is_proven = || matches!(*peer.borrow(), PeerState::Proven(_));
+            let accepted = if is_proven() {
+                connection.accept().await
+            } else {
+                match timeout_at(due, connection.accept()).await {
+                    Ok(accepted) => accepted,
+                    Err(_) if is_proven() => continue,
+                    Err(_) => return Err(LinkError::ProofTimeout(limit_ms)),
+                }
+            };
+            let Some(accepted) = accepted else {
+                return Ok(());
+            };
             let (request, respond) = accepted.map_err(LinkError::Broken)?;
             let stream = PeerStream {
                 handler: Rc::clone(&self.handler),
@@ -83,7 +106,6 @@
             };
             compio::runtime::spawn(stream.serve(request)).detach();
         }
-        Ok(())
     }
 }
 
