--- a/crates/lentilshift/src/demo/demo_fleet.rs
+++ b/crates/lentilshift/src/demo/demo_fleet.rs
@@ -45,6 +45,8 @@
 pub(crate) struct DemoFleet {
     pub(crate) log_address: SocketAddr,
     pub(crate) pairs: Vec<DemoPair>,
+    /// The secret that the nodes share, for a node that joins them.
+    pub(crate) secret: String,
 }
 
 impl DemoFleet {
@@ -63,10 +65,11 @@
         let mut fleet = Self {
             log_address,
             pairs: Vec::new(),
+            secret,
         };
-        fleet.add("filings-1", "filings", &calls, &secret).await?;
-        fleet.add("filings-2", "filings", &calls, &secret).await?;
-        fleet.add("registry-1", "registry", &[], &secret).await?;
+        fleet.add("filings-1", "filings", &calls).await?;
+        fleet.add("filings-2", "filings", &calls).await?;
+        fleet.add("registry-1", "registry", &[]).await?;
         fleet.wait_until_ready().await?;
         Ok(fleet)
     }
@@ -76,7 +79,6 @@
         name: &'static str,
         service: &'static str,
         calls: &[BackendCall],
-        secret: &str,
     ) -> Result<(), CommandError> {
         let settings = BackendSettings {
             service: service.into(),
@@ -86,7 +88,7 @@
         };
         let backend = BackendServer::start(settings).await;
         let backend = backend.map_err(DemoError::from)?;
-        let secret = FleetSecret::new(secret).expect("64 digits are enough");
+        let secret = FleetSecret::new(self.secret.as_str()).expect("64 digits are enough");
         let settings = NodeSettings {
             backend_address: backend.address(),
             backend_slots: SLOTS,
--- a/crates/lentilshift/src/demo/demo_steps.rs
+++ b/crates/lentilshift/src/demo/demo_steps.rs
@@ -173,9 +173,9 @@
         let is_critical = method == Method::POST;
         let sending = compio::runtime::spawn(send_one(address, key.to_owned(), method));
         if is_critical {
-            critical.push(sending)
+            critical.push(sending);
         } else {
-            normal.push(sending)
+            normal.push(sending);
         }
         sleep(Duration::from_millis(OVERLOAD_GAP_MS)).await;
     }
--- a/crates/lentilshift/src/demo/demo_table.rs
+++ b/crates/lentilshift/src/demo/demo_table.rs
@@ -68,6 +68,8 @@
     );
     println!("  curl http://{admin}/metrics");
     println!("  {program} dump {admin}\n");
+    println!("A node that joins needs the secret that they share:\n");
+    println!("  export LENTILSHIFT_FLEET_SECRET={}\n", fleet.secret);
     println!("Team \"{EAGER_TEAM}\" has 10 requests a second, with this key:\n");
     println!("  {eager_key}\n");
     println!("Change the contract, such as the rate of that team:\n");
--- a/crates/lentilshift/tests/support/mod.rs
+++ b/crates/lentilshift/tests/support/mod.rs
@@ -3,7 +3,7 @@
 mod open_connection;
 mod process_node;
 
-pub use open_connection::{CallerAnswer, OpenConnection};
+pub use open_connection::OpenConnection;
 pub use process_node::ProcessNode;
 
 use std::net::SocketAddr;
@@ -17,7 +17,7 @@
 use standin::{BackendCall, BackendServer, BackendSettings, LogServer};
 
 /// The longest that anything in these tests is waited for.
-pub const PATIENCE: Duration = Duration::from_secs(60);
+pub const PATIENCE: Duration = Duration::from_mins(1);
 /// The key of the tests' caller.
 pub const KEY: &str = "a-key-for-tests-only";
 
