--- /dev/null
+++ b/crates/node/tests/metrics_page.rs
@@ -0,0 +1,50 @@
+//! The page of metrics lists exactly the metrics that a node exposes, with kind and help.
+
+mod fleet;
+
+use std::collections::BTreeSet;
+
+use fleet::Fleet;
+use rstest::rstest;
+use standin::BackendSettings;
+
+const PAGE: &str = include_str!("../../../docs/metrics.md");
+
+/// Returns name, kind and help of each row.
+fn listed() -> BTreeSet<[String; 3]> {
+    let rows = PAGE.lines().filter(|line| line.starts_with("| `lentilshift_"));
+    let cells = rows.map(|row| row.split('|').map(str::trim).collect::<Vec<_>>());
+    cells
+        .map(|cells| {
+            let name = cells[1].trim_matches('`');
+            [name, cells[2], cells[4]].map(str::to_owned)
+        })
+        .collect()
+}
+
+/// Returns name, kind and help of each metric in the text format.
+fn exposed(text: &str) -> BTreeSet<[String; 3]> {
+    let helps = text.lines().filter_map(|line| line.strip_prefix("# HELP "));
+    let metrics = helps.map(|line| {
+        let (name, help) = line.split_once(' ').expect("a help text");
+        let kind = format!("# TYPE {name} ");
+        let kind = text.lines().find_map(|line| line.strip_prefix(&kind));
+        [name, kind.expect("a kind"), help].map(str::to_owned)
+    });
+    metrics.collect()
+}
+
+#[rstest]
+#[compio::test]
+async fn page_lists_every_metric() {
+    let mut fleet = Fleet::start().await;
+    let settings = BackendSettings::default();
+    fleet.add("filings-1", "filings", settings).await;
+    fleet.settle().await;
+    fleet.send(0, "GET", "/filings/filings/1").await;
+    fleet.send(0, "GET", "/filings/nothing").await;
+    let address = fleet.pairs[0].node.admin_address();
+    let request = fleet.client.get(format!("http://{address}/metrics"));
+    let text = request.unwrap().send().await.unwrap().text().await.unwrap();
+    assert_eq!(listed(), exposed(&text));
+}
