--- a/crates/node/src/answer_body.rs
+++ b/crates/node/src/answer_body.rs
@@ -6,12 +6,14 @@
 use http_body::{Body, Frame, SizeHint};
 
 use crate::call_body::{CallBody, CallBodyError};
+use crate::count_guard::CountGuard;
 use crate::held_answer::HeldAnswer;
 
 /// The body of an answer, with what is held until its last byte has gone.
 pub(crate) struct AnswerBody {
     source: AnswerSource,
     told: Option<u64>,
+    arrival: Option<CountGuard>,
 }
 
 /// Where the bytes of an answer come from.
@@ -28,6 +30,7 @@
         Self {
             source: AnswerSource::Body(body),
             told,
+            arrival: None,
         }
     }
 
@@ -36,8 +39,16 @@
         Self {
             source: AnswerSource::Held(answer),
             told,
+            arrival: None,
         }
     }
+
+    /// Counts a call that arrived until the body is dropped.
+    #[must_use]
+    pub(crate) fn with_arrival(mut self, arrival: CountGuard) -> Self {
+        self.arrival = Some(arrival);
+        self
+    }
 }
 
 impl From<CallBody> for AnswerBody {
--- a/crates/node/src/http_port.rs
+++ b/crates/node/src/http_port.rs
@@ -15,7 +15,7 @@
 
 use crate::answer_body::AnswerBody;
 use crate::caller_stream::CallerStream;
-use crate::leave_stages::CloseStage;
+use crate::count_guard::CountGuard;
 use crate::local_executor::LocalExecutor;
 use crate::node_core::NodeCore;
 
@@ -30,12 +30,23 @@
 /// The requests that one HTTP/2 connection may have open.
 const MAX_STREAMS: u32 = 1_000;
 
-/// Answers HTTP/1.1 and HTTP/2 requests on a port, and closes its connections at a stage.
+/// Whom a port serves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum PortUser {
+    /// Callers; they are asked to move to other nodes when this one stops.
+    Caller,
+    /// The local backend server; it is served until the last running call has ended.
+    Backend,
+    /// Operators.
+    Operator,
+}
+
+/// Answers HTTP/1.1 and HTTP/2 requests on a port until the node stops.
 pub(crate) async fn serve_port<A, F>(
     core: Rc<NodeCore>,
+    user: PortUser,
     listener: TcpListener,
     answer: A,
-    close: CloseStage,
 ) where
     A: Fn(Rc<NodeCore>, Request<Incoming>) -> F + Clone + 'static,
     F: Future<Output = Response<AnswerBody>> + 'static,
@@ -43,7 +54,7 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let connection = serve_connection(Rc::clone(&core), stream, answer.clone(), close);
+                let connection = serve_connection(Rc::clone(&core), user, stream, answer.clone());
                 compio::runtime::spawn(connection).detach();
             }
             Err(error) => {
@@ -54,24 +65,29 @@
     }
 }
 
-async fn serve_connection<A, F>(core: Rc<NodeCore>, stream: TcpStream, answer: A, close: CloseStage)
+async fn serve_connection<A, F>(core: Rc<NodeCore>, user: PortUser, stream: TcpStream, answer: A)
 where
     A: Fn(Rc<NodeCore>, Request<Incoming>) -> F + 'static,
     F: Future<Output = Response<AnswerBody>> + 'static,
 {
     let _ = stream.set_nodelay(true);
-    let _open = CountGuard::new(&core.open_connections);
+    let (count, end) = match user {
+        PortUser::Caller => (Some(&core.open_connections), &core.drain),
+        PortUser::Backend => (Some(&core.egress_connections), &core.close),
+        PortUser::Operator => (None, &core.close),
+    };
+    let _open = count.map(CountGuard::new);
     let service_core = Rc::clone(&core);
     let has_request = Rc::new(Cell::new(false));
     let request_mark = Rc::clone(&has_request);
     let service = service_fn(move |request| {
         request_mark.set(true);
         let core = Rc::clone(&service_core);
-        let version = request.version();
+        let is_http1 = request.version() < Version::HTTP_2;
         let work = answer(Rc::clone(&core), request);
         async move {
             let mut response = work.await;
-            if version < Version::HTTP_2 && core.leave.leaving.is_given() {
+            if is_http1 && user == PortUser::Caller && core.stop.is_given() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
             }
@@ -95,15 +111,17 @@
     let stream = CallerStream::new(stream, has_request, settings);
     let connection = builder.serve_connection(stream, service);
     let mut connection = pin!(connection);
-    // A connection opened after the stage is answered once, then its head times out.
-    if !close(&core).is_given() {
-        let closing = pin!(close(&core).wait());
-        if let Either::Left((result, _)) = select(connection.as_mut(), closing).await {
-            return log_end(result);
+    let stopping = match select(connection.as_mut(), pin!(end.wait())).await {
+        Either::Left((result, _)) => {
+            log_end(result);
+            false
         }
+        Either::Right(_) => true,
+    };
+    if stopping {
         connection.as_mut().graceful_shutdown();
+        log_end(connection.await);
     }
-    log_end(connection.await);
 }
 
 fn log_end(result: Result<(), Box<dyn std::error::Error + Send + Sync>>) {
@@ -111,19 +129,3 @@
         log::debug!("event=connection-ended error={:?}", error.to_string());
     }
 }
-
-/// Counts an open connection for as long as it lives.
-struct CountGuard(Rc<Cell<usize>>);
-
-impl CountGuard {
-    fn new(count: &Rc<Cell<usize>>) -> Self {
-        count.set(count.get() + 1);
-        Self(Rc::clone(count))
-    }
-}
-
-impl Drop for CountGuard {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
--- a/crates/node/tests/metrics_page.rs
+++ b/crates/node/tests/metrics_page.rs
@@ -12,7 +12,9 @@
 
 /// Returns name, kind and help of each row.
 fn listed() -> BTreeSet<[String; 3]> {
-    let rows = PAGE.lines().filter(|line| line.starts_with("| `lentilshift_"));
+    let rows = PAGE
+        .lines()
+        .filter(|line| line.starts_with("| `lentilshift_"));
     let cells = rows.map(|row| row.split('|').map(str::trim).collect::<Vec<_>>());
     cells
         .map(|cells| {
