--- a/crates/node/src/answer_body.rs
+++ b/crates/node/src/answer_body.rs
@@ -46,7 +46,10 @@
     /// Counts a call that arrived until the body is dropped.
     #[must_use]
     pub(crate) fn with_arrival(mut self, arrival: CountGuard) -> Self {
-        self.arrival = Some(arrival);
+        match &self.source {
+            AnswerSource::Held(answer) => answer.hold_arrival(arrival),
+            AnswerSource::Body(_) => self.arrival = Some(arrival),
+        }
         self
     }
 }
--- a/crates/node/src/held_answer.rs
+++ b/crates/node/src/held_answer.rs
@@ -8,6 +8,7 @@
 use http_body::{Body, Frame};
 
 use crate::call_body::{CallBody, CallBodyError};
+use crate::count_guard::CountGuard;
 use crate::ingress::RunGuard;
 
 /// How far an answer has come.
@@ -23,6 +24,8 @@
 /// An answer of the local backend server that is on its way out.
 pub(crate) struct HeldAnswer {
     state: RefCell<HeldState>,
+    /// Counts the call as one that arrived, until the answer is dropped or cut.
+    arrival: RefCell<Option<CountGuard>>,
     /// Since when the reader has not asked for more, while there is more.
     unread_since: Cell<Option<ClockTime>>,
 }
@@ -31,10 +34,16 @@
     pub(crate) const fn new(body: CallBody, run: RunGuard) -> Self {
         Self {
             state: RefCell::new(HeldState::Open(body, run)),
+            arrival: RefCell::new(None),
             unread_since: Cell::new(None),
         }
     }
 
+    /// Counts a call that arrived until the answer is dropped or cut.
+    pub(crate) fn hold_arrival(&self, arrival: CountGuard) {
+        self.arrival.replace(Some(arrival));
+    }
+
     /// Returns the next frame, and lets go of the slot with the last one.
     pub(crate) fn poll_frame(
         &self,
@@ -66,6 +75,7 @@
         if unread.is_some_and(|since| now.since_ms(since) >= stall_limit_ms) {
             self.unread_since.set(None);
             self.state.replace(HeldState::Cut);
+            self.arrival.take();
         }
     }
 }
--- a/crates/node/tests/bad_input.rs
+++ b/crates/node/tests/bad_input.rs
@@ -21,12 +21,20 @@
 
 /// The longest that anything in these tests is waited for.
 const PATIENCE: Duration = Duration::from_secs(30);
-/// The limits of stalls and of heads in these tests, in milliseconds.
-const LIMITS_MS: (u64, u64) = (500, 500);
+/// The limits of stalls and of heads that nodes have, in milliseconds.
+const USUAL_MS: (u64, u64) = (30_000, 10_000);
+/// The limits in tests of stalls, in milliseconds.
+const SHORT_STALL_MS: (u64, u64) = (2_000, 10_000);
+/// The limits in tests of heads, in milliseconds.
+const SHORT_HEAD_MS: (u64, u64) = (30_000, 1_000);
 
 async fn two_nodes() -> Fleet {
+    two_nodes_with(USUAL_MS).await
+}
+
+async fn two_nodes_with(limits_ms: (u64, u64)) -> Fleet {
     let mut fleet = Fleet::start().await;
-    fleet.limits_ms = LIMITS_MS;
+    fleet.limits_ms = limits_ms;
     fleet
         .add("filings-1", "filings", BackendSettings::default())
         .await;
@@ -100,7 +108,7 @@
 #[case::nonsense_after_h2_preface("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\nnonsense that is no frame", "")]
 #[compio::test]
 async fn malformed_requests_are_refused(#[case] request: &str, #[case] status: &str) {
-    let fleet = two_nodes().await;
+    let fleet = two_nodes_with(SHORT_HEAD_MS).await;
     let address = fleet.pairs[0].node.caller_address();
     let mut stream = send_raw(address, request).await;
     let answer = read_to_end(&mut stream).await;
@@ -133,7 +141,7 @@
 #[case::part_of_the_h2_preface("PRI * HTT")]
 #[compio::test]
 async fn heads_that_never_end_are_cut(#[case] start: &str) {
-    let fleet = two_nodes().await;
+    let fleet = two_nodes_with(SHORT_HEAD_MS).await;
     let address = fleet.pairs[0].node.caller_address();
     let mut stream = send_raw(address, start).await;
     let answer = timeout(PATIENCE, read_to_end(&mut stream)).await;
@@ -167,7 +175,7 @@
 #[case::small(100)]
 #[compio::test]
 async fn uploads_that_stall_hold_no_slot(#[case] told: usize) {
-    let fleet = two_nodes().await;
+    let fleet = two_nodes_with(SHORT_STALL_MS).await;
     for pair in &fleet.pairs {
         let head = format!(
             "POST /filings/filings HTTP/1.1\r\nhost: a\r\nx-api-key: {KEY}\r\ncontent-length: {told}\r\n\r\n0123"
@@ -183,7 +191,7 @@
 #[rstest]
 #[compio::test]
 async fn callers_that_stop_reading_hold_no_slot() {
-    let fleet = two_nodes().await;
+    let fleet = two_nodes_with(SHORT_STALL_MS).await;
     for pair in &fleet.pairs {
         let head = format!(
             "GET /filings/filings/1?bytes=100000000 HTTP/1.1\r\nhost: a\r\nx-api-key: {KEY}\r\n\r\n"
@@ -205,7 +213,7 @@
 #[rstest]
 #[compio::test]
 async fn http2_streams_that_nobody_reads_hold_no_slot() {
-    let fleet = two_nodes().await;
+    let fleet = two_nodes_with(SHORT_STALL_MS).await;
     let stream = TcpStream::connect(fleet.pairs[1].node.caller_address());
     let stream = TokioIo::new(HyperStream::new_plain(stream.await.unwrap()));
     let (mut sender, connection) = h2::client::handshake(stream).await.unwrap();
