--- a/crates/node/src/node_core.rs
+++ b/crates/node/src/node_core.rs
@@ -23,6 +23,7 @@
 use crate::claim_watch::ClaimFate;
 use crate::config_state::ConfigState;
 use crate::fate_board::FateBoard;
+use crate::held_answer::HeldAnswers;
 use crate::ingress_gate::IngressGate;
 use crate::news_bell::NewsBell;
 use crate::node_clock::NodeClock;
@@ -71,6 +72,7 @@
     pub(crate) backend: Rc<BackendPool>,
     pub(crate) gate: IngressGate,
     pub(crate) running: RunningCalls,
+    pub(crate) held: HeldAnswers,
     pub(crate) metrics: NodeMetrics,
     pub(crate) stop: StopSignal,
     /// Ends the connections of callers once these had time to move to other nodes.
@@ -149,6 +151,7 @@
             backend: Rc::new(BackendPool::new(settings.backend_address)),
             gate,
             running: RunningCalls::default(),
+            held: HeldAnswers::default(),
             metrics: NodeMetrics::new(),
             stop: StopSignal::new(),
             drain: StopSignal::new(),
--- a/crates/node/src/request_body.rs
+++ b/crates/node/src/request_body.rs
@@ -11,6 +11,7 @@
 
 use crate::call_answer::CallRefusal;
 use crate::call_body::CallBody;
+use crate::http_body::HttpBody;
 use crate::node_core::NodeCore;
 
 /// The largest body that is read whole before it is sent on, in bytes.
@@ -26,6 +27,7 @@
     body: Incoming,
     deadline: ClockTime,
 ) -> Result<CallBody, CallRefusal> {
+    let body = HttpBody::new(body, core.settings.stall_limit_ms);
     match body.size_hint().exact() {
         Some(0) => return Ok(CallBody::Empty),
         Some(bytes) if bytes <= SMALL_BODY_BYTES => {}
