--- a/crates/node/tests/faults_links.rs
+++ b/crates/node/tests/faults_links.rs
@@ -154,7 +154,8 @@
     check_truth(&fleet, &told);
     println!("{method} {way:?}: {} of 100 failed", count_failed(&told));
     if method == "GET" {
-        assert_eq!(count_failed(&told), 0, "reads are sent again");
+        let failed: Vec<&Told> = told.iter().filter(|one| one.status != 200).collect();
+        assert!(failed.is_empty(), "reads are sent again: {failed:?}");
     }
     proxies[0].set_cut(None);
     sleep(Duration::from_secs(1)).await;
--- a/crates/node/tests/whole_path.rs
+++ b/crates/node/tests/whole_path.rs
@@ -30,7 +30,9 @@
 async fn a_chain_of_two_services_answers() {
     let fleet = chain().await;
     for node in 0..3 {
-        let answer = fleet.send(node, "GET", "/filings/filings/1").await;
+        let answer = fleet
+            .send_admitted(node, "GET", "/filings/filings/1", &[])
+            .await;
         assert_eq!(answer.status().as_u16(), 200);
         assert_eq!(answer.headers()["lentilshift-verdict"], "ran");
         let body = answer.text().await.unwrap();
@@ -48,11 +50,9 @@
 async fn no_backend_server_sees_a_key() {
     let fleet = chain().await;
     let path = format!("/filings/filings/1?api_key={KEY}&a={KEY}&b=2");
-    let url = format!("http://{}{path}", fleet.pairs[1].node.caller_address());
-    let request = fleet.client.get(url).unwrap();
-    let request = request.header("x-api-key", KEY).unwrap();
-    let request = request.header("x-copy", format!("is {KEY}")).unwrap();
-    let answer = request.send().await.unwrap();
+    let copy = format!("is {KEY}");
+    let headers = [("x-api-key", KEY), ("x-copy", &copy)];
+    let answer = fleet.send_admitted(1, "GET", &path, &headers).await;
     assert_eq!(answer.status().as_u16(), 200);
     for pair in &fleet.pairs {
         for entry in pair.backend.record().entries() {
