--- a/crates/node/src/attempt_doubt.rs
+++ b/crates/node/src/attempt_query.rs
@@ -52,7 +52,7 @@
 /// Asks a node, over a new connection, what became of an attempt whose link broke.
 ///
 /// Returns the verdict that holds; an attempt that runs is waited for until the deadline.
-pub(crate) async fn resolve_doubt(
+pub(crate) async fn resolve_attempt(
     core: &Rc<NodeCore>,
     vm: &VmName,
     head: &CallHead,
--- a/crates/node/src/news_bell.rs
+++ b/crates/node/src/change_notifier.rs
@@ -4,10 +4,10 @@
 
 /// Wakes all tasks that wait for news.
 #[derive(Default)]
-pub(crate) struct NewsBell(RefCell<Vec<oneshot::Sender<()>>>);
+pub(crate) struct ChangeNotifier(RefCell<Vec<oneshot::Sender<()>>>);
 
-impl NewsBell {
-    /// Waits until the bell rings next.
+impl ChangeNotifier {
+    /// Waits until the next notification.
     pub(crate) async fn wait(&self) {
         let (sender, receiver) = oneshot::channel();
         self.add(sender);
@@ -21,7 +21,7 @@
     }
 
     /// Wakes all who wait.
-    pub(crate) fn ring(&self) {
+    pub(crate) fn notify(&self) {
         self.0.borrow_mut().clear();
     }
 }
--- a/crates/node/src/claim_state.rs
+++ b/crates/node/src/claim_state.rs
@@ -1,16 +1,16 @@
 use clock::ClockTime;
-use once::{ClaimAction, ClaimBook, ClaimRecord};
+use once::{ClaimAction, ClaimRecord, ClaimTable};
 use platform::{LogOffset, LogRecord, RelaySnapshot, StreamFold};
 
-/// The book of claims, fed by their stream, with what it wants done.
+/// The table of claims, fed by their stream, with what it wants done.
 pub(crate) struct ClaimState {
-    pub(crate) book: ClaimBook,
+    pub(crate) table: ClaimTable,
     pub(crate) actions: Vec<ClaimAction>,
 }
 
 impl StreamFold for ClaimState {
     fn lose_before(&mut self, now: ClockTime, first: LogOffset) {
-        self.book.receive_gap(now, first.get(), &mut self.actions);
+        self.table.receive_gap(now, first.get(), &mut self.actions);
     }
 
     fn adopt(&mut self, _now: ClockTime, snapshot: &RelaySnapshot) {
@@ -24,7 +24,7 @@
         let offset = record.offset.get();
         match record.body.decode::<ClaimRecord>() {
             Ok(claim) => self
-                .book
+                .table
                 .receive_record(now, offset, &claim, &mut self.actions),
             Err(error) => log::warn!(
                 "event=record-unreadable stream=claims offset={offset} error={:?}",
--- a/crates/node/src/claim_watch.rs
+++ b/crates/node/src/claim_watch.rs
@@ -20,7 +20,7 @@
 use crate::stream_host::StreamWatch;
 
 /// What a call that must run at most once is told.
-pub(crate) enum ClaimFate {
+pub(crate) enum ClaimDecision {
     /// It owns its key and may run.
     Run,
     /// It is a duplicate, and this is the answer of the one that ran.
@@ -29,7 +29,7 @@
     Refuse(ClaimRefusal),
 }
 
-/// Lets the book of claims act on what its stream brings.
+/// Lets the table of claims act on what its stream brings.
 pub(crate) struct ClaimWatch(pub(crate) Rc<NodeCore>);
 
 impl StreamWatch for ClaimWatch {
@@ -44,19 +44,19 @@
 
 /// Holds the claim of a call until its outcome is known; one that is dropped before its start
 /// is released.
-pub(crate) struct ClaimPass {
+pub(crate) struct ClaimGuard {
     core: Rc<NodeCore>,
     attempt: AttemptId,
     is_started: bool,
 }
 
-impl ClaimPass {
+impl ClaimGuard {
     /// Returns whether the call may go to the backend server now.
     pub(crate) fn start(&mut self) -> bool {
         let now = self.core.now();
         self.is_started = self.core.claims.with(|feed| {
             let state = feed.fold();
-            state.book.start(now, self.attempt, &mut state.actions)
+            state.table.start(now, self.attempt, &mut state.actions)
         });
         act_on_claims(&self.core);
         self.is_started
@@ -68,24 +68,24 @@
         self.core.claims.with(|feed| {
             let state = feed.fold();
             state
-                .book
+                .table
                 .finish(now, self.attempt, outcome, &mut state.actions);
         });
         act_on_claims(&self.core);
     }
 }
 
-impl Drop for ClaimPass {
+impl Drop for ClaimGuard {
     fn drop(&mut self) {
         let now = self.core.now();
-        self.core.claim_fates.forget(self.attempt);
+        self.core.claim_waiters.forget(self.attempt);
         self.core.claims.with(|feed| {
             let state = feed.fold();
-            let (book, actions) = (&mut state.book, &mut state.actions);
+            let (table, actions) = (&mut state.table, &mut state.actions);
             if self.is_started {
-                book.finish(now, self.attempt, ClaimOutcome::MayHaveRun, actions);
+                table.finish(now, self.attempt, ClaimOutcome::MayHaveRun, actions);
             } else {
-                book.give_up(now, self.attempt, actions);
+                table.give_up(now, self.attempt, actions);
             }
         });
         act_on_claims(&self.core);
@@ -102,9 +102,9 @@
     head: &CallHead,
     body: &[u8],
     deadline: ClockTime,
-) -> Result<ClaimPass, ClaimFate> {
+) -> Result<ClaimGuard, ClaimDecision> {
     let Some(key) = idempotency_key(head) else {
-        return Err(ClaimFate::Refuse(ClaimRefusal {
+        return Err(ClaimDecision::Refuse(ClaimRefusal {
             reason: RefusalReason::IdempotencyKeyMissing,
             verdict: RunVerdict::NotRun,
             retry_after_ms: None,
@@ -118,8 +118,8 @@
         deadline,
         key_age_ms: None,
     };
-    let waiting = core.claim_fates.wait_for(head.attempt);
-    let pass = ClaimPass {
+    let waiting = core.claim_waiters.wait_for(head.attempt);
+    let pass = ClaimGuard {
         core: Rc::clone(core),
         attempt: head.attempt,
         is_started: false,
@@ -127,13 +127,13 @@
     let now = core.now();
     core.claims.with(|feed| {
         let state = feed.fold();
-        state.book.begin(now, request, &mut state.actions);
+        state.table.begin(now, request, &mut state.actions);
     });
     act_on_claims(core);
     match waiting.await {
-        Ok(ClaimFate::Run) => Ok(pass),
+        Ok(ClaimDecision::Run) => Ok(pass),
         Ok(fate) => Err(fate),
-        Err(_) => Err(ClaimFate::Refuse(ClaimRefusal {
+        Err(_) => Err(ClaimDecision::Refuse(ClaimRefusal {
             reason: RefusalReason::ClaimUnavailable,
             verdict: RunVerdict::NotRun,
             retry_after_ms: None,
@@ -154,8 +154,8 @@
 pub(crate) fn poll_claims(core: &Rc<NodeCore>, now: ClockTime) {
     core.claims.with(|feed| {
         let state = feed.fold();
-        if state.book.next_poll() <= now {
-            state.book.poll(now, &mut state.actions);
+        if state.table.next_poll() <= now {
+            state.table.poll(now, &mut state.actions);
         }
     });
     act_on_claims(core);
@@ -163,7 +163,7 @@
 
 /// Answers a node that holds a duplicate of an attempt of this node.
 pub(crate) fn answer_holder(core: &NodeCore, owner: AttemptId) -> HolderReply {
-    core.claims.with(|feed| feed.fold().book.reply_for(owner))
+    core.claims.with(|feed| feed.fold().table.reply_for(owner))
 }
 
 /// Returns what two requests under one idempotency key must have in common.
@@ -181,12 +181,14 @@
             ClaimAction::Append(record) => {
                 compio::runtime::spawn(append_claim(Rc::clone(core), record)).detach();
             }
-            ClaimAction::Run(attempt) => core.claim_fates.tell(attempt, ClaimFate::Run),
+            ClaimAction::Run(attempt) => core.claim_waiters.tell(attempt, ClaimDecision::Run),
             ClaimAction::Answer(attempt, answer) => {
-                core.claim_fates.tell(attempt, ClaimFate::Answer(answer));
+                core.claim_waiters
+                    .tell(attempt, ClaimDecision::Answer(answer));
             }
             ClaimAction::Refuse(attempt, refusal) => {
-                core.claim_fates.tell(attempt, ClaimFate::Refuse(refusal));
+                core.claim_waiters
+                    .tell(attempt, ClaimDecision::Refuse(refusal));
             }
             ClaimAction::AskHolder {
                 attempt, vm, owner, ..
@@ -212,7 +214,7 @@
         let now = core.now();
         core.claims.with(|feed| {
             let state = feed.fold();
-            state.book.append_failed(now, id, &mut state.actions);
+            state.table.append_failed(now, id, &mut state.actions);
         });
         act_on_claims(&core);
     }
@@ -231,8 +233,8 @@
     let now = core.now();
     core.claims.with(|feed| {
         let state = feed.fold();
-        let (book, actions) = (&mut state.book, &mut state.actions);
-        book.receive_reply(now, attempt, owner, reply, actions);
+        let (table, actions) = (&mut state.table, &mut state.actions);
+        table.receive_reply(now, attempt, owner, reply, actions);
     });
     act_on_claims(&core);
 }
--- a/crates/node/src/fate_board.rs
+++ b/crates/node/src/decision_waiters.rs
@@ -5,15 +5,15 @@
 use model::AttemptId;
 
 /// The calls that wait for a decision, by attempt.
-pub(crate) struct FateBoard<T>(RefCell<BTreeMap<AttemptId, oneshot::Sender<T>>>);
+pub(crate) struct DecisionWaiters<T>(RefCell<BTreeMap<AttemptId, oneshot::Sender<T>>>);
 
-impl<T> Default for FateBoard<T> {
+impl<T> Default for DecisionWaiters<T> {
     fn default() -> Self {
         Self(RefCell::default())
     }
 }
 
-impl<T> FateBoard<T> {
+impl<T> DecisionWaiters<T> {
     /// Lets an attempt wait for its fate; dropping the receiver forgets it.
     pub(crate) fn wait_for(&self, attempt: AttemptId) -> oneshot::Receiver<T> {
         let (sender, receiver) = oneshot::channel();
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -12,7 +12,7 @@
 use wire::{AnswerHead, CallHead};
 
 use crate::answer_body::AnswerBody;
-use crate::attempt_doubt::{fresh_mark, note_mark, resolve_doubt};
+use crate::attempt_query::{fresh_mark, note_mark, resolve_attempt};
 use crate::call_answer::{CallAnswer, CallRefusal};
 use crate::call_body::CallBody;
 use crate::call_headers::idempotency_key;
@@ -273,7 +273,7 @@
         Err(error) => error,
     };
     let verdict = match error.verdict() {
-        RunVerdict::MayHaveRun => resolve_doubt(core, vm, head, deadline).await,
+        RunVerdict::MayHaveRun => resolve_attempt(core, vm, head, deadline).await,
         verdict => verdict,
     };
     log::warn!(
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -18,14 +18,14 @@
 use crate::call_body::CallBody;
 use crate::call_headers::{add_call, strip_hop};
 use crate::chain_watch::{cut_reports_for, note_uses};
-use crate::claim_watch::{ClaimFate, ClaimPass, claim_call, claim_refusal};
+use crate::claim_watch::{ClaimDecision, ClaimGuard, claim_call, claim_refusal};
 use crate::count_guard::CountGuard;
 use crate::held_answer::HeldAnswer;
 use crate::http_body::HttpBody;
 use crate::node_core::NodeCore;
 use crate::request_body::{gather_small, read_whole};
 use crate::running_calls::RunningCall;
-use crate::suspect_watch::{SuspectPass, SuspectRefusal, enter_run, quarantine_refusal};
+use crate::suspect_watch::{SuspectGuard, SuspectRefusal, enter_run, quarantine_refusal};
 
 /// The time that a call is expected to run before any was measured, in milliseconds.
 const EXPECTED_RUN_MS: u64 = 1;
@@ -39,7 +39,7 @@
 
 /// Runs a call on the local backend server, when its turn comes and while it is of use.
 pub(crate) async fn run_call(core: &Rc<NodeCore>, head: CallHead, body: CallBody) -> CallAnswer {
-    core.activity.ring();
+    core.activity.notify();
     let arrival = CountGuard::new(&core.arrived);
     let answer = match AttemptGuard::arrive(core, &head) {
         Ok(guard) => {
@@ -72,11 +72,11 @@
     let content = whole_bytes(&body);
     match claim_call(core, head, &content, deadline).await {
         Ok(pass) => run_in_turn(core, head, body, deadline, Some(pass)).await,
-        Err(ClaimFate::Answer(stored)) => replay_answer(head, &stored),
-        Err(ClaimFate::Refuse(refusal)) => {
+        Err(ClaimDecision::Answer(stored)) => replay_answer(head, &stored),
+        Err(ClaimDecision::Refuse(refusal)) => {
             CallAnswer::refused(head, &claim_refusal(refusal), head.allowance)
         }
-        Err(ClaimFate::Run) => unreachable!("a call that may run has a pass"),
+        Err(ClaimDecision::Run) => unreachable!("a call that may run has a pass"),
     }
 }
 
@@ -86,7 +86,7 @@
     head: &CallHead,
     body: CallBody,
     deadline: ClockTime,
-    claim: Option<ClaimPass>,
+    claim: Option<ClaimGuard>,
 ) -> CallAnswer {
     let ticket = ticket_for(head, deadline);
     if let Err(refusal) = core.gate.enter(|| core.now(), ticket).await {
@@ -106,12 +106,12 @@
             return CallAnswer::refused(head, &refusal, head.allowance);
         }
     };
-    let mut passes = RunPasses {
+    let mut passes = RunGuards {
         run,
         suspect,
         claim,
     };
-    if !passes.claim.as_mut().is_none_or(ClaimPass::start) {
+    if !passes.claim.as_mut().is_none_or(ClaimGuard::start) {
         let refusal = CallRefusal::not_run(RefusalReason::ClaimUnavailable);
         return CallAnswer::refused(head, &refusal, head.allowance);
     }
@@ -119,10 +119,10 @@
 }
 
 /// What a running call holds.
-struct RunPasses {
+struct RunGuards {
     run: RunGuard,
-    suspect: SuspectPass,
-    claim: Option<ClaimPass>,
+    suspect: SuspectGuard,
+    claim: Option<ClaimGuard>,
 }
 
 async fn run_now(
@@ -130,7 +130,7 @@
     head: &CallHead,
     body: CallBody,
     deadline: ClockTime,
-    mut passes: RunPasses,
+    mut passes: RunGuards,
 ) -> CallAnswer {
     passes.suspect.mark_sent();
     let left = Duration::from_millis(core.now().until_ms(deadline));
@@ -193,7 +193,7 @@
     core: &Rc<NodeCore>,
     head: &CallHead,
     error: &BackendError,
-    passes: RunPasses,
+    passes: RunGuards,
 ) -> CallAnswer {
     let verdict = error.verdict();
     log::warn!(
@@ -225,10 +225,10 @@
     core: &NodeCore,
     head: &CallHead,
     response: Response<Incoming>,
-    passes: RunPasses,
+    passes: RunGuards,
 ) -> CallAnswer {
     let (parts, body) = response.into_parts();
-    let RunPasses { run, claim, .. } = passes;
+    let RunGuards { run, claim, .. } = passes;
     if parts.status.is_success() {
         note_uses(core, head, &run.call.used.borrow());
     }
--- a/crates/node/src/node_core.rs
+++ b/crates/node/src/node_core.rs
@@ -8,24 +8,24 @@
 use graph::{AdmissionSettings, ChainAdmission};
 use member::{MemberFold, MemberSettings};
 use model::{AttemptId, RecordId, RequestId, ServiceName, VmName};
-use once::{AttemptSettings, AttemptTable, ClaimBook, OnceSettings};
+use once::{AttemptSettings, AttemptTable, ClaimTable, OnceSettings};
 use platform::{ClaimShard, FoldFeed, KeyAnswer, KeyDigest, LogStream};
-use quarantine::{RequestFingerprint, SuspectBook, SuspectSettings, home_vm};
+use quarantine::{RequestFingerprint, SuspectSettings, SuspectTable, home_vm};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use rate::{RateSettings, TeamLimiter};
 use retry::{ResendSettings, ResendTable, RetryRatio};
 use route::{RouteSettings, VmRouter};
 
-use crate::attempt_doubt::HeardMark;
+use crate::attempt_query::HeardMark;
 use crate::backend_pool::BackendPool;
+use crate::change_notifier::ChangeNotifier;
 use crate::claim_state::ClaimState;
-use crate::claim_watch::ClaimFate;
+use crate::claim_watch::ClaimDecision;
 use crate::config_state::ConfigState;
-use crate::fate_board::FateBoard;
+use crate::decision_waiters::DecisionWaiters;
 use crate::held_answer::HeldAnswers;
 use crate::ingress_gate::IngressGate;
-use crate::news_bell::NewsBell;
 use crate::node_clock::NodeClock;
 use crate::node_metrics::NodeMetrics;
 use crate::node_settings::NodeSettings;
@@ -35,7 +35,7 @@
 use crate::running_calls::RunningCalls;
 use crate::stop_signal::StopSignal;
 use crate::stream_host::StreamHost;
-use crate::suspect_watch::SuspectFate;
+use crate::suspect_watch::RunDecision;
 
 /// The appends a second that the claims of the whole fleet may take of the platform's log.
 const CLAIM_APPENDS_PER_S: u64 = 200;
@@ -53,15 +53,15 @@
     pub(crate) fleet: StreamHost<FoldFeed<MemberFold>>,
     pub(crate) rates: StreamHost<FoldFeed<RateState>>,
     pub(crate) claims: StreamHost<FoldFeed<ClaimState>>,
-    pub(crate) claim_fates: FateBoard<ClaimFate>,
-    pub(crate) suspects: RefCell<SuspectBook>,
-    pub(crate) suspect_fates: FateBoard<SuspectFate>,
+    pub(crate) claim_waiters: DecisionWaiters<ClaimDecision>,
+    pub(crate) suspects: RefCell<SuspectTable>,
+    pub(crate) suspect_waiters: DecisionWaiters<RunDecision>,
     pub(crate) attempts: RefCell<AttemptTable>,
     pub(crate) marks: RefCell<BTreeMap<VmName, HeardMark>>,
-    /// Rings when tokens of the teams' rates may have come.
-    pub(crate) tokens: NewsBell,
-    /// Rings when a call arrives, so that time passes for it.
-    pub(crate) activity: NewsBell,
+    /// Notifies when tokens of the teams' rates may have come.
+    pub(crate) tokens: ChangeNotifier,
+    /// Notifies when a call arrives, so that time passes for it.
+    pub(crate) activity: ChangeNotifier,
     pub(crate) chain: RefCell<ChainAdmission>,
     pub(crate) resends: RefCell<ResendTable>,
     pub(crate) ratios: RefCell<BTreeMap<ServiceName, RetryRatio>>,
@@ -111,7 +111,7 @@
                 RateSettings::default(),
             ),
         };
-        let book = ClaimBook::new(
+        let table = ClaimTable::new(
             OnceSettings::default(),
             settings.service.clone(),
             settings.vm.clone(),
@@ -121,10 +121,10 @@
         );
         let shard = ClaimShard::of(&settings.service);
         let claims = ClaimState {
-            book,
+            table,
             actions: Vec::new(),
         };
-        let suspects = SuspectBook::new(SuspectSettings::default(), settings.vm.clone());
+        let suspects = SuspectTable::new(SuspectSettings::default(), settings.vm.clone());
         let table_settings = AttemptSettings::default();
         let attempts = AttemptTable::new(table_settings, clock.now(), random.random());
         Ok(Self {
@@ -135,13 +135,13 @@
             fleet: StreamHost::new(clock, FoldFeed::new(LogStream::Members, fleet)),
             rates: StreamHost::new(clock, FoldFeed::new(LogStream::Rates, rates)),
             claims: StreamHost::new(clock, FoldFeed::new(LogStream::Claims(shard), claims)),
-            claim_fates: FateBoard::default(),
+            claim_waiters: DecisionWaiters::default(),
             suspects: RefCell::new(suspects),
-            suspect_fates: FateBoard::default(),
+            suspect_waiters: DecisionWaiters::default(),
             attempts: RefCell::new(attempts),
             marks: RefCell::default(),
-            tokens: NewsBell::default(),
-            activity: NewsBell::default(),
+            tokens: ChangeNotifier::default(),
+            activity: ChangeNotifier::default(),
             chain: RefCell::new(ChainAdmission::new(AdmissionSettings::default())),
             resends: RefCell::new(ResendTable::new(ResendSettings::default())),
             ratios: RefCell::default(),
@@ -240,7 +240,7 @@
         drop(routers);
         self.chain.borrow_mut().forget_absent(&contract);
         let budget = claim_budget(&contract);
-        let set_budget = |state: &mut ClaimState| state.book.set_appends_per_s(budget);
+        let set_budget = |state: &mut ClaimState| state.table.set_appends_per_s(budget);
         self.claims.with(|feed| set_budget(feed.fold()));
         self.contract.replace(contract);
         put_rates(self);
--- a/crates/node/src/node_process.rs
+++ b/crates/node/src/node_process.rs
@@ -267,7 +267,7 @@
 /// Returns when time must pass next, if nothing new comes before.
 fn next_due(core: &NodeCore) -> ClockTime {
     let rates = core.rates.with(|feed| feed.fold().limiter.next_poll());
-    let claims = core.claims.with(|feed| feed.fold().book.next_poll());
+    let claims = core.claims.with(|feed| feed.fold().table.next_poll());
     let due = [core.gate.next_tick(), core.suspects.borrow().next_poll()];
     due.into_iter()
         .flatten()
--- a/crates/node/src/rate_watch.rs
+++ b/crates/node/src/rate_watch.rs
@@ -36,7 +36,7 @@
 ///
 /// Returns a refusal when the team is over its rate.
 pub(crate) async fn admit_team(core: &Rc<NodeCore>, team: &TeamName) -> Result<(), CallRefusal> {
-    core.activity.ring();
+    core.activity.notify();
     let mut decision = decide(core, team, true);
     let mut give_up_at = None;
     loop {
@@ -80,7 +80,7 @@
         limiter.receive(now, from, message, &mut actions);
     });
     carry_out(core, actions);
-    core.tokens.ring();
+    core.tokens.notify();
 }
 
 /// Tells the limiter the rates of the contract in force.
--- a/crates/node/src/stream_host.rs
+++ b/crates/node/src/stream_host.rs
@@ -10,7 +10,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
-use crate::news_bell::NewsBell;
+use crate::change_notifier::ChangeNotifier;
 use crate::node_clock::NodeClock;
 
 /// What a host needs of its node.
@@ -27,7 +27,7 @@
     clock: NodeClock,
     feed: RefCell<F>,
     random: RefCell<SmallRng>,
-    news: NewsBell,
+    news: ChangeNotifier,
 }
 
 impl<F: StreamFeed> StreamHost<F> {
@@ -36,7 +36,7 @@
             clock,
             feed: RefCell::new(feed),
             random: RefCell::new(SmallRng::from_os_rng()),
-            news: NewsBell::default(),
+            news: ChangeNotifier::default(),
         }
     }
 
@@ -125,7 +125,7 @@
     fn tell(&self, is_news: bool, watch: &impl StreamWatch) {
         if is_news {
             watch.on_news(self.clock.now());
-            self.news.ring();
+            self.news.notify();
         }
     }
 
--- a/crates/node/src/suspect_watch.rs
+++ b/crates/node/src/suspect_watch.rs
@@ -23,7 +23,7 @@
 const FAIL_WAIT_MS: u64 = 2_000;
 
 /// What a call is told about whether it may run.
-pub(crate) enum SuspectFate {
+pub(crate) enum RunDecision {
     /// It may run.
     Start,
     /// The node has news of it, and it must be looked at again.
@@ -44,11 +44,11 @@
 }
 
 /// Holds the place of a running call among those that a crash would make suspect.
-pub(crate) struct SuspectPass {
+pub(crate) struct SuspectGuard {
     core: Rc<NodeCore>,
     attempt: AttemptId,
     fingerprint: RequestFingerprint,
-    fate: Option<oneshot::Receiver<SuspectFate>>,
+    fate: Option<oneshot::Receiver<RunDecision>>,
     stage: RunStage,
 }
 
@@ -63,7 +63,7 @@
     Answered,
 }
 
-impl SuspectPass {
+impl SuspectGuard {
     /// Notes that the call goes to the backend server.
     pub(crate) const fn mark_sent(&mut self) {
         self.stage = RunStage::Sent;
@@ -98,24 +98,24 @@
         };
         let limit = Duration::from_millis(FAIL_WAIT_MS);
         match timeout(limit, fate).await {
-            Ok(Ok(SuspectFate::Fail { may_retry })) => !may_retry,
+            Ok(Ok(RunDecision::Fail { may_retry })) => !may_retry,
             _ => true,
         }
     }
 }
 
-impl Drop for SuspectPass {
+impl Drop for SuspectGuard {
     fn drop(&mut self) {
-        self.core.suspect_fates.forget(self.attempt);
+        self.core.suspect_waiters.forget(self.attempt);
         let now = self.core.now();
         let mut actions = Vec::new();
-        let mut book = self.core.suspects.borrow_mut();
+        let mut table = self.core.suspects.borrow_mut();
         match self.stage {
-            RunStage::Unsent => book.withdraw(now, self.attempt, &mut actions),
-            RunStage::Sent => book.abandon(now, self.attempt, &mut actions),
-            RunStage::Answered => book.finish(now, self.attempt, &mut actions),
+            RunStage::Unsent => table.withdraw(now, self.attempt, &mut actions),
+            RunStage::Sent => table.abandon(now, self.attempt, &mut actions),
+            RunStage::Answered => table.finish(now, self.attempt, &mut actions),
         }
-        drop(book);
+        drop(table);
         act_on_suspects(&self.core, actions);
     }
 }
@@ -129,17 +129,17 @@
     core: &Rc<NodeCore>,
     head: &CallHead,
     body: &[u8],
-) -> Result<SuspectPass, SuspectRefusal> {
+) -> Result<SuspectGuard, SuspectRefusal> {
     let fingerprint = fingerprint_of(head, body);
     let is_single = !head.once && idempotency_key(head).is_some();
     loop {
-        let fate = core.suspect_fates.wait_for(head.attempt);
+        let fate = core.suspect_waiters.wait_for(head.attempt);
         let now = core.now();
         let decision = core
             .suspects
             .borrow_mut()
             .begin(now, fingerprint, head.attempt, is_single);
-        let mut pass = SuspectPass {
+        let mut pass = SuspectGuard {
             core: Rc::clone(core),
             attempt: head.attempt,
             fingerprint,
@@ -160,8 +160,8 @@
         let Some(fate) = pass.fate.take() else {
             continue;
         };
-        if let Ok(SuspectFate::Start) = fate.await {
-            pass.fate = Some(core.suspect_fates.wait_for(head.attempt));
+        if let Ok(RunDecision::Start) = fate.await {
+            pass.fate = Some(core.suspect_waiters.wait_for(head.attempt));
             return Ok(pass);
         }
     }
@@ -190,9 +190,9 @@
 pub(crate) fn receive_news(core: &Rc<NodeCore>, from: &VmName, id: NewsId, news: &[SuspectNews]) {
     let now = core.now();
     let mut actions = Vec::new();
-    let mut book = core.suspects.borrow_mut();
-    book.receive(now, from.clone(), id, news, &mut actions);
-    drop(book);
+    let mut table = core.suspects.borrow_mut();
+    table.receive(now, from.clone(), id, news, &mut actions);
+    drop(table);
     act_on_suspects(core, actions);
 }
 
@@ -200,9 +200,9 @@
 pub(crate) fn receive_ack(core: &Rc<NodeCore>, from: &VmName, id: NewsId, news: &[SuspectNews]) {
     let now = core.now();
     let mut actions = Vec::new();
-    let mut book = core.suspects.borrow_mut();
-    book.receive_ack(now, from, id, news, &mut actions);
-    drop(book);
+    let mut table = core.suspects.borrow_mut();
+    table.receive_ack(now, from, id, news, &mut actions);
+    drop(table);
     act_on_suspects(core, actions);
 }
 
@@ -236,18 +236,18 @@
                 send_news(core, to, NodeMessage::SuspectAck(id, news));
             }
             SuspectAction::Fail { attempt, may_retry } => {
-                let fate = SuspectFate::Fail { may_retry };
-                core.suspect_fates.tell(attempt, fate);
+                let fate = RunDecision::Fail { may_retry };
+                core.suspect_waiters.tell(attempt, fate);
             }
-            SuspectAction::Start(attempt) => core.suspect_fates.tell(attempt, SuspectFate::Start),
+            SuspectAction::Start(attempt) => core.suspect_waiters.tell(attempt, RunDecision::Start),
             SuspectAction::Reconsider(attempt) => {
-                core.suspect_fates.tell(attempt, SuspectFate::Reconsider);
+                core.suspect_waiters.tell(attempt, RunDecision::Reconsider);
             }
         }
     }
 }
 
-/// Sends news to the other nodes of the own service, the same ones that the book waits for.
+/// Sends news to the other nodes of the own service, the same ones that the table waits for.
 fn tell_service(core: &Rc<NodeCore>, id: NewsId, news: &[SuspectNews]) {
     let peers = core.suspects.borrow().peers().to_vec();
     for vm in peers {
@@ -255,12 +255,12 @@
     }
 }
 
-/// Tells the book the other VMs of the own service, and new ones all that it knows.
+/// Tells the table the other VMs of the own service, and new ones all that it knows.
 pub(crate) fn put_siblings(core: &Rc<NodeCore>, siblings: Vec<VmName>) {
-    let mut book = core.suspects.borrow_mut();
-    let known = book.peers().to_vec();
-    book.set_peers(siblings.clone());
-    drop(book);
+    let mut table = core.suspects.borrow_mut();
+    let known = table.peers().to_vec();
+    table.set_peers(siblings.clone());
+    drop(table);
     for vm in siblings.into_iter().filter(|vm| !known.contains(vm)) {
         send_list(core, vm);
     }
--- a/crates/once/examples/claim_slopes.rs
+++ b/crates/once/examples/claim_slopes.rs
@@ -7,7 +7,7 @@
 
 use clock::ClockTime;
 use lentilshift_once::{
-    CallFingerprint, ClaimAction, ClaimBody, ClaimBook, ClaimEntry, ClaimOutcome, ClaimRecord,
+    CallFingerprint, ClaimAction, ClaimBody, ClaimEntry, ClaimOutcome, ClaimRecord, ClaimTable,
     KeyDigest, OnceRequest, OnceSettings, StoredAnswer,
 };
 use model::{AttemptId, RecordId, VmName};
@@ -32,12 +32,12 @@
     }
 }
 
-/// Feeds the books of one service with calls at an even rate.
+/// Feeds the tables of one service with calls at an even rate.
 fn measure_stream(nodes: usize, calls_per_s: u64) {
     let vms: Vec<VmName> = (0..nodes)
         .map(|i| VmName::new(format!("filings-vm-{i:04}")))
         .collect();
-    let mut books: Vec<ClaimBook> = vms.iter().map(book).collect();
+    let mut tables: Vec<ClaimTable> = vms.iter().map(table).collect();
     let mut log: Vec<(u64, ClaimRecord)> = Vec::new();
     let mut read = 0;
     let mut begun = 0_u64;
@@ -49,7 +49,7 @@
         while begun * 1_000 < now_ms * calls_per_s {
             let node = usize::try_from(begun).unwrap_or(0) % nodes;
             let mut new = Vec::new();
-            books[node].begin(now, request(begun, now), &mut new);
+            tables[node].begin(now, request(begun, now), &mut new);
             actions.extend(new.into_iter().map(|action| (node, action)));
             begun += 1;
         }
@@ -57,16 +57,16 @@
             .get(read)
             .is_some_and(|(time, _)| time + READ_BACK_MS <= now_ms)
         {
-            for (node, book) in books.iter_mut().enumerate() {
+            for (node, table) in tables.iter_mut().enumerate() {
                 let mut new = Vec::new();
-                book.receive_record(now, read as u64, &log[read].1, &mut new);
+                table.receive_record(now, read as u64, &log[read].1, &mut new);
                 actions.extend(new.into_iter().map(|action| (node, action)));
             }
             read += 1;
         }
-        for (node, book) in books.iter_mut().enumerate() {
+        for (node, table) in tables.iter_mut().enumerate() {
             let mut new = Vec::new();
-            book.poll(now, &mut new);
+            table.poll(now, &mut new);
             actions.extend(new.into_iter().map(|action| (node, action)));
         }
         let mut runs = Vec::new();
@@ -80,9 +80,9 @@
         for (node, attempt) in runs {
             waits_ms += now_ms - began_at(attempt);
             let mut new = Vec::new();
-            assert!(books[node].start(now, attempt, &mut new));
+            assert!(tables[node].start(now, attempt, &mut new));
             let answer = ClaimOutcome::Answered(StoredAnswer::new(&b"200"[..], &b"ok"[..]));
-            books[node].finish(now, attempt, answer, &mut new);
+            tables[node].finish(now, attempt, answer, &mut new);
         }
     }
     let spent_us = started.elapsed().as_micros();
@@ -101,10 +101,10 @@
     );
 }
 
-/// Measures what a book holds for claims of other nodes, and what a snapshot of them takes.
+/// Measures what a table holds for claims of other nodes, and what a snapshot of them takes.
 fn measure_memory(claims: u64) {
     let before = resident_bytes();
-    let mut reader = book(&VmName::new("filings-vm-0002"));
+    let mut reader = table(&VmName::new("filings-vm-0002"));
     for offset in 0..claims / BATCH {
         let record = batch(offset);
         let now = ClockTime::from_ms(offset);
@@ -145,9 +145,9 @@
     kib.and_then(|kib| kib.parse::<u64>().ok()).unwrap_or(0) * 1_024
 }
 
-fn book(vm: &VmName) -> ClaimBook {
+fn table(vm: &VmName) -> ClaimTable {
     let settings = OnceSettings::default();
-    ClaimBook::new(
+    ClaimTable::new(
         settings,
         "filings".into(),
         vm.clone(),
--- a/crates/once/src/claim_action.rs
+++ b/crates/once/src/claim_action.rs
@@ -2,7 +2,7 @@
 
 use crate::{ClaimRecord, KeyDigest, StoredAnswer};
 
-/// What a node has to do for its [`ClaimBook`](crate::ClaimBook).
+/// What a node has to do for its [`ClaimTable`](crate::ClaimTable).
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ClaimAction {
     /// Append a record to the stream of claims.
--- a/crates/once/src/claim_book.rs
+++ b/crates/once/src/claim_table.rs
@@ -21,7 +21,7 @@
 /// [`ClaimAction`]s it gets. An attempt runs only when this node has read the stream up to a
 /// claim that makes the attempt the owner of its key, and [`start`](Self::start) agrees.
 #[derive(Clone, Debug)]
-pub struct ClaimBook {
+pub struct ClaimTable {
     settings: OnceSettings,
     service: ServiceName,
     vm: VmName,
@@ -33,8 +33,8 @@
     random: SmallRng,
 }
 
-impl ClaimBook {
-    /// Creates the book of a VM that reads the stream of a service from `first_offset` on.
+impl ClaimTable {
+    /// Creates the table of a VM that reads the stream of a service from `first_offset` on.
     #[must_use]
     pub fn new(
         settings: OnceSettings,
@@ -44,7 +44,7 @@
         first_offset: u64,
         seed: u64,
     ) -> Self {
-        let mut book = Self {
+        let mut table = Self {
             settings,
             service,
             vm,
@@ -55,9 +55,9 @@
             upkeep: ClaimUpkeep::default(),
             random: SmallRng::seed_from_u64(seed),
         };
-        book.upkeep.complete_at = now.plus_ms(settings.horizon_ms);
-        book.plan_snapshot(now);
-        book
+        table.upkeep.complete_at = now.plus_ms(settings.horizon_ms);
+        table.plan_snapshot(now);
+        table
     }
 
     /// Sets the most appends a second of all nodes that write to the stream, which depends on
--- a/crates/once/src/claim_book/settle.rs
+++ b/crates/once/src/claim_table/settle.rs
@@ -3,11 +3,11 @@
 use clock::ClockTime;
 use model::{AttemptId, RunVerdict};
 
-use super::ClaimBook;
+use super::ClaimTable;
 use crate::local_attempts::LocalState;
 use crate::{ClaimAction, ClaimEntry, HeldClaim, HolderReply, KeyDigest};
 
-impl ClaimBook {
+impl ClaimTable {
     /// Brings every attempt of a key at this node in line with the owner of the key.
     pub(super) fn settle(
         &mut self,
--- a/crates/once/src/claim_book/steps.rs
+++ b/crates/once/src/claim_table/steps.rs
@@ -1,18 +1,18 @@
-//! The smaller steps of [`ClaimBook`].
+//! The smaller steps of [`ClaimTable`].
 
 use rand::Rng;
 
 use clock::ClockTime;
 use model::{AttemptId, RecordId, RefusalReason, RunVerdict};
 
-use super::ClaimBook;
+use super::ClaimTable;
 use crate::local_attempts::{EndState, LocalState};
 use crate::{
     CallFingerprint, ClaimAction, ClaimBody, ClaimEntry, ClaimRecord, ClaimRefusal, HeldClaim,
     KeyDigest, SnapshotPart, StoredAnswer,
 };
 
-impl ClaimBook {
+impl ClaimTable {
     pub(super) fn is_misuse(&self, attempt: AttemptId, owner: &HeldClaim) -> bool {
         self.local
             .get(attempt)
--- a/crates/once/src/lib.rs
+++ b/crates/once/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! A call that must run at most once is *claimed* on the platform's log before any byte goes to
 //! a backend server. The first claim of a key by offset owns the key; only the attempt it names
-//! may run. [`ClaimBook`] decides for one node, [`ClaimFold`] is the state that every node of a
+//! may run. [`ClaimTable`] decides for one node, [`ClaimFold`] is the state that every node of a
 //! service derives from the stream of [`ClaimRecord`]s.
 //!
 //! [`AttemptTable`] answers a sender that doubts whether a node has received an attempt, so that
@@ -11,11 +11,11 @@
 mod answer_store;
 mod attempt_table;
 mod claim_action;
-mod claim_book;
 mod claim_fold;
 mod claim_outbox;
 mod claim_outcome;
 mod claim_record;
+mod claim_table;
 mod claim_upkeep;
 mod key_digest;
 mod local_attempts;
@@ -27,12 +27,12 @@
 pub use answer_store::AnswerStore;
 pub use attempt_table::{AttemptArrival, AttemptSettings, AttemptState, AttemptTable, TableMark};
 pub use claim_action::{ClaimAction, ClaimRefusal};
-pub use claim_book::ClaimBook;
 pub use claim_fold::{ClaimFold, FoldEvent, HeldClaim};
 pub use claim_outcome::{ClaimOutcome, HolderReply};
 pub use claim_record::{
     ClaimBody, ClaimEntry, ClaimRecord, SnapshotClaim, SnapshotMark, SnapshotPart,
 };
+pub use claim_table::ClaimTable;
 pub use key_digest::{CallFingerprint, KeyDigest};
 pub use once_request::OnceRequest;
 pub use once_settings::OnceSettings;
--- a/crates/once/src/once_settings.rs
+++ b/crates/once/src/once_settings.rs
@@ -1,4 +1,4 @@
-/// Settings of a [`ClaimBook`](crate::ClaimBook).
+/// Settings of a [`ClaimTable`](crate::ClaimTable).
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct OnceSettings {
     /// How long duplicates are recognised, in milliseconds.
--- a/crates/once/tests/at_most_once.rs
+++ b/crates/once/tests/at_most_once.rs
@@ -2,7 +2,7 @@
 
 mod schedule;
 
-use lentilshift_once::{ClaimBook, OnceSettings};
+use lentilshift_once::{ClaimTable, OnceSettings};
 use rstest::rstest;
 use schedule::decider::{Decider, NaiveBook};
 use schedule::{Faults, Findings, Plan, World, seed_count};
@@ -49,7 +49,7 @@
 #[case::retention(Faults { retention_ms: 5_000, kill: 30, ..Faults::GIVING_UP }, HOUR_MS)]
 #[case::retention_and_horizon(Faults { retention_ms: 3_000, kill: 30, pause: 15, pause_ms: 9_000, ..Faults::GIVING_UP }, 10_000)]
 fn no_call_runs_twice_and_no_verdict_is_false(#[case] faults: Faults, #[case] horizon_ms: u64) {
-    let total = run_seeds::<ClaimBook>(plan(faults, horizon_ms), seed_count(40));
+    let total = run_seeds::<ClaimTable>(plan(faults, horizon_ms), seed_count(40));
     println!("faults={faults:?} horizon_ms={horizon_ms} findings={total:?}");
     assert_eq!(total.faults(), 0, "{total:?}");
     assert!(total.runs > 0);
@@ -71,7 +71,7 @@
     plan.settings.start_within_ms = 1_000;
     plan.keys = 6;
     plan.copies = 20;
-    let total = run_seeds::<ClaimBook>(plan, seed_count(40));
+    let total = run_seeds::<ClaimTable>(plan, seed_count(40));
     println!("no snapshots findings={total:?}");
     assert_eq!(total.faults(), 0, "{total:?}");
     assert!(total.runs > 0);
@@ -100,14 +100,14 @@
             kill_at_event,
             ..Faults::GIVING_UP
         };
-        let total = run_seeds::<ClaimBook>(Plan { faults, ..one_key }, 4);
+        let total = run_seeds::<ClaimTable>(Plan { faults, ..one_key }, 4);
         assert_eq!(total.faults(), 0, "kill at event {event}: {total:?}");
     }
 }
 
 #[test]
 fn without_faults_no_call_is_refused_needlessly() {
-    let total = run_seeds::<ClaimBook>(plan(Faults::NONE, HOUR_MS), seed_count(40));
+    let total = run_seeds::<ClaimTable>(plan(Faults::NONE, HOUR_MS), seed_count(40));
     println!("no faults findings={total:?}");
     assert_eq!(total.faults(), 0, "{total:?}");
     assert_eq!(total.needless, 0, "{total:?}");
@@ -118,7 +118,7 @@
 #[case(235)]
 #[case(381)]
 fn copy_that_waited_for_given_up_copies_is_refused_in_time(#[case] seed: u64) {
-    let findings = World::<ClaimBook>::run(plan(Faults::GIVING_UP, HOUR_MS), seed);
+    let findings = World::<ClaimTable>::run(plan(Faults::GIVING_UP, HOUR_MS), seed);
     assert_eq!(findings.faults(), 0, "{findings:?}");
     assert_eq!(findings.needless, 1, "{findings:?}");
 }
--- a/crates/once/tests/claim_book.rs
+++ b/crates/once/tests/claim_table.rs
@@ -1,9 +1,9 @@
-//! Checks single rules of a claim book that random schedules seldom reach.
+//! Checks single rules of a claim table that random schedules seldom reach.
 
 use clock::ClockTime;
 use lentilshift_once::{
-    CallFingerprint, ClaimAction, ClaimBody, ClaimBook, ClaimEntry, ClaimFold, ClaimOutcome,
-    ClaimRecord, HolderReply, KeyDigest, OnceRequest, OnceSettings, SnapshotPart, StoredAnswer,
+    CallFingerprint, ClaimAction, ClaimBody, ClaimEntry, ClaimFold, ClaimOutcome, ClaimRecord,
+    ClaimTable, HolderReply, KeyDigest, OnceRequest, OnceSettings, SnapshotPart, StoredAnswer,
 };
 use model::{AttemptId, RecordId, RefusalReason, RunVerdict};
 
@@ -28,9 +28,9 @@
     ClockTime::from_ms(ms)
 }
 
-fn book(first_offset: u64) -> ClaimBook {
+fn table(first_offset: u64) -> ClaimTable {
     let vm = "vm-1".into();
-    ClaimBook::new(SETTINGS, "filings".into(), vm, time(0), first_offset, 1)
+    ClaimTable::new(SETTINGS, "filings".into(), vm, time(0), first_offset, 1)
 }
 
 fn key(number: u8) -> KeyDigest {
@@ -70,13 +70,13 @@
 }
 
 /// Begins a call and reads its claim back at an offset.
-fn win(book: &mut ClaimBook, offset: u64, number: u128) {
+fn win(table: &mut ClaimTable, offset: u64, number: u128) {
     let mut actions = Vec::new();
-    book.begin(time(0), request(number, b"body"), &mut actions);
+    table.begin(time(0), request(number, b"body"), &mut actions);
     let Some(ClaimAction::Append(record)) = actions.pop() else {
         panic!("no append for attempt {number}");
     };
-    book.receive_record(time(1), offset, &record, &mut actions);
+    table.receive_record(time(1), offset, &record, &mut actions);
     assert_eq!(actions, vec![ClaimAction::Run(attempt(number))]);
 }
 
@@ -89,38 +89,38 @@
 
 #[test]
 fn attempt_that_was_paused_past_its_deadline_never_starts() {
-    let mut book = book(0);
-    win(&mut book, 0, 1);
+    let mut table = table(0);
+    win(&mut table, 0, 1);
     let mut actions = Vec::new();
-    assert!(!book.start(time(1_000), attempt(1), &mut actions));
+    assert!(!table.start(time(1_000), attempt(1), &mut actions));
     let refusal = refusal(&actions);
     assert_eq!(refusal, (RefusalReason::DeadlinePassed, RunVerdict::NotRun));
 }
 
 #[test]
 fn attempt_whose_claim_expired_never_starts() {
-    let mut book = book(0);
-    win(&mut book, 0, 1);
+    let mut table = table(0);
+    win(&mut table, 0, 1);
     let expire = record("vm-2", ClaimBody::Expire { below: 1 });
-    book.receive_record(time(2), 1, &expire, &mut Vec::new());
-    assert!(!book.start(time(3), attempt(1), &mut Vec::new()));
+    table.receive_record(time(2), 1, &expire, &mut Vec::new());
+    assert!(!table.start(time(3), attempt(1), &mut Vec::new()));
 }
 
 #[test]
 fn started_attempt_is_not_given_up() {
-    let mut book = book(0);
-    win(&mut book, 0, 1);
-    assert!(book.start(time(2), attempt(1), &mut Vec::new()));
-    assert!(!book.give_up(time(3), attempt(1), &mut Vec::new()));
-    assert_eq!(book.reply_for(attempt(1)), HolderReply::Running);
+    let mut table = table(0);
+    win(&mut table, 0, 1);
+    assert!(table.start(time(2), attempt(1), &mut Vec::new()));
+    assert!(!table.give_up(time(3), attempt(1), &mut Vec::new()));
+    assert_eq!(table.reply_for(attempt(1)), HolderReply::Running);
 }
 
 #[test]
 fn key_with_another_body_is_refused() {
-    let mut book = book(0);
-    win(&mut book, 0, 1);
+    let mut table = table(0);
+    win(&mut table, 0, 1);
     let mut actions = Vec::new();
-    book.begin(time(2), request(2, b"other body"), &mut actions);
+    table.begin(time(2), request(2, b"other body"), &mut actions);
     assert_eq!(
         refusal(&actions),
         (RefusalReason::BadRequest, RunVerdict::NotRun)
@@ -129,14 +129,14 @@
 
 #[test]
 fn answer_too_large_to_keep_leaves_the_verdict() {
-    let mut book = book(0);
-    win(&mut book, 0, 1);
+    let mut table = table(0);
+    win(&mut table, 0, 1);
     let mut actions = Vec::new();
-    assert!(book.start(time(2), attempt(1), &mut actions));
+    assert!(table.start(time(2), attempt(1), &mut actions));
     let answer = StoredAnswer::new(&b"200"[..], &[0; 200][..]);
     let outcome = ClaimOutcome::Answered(answer);
-    book.finish(time(3), attempt(1), outcome, &mut actions);
-    book.begin(time(4), request(2, b"body"), &mut actions);
+    table.finish(time(3), attempt(1), outcome, &mut actions);
+    table.begin(time(4), request(2, b"body"), &mut actions);
     assert_eq!(
         refusal(&actions),
         (RefusalReason::Duplicate, RunVerdict::Ran)
@@ -145,15 +145,15 @@
 
 #[test]
 fn node_that_missed_records_runs_nothing() {
-    let mut book = book(0);
-    win(&mut book, 0, 1);
+    let mut table = table(0);
+    win(&mut table, 0, 1);
     let mut actions = Vec::new();
-    book.receive_gap(time(2), 9, &mut actions);
+    table.receive_gap(time(2), 9, &mut actions);
     let unavailable = (RefusalReason::ClaimUnavailable, RunVerdict::NotRun);
     assert_eq!(refusal(&actions), unavailable);
-    assert!(!book.start(time(3), attempt(1), &mut actions));
+    assert!(!table.start(time(3), attempt(1), &mut actions));
     actions.clear();
-    book.begin(time(4), request(2, b"body"), &mut actions);
+    table.begin(time(4), request(2, b"body"), &mut actions);
     assert_eq!(refusal(&actions), unavailable);
 }
 
@@ -178,7 +178,7 @@
         key_age_ms: Some(10_000),
         ..request(1, b"body")
     };
-    book(0).begin(time(1), request, &mut actions);
+    table(0).begin(time(1), request, &mut actions);
     assert_eq!(
         refusal(&actions),
         (RefusalReason::Duplicate, RunVerdict::MayHaveRun)
@@ -187,49 +187,49 @@
 
 #[test]
 fn call_is_refused_while_the_log_is_out_and_its_late_claim_released() {
-    let mut book = book(0);
+    let mut table = table(0);
     let mut actions = Vec::new();
-    book.begin(time(0), request(1, b"body"), &mut actions);
+    table.begin(time(0), request(1, b"body"), &mut actions);
     let Some(ClaimAction::Append(lost)) = actions.pop() else {
         panic!("no append");
     };
     while actions.is_empty() {
-        let now = book.next_poll();
+        let now = table.next_poll();
         assert!(now <= time(900), "the call still waits at {now}");
-        book.poll(now, &mut actions);
+        table.poll(now, &mut actions);
         actions.retain(|action| matches!(action, ClaimAction::Refuse(..)));
     }
     let unavailable = (RefusalReason::ClaimUnavailable, RunVerdict::NotRun);
     assert_eq!(refusal(&actions), unavailable);
     actions.clear();
-    book.begin(time(2_600), request(2, b"body"), &mut actions);
+    table.begin(time(2_600), request(2, b"body"), &mut actions);
     assert_eq!(refusal(&actions), unavailable);
     actions.clear();
-    book.receive_record(time(3_000), 0, &lost, &mut actions);
+    table.receive_record(time(3_000), 0, &lost, &mut actions);
     let Some(ClaimAction::Append(release)) = actions.pop() else {
         panic!("no release of the claim that landed late: {actions:?}");
     };
-    book.receive_record(time(3_010), 1, &release, &mut actions);
-    assert!(book.fold().is_empty());
+    table.receive_record(time(3_010), 1, &release, &mut actions);
+    assert!(table.fold().is_empty());
 }
 
 #[test]
 fn new_keys_are_refused_when_there_are_too_many_claims() {
-    let mut book = book(0);
+    let mut table = table(0);
     for number in 0..5_u8 {
         let claim = claim("vm-2", key(number + 1), number.into());
-        book.receive_record(time(0), number.into(), &claim, &mut Vec::new());
+        table.receive_record(time(0), number.into(), &claim, &mut Vec::new());
     }
     let mut actions = Vec::new();
     let new = OnceRequest {
         key: key(9),
         ..request(9, b"body")
     };
-    book.begin(time(1), new, &mut actions);
+    table.begin(time(1), new, &mut actions);
     let unavailable = (RefusalReason::ClaimUnavailable, RunVerdict::NotRun);
     assert_eq!(refusal(&actions), unavailable);
     actions.clear();
-    book.begin(time(1), request(8, b"body"), &mut actions);
+    table.begin(time(1), request(8, b"body"), &mut actions);
     assert!(
         matches!(actions[..], [ClaimAction::AskHolder { .. }]),
         "{actions:?}"
@@ -243,11 +243,11 @@
         ..record("vm-9", body)
     };
     let claim_body = claim("vm-9", key(1), 9).body;
-    let mut from_start = book(0);
+    let mut from_start = table(0);
     from_start.receive_record(time(0), 0, &other(claim_body), &mut Vec::new());
     win(&mut from_start, 1, 1);
 
-    let mut late = book(3);
+    let mut late = table(3);
     let snapshot = ClaimBody::Snapshot(SnapshotPart {
         snapshot: RecordId::from_random(5),
         next_offset: 4,
--- a/crates/once/tests/schedule/decider.rs
+++ b/crates/once/tests/schedule/decider.rs
@@ -1,10 +1,10 @@
-//! What a schedule drives: a [`ClaimBook`], or the naive node that it is compared with.
+//! What a schedule drives: a [`ClaimTable`], or the naive node that it is compared with.
 
 use std::collections::BTreeMap;
 
 use clock::ClockTime;
 use lentilshift_once::{
-    ClaimAction, ClaimBook, ClaimOutcome, ClaimRecord, ClaimRefusal, HolderReply, KeyDigest,
+    ClaimAction, ClaimOutcome, ClaimRecord, ClaimRefusal, ClaimTable, HolderReply, KeyDigest,
     OnceRequest, OnceSettings, StoredAnswer,
 };
 use model::{AttemptId, RecordId, RefusalReason, RunVerdict, VmName};
@@ -29,7 +29,7 @@
     fn next_offset(&self) -> u64;
 }
 
-impl Decider for ClaimBook {
+impl Decider for ClaimTable {
     fn create(settings: OnceSettings, vm: VmName, now: ClockTime, first: u64, seed: u64) -> Self {
         Self::new(settings, "filings".into(), vm, now, first, seed)
     }
--- a/crates/once/tests/schedule/mod.rs
+++ b/crates/once/tests/schedule/mod.rs
@@ -36,7 +36,7 @@
 struct Node<D> {
     vm: VmName,
     starts: u64,
-    book: Option<D>,
+    table: Option<D>,
     paused_until: u64,
 }
 
@@ -98,7 +98,7 @@
             self.nodes.push(Node {
                 vm: VmName::new(""),
                 starts: 0,
-                book: None,
+                table: None,
                 paused_until: 0,
             });
             self.restart(index);
@@ -184,10 +184,10 @@
             self.next_event += 1;
             return;
         }
-        if let Some(mut book) = self.nodes[index].book.take() {
+        if let Some(mut table) = self.nodes[index].table.take() {
             let mut actions = Vec::new();
-            self.act(index, &mut book, event, &mut actions);
-            self.nodes[index].book = Some(book);
+            self.act(index, &mut table, event, &mut actions);
+            self.nodes[index].table = Some(table);
             for action in actions {
                 self.carry_out(index, action);
             }
@@ -200,7 +200,7 @@
         self.at_node_0 += u64::from(index == 0);
         let is_marked = index == 0 && faults.kill_at_event == Some(self.at_node_0);
         if is_marked || self.random.random_ratio(faults.kill, 10_000) {
-            self.nodes[index].book = None;
+            self.nodes[index].table = None;
             self.nodes[index].starts += 1;
             let delay = self.random.random_range(1..2_000);
             self.at(delay, index, Event::Restart(index));
@@ -221,66 +221,66 @@
         node.vm = VmName::new(format!("vm-{index}-{}", node.starts));
         node.paused_until = 0;
         let vm = node.vm.clone();
-        let book = D::create(self.plan.settings, vm, now, self.log_first, seed);
-        node.book = Some(book);
+        let table = D::create(self.plan.settings, vm, now, self.log_first, seed);
+        node.table = Some(table);
         self.at(0, index, Event::Wake(index));
     }
 
-    fn act(&mut self, index: usize, book: &mut D, event: Event, actions: &mut Actions) {
+    fn act(&mut self, index: usize, table: &mut D, event: Event, actions: &mut Actions) {
         let now = ClockTime::from_ms(self.now);
         match event {
             Event::Arrive(_, request) => {
-                book.begin(now, request, actions);
+                table.begin(now, request, actions);
                 if self.gives_up(30) {
                     let delay = self.random.random_range(0..300);
                     self.at(delay, index, Event::Leave(index, request.attempt));
                 }
             }
-            Event::Wake(_) => self.wake(index, book, actions),
-            Event::Failed(_, id) => book.failed(now, id, actions),
-            Event::Turn(_, attempt) => self.turn(index, book, attempt, actions),
+            Event::Wake(_) => self.wake(index, table, actions),
+            Event::Failed(_, id) => table.failed(now, id, actions),
+            Event::Turn(_, attempt) => self.turn(index, table, attempt, actions),
             Event::Finish(_, attempt, outcome) => {
                 self.tell_outcome(attempt, &outcome);
-                book.finish(now, attempt, outcome, actions);
+                table.finish(now, attempt, outcome, actions);
             }
-            Event::Leave(_, attempt) => self.give_up(book, attempt, actions),
+            Event::Leave(_, attempt) => self.give_up(table, attempt, actions),
             Event::Reply(_, attempt, owner, reply) => {
-                book.reply(now, attempt, owner, reply, actions);
+                table.reply(now, attempt, owner, reply, actions);
             }
             _ => {}
         }
     }
 
-    fn wake(&mut self, index: usize, book: &mut D, actions: &mut Actions) {
+    fn wake(&mut self, index: usize, table: &mut D, actions: &mut Actions) {
         let now = ClockTime::from_ms(self.now);
-        book.poll(now, actions);
+        table.poll(now, actions);
         if self.log_is_up {
             self.drop_old();
-            book.gap(now, self.log_first, actions);
+            table.gap(now, self.log_first, actions);
             let count = self.random.random_range(1..40);
-            let next = book.next_offset().max(self.log_first);
+            let next = table.next_offset().max(self.log_first);
             let next = usize::try_from(next).unwrap_or(usize::MAX);
             for (offset, (_, record)) in self.log.iter().enumerate().skip(next).take(count) {
-                book.read(now, offset as u64, record, actions);
+                table.read(now, offset as u64, record, actions);
             }
         }
         let delay = self.random.random_range(1..30);
         self.at(delay, index, Event::Wake(index));
     }
 
-    fn give_up(&mut self, book: &mut D, attempt: AttemptId, actions: &mut Actions) {
-        if book.give_up(ClockTime::from_ms(self.now), attempt, actions) {
+    fn give_up(&mut self, table: &mut D, attempt: AttemptId, actions: &mut Actions) {
+        if table.give_up(ClockTime::from_ms(self.now), attempt, actions) {
             self.tell(attempt, Told::Refused(RunVerdict::NotRun, GIVEN_UP));
         }
     }
 
     /// Starts an attempt that has won, or lets the queue refuse it.
-    fn turn(&mut self, index: usize, book: &mut D, attempt: AttemptId, actions: &mut Actions) {
+    fn turn(&mut self, index: usize, table: &mut D, attempt: AttemptId, actions: &mut Actions) {
         let now = ClockTime::from_ms(self.now);
         if self.gives_up(80) {
-            return self.give_up(book, attempt, actions);
+            return self.give_up(table, attempt, actions);
         }
-        if !book.start(now, attempt, actions) {
+        if !table.start(now, attempt, actions) {
             return;
         }
         let delay = self.random.random_range(1..400);
@@ -383,7 +383,7 @@
         let Some(node) = self.nodes.iter().find(is_there) else {
             return;
         };
-        let Some(reply) = node.book.as_ref().map(|book| book.reply_for(owner)) else {
+        let Some(reply) = node.table.as_ref().map(|table| table.reply_for(owner)) else {
             return;
         };
         let delay = self.random.random_range(0..10);
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -5,20 +5,20 @@
 //! goes to the peers before the failure is answered, so a caller that sends the request again
 //! meets nodes that know.
 //!
-//! [`SuspectBook`] decides for the node beside one backend server.
+//! [`SuspectTable`] decides for the node beside one backend server.
 
 mod held_failures;
 mod request_fingerprint;
 mod run_gate;
 mod suspect_action;
-mod suspect_book;
 mod suspect_list;
 mod suspect_news;
 mod suspect_settings;
+mod suspect_table;
 
 pub use request_fingerprint::{RequestFingerprint, home_vm};
 pub use suspect_action::{SuspectAction, SuspectDecision};
-pub use suspect_book::SuspectBook;
 pub use suspect_list::{SuspectEntry, SuspectList};
 pub use suspect_news::{NewsId, SuspectNews};
 pub use suspect_settings::SuspectSettings;
+pub use suspect_table::SuspectTable;
--- a/crates/quarantine/src/suspect_action.rs
+++ b/crates/quarantine/src/suspect_action.rs
@@ -17,7 +17,7 @@
     Refuse,
 }
 
-/// What a node has to do for its [`SuspectBook`](crate::SuspectBook).
+/// What a node has to do for its [`SuspectTable`](crate::SuspectTable).
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum SuspectAction {
     /// Send the news to every peer of the service.
--- a/crates/quarantine/src/suspect_settings.rs
+++ b/crates/quarantine/src/suspect_settings.rs
@@ -1,4 +1,4 @@
-/// Settings of a [`SuspectBook`](crate::SuspectBook).
+/// Settings of a [`SuspectTable`](crate::SuspectTable).
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SuspectSettings {
     /// How long a request stays suspect without a run, in milliseconds.
--- a/crates/quarantine/src/suspect_book.rs
+++ b/crates/quarantine/src/suspect_table.rs
@@ -26,7 +26,7 @@
 /// one VM, so a request that crashes them runs at two at most. When copies of it ran at more
 /// VMs than that before the news of the first crash came, it runs at no other.
 #[derive(Clone, Debug)]
-pub struct SuspectBook {
+pub struct SuspectTable {
     settings: SuspectSettings,
     vm: VmName,
     peers: Vec<VmName>,
@@ -38,8 +38,8 @@
     owed: Vec<OwedAck>,
 }
 
-impl SuspectBook {
-    /// Creates the book of the node on `vm`.
+impl SuspectTable {
+    /// Creates the table of the node on `vm`.
     #[must_use]
     pub fn new(settings: SuspectSettings, vm: VmName) -> Self {
         Self {
--- a/crates/quarantine/tests/poisonous_request.rs
+++ b/crates/quarantine/tests/poisonous_request.rs
@@ -4,8 +4,8 @@
 
 use clock::ClockTime;
 use lentilshift_quarantine::{
-    NewsId, RequestFingerprint, SuspectAction, SuspectBook, SuspectDecision, SuspectNews,
-    SuspectSettings, home_vm,
+    NewsId, RequestFingerprint, SuspectAction, SuspectDecision, SuspectNews, SuspectSettings,
+    SuspectTable, home_vm,
 };
 use model::{AttemptId, VmName};
 use rand::rngs::SmallRng;
@@ -60,7 +60,7 @@
     order: u64,
     events: BTreeMap<(u64, u64), Event>,
     vms: Vec<VmName>,
-    books: Vec<SuspectBook>,
+    tables: Vec<SuspectTable>,
     /// Counts the crashes of each backend server.
     lives: Vec<u64>,
     up_at: Vec<u64>,
@@ -72,11 +72,11 @@
 impl World {
     fn run(seed: u64, copies: u32, routing: Routing, is_naive: bool) -> Outcome {
         let vms: Vec<VmName> = (0..VMS).map(|i| VmName::new(format!("vm-{i}"))).collect();
-        let book = |vm: &VmName| {
-            let mut book = SuspectBook::new(SuspectSettings::default(), vm.clone());
+        let table = |vm: &VmName| {
+            let mut table = SuspectTable::new(SuspectSettings::default(), vm.clone());
             let is_peer = |other: &&VmName| *other != vm;
-            book.set_peers(vms.iter().filter(is_peer).cloned().collect::<Vec<_>>());
-            book
+            table.set_peers(vms.iter().filter(is_peer).cloned().collect::<Vec<_>>());
+            table
         };
         let mut world = Self {
             random: SmallRng::seed_from_u64(seed),
@@ -85,7 +85,7 @@
             now: 0,
             order: 0,
             events: BTreeMap::new(),
-            books: vms.iter().map(book).collect(),
+            tables: vms.iter().map(table).collect(),
             vms,
             lives: vec![0; VMS],
             up_at: vec![0; VMS],
@@ -146,7 +146,7 @@
                 }
                 self.running[vm].remove(&attempt);
                 self.outcome.answered.insert(self.calls[&attempt].number);
-                self.books[vm].finish(now, attempt, &mut actions);
+                self.tables[vm].finish(now, attempt, &mut actions);
                 vm
             }
             Event::Crash(vm, life) => {
@@ -158,16 +158,16 @@
             }
             Event::News(from, to, id, news) => {
                 let from = self.vms[from].clone();
-                self.books[to].receive(now, from, id, &news, &mut actions);
+                self.tables[to].receive(now, from, id, &news, &mut actions);
                 to
             }
             Event::Ack(from, to, id, news) => {
                 let from = self.vms[from].clone();
-                self.books[to].receive_ack(now, &from, id, &news, &mut actions);
+                self.tables[to].receive_ack(now, &from, id, &news, &mut actions);
                 to
             }
             Event::Poll(vm) => {
-                self.books[vm].poll(now, &mut actions);
+                self.tables[vm].poll(now, &mut actions);
                 vm
             }
         };
@@ -203,7 +203,7 @@
         }
         let now = ClockTime::from_ms(self.now);
         let is_single = !call.is_idempotent;
-        match self.books[vm].begin(now, call.fingerprint, attempt, is_single) {
+        match self.tables[vm].begin(now, call.fingerprint, attempt, is_single) {
             SuspectDecision::Run => self.start(vm, attempt),
             SuspectDecision::RunAlone => {
                 assert!(self.running[vm].is_empty(), "a suspect must run alone");
@@ -243,7 +243,7 @@
             }
             return;
         }
-        self.books[vm].crash(ClockTime::from_ms(self.now), actions);
+        self.tables[vm].crash(ClockTime::from_ms(self.now), actions);
     }
 
     fn carry_out(&mut self, vm: usize, actions: Vec<SuspectAction>) {
