--- a/crates/node/src/held_answer.rs
+++ b/crates/node/src/held_answer.rs
@@ -9,7 +9,7 @@
 
 use crate::call_body::{CallBody, CallBodyError};
 use crate::count_guard::CountGuard;
-use crate::ingress::RunGuard;
+use crate::run_guard::RunGuard;
 
 /// How far an answer has come.
 enum HeldState {
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -1,4 +1,3 @@
-use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -7,12 +6,13 @@
 use compio::time::timeout;
 use http::{Request, Response, Uri};
 use hyper::body::Incoming;
-use limit::{LoadReport, QueueTicket, RunOutcome};
-use model::{AttemptId, RefusalReason, RunVerdict, ShedOrder};
-use once::{AttemptArrival, ClaimOutcome, StoredAnswer};
+use limit::{LoadReport, QueueTicket};
+use model::{RefusalReason, RunVerdict, ShedOrder};
+use once::ClaimOutcome;
 use wire::{AnswerHead, CallHead, HeaderList};
 
 use crate::answer_body::AnswerBody;
+use crate::attempt_guard::AttemptGuard;
 use crate::backend_pool::BackendError;
 use crate::call_answer::{CallAnswer, CallRefusal};
 use crate::call_body::CallBody;
@@ -22,20 +22,16 @@
 use crate::count_guard::CountGuard;
 use crate::held_answer::HeldAnswer;
 use crate::http_body::HttpBody;
+use crate::kept_answer::{keep_answer, replay_answer};
 use crate::node_core::NodeCore;
-use crate::request_body::{gather_small, read_whole};
-use crate::running_calls::RunningCall;
+use crate::request_body::gather_small;
+use crate::run_guard::RunGuard;
 use crate::suspect_watch::{SuspectGuard, SuspectRefusal, enter_run, quarantine_refusal};
 
 /// The time that a call is expected to run before any was measured, in milliseconds.
 const EXPECTED_RUN_MS: u64 = 1;
 /// The time after which callers come back to a backend server that is down, in milliseconds.
 const BACKEND_DOWN_MS: u64 = 500;
-/// The time after which callers come back to a node whose table of attempts is full, in
-/// milliseconds.
-const TABLE_FULL_MS: u64 = 1_000;
-/// The largest answer that is kept for duplicates of its call, in bytes.
-const MAX_KEPT_ANSWER_BYTES: u64 = 64 * 1024;
 
 /// Runs a call on the local backend server, when its turn comes and while it is of use.
 pub(crate) async fn run_call(core: &Rc<NodeCore>, head: CallHead, body: CallBody) -> CallAnswer {
@@ -270,47 +266,6 @@
     }
 }
 
-/// Reads a small answer whole, so that duplicates of its call can be given it.
-async fn keep_answer(
-    head: &mut AnswerHead,
-    body: CallBody,
-) -> Result<(CallBody, Option<StoredAnswer>), CallRefusal> {
-    let is_small = head
-        .body_bytes
-        .is_some_and(|bytes| bytes <= MAX_KEPT_ANSWER_BYTES);
-    let CallBody::Http(incoming) = body else {
-        return Ok((body, None));
-    };
-    if !is_small {
-        return Ok((CallBody::Http(incoming), None));
-    }
-    let whole = read_whole(incoming).await;
-    let whole = whole.map_err(|_| CallRefusal::may_have_run(RefusalReason::BackendFailed))?;
-    let stored = wire::encode(head).ok();
-    let stored = stored.map(|encoded| StoredAnswer::new(encoded, whole.to_vec()));
-    Ok((CallBody::Whole(whole), stored))
-}
-
-/// Gives a duplicate the answer of the call that ran.
-fn replay_answer(head: &CallHead, stored: &StoredAnswer) -> CallAnswer {
-    let Ok(kept) = wire::decode::<AnswerHead>(&stored.head) else {
-        let refusal = CallRefusal {
-            verdict: RunVerdict::Ran,
-            ..CallRefusal::not_run(RefusalReason::Duplicate)
-        };
-        return CallAnswer::refused(head, &refusal, head.allowance);
-    };
-    CallAnswer {
-        head: AnswerHead {
-            request: head.request,
-            attempt: head.attempt,
-            allowance_left: head.allowance,
-            ..kept
-        },
-        body: CallBody::Whole(Bytes::copy_from_slice(&stored.body)).into(),
-    }
-}
-
 /// Adds what every answer tells of the node that gives it.
 fn finish_answer(core: &NodeCore, head: &CallHead, mut answer: CallAnswer) -> CallAnswer {
     let now = core.now();
@@ -336,102 +291,3 @@
         _ => Bytes::new(),
     }
 }
-
-/// Keeps an attempt of another node in the table of attempts, for senders in doubt.
-struct AttemptGuard {
-    core: Rc<NodeCore>,
-    attempt: AttemptId,
-    verdict: Cell<RunVerdict>,
-}
-
-impl AttemptGuard {
-    /// Notes an attempt that arrives; one of this node itself carries no mark.
-    fn arrive(core: &Rc<NodeCore>, head: &CallHead) -> Result<Self, CallRefusal> {
-        let now = core.now();
-        let mut table = core.attempts.borrow_mut();
-        let mark = head.mark.unwrap_or_else(|| table.mark(now));
-        match table.arrive(now, head.attempt, mark) {
-            AttemptArrival::Accept => Ok(Self {
-                core: Rc::clone(core),
-                attempt: head.attempt,
-                verdict: Cell::new(RunVerdict::MayHaveRun),
-            }),
-            AttemptArrival::Repeated => Err(CallRefusal::may_have_run(RefusalReason::LinkBroken)),
-            AttemptArrival::Disowned | AttemptArrival::Stale => {
-                Err(CallRefusal::not_run(RefusalReason::LinkBroken))
-            }
-            AttemptArrival::Full => {
-                Err(CallRefusal::not_run(RefusalReason::Overloaded).after_ms(TABLE_FULL_MS))
-            }
-        }
-    }
-
-    fn settle(&self, verdict: RunVerdict) {
-        self.verdict.set(verdict);
-    }
-}
-
-impl Drop for AttemptGuard {
-    fn drop(&mut self) {
-        let now = self.core.now();
-        let mut table = self.core.attempts.borrow_mut();
-        match self.verdict.get() {
-            RunVerdict::NotRun => table.refuse(now, self.attempt),
-            _ => table.finish(now, self.attempt, None),
-        }
-    }
-}
-
-/// Holds the place of a running call until its answer's last byte has gone.
-pub(crate) struct RunGuard {
-    core: Rc<NodeCore>,
-    call: Rc<RunningCall>,
-    attempt: AttemptId,
-    started: ClockTime,
-    answered_ms: Cell<Option<u64>>,
-}
-
-impl RunGuard {
-    fn start(core: &Rc<NodeCore>, head: &CallHead, deadline: ClockTime) -> Self {
-        let call = Rc::new(RunningCall::new(head, deadline));
-        core.running.insert(head.attempt, Rc::clone(&call));
-        Self {
-            core: Rc::clone(core),
-            call,
-            attempt: head.attempt,
-            started: core.now(),
-            answered_ms: Cell::new(None),
-        }
-    }
-
-    pub(crate) fn now(&self) -> ClockTime {
-        self.core.now()
-    }
-
-    /// Takes what is left of the call's allowance, to go back with the answer.
-    fn take_allowance(&self) -> u32 {
-        self.call.allowance.take().close().retries()
-    }
-
-    /// Notes that the answer's head has come and returns the time since the start, in
-    /// milliseconds.
-    fn mark_answered(&self) -> u32 {
-        let run_ms = self.core.now().since_ms(self.started);
-        self.answered_ms.set(Some(run_ms));
-        u32::try_from(run_ms).unwrap_or(u32::MAX)
-    }
-}
-
-impl Drop for RunGuard {
-    fn drop(&mut self) {
-        self.core.running.remove(self.attempt);
-        let outcome = match self.answered_ms.get() {
-            Some(run_ms) => RunOutcome::Completed {
-                own_ms: run_ms.saturating_sub(self.call.below_ms.get()),
-            },
-            None => RunOutcome::Failed,
-        };
-        let now = self.core.now();
-        self.core.gate.finish(now, self.attempt, outcome);
-    }
-}
--- /dev/null
+++ b/crates/node/src/run_guard.rs
@@ -0,0 +1,64 @@
+use std::cell::Cell;
+use std::rc::Rc;
+
+use clock::ClockTime;
+use limit::RunOutcome;
+use model::AttemptId;
+use wire::CallHead;
+
+use crate::node_core::NodeCore;
+use crate::running_calls::RunningCall;
+
+/// Holds the place of a running call until its answer's last byte has gone.
+pub(crate) struct RunGuard {
+    core: Rc<NodeCore>,
+    pub(crate) call: Rc<RunningCall>,
+    attempt: AttemptId,
+    started: ClockTime,
+    answered_ms: Cell<Option<u64>>,
+}
+
+impl RunGuard {
+    pub(crate) fn start(core: &Rc<NodeCore>, head: &CallHead, deadline: ClockTime) -> Self {
+        let call = Rc::new(RunningCall::new(head, deadline));
+        core.running.insert(head.attempt, Rc::clone(&call));
+        Self {
+            core: Rc::clone(core),
+            call,
+            attempt: head.attempt,
+            started: core.now(),
+            answered_ms: Cell::new(None),
+        }
+    }
+
+    pub(crate) fn now(&self) -> ClockTime {
+        self.core.now()
+    }
+
+    /// Takes what is left of the call's allowance, to go back with the answer.
+    pub(crate) fn take_allowance(&self) -> u32 {
+        self.call.allowance.take().close().retries()
+    }
+
+    /// Notes that the answer's head has come and returns the time since the start, in
+    /// milliseconds.
+    pub(crate) fn mark_answered(&self) -> u32 {
+        let run_ms = self.core.now().since_ms(self.started);
+        self.answered_ms.set(Some(run_ms));
+        u32::try_from(run_ms).unwrap_or(u32::MAX)
+    }
+}
+
+impl Drop for RunGuard {
+    fn drop(&mut self) {
+        self.core.running.remove(self.attempt);
+        let outcome = match self.answered_ms.get() {
+            Some(run_ms) => RunOutcome::Completed {
+                own_ms: run_ms.saturating_sub(self.call.below_ms.get()),
+            },
+            None => RunOutcome::Failed,
+        };
+        let now = self.core.now();
+        self.core.gate.finish(now, self.attempt, outcome);
+    }
+}
