--- a/crates/node/src/decision_waiters.rs
+++ b/crates/node/src/decision_waiters.rs
@@ -14,17 +14,17 @@
 }
 
 impl<T> DecisionWaiters<T> {
-    /// Lets an attempt wait for its fate; dropping the receiver forgets it.
+    /// Lets an attempt wait for its decision; dropping the receiver forgets it.
     pub(crate) fn wait_for(&self, attempt: AttemptId) -> oneshot::Receiver<T> {
         let (sender, receiver) = oneshot::channel();
         self.0.borrow_mut().insert(attempt, sender);
         receiver
     }
 
-    /// Tells an attempt its fate, if it still waits.
-    pub(crate) fn tell(&self, attempt: AttemptId, fate: T) {
+    /// Tells an attempt its decision, if it still waits.
+    pub(crate) fn tell(&self, attempt: AttemptId, decision: T) {
         if let Some(sender) = self.0.borrow_mut().remove(&attempt) {
-            let _ = sender.send(fate);
+            let _ = sender.send(decision);
         }
     }
 
--- a/crates/node/src/ingress_gate.rs
+++ b/crates/node/src/ingress_gate.rs
@@ -1,25 +1,25 @@
 use std::cell::RefCell;
-use std::collections::BTreeMap;
 
 use clock::ClockTime;
-use futures_channel::oneshot;
 use limit::{
     AdmissionQueue, LoadReport, QueueAction, QueueDecision, QueueRefusal, QueueSettings,
     QueueTicket, RunOutcome,
 };
 use model::AttemptId;
 
+use crate::decision_waiters::DecisionWaiters;
+
 /// The queue in front of the backend server, with the calls that wait in it.
 pub(crate) struct IngressGate {
     queue: RefCell<AdmissionQueue>,
-    waiting: RefCell<BTreeMap<AttemptId, oneshot::Sender<Result<(), QueueRefusal>>>>,
+    waiting: DecisionWaiters<Result<(), QueueRefusal>>,
 }
 
 impl IngressGate {
     pub(crate) fn new(seed: u64) -> Self {
         Self {
             queue: RefCell::new(AdmissionQueue::new(QueueSettings::default(), seed)),
-            waiting: RefCell::default(),
+            waiting: DecisionWaiters::default(),
         }
     }
 
@@ -48,16 +48,15 @@
             QueueDecision::Start => Ok(()),
             QueueDecision::Refuse(refusal) => Err(refusal),
             QueueDecision::Wait => {
-                let (sender, receiver) = oneshot::channel();
-                self.waiting.borrow_mut().insert(id, sender);
+                let waiting = self.waiting.wait_for(id);
                 let mut leave = LeaveGuard {
                     gate: self,
                     clock,
                     id: Some(id),
                 };
-                let fate = receiver.await;
+                let decision = waiting.await;
                 leave.id = None;
-                fate.expect("the sender lives until the call's fate is known")
+                decision.expect("the sender lives until the queue has decided")
             }
         }
     }
@@ -73,7 +72,7 @@
 
     /// Frees the place of a call that was given up.
     pub(crate) fn cancel(&self, now: ClockTime, id: AttemptId) {
-        self.waiting.borrow_mut().remove(&id);
+        self.waiting.forget(id);
         let mut actions = Vec::new();
         self.queue.borrow_mut().cancel(now, id, &mut actions);
         self.act(actions);
@@ -93,12 +92,9 @@
 
     fn act(&self, actions: Vec<QueueAction>) {
         for action in actions {
-            let (id, fate) = match action {
-                QueueAction::Start(id) => (id, Ok(())),
-                QueueAction::Refuse(id, refusal) => (id, Err(refusal)),
-            };
-            if let Some(sender) = self.waiting.borrow_mut().remove(&id) {
-                let _ = sender.send(fate);
+            match action {
+                QueueAction::Start(id) => self.waiting.tell(id, Ok(())),
+                QueueAction::Refuse(id, refusal) => self.waiting.tell(id, Err(refusal)),
             }
         }
     }
--- a/crates/node/src/node_process.rs
+++ b/crates/node/src/node_process.rs
@@ -254,7 +254,7 @@
         }
         poll_rates(&core, now);
         poll_claims(&core, now);
-        poll_suspects(&core, now);
+        poll_suspects(&core);
         greet_siblings(&core);
         let idle_ms = now.until_ms(next_due(&core)).min(MAX_IDLE_MS);
         if idle_ms > TICK_MS {
--- a/crates/node/src/suspect_watch.rs
+++ b/crates/node/src/suspect_watch.rs
@@ -5,7 +5,9 @@
 use compio::time::{sleep, timeout};
 use futures_channel::oneshot;
 use model::{AttemptId, RefusalReason, TeamName, VmName};
-use quarantine::{NewsId, RequestFingerprint, SuspectAction, SuspectDecision, SuspectNews};
+use quarantine::{
+    NewsId, RequestFingerprint, SuspectAction, SuspectDecision, SuspectNews, SuspectTable,
+};
 use wire::CallHead;
 
 use crate::call_answer::CallRefusal;
@@ -107,16 +109,11 @@
 impl Drop for SuspectGuard {
     fn drop(&mut self) {
         self.core.suspect_waiters.forget(self.attempt);
-        let now = self.core.now();
-        let mut actions = Vec::new();
-        let mut table = self.core.suspects.borrow_mut();
-        match self.stage {
-            RunStage::Unsent => table.withdraw(now, self.attempt, &mut actions),
-            RunStage::Sent => table.abandon(now, self.attempt, &mut actions),
-            RunStage::Answered => table.finish(now, self.attempt, &mut actions),
-        }
-        drop(table);
-        act_on_suspects(&self.core, actions);
+        change_suspects(&self.core, |table, now, actions| match self.stage {
+            RunStage::Unsent => table.withdraw(now, self.attempt, actions),
+            RunStage::Sent => table.abandon(now, self.attempt, actions),
+            RunStage::Answered => table.finish(now, self.attempt, actions),
+        });
     }
 }
 
@@ -180,30 +177,22 @@
 }
 
 /// Does what is due for the suspects.
-pub(crate) fn poll_suspects(core: &Rc<NodeCore>, now: ClockTime) {
-    let mut actions = Vec::new();
-    core.suspects.borrow_mut().poll(now, &mut actions);
-    act_on_suspects(core, actions);
+pub(crate) fn poll_suspects(core: &Rc<NodeCore>) {
+    change_suspects(core, SuspectTable::poll);
 }
 
 /// Takes news of a peer.
 pub(crate) fn receive_news(core: &Rc<NodeCore>, from: &VmName, id: NewsId, news: &[SuspectNews]) {
-    let now = core.now();
-    let mut actions = Vec::new();
-    let mut table = core.suspects.borrow_mut();
-    table.receive(now, from.clone(), id, news, &mut actions);
-    drop(table);
-    act_on_suspects(core, actions);
+    change_suspects(core, |table, now, actions| {
+        table.receive(now, from.clone(), id, news, actions);
+    });
 }
 
 /// Takes a peer's acknowledgement of news.
 pub(crate) fn receive_ack(core: &Rc<NodeCore>, from: &VmName, id: NewsId, news: &[SuspectNews]) {
-    let now = core.now();
-    let mut actions = Vec::new();
-    let mut table = core.suspects.borrow_mut();
-    table.receive_ack(now, from, id, news, &mut actions);
-    drop(table);
-    act_on_suspects(core, actions);
+    change_suspects(core, |table, now, actions| {
+        table.receive_ack(now, from, id, news, actions);
+    });
 }
 
 /// Returns what makes two calls the same request.
@@ -222,9 +211,16 @@
         core.is_up.set(false);
         core.gate.reset();
     }
-    let now = core.now();
+    change_suspects(core, SuspectTable::crash);
+}
+
+/// Changes the table of suspects, and then does what it wants done.
+fn change_suspects(
+    core: &Rc<NodeCore>,
+    change: impl FnOnce(&mut SuspectTable, ClockTime, &mut Vec<SuspectAction>),
+) {
     let mut actions = Vec::new();
-    core.suspects.borrow_mut().crash(now, &mut actions);
+    change(&mut core.suspects.borrow_mut(), core.now(), &mut actions);
     act_on_suspects(core, actions);
 }
 
@@ -278,10 +274,7 @@
 
 /// Takes all that a peer knows.
 pub(crate) fn receive_list(core: &Rc<NodeCore>, news: &[SuspectNews]) {
-    let now = core.now();
-    let mut actions = Vec::new();
-    core.suspects.borrow_mut().take(now, news, &mut actions);
-    act_on_suspects(core, actions);
+    change_suspects(core, |table, now, actions| table.take(now, news, actions));
 }
 
 fn send_list(core: &Rc<NodeCore>, vm: VmName) {
