fix(node,member): what a node knows of its own backend server holds at once

The answer's text says `no-backend` with 1,000 ms: no VM was in the router, while the dump already said that one takes work. The view of the members changed at once, the routers only at the next look, up to 250 ms later. Two more faults showed while looking:

- the loop that announces waited for its append, up to 4.5 s with a log that hangs; meanwhile it didn't see its backend server come back;
- every start of a node announced itself under number 1, so that others took a VM that came back after a planned stop for the one that left, and sent it nothing until the old announcement lapsed (30 s here, 40 minutes at 4,000 nodes).

Ruled out: ejection by the router (the refusal would name a VM that failed), quarantine (422), the shared allowance.

Change: the own state goes to the routers at once; the append runs beside the loop; a start takes a random number, and one above that of an earlier start of its VM when it meets that in the stream; a connection to the backend server that doesn't open within 1 s counts as closed; the dump counts the VMs that the routers know.

--- a/crates/member/src/announce_timer.rs
+++ b/crates/member/src/announce_timer.rs
@@ -41,6 +41,12 @@
         is_change
     }
 
+    /// Makes this start newer than another one of the same VM, which is due at once.
+    pub fn rise_above(&mut self, other: &MemberAnnouncement) {
+        self.own.incarnation = other.incarnation.saturating_add(1);
+        self.due_at = None;
+    }
+
     /// Returns the announcement to append now, or `None` when none is due.
     pub fn take_due<R: Rng>(
         &mut self,
--- a/crates/node/src/announce.rs
+++ b/crates/node/src/announce.rs
@@ -1,11 +1,14 @@
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
+use clock::ClockTime;
 use compio::time::{sleep, timeout};
 use member::{AnnounceTimer, MemberAnnouncement, MemberSettings, MemberState};
 use model::VmName;
 use platform::{LogStream, NewRecord, PlatformLog, RecordBody};
 
+use crate::fleet_watch::put_members;
 use crate::node_core::NodeCore;
 use crate::node_message::NodeMessage;
 use crate::peer_talk::ask_peer;
@@ -14,36 +17,116 @@
 const LOOK_MS: u64 = 50;
 /// The time after which an announcement that failed is repeated, in milliseconds.
 const AGAIN_MS: u64 = 500;
+/// The shortest time between two new numbers of one start, in milliseconds.
+const RISE_MS: u64 = 1_000;
+/// The time that the backend server has to accept a connection, in milliseconds.
+const CONNECT_MS: u64 = 1_000;
 /// The time that a peer has to take an announcement, in milliseconds.
 const TELL_MS: u64 = 1_000;
 
 /// Announces the node for as long as it runs.
+///
+/// What changes holds at this node at once; the log learns of it as soon as it takes the append.
 pub(crate) async fn announce_node(core: Rc<NodeCore>, own: MemberAnnouncement) {
     let mut timer = AnnounceTimer::new(MemberSettings::default(), own);
+    let append = Rc::new(OwnAppend::default());
+    let mut risen_at = None;
     loop {
         let state = present_state(&core).await;
-        if timer.set_state(state) {
-            log::info!(
-                "event=state-changed vm={} state={state:?}",
-                core.settings.vm
-            );
-        }
-        let now = core.now();
-        let members = core.fleet.with(|feed| feed.fold().view().len());
-        let due = core.with_random(|random| timer.take_due(now, members, random));
-        if let Some(announcement) = due {
-            core.fleet.with(|feed| feed.fold().learn(&announcement));
-            if state >= MemberState::Leaving {
-                tell_peers(&core, &announcement);
-            }
-            if !append(&core, &announcement).await {
-                timer.on_failure(core.now(), AGAIN_MS);
-            }
+        put_state(&core, &mut timer, state);
+        rise_above_other(&core, &mut timer, &mut risen_at);
+        if append.is_free(&mut timer, core.now()) {
+            announce_due(&core, &mut timer, &append);
         }
+        put_members(&core, core.now());
         sleep(Duration::from_millis(LOOK_MS)).await;
     }
 }
 
+/// Takes in the state of the node, and tells peers directly of a leave.
+fn put_state(core: &Rc<NodeCore>, timer: &mut AnnounceTimer, state: MemberState) {
+    if !timer.set_state(state) {
+        return;
+    }
+    log::info!(
+        "event=state-changed vm={} state={state:?}",
+        core.settings.vm
+    );
+    tell(core, timer.own());
+}
+
+/// Makes the own announcement newer than one that an earlier start of this VM left behind.
+fn rise_above_other(
+    core: &Rc<NodeCore>,
+    timer: &mut AnnounceTimer,
+    risen_at: &mut Option<ClockTime>,
+) {
+    let now = core.now();
+    let is_early = risen_at.is_some_and(|at| now.since_ms(at) < RISE_MS);
+    if is_early || core.is_leaving() {
+        return;
+    }
+    let known = core
+        .fleet
+        .with(|feed| feed.fold().view().get(&core.settings.vm).cloned());
+    let Some(other) = known.filter(|known| known.incarnation > timer.own().incarnation) else {
+        return;
+    };
+    *risen_at = Some(now);
+    timer.rise_above(&other);
+    log::info!(
+        "event=start-renumbered vm={} start={}",
+        core.settings.vm,
+        timer.own().incarnation
+    );
+    tell(core, timer.own());
+}
+
+fn announce_due(core: &Rc<NodeCore>, timer: &mut AnnounceTimer, append: &Rc<OwnAppend>) {
+    let members = core.fleet.with(|feed| feed.fold().view().len());
+    let due = core.with_random(|random| timer.take_due(core.now(), members, random));
+    let Some(announcement) = due else { return };
+    tell(core, &announcement);
+    append.start(core, announcement);
+}
+
+/// Takes an announcement into the own view, and tells linked nodes of a leave.
+fn tell(core: &Rc<NodeCore>, announcement: &MemberAnnouncement) {
+    core.fleet.with(|feed| feed.fold().learn(announcement));
+    if announcement.state >= MemberState::Leaving {
+        tell_peers(core, announcement);
+    }
+}
+
+/// The append of an announcement, one at a time.
+#[derive(Default)]
+struct OwnAppend {
+    is_running: Cell<bool>,
+    has_failed: Cell<bool>,
+}
+
+impl OwnAppend {
+    /// Returns whether none runs, and has one that failed repeated.
+    fn is_free(&self, timer: &mut AnnounceTimer, now: ClockTime) -> bool {
+        if self.has_failed.take() {
+            timer.on_failure(now, AGAIN_MS);
+        }
+        !self.is_running.get()
+    }
+
+    fn start(self: &Rc<Self>, core: &Rc<NodeCore>, announcement: MemberAnnouncement) {
+        self.is_running.set(true);
+        let own = Rc::clone(self);
+        let core = Rc::clone(core);
+        let appending = async move {
+            let is_done = append(&core, &announcement).await;
+            own.has_failed.set(!is_done);
+            own.is_running.set(false);
+        };
+        compio::runtime::spawn(appending).detach();
+    }
+}
+
 /// Returns whether the node takes work now.
 async fn present_state(core: &NodeCore) -> MemberState {
     if core.is_leaving() {
@@ -52,7 +135,10 @@
     if !core.has_contract() {
         return MemberState::Starting;
     }
-    let is_up = core.backend.keep_spare().await;
+    let limit = Duration::from_millis(CONNECT_MS);
+    let is_up = timeout(limit, core.backend.keep_spare())
+        .await
+        .unwrap_or(false);
     core.is_up.set(is_up);
     if is_up {
         MemberState::Ready
--- a/crates/node/src/fleet_watch.rs
+++ b/crates/node/src/fleet_watch.rs
@@ -35,11 +35,19 @@
         put_service(core, now, service);
     }
     put_plan(core);
+    core.ready_members.set(count_ready(core));
     let mut siblings = core.ready_vms(&core.settings.service);
     siblings.retain(|vm| *vm != core.settings.vm);
     put_siblings(core, siblings);
 }
 
+fn count_ready(core: &NodeCore) -> usize {
+    core.fleet.with(|feed| {
+        let ready = feed.fold().view().ready_by_centre();
+        ready.values().map(Vec::len).sum()
+    })
+}
+
 fn put_links(core: &NodeCore) {
     let members = core.fleet.with(|feed| {
         let members = feed.fold().view().members();
--- a/crates/node/src/node_core.rs
+++ b/crates/node/src/node_core.rs
@@ -68,6 +68,8 @@
     /// Whether the backend server has accepted a connection since the start.
     pub(crate) is_up: Cell<bool>,
     pub(crate) routers: RefCell<BTreeMap<ServiceName, VmRouter>>,
+    /// The VMs that take work, as the routers were last told.
+    pub(crate) ready_members: Cell<usize>,
     pub(crate) links: PeerLinks,
     pub(crate) backend: Rc<BackendPool>,
     pub(crate) gate: IngressGate,
@@ -147,6 +149,7 @@
             ratios: RefCell::default(),
             is_up: Cell::new(false),
             routers: RefCell::default(),
+            ready_members: Cell::new(0),
             links: PeerLinks::default(),
             backend: Rc::new(BackendPool::new(settings.backend_address)),
             gate,
--- a/crates/node/src/node_process.rs
+++ b/crates/node/src/node_process.rs
@@ -9,6 +9,7 @@
 use compio::runtime::spawn;
 use compio::time::{sleep, timeout};
 use member::{MemberAnnouncement, MemberState};
+use rand::Rng;
 use thiserror::Error;
 use wire::PeerServer;
 
@@ -32,6 +33,8 @@
 const MAX_IDLE_MS: u64 = 100;
 /// The time between two looks at the members, in milliseconds.
 const MEMBER_TICK_MS: u64 = 250;
+/// The number under which a start of a node first announces itself lies below this.
+const MAX_START: u64 = 1 << 32;
 /// The time for which a stop lets callers and nodes move away, in milliseconds.
 const LEAVE_MS: u64 = 3_000;
 /// The time for which a stop lets the last bytes leave the links, in milliseconds.
@@ -133,7 +136,9 @@
             service: settings.service.clone(),
             peer_addr: settings.advertised_address.unwrap_or(self.peer_address),
             slots: settings.backend_slots,
-            incarnation: 1,
+            incarnation: self
+                .core
+                .with_random(|random| random.random_range(1..MAX_START)),
             sequence: 0,
             state: MemberState::Starting,
             valid_ms: 0,
--- a/crates/node/src/state_dump.rs
+++ b/crates/node/src/state_dump.rs
@@ -53,14 +53,7 @@
         load: core.gate.load(core.now()),
         running_calls: core.running.len(),
         open_connections: core.open_connections.get(),
-        ready_members: core.fleet.with(|feed| {
-            feed.fold()
-                .view()
-                .ready_by_centre()
-                .values()
-                .map(Vec::len)
-                .sum()
-        }),
+        ready_members: core.ready_members.get(),
         unreadable_members: core.fleet.with(|feed| feed.fold().unreadable()),
         links: core.links.names(),
         contract: dump_contract(core),
--- a/crates/node/tests/faults_poison.rs
+++ b/crates/node/tests/faults_poison.rs
@@ -100,7 +100,8 @@
         restart_all(&fleet).await;
     }
     let answer = fleet.send(0, "GET", "/filings/filings/innocent").await;
-    assert_eq!(answer.status().as_u16(), 200);
+    let status = answer.status().as_u16();
+    assert_eq!(status, 200, "{}", answer.text().await.unwrap());
 }
 
 #[rstest]
--- a/crates/node/tests/fleet/mod.rs
+++ b/crates/node/tests/fleet/mod.rs
@@ -196,10 +196,7 @@
 
     async fn is_settled(&self) -> bool {
         for pair in &self.pairs {
-            let url = format!("http://{}/dump", pair.node.admin_address());
-            let answer = self.client.get(url).unwrap().send().await.unwrap();
-            let dump: serde_json::Value =
-                serde_json::from_str(&answer.text().await.unwrap()).unwrap();
+            let dump = self.dump_of(pair).await;
             let ready = dump["ready_members"].as_u64().unwrap_or(0);
             if dump["is_ready"] != true || ready != self.pairs.len() as u64 {
                 return false;
@@ -208,6 +205,18 @@
         true
     }
 
+    /// Returns what a node's dump says.
+    #[allow(dead_code, reason = "not every test file looks at dumps")]
+    pub async fn dump(&self, node: usize) -> serde_json::Value {
+        self.dump_of(&self.pairs[node]).await
+    }
+
+    async fn dump_of(&self, pair: &Pair) -> serde_json::Value {
+        let url = format!("http://{}/dump", pair.node.admin_address());
+        let answer = self.client.get(url).unwrap().send().await.unwrap();
+        serde_json::from_str(&answer.text().await.unwrap()).unwrap()
+    }
+
     /// Returns how often the backend servers started a request with a trace.
     #[allow(dead_code, reason = "not every test file counts runs")]
     pub fn runs(&self, trace: &str) -> usize {
