feat(graph,node): hand out times of their own to refused callers

Cause: the entry told every refused caller 1 s, so all that were refused came back in one wave.

Change: the entry hands out slots one after another, at 0.08 of the rate that it lately served of the caller's team through the service that refuses, from 1 s to 15 min. The same holds for a refusal by a queue further down. No answer is held back.

Tests of graph and trial pass.

--- a/crates/graph/src/admission_settings.rs
+++ b/crates/graph/src/admission_settings.rs
@@ -23,6 +23,13 @@
     pub time_half_life_ms: u64,
     /// The least time after which a refused caller is told to come back, in milliseconds.
     pub min_retry_after_ms: u64,
+    /// The longest time after which a refused caller is told to come back, in milliseconds.
+    pub max_retry_after_ms: u64,
+    /// The work that comes back at a time, as a part of what is served.
+    pub return_share: f64,
+    /// The time without a refusal in which the slots handed out before count half, in
+    /// milliseconds.
+    pub return_half_life_ms: u64,
 }
 
 impl AdmissionSettings {
@@ -47,6 +54,9 @@
             time_hold_ms: 250,
             time_half_life_ms: 1_000,
             min_retry_after_ms: 1_000,
+            max_retry_after_ms: 900_000,
+            return_share: 0.08,
+            return_half_life_ms: 5_000,
         }
     }
 }
--- a/crates/graph/src/chain_admission.rs
+++ b/crates/graph/src/chain_admission.rs
@@ -4,8 +4,10 @@
 use contract::FleetContract;
 use model::{RefusalReason, ServiceName, ShedOrder, TeamName};
 
+use crate::return_slots::ReturnSlots;
 use crate::{
-    AdmissionSettings, CallTarget, CallUses, ChainRefusal, CutReport, ExpectedTime, ServiceCuts,
+    AdmissionSettings, CallTarget, CallUses, ChainRefusal, CutReport, ExpectedTime, RefusedRequest,
+    ServiceCuts,
 };
 
 /// Admits a request only when the whole chain of calls below it will take it.
@@ -42,6 +44,7 @@
     cuts: ServiceCuts,
     times: ExpectedTime,
     uses: CallUses,
+    returns: ReturnSlots,
 }
 
 impl ChainAdmission {
@@ -53,6 +56,7 @@
             cuts: ServiceCuts::default(),
             times: ExpectedTime::new(settings),
             uses: CallUses::new(settings),
+            returns: ReturnSlots::new(settings),
         }
     }
 
@@ -123,6 +127,27 @@
         self.times.observe_unfinished(now, target, elapsed_ms);
     }
 
+    /// Takes in a whole request that entered here and was served.
+    pub fn observe_served(
+        &mut self,
+        now: ClockTime,
+        target: &CallTarget,
+        team: Option<&TeamName>,
+        run_ms: u64,
+    ) {
+        self.returns.observe_served(now, target, team, run_ms);
+    }
+
+    /// Returns the time after which a refused caller should come back, in milliseconds; it
+    /// differs from caller to caller.
+    pub fn return_after_ms(&mut self, now: ClockTime, refused: RefusedRequest<'_>) -> u64 {
+        let cuts = &self.cuts;
+        self.returns.hand_out(now, refused, |target| {
+            let mut below = cuts.services_below(target);
+            target.service == *refused.service || below.any(|below| below == refused.service)
+        })
+    }
+
     /// Takes in the lower calls that one complete run of a call of the own service made.
     pub fn observe_uses(&mut self, target: &CallTarget, used: &BTreeSet<CallTarget>) {
         self.uses.observe(target, used);
@@ -137,6 +162,7 @@
         self.cuts.retain(is_kept);
         self.times.retain(is_kept);
         self.uses.retain(is_kept);
+        self.returns.retain(is_kept);
     }
 
     fn refusal(&self, reason: RefusalReason, service: &ServiceName) -> ChainRefusal {
--- a/crates/graph/src/chain_refusal.rs
+++ b/crates/graph/src/chain_refusal.rs
@@ -8,6 +8,7 @@
     pub reason: RefusalReason,
     /// The service on the way that is the cause.
     pub service: ServiceName,
-    /// The time after which the caller may come back, in milliseconds.
+    /// The least time after which the caller may come back, in milliseconds; what it is told comes
+    /// from [`ChainAdmission::return_after_ms`](crate::ChainAdmission::return_after_ms).
     pub retry_after_ms: u64,
 }
--- /dev/null
+++ b/crates/graph/src/event_rate.rs
@@ -0,0 +1,26 @@
+use clock::ClockTime;
+
+/// The time over which events are averaged, in milliseconds.
+const MEAN_MS: f64 = 5_000.0;
+
+/// The rate of events of one kind, averaged over the last seconds.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct EventRate {
+    per_ms: f64,
+    counted_at: ClockTime,
+}
+
+impl EventRate {
+    /// Counts an event.
+    pub(crate) fn count(&mut self, now: ClockTime) {
+        self.per_ms = self.per_ms(now) + 1.0 / MEAN_MS;
+        self.counted_at = now;
+    }
+
+    /// Returns the events a millisecond.
+    #[expect(clippy::cast_precision_loss, reason = "spans are far below 2^52 ms")]
+    pub(crate) fn per_ms(&self, now: ClockTime) -> f64 {
+        let idle_ms = now.since_ms(self.counted_at) as f64;
+        self.per_ms * (-idle_ms / MEAN_MS).exp()
+    }
+}
--- a/crates/graph/src/lib.rs
+++ b/crates/graph/src/lib.rs
@@ -13,7 +13,10 @@
 mod critical_path;
 mod cut_report;
 mod dependency_graph;
+mod event_rate;
 mod expected_time;
+mod refused_request;
+mod return_slots;
 mod service_cuts;
 
 pub use admission_settings::AdmissionSettings;
@@ -25,4 +28,5 @@
 pub use cut_report::CutReport;
 pub use dependency_graph::DependencyGraph;
 pub use expected_time::ExpectedTime;
+pub use refused_request::RefusedRequest;
 pub use service_cuts::ServiceCuts;
--- a/crates/node/src/chain_watch.rs
+++ b/crates/node/src/chain_watch.rs
@@ -1,12 +1,14 @@
 use std::collections::BTreeSet;
 
 use clock::ClockTime;
-use graph::{CallTarget, CutReport};
-use model::{RunVerdict, ShedOrder, VmName};
+use graph::{CallTarget, CutReport, RefusedRequest};
+use model::{RefusalReason, RequestId, RunVerdict, ShedOrder, TeamName, VmName};
 use wire::{AnswerHead, CallHead};
 
-use crate::call_answer::CallRefusal;
+use crate::call_answer::{CallAnswer, CallRefusal};
+use crate::call_body::CallBody;
 use crate::node_core::NodeCore;
+use crate::problem_body::problem_body;
 
 /// Refuses a call that a service on its way would shed, or that can't be finished in time.
 ///
@@ -21,17 +23,86 @@
     }
     let now = core.now();
     let order = ShedOrder::new(head.importance, head.request);
-    let admission = core.chain.borrow();
+    let mut admission = core.chain.borrow_mut();
     let target = target_of(head);
+    let team = head.team.as_ref();
     let left_ms = now.until_ms(deadline);
-    let admitted = admission.admit(now, &target, order, head.team.as_ref(), left_ms);
+    let admitted = admission.admit(now, &target, order, team, left_ms);
     admitted.map_err(|refusal| {
+        let refused = RefusedRequest {
+            service: &refusal.service,
+            target: &target,
+            team,
+            order,
+        };
         CallRefusal::not_run(refusal.reason)
-            .after_ms(refusal.retry_after_ms)
+            .after_ms(admission.return_after_ms(now, refused))
             .by(&refusal.service)
     })
 }
 
+/// A request that entered here, as its answer is judged.
+pub(crate) struct EntryRequest {
+    started: ClockTime,
+    request: RequestId,
+    target: CallTarget,
+    order: ShedOrder,
+    team: Option<TeamName>,
+}
+
+impl EntryRequest {
+    pub(crate) fn new(started: ClockTime, head: &CallHead) -> Self {
+        Self {
+            started,
+            request: head.request,
+            target: target_of(head),
+            order: ShedOrder::new(head.importance, head.request),
+            team: head.team.clone(),
+        }
+    }
+
+    /// Learns from the answer, and tells a caller that was refused when to come back.
+    pub(crate) fn note_answer(&self, core: &NodeCore, answer: &mut CallAnswer) {
+        let now = core.now();
+        let (target, team) = (&self.target, self.team.as_ref());
+        let mut admission = core.chain.borrow_mut();
+        let head = &mut answer.head;
+        let Some(reason) = head.refusal else {
+            let run_ms = now.since_ms(self.started);
+            admission.observe_served(now, target, team, run_ms);
+            return;
+        };
+        let Some(service) = head.refused_by.as_ref().filter(|_| is_shed(reason)) else {
+            return;
+        };
+        let refused = RefusedRequest {
+            service,
+            target,
+            team,
+            order: self.order,
+        };
+        let after_ms = admission.return_after_ms(now, refused);
+        let refusal = CallRefusal {
+            reason,
+            verdict: head.verdict,
+            retry_after_ms: after_ms,
+            service: Some(service.clone()),
+        };
+        let body = problem_body(self.request, &refusal);
+        head.retry_after_ms = u32::try_from(after_ms).unwrap_or(u32::MAX);
+        head.body_bytes = Some(body.len() as u64);
+        answer.body = CallBody::Whole(body).into();
+    }
+}
+
+/// Returns whether a reason is that a service has no room.
+const fn is_shed(reason: RefusalReason) -> bool {
+    matches!(
+        reason,
+        RefusalReason::Overloaded | RefusalReason::OverShare | RefusalReason::TooLate
+    )
+}
+
 /// Learns from an answer that another node or the local ingress gave.
 pub(crate) fn note_answer(
     core: &NodeCore,
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -11,7 +11,7 @@
 use crate::answer_body::AnswerBody;
 use crate::call_answer::{CallAnswer, CallRefusal};
 use crate::call_headers::{find_deadline_ms, find_key, is_key_in_path, strip_path, strip_request};
-use crate::chain_watch::check_chain;
+use crate::chain_watch::{EntryRequest, check_chain};
 use crate::dispatch::dispatch_call;
 use crate::http_answer::{build_response, refuse_response};
 use crate::node_core::NodeCore;
@@ -82,8 +82,10 @@
         allowance: charge.allowance(),
         ..head
     };
+    let entered = EntryRequest::new(started, &head);
     let service = head.service.clone();
-    let answer = dispatch_call(core, head, body, deadline).await;
+    let mut answer = dispatch_call(core, head, body, deadline).await;
+    entered.note_answer(core, &mut answer);
     charge.close(answer.head.allowance_left);
     core.metrics
         .observe_call("entry", &service, started, core.now(), &answer.head);
--- a/crates/trial/src/table.rs
+++ b/crates/trial/src/table.rs
@@ -9,8 +9,8 @@
 
 /// The columns of every table.
 const HEAD: &str = "| firm | workload | node | goodput | others | recovery ms | worst team | \
-     refused though free, of 10,000 | critical refused | of them before a lesser | wasted | served as told | tries |\n\
-     |---|---|---|---|---|---|---|---|---|---|---|---|---|";
+     refused though free, of 10,000 | critical refused | of them before a lesser | wasted | served as told | told, s | tries |\n\
+     |---|---|---|---|---|---|---|---|---|---|---|---|---|---|";
 
 /// One row: the scores of several seeds.
 #[derive(Clone, Debug)]
@@ -65,7 +65,7 @@
         };
         write!(
             formatter,
-            "| {} | {} | {} | {} | {} | {recovery} | {} | {} | {} | {} | {} | {told} | {} |",
+            "| {} | {} | {} | {} | {} | {recovery} | {} | {} | {} | {} | {} | {told} | {} | {} |",
             self.firm,
             self.workload,
             self.node,
@@ -76,6 +76,7 @@
             low(|score| score.critical_refused as f64, 0),
             low(|score| score.inverted as f64, 0),
             low(|score| score.wasted, 3),
+            low(|score| score.told_s, 1),
             low(|score| score.tries as f64, 0),
         )
     }
--- a/crates/trial/src/workload.rs
+++ b/crates/trial/src/workload.rs
@@ -34,6 +34,8 @@
 pub(crate) const WARM_MS: u64 = 4_000;
 /// The time observed after the cause has ended, in milliseconds.
 pub(crate) const AFTER_MS: u64 = 8_000;
+/// The time observed after the cause has ended when callers wait as told, in milliseconds.
+pub(crate) const LONG_AFTER_MS: u64 = 300_000;
 
 impl Workload {
     /// All workloads.
--- a/crates/trial/src/world.rs
+++ b/crates/trial/src/world.rs
@@ -15,7 +15,7 @@
 use crate::ingress::Ingress;
 use crate::policy::NodePolicy;
 use crate::score::TrialScore;
-use crate::workload::{AFTER_MS, WARM_MS, Workload};
+use crate::workload::{AFTER_MS, LONG_AFTER_MS, WARM_MS, Workload};
 
 /// The data centres of a firm.
 const CENTRES: [&str; 3] = ["north", "east", "west"];
@@ -121,7 +121,12 @@
     #[must_use]
     pub fn run(mut self) -> TrialScore {
         let strain_end_ms = WARM_MS + self.workload.strain_ms();
-        let end_us = (strain_end_ms + AFTER_MS) * 1_000;
+        let after_ms = if self.policy.callers_wait {
+            LONG_AFTER_MS
+        } else {
+            AFTER_MS
+        };
+        let end_us = (strain_end_ms + after_ms) * 1_000;
         self.events.push(0, TrialEvent::NextArrival);
         self.events.push(TICK_US, TrialEvent::Tick);
         self.events.push(WARM_MS * 1_000, TrialEvent::StrainStarts);
--- a/crates/trial/src/world_clients.rs
+++ b/crates/trial/src/world_clients.rs
@@ -1,4 +1,5 @@
-use model::{RefusalReason, RequestId, ShedOrder};
+use graph::RefusedRequest;
+use model::{RefusalReason, RequestId, ServiceName, ShedOrder};
 use rand::Rng;
 
 use crate::call::{CallResult, ClientRequest, ClientTry, RefusalNote};
@@ -138,10 +139,38 @@
         if is_refused && !self.tries[client_try].is_over {
             self.note_refusal(client_try);
         }
+        if self.policy.kind == NodeKind::Policy && self.policy.checks_chain {
+            self.teach_entry(client_try, result, is_refused);
+        }
         let event = TrialEvent::ClientAnswered(client_try, result == CallResult::Done, is_refused);
         self.events.push(self.now_us + CLIENT_US, event);
     }
 
+    /// Lets the entry learn what it served, and hand out the time at which a caller comes back.
+    fn teach_entry(&mut self, client_try: usize, result: CallResult, is_refused: bool) {
+        let now = self.now();
+        let tried = &mut self.tries[client_try];
+        let request = &self.requests[tried.request];
+        let team = Some(&self.team_names[request.team]);
+        let root = self.firm.kinds[request.kind].root;
+        let target = &self.targets[root];
+        let admission = &mut self.vms[tried.entry].admission;
+        if result == CallResult::Done {
+            admission.observe_served(now, target, team, (self.now_us - tried.sent_us) / 1_000);
+        }
+        if is_refused && tried.told_ms > 0 {
+            let refused_by = tried.refused_by.unwrap_or(self.firm.calls[root].service);
+            let service = ServiceName::new(self.firm.services[refused_by].name);
+            let refused = RefusedRequest {
+                service: &service,
+                target,
+                team,
+                order: tried.order,
+            };
+            tried.told_ms = admission.return_after_ms(now, refused);
+        }
+    }
+
     fn note_refusal(&mut self, client_try: usize) {
         let kind = &self.firm.kinds[self.kind_of(client_try)];
         let (root, importance) = (kind.root, kind.importance);
