--- a/crates/node/src/fleet_watch.rs
+++ b/crates/node/src/fleet_watch.rs
@@ -24,7 +24,7 @@
 }
 
 /// Brings routers, links, rates and relay plans in line with the members, where these changed.
-pub(crate) fn put_members(core: &Rc<NodeCore>, now: ClockTime) {
+pub(crate) fn put_members(core: &Rc<NodeCore>) {
     let is_changed = core.fleet.with(|feed| feed.fold().take_changed());
     if !is_changed {
         return;
@@ -32,7 +32,7 @@
     put_links(core);
     let services: Vec<ServiceName> = core.contract().services.keys().cloned().collect();
     for service in &services {
-        put_service(core, now, service);
+        put_service(core, service);
     }
     put_plan(core);
     let mut siblings = core.ready_vms(&core.settings.service);
@@ -54,7 +54,7 @@
         .with(|feed| feed.fold().limiter.set_members(ready));
 }
 
-fn put_service(core: &NodeCore, now: ClockTime, service: &ServiceName) {
+fn put_service(core: &NodeCore, service: &ServiceName) {
     let settings = &core.settings;
     let picked = core.fleet.with(|feed| {
         let ready = feed.fold().view().ready(service);
@@ -71,7 +71,6 @@
             let target = RouteTarget {
                 centre: member.centre,
                 slots: member.slots,
-                started: now,
             };
             router.upsert(member.vm, target);
         }
--- a/crates/node/src/node_process.rs
+++ b/crates/node/src/node_process.rs
@@ -284,7 +284,7 @@
                 feed.fold().expire(now.minus_ms(fresh_at.age_ms(now)));
             }
         });
-        put_members(&core, now);
+        put_members(&core);
         for router in core.routers.borrow_mut().values_mut() {
             router.tick(now);
         }
--- a/crates/route/src/route_settings.rs
+++ b/crates/route/src/route_settings.rs
@@ -17,8 +17,6 @@
     pub spill_load: f64,
     /// The time in which a reported load loses all its weight, in milliseconds.
     pub report_age_ms: u64,
-    /// The time in which a new VM is brought to its full share, in milliseconds; 0 for at once.
-    pub ramp_ms: u64,
     /// The failures in a row that eject a VM.
     pub eject_failures: u32,
     /// The time of a first ejection, in milliseconds; each further one is twice as long.
@@ -38,7 +36,6 @@
             ejects: true,
             spill_load: 0.7,
             report_age_ms: 500,
-            ramp_ms: 5_000,
             eject_failures: 3,
             eject_ms: 1_000,
             max_eject_ms: 30_000,
--- a/crates/route/src/route_target.rs
+++ b/crates/route/src/route_target.rs
@@ -1,4 +1,3 @@
-use clock::ClockTime;
 use model::CentreName;
 
 /// What a VM announces about itself.
@@ -9,8 +8,6 @@
     /// The requests that the backend server says it can run at once; shown in dumps, and not
     /// used to weigh VMs, since a false figure would draw load.
     pub slots: u32,
-    /// The moment that the backend server started, on the caller's clock.
-    pub started: ClockTime,
 }
 
 /// The load that a VM's node reported on an answer.
--- a/crates/route/src/vm_router.rs
+++ b/crates/route/src/vm_router.rs
@@ -24,7 +24,6 @@
 /// let target = RouteTarget {
 ///     centre: "north".into(),
 ///     slots: 25,
-///     started: ClockTime::ZERO,
 /// };
 /// router.upsert(VmName::new("registry-1"), target);
 /// let mut random = rand::rngs::SmallRng::seed_from_u64(1);
@@ -51,13 +50,10 @@
         }
     }
 
-    /// Adds a VM, or changes what is known of it; the start of a known one stays as it was.
+    /// Adds a VM, or changes what it announces; what was observed of a known one stays.
     pub fn upsert(&mut self, vm: VmName, target: RouteTarget) {
         match self.states.get_mut(&vm) {
-            Some(state) => {
-                let started = state.target.started;
-                state.target = RouteTarget { started, ..target };
-            }
+            Some(state) => state.target = target,
             None => {
                 self.states.insert(vm, VmState::new(target));
             }
--- a/crates/route/src/vm_state.rs
+++ b/crates/route/src/vm_state.rs
@@ -5,8 +5,6 @@
 
 /// The weight of one answer in the mean latency.
 const LATENCY_GAIN: f64 = 0.05;
-/// The smallest share of its slots that a new VM is given.
-const FIRST_RAMP: f64 = 0.1;
 /// The greatest load that a report can claim, as a part of capacity.
 const MAX_LOAD: f64 = 4.0;
 /// The load assumed of a VM of which nothing was heard lately.
@@ -53,15 +51,6 @@
         *mean += LATENCY_GAIN * (latency - *mean);
     }
 
-    /// Returns the part of its share that a new VM may take by now.
-    fn ramp(&self, now: ClockTime, settings: &RouteSettings) -> f64 {
-        if settings.ramp_ms == 0 {
-            return 1.0;
-        }
-        let age = now.since_ms(self.target.started).min(settings.ramp_ms);
-        (to_float(age) / to_float(settings.ramp_ms)).max(FIRST_RAMP)
-    }
-
     /// Returns the reported load as a part of capacity; the older the report, the nearer to what
     /// is assumed without one.
     pub(crate) fn load(&self, now: ClockTime, settings: &RouteSettings) -> f64 {
@@ -79,7 +68,7 @@
     pub(crate) fn score(&self, now: ClockTime, settings: &RouteSettings, usual_ms: f64) -> f64 {
         let own = f64::from(self.in_flight) + 1.0;
         let slowness = self.slowness(usual_ms);
-        let score = own / self.ramp(now, settings) * (0.5 + self.load(now, settings)) * slowness;
+        let score = own * (0.5 + self.load(now, settings)) * slowness;
         if self.health.is_last_resort() {
             return score * LAST_RESORT_FACTOR;
         }
