fix(limit,load): change the cuts sooner while nothing waits and slots are free

The service itself opens only at the next change of its cuts, up to 40 ms later.

Change: while nothing waits, slots are free and something is cut, the cuts change every 10 ms.

--- a/crates/limit/src/shed_control.rs
+++ b/crates/limit/src/shed_control.rs
@@ -20,6 +20,9 @@
     pub refill_ms: u64,
     /// The time between two changes of the cuts, in milliseconds.
     pub update_ms: u64,
+    /// The time between two changes of the cuts while nothing waits and slots are free, in
+    /// milliseconds.
+    pub idle_update_ms: u64,
     /// The time over which demand is smoothed, in milliseconds.
     pub smooth_ms: u64,
 }
@@ -34,6 +37,7 @@
             horizon_ms: 300,
             refill_ms: 75,
             update_ms: 40,
+            idle_update_ms: 10,
             smooth_ms: 200,
         }
     }
@@ -117,7 +121,7 @@
     /// Changes the cuts when it is time to.
     pub fn update(&mut self, now: ClockTime, state: QueueState) {
         let span = now.since_ms(self.updated);
-        if span < self.settings.update_ms {
+        if span < self.update_span_ms(state) {
             return;
         }
         self.updated = now;
@@ -144,6 +148,17 @@
         }
     }
 
+    /// Returns the time between two changes, which is shorter while slots are free for requests
+    /// that are refused.
+    fn update_span_ms(&self, state: QueueState) -> u64 {
+        let is_idle = state.waits_ms[0] == 0.0 && state.free_share > 0.0;
+        if is_idle && !self.cuts.is_open() {
+            self.settings.idle_update_ms
+        } else {
+            self.settings.update_ms
+        }
+    }
+
     /// Returns the part of capacity to let in, so that a wait comes back to the target and free
     /// slots fill up.
     fn capacity_share(&self, wait_ms: f64, free_share: f64) -> f64 {
--- a/crates/load/src/router_slopes.rs
+++ b/crates/load/src/router_slopes.rs
@@ -128,7 +128,6 @@
             let target = RouteTarget {
                 centre: member.centre.clone(),
                 slots: member.slots,
-                started: ClockTime::ZERO,
             };
             router.upsert(member.vm.clone(), target);
         }
