fix(node): share the opening of a link, and leave time for another VM

Cause: requests for a VM whose link can't be opened queued on one lock and each made its own attempt to open it, 1 s a turn. The question about a broken attempt waited in the same line, 1.5 s each (85 of 85).

Ruled out: detection of the dead link (435 ms in the mean, 954 ms at most).

Change: all who need a link share one opening, which goes on when they leave; getting the link and a mark takes half of the time left at most and is 'not run' when it fails; the question about a call that another VM may run as well takes 250 ms at most and doesn't wait for a run.

--- a/crates/node/src/attempt_query.rs
+++ b/crates/node/src/attempt_query.rs
@@ -17,6 +17,8 @@
 const ASK_EVERY_MS: u64 = 50;
 /// The time that an answer to a question may take, in milliseconds.
 const ASK_LIMIT_MS: u64 = 1_500;
+/// The same for an attempt whose call another VM may run as well, in milliseconds.
+const REPEATABLE_LIMIT_MS: u64 = 250;
 
 /// The latest mark of a node's table of attempts, and when it was asked for.
 #[derive(Clone, Copy, Debug)]
@@ -51,22 +53,31 @@
 
 /// Asks a node, over a new connection, what became of an attempt whose link broke.
 ///
-/// Returns the verdict that holds; an attempt that runs is waited for until the deadline.
+/// Returns the verdict that holds; an attempt that runs is waited for until the deadline, unless
+/// its call `is_repeatable` and had better go to another VM.
 pub(crate) async fn resolve_attempt(
     core: &Rc<NodeCore>,
     vm: &VmName,
     head: &CallHead,
     deadline: ClockTime,
+    is_repeatable: bool,
 ) -> RunVerdict {
     let Some(mark) = head.mark else {
         return RunVerdict::MayHaveRun;
     };
+    let limit_ms = if is_repeatable {
+        REPEATABLE_LIMIT_MS
+    } else {
+        ASK_LIMIT_MS
+    };
     while core.now() < deadline {
-        let state = ask_attempt(core, vm, head.attempt, mark, deadline).await;
+        let limit_ms = limit_ms.min(core.now().until_ms(deadline));
+        let state = ask_attempt(core, vm, head.attempt, mark, limit_ms).await;
         match state {
             Some(AttemptState::NotSeen | AttemptState::NotRun) => return RunVerdict::NotRun,
             Some(AttemptState::Done(_)) => return RunVerdict::Ran,
             Some(AttemptState::Unknown) | None => return RunVerdict::MayHaveRun,
+            Some(AttemptState::Running) if is_repeatable => return RunVerdict::MayHaveRun,
             Some(AttemptState::Running) => sleep(Duration::from_millis(ASK_EVERY_MS)).await,
         }
     }
@@ -78,9 +89,8 @@
     vm: &VmName,
     attempt: AttemptId,
     mark: TableMark,
-    deadline: ClockTime,
+    limit_ms: u64,
 ) -> Option<AttemptState> {
-    let limit_ms = ASK_LIMIT_MS.min(core.now().until_ms(deadline));
     let message = NodeMessage::AskAttempt(attempt, mark);
     let asking = ask_peer(core, vm, &message);
     match timeout(Duration::from_millis(limit_ms), asking).await {
--- a/crates/node/src/call_body.rs
+++ b/crates/node/src/call_body.rs
@@ -38,6 +38,11 @@
 }
 
 impl CallBody {
+    /// Returns whether all bytes are at hand.
+    pub(crate) const fn is_at_hand(&self) -> bool {
+        matches!(self, Self::Empty | Self::Whole(_))
+    }
+
     /// Returns the length in bytes, when it is known.
     pub(crate) fn known_bytes(&self) -> Option<u64> {
         match self {
--- a/crates/node/src/chain_watch.rs
+++ b/crates/node/src/chain_watch.rs
@@ -35,27 +35,26 @@
 /// Learns from an answer that another node or the local ingress gave.
 pub(crate) fn note_answer(
     core: &NodeCore,
-    head: &CallHead,
+    target: &CallTarget,
     vm: &VmName,
     answer: &AnswerHead,
     span_ms: u64,
 ) {
     let now = core.now();
-    let target = target_of(head);
     let mut admission = core.chain.borrow_mut();
     if answer.refusal.is_none() || answer.load.limit > 0 {
         let own = CutReport {
-            service: head.service.clone(),
+            service: target.service.clone(),
             vm: vm.clone(),
             cuts: answer.load.cuts.clone(),
             age_ms: 0,
         };
         let lower = answer.cut_reports.iter().cloned();
-        admission.observe_cuts(now, &target, lower.chain([own]));
+        admission.observe_cuts(now, target, lower.chain([own]));
     }
     match answer.verdict {
-        RunVerdict::Ran => admission.observe_duration(now, &target, span_ms),
-        RunVerdict::MayHaveRun => admission.observe_unfinished(now, &target, span_ms),
+        RunVerdict::Ran => admission.observe_duration(now, target, span_ms),
+        RunVerdict::MayHaveRun => admission.observe_unfinished(now, target, span_ms),
         RunVerdict::NotRun => {}
     }
 }
@@ -71,6 +70,7 @@
     core.chain.borrow().cut_reports(now, &target_of(head))
 }
 
-fn target_of(head: &CallHead) -> CallTarget {
+/// Returns what a call calls.
+pub(crate) fn target_of(head: &CallHead) -> CallTarget {
     CallTarget::new(head.service.clone(), head.call.clone())
 }
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -9,7 +9,7 @@
     AllowanceShare, RatioSettings, RetryAllowance, RetryDecision, RetryPolicy, RetryQuestion,
     RetryRatio,
 };
-use wire::{AnswerHead, CallHead};
+use wire::{AnswerHead, CallHead, LinkError, PeerLink};
 
 use crate::answer_body::AnswerBody;
 use crate::attempt_query::{fresh_mark, note_mark, resolve_attempt};
@@ -138,11 +138,8 @@
         let share = self.allowance.hand_down(self.head.attempt, 1);
         self.head.allowance = share.retries();
         self.head.mark = None;
-        if vm != self.core.settings.vm {
-            self.head.mark = fresh_mark(self.core, &vm).await;
-        }
         let body = self.body.take();
-        let sending = send_to(self.core, &vm, &self.head, body, self.deadline);
+        let sending = send_to(self.core, &vm, &mut self.head, body, self.deadline);
         let in_time = Box::pin(timeout(Duration::from_millis(left_ms), sending)).await;
         let answer = in_time.unwrap_or_else(|_| {
             let refusal = CallRefusal::may_have_run(RefusalReason::DeadlinePassed);
@@ -234,7 +231,7 @@
 async fn send_to(
     core: &Rc<NodeCore>,
     vm: &VmName,
-    head: &CallHead,
+    head: &mut CallHead,
     body: CallBody,
     deadline: ClockTime,
 ) -> CallAnswer {
@@ -251,17 +248,17 @@
 async fn send_over_link(
     core: &Rc<NodeCore>,
     vm: &VmName,
-    head: &CallHead,
+    head: &mut CallHead,
     body: CallBody,
     deadline: ClockTime,
 ) -> CallAnswer {
-    let asked = core.now();
-    let link = core.links.get(&core.settings, vm).await;
-    let result = match link {
-        Ok(link) => link.call(head, body).await,
-        Err(error) => Err(error),
+    let link = match reach_vm(core, vm, head, deadline).await {
+        Ok(link) => link,
+        Err(error) => return link_failure(vm, head, &error, RunVerdict::NotRun),
     };
-    let error = match result {
+    let is_repeatable = head.idempotent && !head.once && body.is_at_hand();
+    let asked = core.now();
+    let error = match link.call(head, body).await {
         Ok((answer, body)) => {
             if let Some(mark) = answer.mark {
                 note_mark(core, vm, mark, asked);
@@ -273,9 +270,41 @@
         Err(error) => error,
     };
     let verdict = match error.verdict() {
-        RunVerdict::MayHaveRun => resolve_attempt(core, vm, head, deadline).await,
+        RunVerdict::MayHaveRun => resolve_attempt(core, vm, head, deadline, is_repeatable).await,
         verdict => verdict,
     };
+    link_failure(vm, head, &error, verdict)
+}
+
+/// Returns the link to a VM, and puts a mark of its table of attempts into the head.
+///
+/// This takes half of the time left at most, so that there is time for another VM.
+async fn reach_vm(
+    core: &NodeCore,
+    vm: &VmName,
+    head: &mut CallHead,
+    deadline: ClockTime,
+) -> Result<Rc<PeerLink>, LinkError> {
+    let limit_ms = core.now().until_ms(deadline) / 2;
+    let reaching = async {
+        let link = core.links.get(&core.settings, vm).await?;
+        let mark = fresh_mark(core, vm).await;
+        head.mark = Some(mark.ok_or(LinkError::Silent)?);
+        Ok(link)
+    };
+    match timeout(Duration::from_millis(limit_ms), reaching).await {
+        Ok(link) => link,
+        Err(_) => Err(LinkError::ConnectTimeout(limit_ms)),
+    }
+}
+
+/// Answers a call whose link failed.
+fn link_failure(
+    vm: &VmName,
+    head: &CallHead,
+    error: &LinkError,
+    verdict: RunVerdict,
+) -> CallAnswer {
     log::warn!(
         "event=link-failed request={} attempt={} vm={vm} verdict={} error={:?}",
         head.request,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -35,6 +35,7 @@
 mod ingress;
 mod ingress_gate;
 mod kept_answer;
+mod link_slot;
 mod local_executor;
 mod node_clock;
 mod node_core;
--- a/crates/node/src/peer_links.rs
+++ b/crates/node/src/peer_links.rs
@@ -3,11 +3,11 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use futures_util::lock::Mutex;
 use member::MemberAnnouncement;
 use model::VmName;
 use wire::{LinkError, PeerLink};
 
+use crate::link_slot::LinkSlot;
 use crate::node_settings::NodeSettings;
 
 /// What the names that stand for addresses of the settings start with.
@@ -17,13 +17,7 @@
 #[derive(Default)]
 pub(crate) struct PeerLinks {
     slots: RefCell<BTreeMap<VmName, Rc<LinkSlot>>>,
-    opened: RefCell<Vec<VmName>>,
-}
-
-/// One other node: its address, and the link once it is open.
-struct LinkSlot {
-    address: SocketAddr,
-    link: Mutex<Option<Rc<PeerLink>>>,
+    opened: Rc<RefCell<Vec<VmName>>>,
 }
 
 impl PeerLinks {
@@ -47,14 +41,10 @@
 
     fn upsert(&self, vm: VmName, address: SocketAddr) {
         let mut slots = self.slots.borrow_mut();
-        if slots.get(&vm).is_some_and(|slot| slot.address == address) {
+        if slots.get(&vm).is_some_and(|slot| slot.address() == address) {
             return;
         }
-        let slot = LinkSlot {
-            address,
-            link: Mutex::new(None),
-        };
-        slots.insert(vm, Rc::new(slot));
+        slots.insert(vm, Rc::new(LinkSlot::new(address)));
     }
 
     /// Returns the names of the known VMs.
@@ -78,15 +68,9 @@
             let text = format!("VM \"{vm}\" has announced no address");
             LinkError::Connect(std::io::Error::new(std::io::ErrorKind::NotFound, text))
         })?;
-        let mut link = slot.link.lock().await;
-        if let Some(link) = link.as_ref().filter(|link| !link.is_down()) {
-            return Ok(Rc::clone(link));
-        }
-        let opened =
-            PeerLink::connect(slot.address, &settings.vm, &settings.secret, &settings.link);
-        let opened = Rc::new(opened.await?);
-        *link = Some(Rc::clone(&opened));
-        self.opened.borrow_mut().push(vm.clone());
-        Ok(opened)
+        let opened = Rc::clone(&self.opened);
+        let name = vm.clone();
+        let on_open = move || opened.borrow_mut().push(name);
+        slot.get(settings, on_open).await
     }
 }
--- a/crates/node/src/route_guard.rs
+++ b/crates/node/src/route_guard.rs
@@ -1,26 +1,27 @@
 use clock::ClockTime;
+use graph::CallTarget;
 use model::{RefusalReason, RunVerdict, VmName};
 use route::{LoadSample, RouteOutcome};
 use wire::{AnswerHead, CallHead};
 
-use crate::chain_watch::note_answer;
+use crate::chain_watch::{note_answer, target_of};
 use crate::node_core::NodeCore;
 
 /// Tells the router of a service how a call that was sent ended, also when it is dropped.
 pub(crate) struct RouteGuard<'c> {
     core: &'c NodeCore,
-    head: &'c CallHead,
+    target: CallTarget,
     vm: &'c VmName,
     started: ClockTime,
     is_done: bool,
 }
 
 impl<'c> RouteGuard<'c> {
-    pub(crate) fn begin(core: &'c NodeCore, head: &'c CallHead, vm: &'c VmName) -> Self {
+    pub(crate) fn begin(core: &'c NodeCore, head: &CallHead, vm: &'c VmName) -> Self {
         core.with_router(&head.service, |router| router.begin(vm));
         Self {
             core,
-            head,
+            target: target_of(head),
             vm,
             started: core.now(),
             is_done: false,
@@ -29,7 +30,7 @@
 
     pub(crate) fn finish(&mut self, answer: &AnswerHead) {
         let latency_ms = self.core.now().since_ms(self.started);
-        note_answer(self.core, self.head, self.vm, answer, latency_ms);
+        note_answer(self.core, &self.target, self.vm, answer, latency_ms);
         let outcome = match (answer.verdict, answer.refusal) {
             (RunVerdict::Ran, _) => RouteOutcome::Succeeded { latency_ms },
             (_, Some(RefusalReason::LinkBroken | RefusalReason::BackendFailed))
@@ -48,7 +49,7 @@
     fn tell(&mut self, outcome: RouteOutcome, sample: Option<LoadSample>) {
         self.is_done = true;
         let now = self.core.now();
-        self.core.with_router(&self.head.service, |router| {
+        self.core.with_router(&self.target.service, |router| {
             router.finish(now, self.vm, outcome, sample);
         });
     }
--- a/crates/node/tests/faults_links.rs
+++ b/crates/node/tests/faults_links.rs
@@ -163,6 +163,24 @@
     assert_eq!(after.status, 200);
 }
 
+/// Reads come at a time, while nothing is known of the link yet and once it is known to be dead;
+/// the route is open to all, so that no rate plays a part.
+#[rstest]
+#[case::requests(LinkWay::Out)]
+#[case::answers(LinkWay::Back)]
+#[compio::test]
+async fn reads_do_not_wait_in_line_for_a_dead_link(#[case] way: LinkWay) {
+    let (fleet, proxies) = two_behind_links(LinkSettings::default()).await;
+    proxies[0].set_cut(Some(way));
+    let headers = [("lentilshift-deadline-ms", DEADLINE_MS)];
+    for round in 0..3 {
+        let sends = (0..60).map(|_| fleet.send_with(0, "GET", "/filings/watch/1", &headers));
+        let answers = join_all(sends).await;
+        let failed = answers.iter().filter(|answer| answer.status() != 200);
+        assert_eq!(failed.count(), 0, "round {round}");
+    }
+}
+
 /// Sends a read whose answer has a length of its own, and returns whether it came whole.
 async fn read_whole(fleet: &Fleet, bytes: usize, run_ms: u64) -> bool {
     let path = format!("/filings/filings/{bytes}?bytes={bytes}&ms={run_ms}");
--- a/crates/node/tests/fleet/mod.rs
+++ b/crates/node/tests/fleet/mod.rs
@@ -40,6 +40,10 @@
 [services.filings.calls.read]
 path = "/filings"
 method = "GET"
+[services.filings.calls.watch]
+path = "/watch"
+method = "GET"
+open = true
 [services.filings.calls.status]
 path = "/status"
 open = true
--- a/crates/wire/src/link_error.rs
+++ b/crates/wire/src/link_error.rs
@@ -1,4 +1,5 @@
 use std::io;
+use std::rc::Rc;
 
 use model::RunVerdict;
 use thiserror::Error;
@@ -11,6 +12,9 @@
     /// The connection can't be opened.
     #[error("connection to the node can't be opened: {0}")]
     Connect(#[from] io::Error),
+    /// An opening that others waited for too failed.
+    #[error(transparent)]
+    Unopened(Rc<LinkError>),
     /// Connecting took too long.
     #[error("connection to the node wasn't ready after {0} ms")]
     ConnectTimeout(u64),
@@ -62,6 +66,7 @@
     pub const fn verdict(&self) -> RunVerdict {
         match self {
             Self::Connect(_)
+            | Self::Unopened(_)
             | Self::ConnectTimeout(_)
             | Self::Unproven
             | Self::Version { .. }
