--- a/crates/node/src/call_body.rs
+++ b/crates/node/src/call_body.rs
@@ -38,9 +38,13 @@
 }
 
 impl CallBody {
-    /// Returns whether all bytes are at hand.
-    pub(crate) const fn is_at_hand(&self) -> bool {
-        matches!(self, Self::Empty | Self::Whole(_))
+    /// Returns the same body again, when all bytes are at hand.
+    pub(crate) fn copy_at_hand(&self) -> Option<Self> {
+        match self {
+            Self::Empty => Some(Self::Empty),
+            Self::Whole(bytes) => Some(Self::Whole(bytes.clone())),
+            _ => None,
+        }
     }
 
     /// Returns the length in bytes, when it is known.
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -252,21 +252,14 @@
     body: CallBody,
     deadline: ClockTime,
 ) -> CallAnswer {
-    let link = match reach_vm(core, vm, head, deadline).await {
-        Ok(link) => link,
-        Err(error) => return link_failure(vm, head, &error, RunVerdict::NotRun),
-    };
-    let is_repeatable = head.idempotent && !head.once && body.is_at_hand();
-    let asked = core.now();
-    let error = match link.call(head, body).await {
-        Ok((answer, body)) => {
-            if let Some(mark) = answer.mark {
-                note_mark(core, vm, mark, asked);
-            }
-            let told = answer.body_bytes;
-            let body = AnswerBody::new(CallBody::Link(body), told);
-            return CallAnswer { head: answer, body };
-        }
+    let spare = body.copy_at_hand();
+    let is_repeatable = head.idempotent && !head.once && spare.is_some();
+    let mut result = call_over_link(core, vm, head, body, deadline).await;
+    if let (Err(LinkError::NotSent(_)), Some(body)) = (&result, spare) {
+        result = call_over_link(core, vm, head, body, deadline).await;
+    }
+    let error = match result {
+        Ok(answer) => return answer,
         Err(error) => error,
     };
     let verdict = match error.verdict() {
@@ -276,9 +269,29 @@
     link_failure(vm, head, &error, verdict)
 }
 
+/// Sends a call once; one that a closing link didn't take may be sent again over a new one.
+async fn call_over_link(
+    core: &NodeCore,
+    vm: &VmName,
+    head: &mut CallHead,
+    body: CallBody,
+    deadline: ClockTime,
+) -> Result<CallAnswer, LinkError> {
+    let link = reach_vm(core, vm, head, deadline).await?;
+    let asked = core.now();
+    let (answer, body) = link.call(head, body).await?;
+    if let Some(mark) = answer.mark {
+        note_mark(core, vm, mark, asked);
+    }
+    let told = answer.body_bytes;
+    let body = AnswerBody::new(CallBody::Link(body), told);
+    Ok(CallAnswer { head: answer, body })
+}
+
 /// Returns the link to a VM, and puts a mark of its table of attempts into the head.
 ///
-/// This takes half of the time left at most, so that there is time for another VM.
+/// This takes half of the time left at most, so that there is time for another VM. An error tells
+/// that nothing was sent.
 async fn reach_vm(
     core: &NodeCore,
     vm: &VmName,
@@ -286,16 +299,14 @@
     deadline: ClockTime,
 ) -> Result<Rc<PeerLink>, LinkError> {
     let limit_ms = core.now().until_ms(deadline) / 2;
+    let no_answer = || LinkError::ConnectTimeout(limit_ms);
     let reaching = async {
-        let link = core.links.get(&core.settings, vm).await?;
-        let mark = fresh_mark(core, vm).await;
-        head.mark = Some(mark.ok_or(LinkError::Silent)?);
-        Ok(link)
+        let mark = fresh_mark(core, vm).await.ok_or_else(no_answer)?;
+        head.mark = Some(mark);
+        core.links.get(&core.settings, vm).await
     };
-    match timeout(Duration::from_millis(limit_ms), reaching).await {
-        Ok(link) => link,
-        Err(_) => Err(LinkError::ConnectTimeout(limit_ms)),
-    }
+    let link = timeout(Duration::from_millis(limit_ms), reaching).await;
+    link.unwrap_or_else(|_| Err(no_answer()))
 }
 
 /// Answers a call whose link failed.
--- a/crates/node/src/link_slot.rs
+++ b/crates/node/src/link_slot.rs
@@ -1,6 +1,6 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 
 use futures_channel::oneshot;
 use futures_util::future::{FutureExt, Shared};
@@ -73,16 +73,26 @@
         let settings = settings.clone();
         compio::runtime::spawn(async move {
             let result = slot.open(&settings).await;
-            if result.is_ok() {
+            let down = result.as_ref().map(|link| link.down()).ok();
+            if down.is_some() {
                 on_open();
             }
             slot.opening.take();
             let _ = sender.send(result);
+            let slot = Rc::downgrade(&slot);
+            if let Some(down) = down {
+                forget_after(&slot, down).await;
+            }
         })
         .detach();
         receiver
     }
 
+    /// Lets go of a link that is down.
+    fn forget_down(&self) {
+        let _ = self.link.borrow_mut().take_if(|link| link.is_down());
+    }
+
     async fn open(&self, settings: &NodeSettings) -> OpenResult {
         let connecting =
             PeerLink::connect(self.address, &settings.vm, &settings.secret, &settings.link);
@@ -91,3 +101,11 @@
         Ok(link)
     }
 }
+
+/// Lets go of the memory of a link once it is down.
+async fn forget_after(slot: &Weak<LinkSlot>, down: impl Future<Output = ()>) {
+    down.await;
+    if let Some(slot) = slot.upgrade() {
+        slot.forget_down();
+    }
+}
--- a/crates/node/src/peer_talk.rs
+++ b/crates/node/src/peer_talk.rs
@@ -1,4 +1,6 @@
+use bytes::Bytes;
 use model::VmName;
+use wire::LinkError;
 
 use crate::node_core::NodeCore;
 use crate::node_message::{NodeMessage, NodeReply};
@@ -9,12 +11,11 @@
     peer: &VmName,
     message: &NodeMessage,
 ) -> Option<NodeReply> {
-    let bytes = wire::encode(message).ok()?;
-    let link = core.links.get(&core.settings, peer).await;
-    let answer = match link {
-        Ok(link) => link.exchange(bytes.into()).await,
-        Err(error) => Err(error),
-    };
+    let bytes = Bytes::from(wire::encode(message).ok()?);
+    let mut answer = exchange_once(core, peer, bytes.clone()).await;
+    if matches!(answer, Err(LinkError::NotSent(_))) {
+        answer = exchange_once(core, peer, bytes).await;
+    }
     match answer {
         Ok(answer) => wire::decode(&answer).ok(),
         Err(error) => {
@@ -23,3 +24,9 @@
         }
     }
 }
+
+/// Sends a message once; one that a closing link didn't take may be sent again over a new one.
+async fn exchange_once(core: &NodeCore, peer: &VmName, message: Bytes) -> Result<Bytes, LinkError> {
+    let link = core.links.get(&core.settings, peer).await?;
+    link.exchange(message).await
+}
--- a/crates/node/tests/faults_links.rs
+++ b/crates/node/tests/faults_links.rs
@@ -34,6 +34,11 @@
 
 /// Starts a node for callers and two backend servers that it reaches over breakable links.
 async fn two_behind_links(link: LinkSettings) -> (Fleet, [Rc<LinkProxy>; 2]) {
+    two_answering(link, LinkSettings::default()).await
+}
+
+/// The same with settings for the answering ends.
+async fn two_answering(link: LinkSettings, answering: LinkSettings) -> (Fleet, [Rc<LinkProxy>; 2]) {
     let mut fleet = Fleet::start().await;
     let entry = BackendSettings::default();
     fleet
@@ -47,9 +52,11 @@
         ..BackendSettings::default()
     };
     let first = fleet
-        .add_proxied("filings-1", "filings", backend.clone())
+        .add_proxied("filings-1", "filings", backend.clone(), answering)
+        .await;
+    let second = fleet
+        .add_proxied("filings-2", "filings", backend, answering)
         .await;
-    let second = fleet.add_proxied("filings-2", "filings", backend).await;
     fleet.settle().await;
     (fleet, [first, second])
 }
@@ -181,6 +188,42 @@
     }
 }
 
+/// The settings of an end that closes a link soon.
+fn closing_soon() -> LinkSettings {
+    LinkSettings {
+        idle_close_ms: 40,
+        ..LinkSettings::default()
+    }
+}
+
+/// Requests come at times around that at which an idle link is closed.
+#[rstest]
+#[case::by_calling_ends(closing_soon(), LinkSettings::default(), 1)]
+#[case::by_answering_ends(LinkSettings::default(), closing_soon(), 2)]
+#[case::by_both(closing_soon(), closing_soon(), 3)]
+#[compio::test]
+async fn no_call_is_lost_while_idle_links_close(
+    #[case] calling: LinkSettings,
+    #[case] answering: LinkSettings,
+    #[case] seed: u64,
+) {
+    let (fleet, proxies) = two_answering(calling, answering).await;
+    let mut random = SmallRng::seed_from_u64(seed);
+    let opened_before: u64 = proxies.iter().map(|proxy| proxy.opened()).sum();
+    for n in 0..100 {
+        sleep(Duration::from_millis(random.random_range(15..90))).await;
+        let method = if n % 2 == 0 { "GET" } else { "POST" };
+        let trace = format!("{method}-{n}");
+        let headers = [("x-trace", trace.as_str())];
+        let answer = fleet.send_with(0, method, "/filings/watch/1", &headers);
+        assert_eq!(answer.await.status(), 200, "{trace}");
+        assert_eq!(fleet.runs(&trace), 1, "{trace}");
+    }
+    let opened: u64 = proxies.iter().map(|proxy| proxy.opened()).sum();
+    println!("{} links opened anew", opened - opened_before);
+    assert!(opened > opened_before + 5, "idle links weren't closed");
+}
+
 /// Sends a read whose answer has a length of its own, and returns whether it came whole.
 async fn read_whole(fleet: &Fleet, bytes: usize, run_ms: u64) -> bool {
     let path = format!("/filings/filings/{bytes}?bytes={bytes}&ms={run_ms}");
--- a/crates/node/tests/fleet/link_proxy.rs
+++ b/crates/node/tests/fleet/link_proxy.rs
@@ -58,6 +58,12 @@
         self.address
     }
 
+    /// Returns the number of connections opened so far.
+    #[allow(dead_code, reason = "not every test file counts connections")]
+    pub fn opened(&self) -> u64 {
+        self.opened.get()
+    }
+
     pub fn set_target(&self, target: SocketAddr) {
         self.target.set(Some(target));
     }
--- a/crates/node/tests/fleet/mod.rs
+++ b/crates/node/tests/fleet/mod.rs
@@ -14,7 +14,7 @@
     ConfigRecord, ConfigVersion, KeyDigest, LogStream, NewRecord, PlatformLog, RecordBody,
 };
 use standin::{BackendServer, BackendSettings, LogControl, LogServer};
-use wire::FleetSecret;
+use wire::{FleetSecret, LinkSettings};
 
 /// The key that the tests' callers use.
 pub const KEY: &str = "sesame-opens-nothing-else";
@@ -42,6 +42,9 @@
 method = "GET"
 [services.filings.calls.watch]
 path = "/watch"
+open = true
+[services.filings.calls.watch-all]
+path = "/watch"
 method = "GET"
 open = true
 [services.filings.calls.status]
@@ -163,11 +166,13 @@
         name: &str,
         service: &str,
         backend: BackendSettings,
+        link: LinkSettings,
     ) -> Rc<link_proxy::LinkProxy> {
         let proxy = link_proxy::LinkProxy::start().await;
         let address = Some(proxy.address());
         self.add_with(name, service, backend, |settings| NodeSettings {
             advertised_address: address,
+            link,
             ..settings
         })
         .await;
--- a/crates/wire/src/head_reader.rs
+++ b/crates/wire/src/head_reader.rs
@@ -36,12 +36,15 @@
     Ok((decode(&head)?, buffer.freeze()))
 }
 
-/// Reads a whole control message.
-pub(crate) async fn read_message(stream: &mut RecvStream) -> Result<Bytes, LinkError> {
+/// Reads a whole message of `most_bytes` at most.
+pub(crate) async fn read_message(
+    stream: &mut RecvStream,
+    most_bytes: usize,
+) -> Result<Bytes, LinkError> {
     let mut buffer = BytesMut::new();
     while let Some(chunk) = next_chunk(stream).await? {
         buffer.extend_from_slice(&chunk);
-        if buffer.len() > MAX_MESSAGE_BYTES {
+        if buffer.len() > most_bytes {
             return Err(LinkError::LargeHead(buffer.len()));
         }
     }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -19,6 +19,7 @@
 mod link_error;
 mod link_settings;
 mod peer_link;
+mod peer_proof;
 mod peer_server;
 
 pub use answer_head::AnswerHead;
--- a/crates/wire/src/link_body.rs
+++ b/crates/wire/src/link_body.rs
@@ -7,6 +7,8 @@
 use http_body::{Body, Frame};
 use thiserror::Error;
 
+use crate::link_activity::WaitGuard;
+
 /// A body that ended before its end.
 #[derive(Debug, Error)]
 pub enum BodyError {
@@ -30,17 +32,23 @@
     told: Option<u64>,
     got: u64,
     is_data_done: bool,
-    _sender: Option<JoinHandle<()>>,
+    _call: Option<CallSender>,
+}
+
+/// What the calling end holds until the answer has come to its end.
+pub(crate) struct CallSender {
+    /// The task that sends the call's own body.
+    pub(crate) _task: JoinHandle<()>,
+    pub(crate) _guard: WaitGuard,
 }
 
 impl LinkBody {
-    /// Creates a body; `sender` is the task that sends the call's own body, kept alive as long
-    /// as this body.
+    /// Creates a body; `call` is kept as long as this body.
     pub(crate) const fn new(
         stream: RecvStream,
         first: Bytes,
         told: Option<u64>,
-        sender: Option<JoinHandle<()>>,
+        call: Option<CallSender>,
     ) -> Self {
         Self {
             stream,
@@ -48,7 +56,7 @@
             told,
             got: 0,
             is_data_done: false,
-            _sender: sender,
+            _call: call,
         }
     }
 
--- a/crates/wire/src/link_settings.rs
+++ b/crates/wire/src/link_settings.rs
@@ -11,6 +11,8 @@
     pub idle_probe_ms: u64,
     /// The time after which a link that doesn't answer a probe is silent, in milliseconds.
     pub probe_timeout_ms: u64,
+    /// The time after which a link that nothing uses is closed, in milliseconds.
+    pub idle_close_ms: u64,
     /// The bytes that one stream may have in flight.
     pub stream_window_bytes: u32,
     /// The bytes that all streams of a link may have in flight.
@@ -25,6 +27,7 @@
             busy_probe_ms: 250,
             idle_probe_ms: 10_000,
             probe_timeout_ms: 750,
+            idle_close_ms: 120_000,
             stream_window_bytes: 256 * 1024,
             link_window_bytes: 4 * 1024 * 1024,
         }
--- a/crates/wire/src/peer_link.rs
+++ b/crates/wire/src/peer_link.rs
@@ -1,4 +1,4 @@
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::future::poll_fn;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -10,16 +10,18 @@
 use futures_channel::oneshot;
 use futures_util::future::{Either, FutureExt, Shared, select};
 use h2::client::{ResponseFuture, SendRequest};
-use h2::{Ping, PingPong, RecvStream, SendStream};
+use h2::{Ping, PingPong, Reason, RecvStream, SendStream};
 use http::{Method, Request};
 use http_body::Body;
 use hyper_util::rt::TokioIo;
 use model::VmName;
 
 use crate::body_pump::{pump_body, send_all};
+use crate::codec::MAX_MESSAGE_BYTES;
 use crate::head_reader::{frame_head, read_head, read_message};
 use crate::hello_message::{HelloAnswer, HelloMessage};
 use crate::link_activity::LinkActivity;
+use crate::link_body::CallSender;
 use crate::{
     AnswerHead, CallHead, FleetSecret, LinkBody, LinkError, LinkSettings, WIRE_VERSION, decode,
     encode,
@@ -32,6 +34,8 @@
 pub struct PeerLink {
     sender: RefCell<SendRequest<Bytes>>,
     down: Shared<oneshot::Receiver<()>>,
+    /// Whether the other end takes no more streams.
+    is_closing: Cell<bool>,
     activity: LinkActivity,
 }
 
@@ -74,7 +78,7 @@
             .map_err(LinkError::NotSent)?;
         let pings = connection.ping_pong();
         let (down_sender, down) = oneshot::channel();
-        let activity = LinkActivity::default();
+        let activity = LinkActivity::new();
         let keeper = keep_alive(pings, activity.clone(), *settings);
         compio::runtime::spawn(async move {
             let keeper = std::pin::pin!(keeper);
@@ -85,16 +89,24 @@
         let link = Self {
             sender: RefCell::new(sender),
             down: down.shared(),
+            is_closing: Cell::new(false),
             activity,
         };
         link.prove(own, secret).await?;
         Ok(link)
     }
 
-    /// Returns whether the link broke or went silent.
+    /// Returns whether the link broke, went silent or is closed.
     #[must_use]
     pub fn is_down(&self) -> bool {
-        self.down.peek().is_some() || self.down.clone().now_or_never().is_some()
+        self.is_closing.get()
+            || self.down.peek().is_some()
+            || self.down.clone().now_or_never().is_some()
+    }
+
+    /// Waits until the link is down; the future doesn't keep the link.
+    pub fn down(&self) -> impl Future<Output = ()> + use<> {
+        self.down.clone().map(|_| ())
     }
 
     /// Returns the number of calls and messages that wait for an answer.
@@ -118,7 +130,7 @@
     where
         B: Body<Data = Bytes> + Unpin + 'static,
     {
-        let _guard = self.activity.begin();
+        let guard = self.activity.begin();
         let frame = frame_head(head)?;
         let (response, mut stream) = self.send("/call").await?;
         let sender = compio::runtime::spawn(async move {
@@ -137,7 +149,11 @@
             });
         }
         let told = answer_head.body_bytes;
-        let body = LinkBody::new(answer, first, told, Some(sender));
+        let call = CallSender {
+            _task: sender,
+            _guard: guard,
+        };
+        let body = LinkBody::new(answer, first, told, Some(call));
         Ok((answer_head, body))
     }
 
@@ -184,25 +200,44 @@
             stream
         };
         let (_stream, answer) = futures_util::join!(sending, self.wait(response));
-        self.until_down(read_message(&mut answer?)).await
+        self.until_down(read_message(&mut answer?, MAX_MESSAGE_BYTES))
+            .await
     }
 
     async fn send(&self, path: &str) -> Result<(ResponseFuture, SendStream<Bytes>), LinkError> {
         let mut sender = self.sender.borrow().clone();
         let ready = poll_fn(|context| sender.poll_ready(context));
-        ready.await.map_err(LinkError::NotSent)?;
         let request = Request::builder()
             .method(Method::POST)
             .uri(format!("http://node{path}"))
             .body(())
             .expect("a fixed request is valid");
-        sender
-            .send_request(request, false)
-            .map_err(LinkError::NotSent)
+        let sent = match ready.await {
+            Ok(()) => sender.send_request(request, false),
+            Err(error) => Err(error),
+        };
+        sent.map_err(|error| self.not_sent(error))
+    }
+
+    /// Lets no more calls take this link, as the other end didn't take this one.
+    fn not_sent(&self, error: h2::Error) -> LinkError {
+        self.is_closing.set(true);
+        LinkError::NotSent(error)
+    }
+
+    /// Tells a stream that the other end surely didn't take from one that broke.
+    fn classify(&self, error: h2::Error) -> LinkError {
+        match error.reason() {
+            Some(Reason::REFUSED_STREAM) if error.is_remote() => LinkError::NotSent(error),
+            Some(Reason::NO_ERROR) if error.is_remote() && error.is_go_away() => {
+                self.not_sent(error)
+            }
+            _ => LinkError::Broken(error),
+        }
     }
 
     async fn wait(&self, response: ResponseFuture) -> Result<RecvStream, LinkError> {
-        let response = response.map(|result| result.map_err(classify));
+        let response = response.map(|result| result.map_err(|error| self.classify(error)));
         Ok(self.until_down(response).await?.into_body())
     }
 
@@ -218,21 +253,16 @@
     }
 }
 
-/// Tells a stream that the far end surely refused from one that broke.
-fn classify(error: h2::Error) -> LinkError {
-    if error.is_remote() && error.reason() == Some(h2::Reason::REFUSED_STREAM) {
-        return LinkError::NotSent(error);
-    }
-    LinkError::Broken(error)
-}
-
-/// Probes the link and returns when it doesn't answer in time.
+/// Probes the link, and returns when it doesn't answer in time or nothing uses it for long.
 async fn keep_alive(pings: Option<PingPong>, activity: LinkActivity, settings: LinkSettings) {
     let Some(mut pings) = pings else {
         return std::future::pending().await;
     };
     loop {
         wait_for_probe(&activity, &settings).await;
+        if activity.idle_span() >= Duration::from_millis(settings.idle_close_ms) {
+            return;
+        }
         let probe = pings.ping(Ping::opaque());
         let limit = Duration::from_millis(settings.probe_timeout_ms);
         if !matches!(timeout(limit, probe).await, Ok(Ok(_))) {
@@ -244,8 +274,10 @@
 /// Waits until an answer is overdue, or the link has been idle for long.
 async fn wait_for_probe(activity: &LinkActivity, settings: &LinkSettings) {
     let idle = Duration::from_millis(settings.idle_probe_ms);
+    let close = Duration::from_millis(settings.idle_close_ms);
     loop {
-        if activity.is_idle() && timeout(idle, activity.begins()).await.is_err() {
+        let span = idle.min(close.saturating_sub(activity.idle_span()));
+        if activity.is_idle() && timeout(span, activity.begins()).await.is_err() {
             return;
         }
         sleep(Duration::from_millis(settings.busy_probe_ms)).await;
