--- a/crates/rate/src/lib.rs
+++ b/crates/rate/src/lib.rs
@@ -6,6 +6,7 @@
 //! against them. Nothing here does I/O: the caller passes the time, messages and records in and
 //! carries the [`RateAction`]s out.
 
+mod grant_book;
 mod lease_fold;
 mod rate_action;
 mod rate_allocator;
