fix(node): stop the calls below when nobody waits for a request

Cause: calls below a request ended only because the backend server's own request was closed, and with it its connections. One that goes on, as on a thread of its own, kept the work below running for its whole deadline after the caller had left. faults_chain didn't see it: its naive variant, calls not tied to their parent, passed as well.

Change: a run that ends without an answer gives up the calls that serve it, and egress drops them. Those of a run that was answered go on. The stand-in takes a setting by which requests go on.

a_caller_that_leaves_stops_the_work_below: before, tied calls ran on past 2 s; after, they end in time. a_deadline_goes_down_the_chain: tied ended in time before and after. Both have a naive case now, which runs on.

--- a/crates/node/src/egress.rs
+++ b/crates/node/src/egress.rs
@@ -1,6 +1,7 @@
 use std::rc::Rc;
 
 use clock::ClockTime;
+use futures_util::future::{Either, select};
 use graph::CallTarget;
 use http::{HeaderMap, Request, Response};
 use hyper::body::Incoming;
@@ -71,7 +72,9 @@
         return Err(refusal.after_ms(REPEATS_SPENT_MS));
     }
     let (service, attempt) = (head.service.clone(), head.attempt);
-    let answer = dispatch_call(core, head, body, deadline).await;
+    let sending = dispatch_call(core, head, body, deadline);
+    let answer = while_awaited(parent.as_deref(), sending).await;
+    let answer = answer.ok_or_else(|| CallRefusal::may_have_run(RefusalReason::DeadlinePassed))?;
     let now = core.now();
     core.metrics
         .observe_call("egress", &service, started, now, &answer.head);
@@ -81,6 +84,23 @@
     Ok(answer)
 }
 
+/// Goes on with a call for as long as somebody waits for the one that it serves, also when the
+/// backend server doesn't notice that nobody does.
+async fn while_awaited<T>(
+    parent: Option<&RunningCall>,
+    work: impl Future<Output = T>,
+) -> Option<T> {
+    let Some(parent) = parent else {
+        return Some(work.await);
+    };
+    let work = std::pin::pin!(work);
+    let given_up = std::pin::pin!(parent.wait_given_up());
+    match select(work, given_up).await {
+        Either::Left((answer, _)) => Some(answer),
+        Either::Right(_) => None,
+    }
+}
+
 /// Returns the running call that a backend server's call serves, if it names one.
 fn find_parent(
     core: &NodeCore,
--- a/crates/node/src/run_guard.rs
+++ b/crates/node/src/run_guard.rs
@@ -52,6 +52,9 @@
 impl Drop for RunGuard {
     fn drop(&mut self) {
         self.core.running.remove(self.attempt);
+        if self.answered_ms.get().is_none() {
+            self.call.give_up();
+        }
         let outcome = match self.answered_ms.get() {
             Some(run_ms) => RunOutcome::Completed {
                 own_ms: run_ms.saturating_sub(self.call.below_ms.get()),
--- a/crates/node/src/running_calls.rs
+++ b/crates/node/src/running_calls.rs
@@ -8,6 +8,8 @@
 use retry::{AllowanceShare, CallRepeats, RetryAllowance};
 use wire::CallHead;
 
+use crate::change_notifier::ChangeNotifier;
+
 /// The different calls that are remembered for one running call.
 const MAX_REMEMBERED_CALLS: usize = 1_000;
 
@@ -24,6 +26,8 @@
     pub(crate) used: RefCell<BTreeSet<CallTarget>>,
     /// The time spent waiting for calls below, in milliseconds.
     pub(crate) below_ms: Cell<u64>,
+    is_given_up: Cell<bool>,
+    given_up: ChangeNotifier,
 }
 
 impl RunningCall {
@@ -40,6 +44,21 @@
             repeats: RefCell::new(CallRepeats::new(MAX_REMEMBERED_CALLS)),
             used: RefCell::default(),
             below_ms: Cell::new(0),
+            is_given_up: Cell::new(false),
+            given_up: ChangeNotifier::default(),
+        }
+    }
+
+    /// Stops the calls below, as nobody waits for this one any more.
+    pub(crate) fn give_up(&self) {
+        self.is_given_up.set(true);
+        self.given_up.notify();
+    }
+
+    /// Waits until nobody waits for this call any more.
+    pub(crate) async fn wait_given_up(&self) {
+        if !self.is_given_up.get() {
+            self.given_up.wait().await;
         }
     }
 }
--- a/crates/node/tests/faults_chain.rs
+++ b/crates/node/tests/faults_chain.rs
@@ -16,6 +16,8 @@
 /// The time in which work below stops once nobody waits for it.
 const STOPS_WITHIN: Duration = Duration::from_secs(2);
 
+/// Starts a backend server that goes on with its calls even when its own request is closed, and
+/// two below it; without the call's id its calls aren't tied to the request.
 async fn chain(path: &str, count: usize, passes_call_id: bool) -> Fleet {
     let mut fleet = Fleet::start().await;
     let call = BackendCall {
@@ -25,6 +27,7 @@
     let filings = BackendSettings {
         calls: vec![call; count],
         passes_call_id,
+        goes_on: true,
         ..BackendSettings::default()
     };
     fleet.add("filings-1", "filings", filings).await;
@@ -93,20 +96,24 @@
 }
 
 #[rstest]
+#[case::ours(true)]
+#[case::naive(false)]
 #[compio::test]
-async fn a_caller_that_leaves_stops_the_work_below() {
-    let fleet = chain("/registry/records/7?ms=8000", 1, true).await;
+async fn a_caller_that_leaves_stops_the_work_below(#[case] is_tied: bool) {
+    let fleet = chain("/registry/records/7?ms=8000", 1, is_tied).await;
     let sending = fleet.send_admitted(0, "GET", "/filings/filings/1", &[]);
     assert!(timeout(Duration::from_millis(700), sending).await.is_err());
     assert_eq!(runs_below(&fleet), 1, "the work below had begun");
-    assert!(stops_in_time(&fleet).await);
+    assert_eq!(stops_in_time(&fleet).await, is_tied);
     assert!(is_unfinished_below(&fleet));
 }
 
 #[rstest]
+#[case::ours(true)]
+#[case::naive(false)]
 #[compio::test]
-async fn a_deadline_goes_down_the_chain() {
-    let fleet = chain("/registry/records/7?ms=8000", 1, true).await;
+async fn a_deadline_goes_down_the_chain(#[case] is_tied: bool) {
+    let fleet = chain("/registry/records/7?ms=8000", 1, is_tied).await;
     let headers = [("lentilshift-deadline-ms", "700")];
     let answer = fleet
         .send_admitted(0, "GET", "/filings/filings/1", &headers)
@@ -114,6 +121,6 @@
     assert_eq!(answer.status().as_u16(), 504);
     assert_eq!(answer.headers()["lentilshift-verdict"], "may-have-run");
     assert_eq!(runs_below(&fleet), 1, "the work below had begun");
-    assert!(stops_in_time(&fleet).await);
+    assert_eq!(stops_in_time(&fleet).await, is_tied);
     assert!(is_unfinished_below(&fleet));
 }
--- a/crates/standin/src/backend_server.rs
+++ b/crates/standin/src/backend_server.rs
@@ -12,6 +12,7 @@
 use compio::runtime::JoinHandle;
 use compio::time::sleep;
 use cyper_core::HyperStream;
+use futures_channel::oneshot;
 use futures_util::StreamExt;
 use futures_util::stream::{self, BoxStream};
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
@@ -129,7 +130,7 @@
     async fn serve(self: Rc<Self>, stream: TcpStream) {
         let service = service_fn(|request| {
             let server = Rc::clone(&self);
-            async move { server.answer(request).await }
+            async move { Ok::<_, Infallible>(server.answer_to_end(request).await) }
         });
         let stream = HyperStream::new_plain(stream);
         let _ = http1::Builder::new()
@@ -137,10 +138,21 @@
             .await;
     }
 
-    async fn answer(
-        self: Rc<Self>,
-        request: Request<Incoming>,
-    ) -> Result<Response<AnswerBody>, Infallible> {
+    /// Answers a request, on a task of its own where the settings say so.
+    async fn answer_to_end(self: Rc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
+        let goes_on = self.settings.borrow().goes_on;
+        if !goes_on {
+            return self.answer(request).await;
+        }
+        let (sender, receiver) = oneshot::channel();
+        let working = async move {
+            let _ = sender.send(self.answer(request).await);
+        };
+        compio::runtime::spawn(working).detach();
+        receiver.await.expect("the task sends its answer")
+    }
+
+    async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
         let query = BackendQuery::parse(request.uri());
         let run = self.record.start(trace_of(&request), head_of(&request));
         if query.is_crash {
@@ -163,7 +175,7 @@
             "uploaded_bytes": uploaded,
             "below": below,
         });
-        Ok(build_answer(query, &text.to_string()))
+        build_answer(query, &text.to_string())
     }
 
     /// Reads a body to its end and returns its length in bytes, or `None` when it was cut.
--- a/crates/standin/src/backend_settings.rs
+++ b/crates/standin/src/backend_settings.rs
@@ -25,6 +25,8 @@
     pub calls: Vec<BackendCall>,
     /// Whether the header that ties calls to the request is passed on.
     pub passes_call_id: bool,
+    /// Whether a request goes on when its connection is closed, as on a thread of its own.
+    pub goes_on: bool,
 }
 
 impl Default for BackendSettings {
@@ -36,6 +38,7 @@
             egress: None,
             calls: Vec::new(),
             passes_call_id: true,
+            goes_on: false,
         }
     }
 }
