feat(retry,node): count resends at other nodes where copies meet

Cause: the table of resends stands at the entry, so a caller that sends a request again to another node starts an allowance of its own there.

Change: the VM where copies of a call with a key meet counts the requests of a key that ran, and lets the first and as many copies as it has retries run. A request that didn't run isn't counted; attempts of one request count once; calls below a request and once-calls are left out.

Each that runs still has the retries of its own entry, which docs/PROOFS.md says.

--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -17,11 +17,8 @@
 use crate::node_core::NodeCore;
 use crate::rate_watch::admit_team;
 use crate::request_body::read_small;
-use crate::resend_charge::ResendCharge;
+use crate::resend_charge::{ResendCharge, resends_spent};
 
-/// The time after which a caller may send a request again whose retries are spent, in
-/// milliseconds.
-const RESENDS_SPENT_MS: u64 = 60_000;
 /// The time after which callers come back to a node that trusts no key, in milliseconds.
 const KEYS_STALE_MS: u64 = 2_000;
 
@@ -74,9 +71,7 @@
     }
     let body = read_small(core, body, deadline).await?;
     let charge = ResendCharge::open(core, &head);
-    let charge = charge.ok_or_else(|| {
-        CallRefusal::not_run(RefusalReason::Overloaded).after_ms(RESENDS_SPENT_MS)
-    })?;
+    let charge = charge.ok_or_else(resends_spent)?;
     let head = CallHead {
         body_bytes: body.known_bytes(),
         allowance: charge.allowance(),
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -25,6 +25,7 @@
 use crate::kept_answer::{keep_answer, replay_answer};
 use crate::node_core::NodeCore;
 use crate::request_body::gather_small;
+use crate::resend_charge::{ResendCount, resends_spent};
 use crate::run_guard::RunGuard;
 use crate::suspect_watch::{SuspectGuard, SuspectRefusal, enter_run, quarantine_refusal};
 
@@ -63,7 +64,7 @@
         Err(refusal) => return CallAnswer::refused(head, &refusal, head.allowance),
     };
     if !head.once {
-        return run_in_turn(core, head, body, deadline, None).await;
+        return run_counted(core, head, body, deadline).await;
     }
     let content = whole_bytes(&body);
     match claim_call(core, head, &content, deadline).await {
@@ -76,6 +77,21 @@
     }
 }
 
+/// Runs a call unless its copies have spent its retries.
+async fn run_counted(
+    core: &Rc<NodeCore>,
+    head: &CallHead,
+    body: CallBody,
+    deadline: ClockTime,
+) -> CallAnswer {
+    let Some(count) = ResendCount::open(core, head) else {
+        return CallAnswer::refused(head, &resends_spent(), head.allowance);
+    };
+    let answer = run_in_turn(core, head, body, deadline, None).await;
+    count.close(answer.head.verdict);
+    answer
+}
+
 /// Runs a call once the queue lets it in and no suspect must run alone.
 async fn run_in_turn(
     core: &Rc<NodeCore>,
--- a/crates/node/src/node_core.rs
+++ b/crates/node/src/node_core.rs
@@ -14,7 +14,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use rate::{RateSettings, TeamLimiter};
-use retry::{ResendSettings, ResendTable, RetryRatio};
+use retry::{ResendCounts, ResendSettings, ResendTable, RetryRatio};
 use route::{RouteSettings, VmRouter};
 
 use crate::attempt_query::HeardMark;
@@ -64,6 +64,7 @@
     pub(crate) activity: ChangeNotifier,
     pub(crate) chain: RefCell<ChainAdmission>,
     pub(crate) resends: RefCell<ResendTable>,
+    pub(crate) resend_counts: RefCell<ResendCounts>,
     pub(crate) ratios: RefCell<BTreeMap<ServiceName, RetryRatio>>,
     /// Whether the backend server has accepted a connection since the start.
     pub(crate) is_up: Cell<bool>,
@@ -144,6 +145,7 @@
             activity: ChangeNotifier::default(),
             chain: RefCell::new(ChainAdmission::new(AdmissionSettings::default())),
             resends: RefCell::new(ResendTable::new(ResendSettings::default())),
+            resend_counts: RefCell::new(ResendCounts::new(ResendSettings::default())),
             ratios: RefCell::default(),
             is_up: Cell::new(false),
             routers: RefCell::default(),
--- a/crates/node/src/resend_charge.rs
+++ b/crates/node/src/resend_charge.rs
@@ -1,16 +1,65 @@
 use std::rc::Rc;
 
-use model::TeamName;
-use retry::{AllowanceShare, ResendDecision};
+use model::{RefusalReason, RequestId, RunVerdict, TeamName};
+use retry::{AllowanceShare, CountDecision, ResendDecision};
 use wire::CallHead;
 use xxhash_rust::xxh3::Xxh3Default;
 
+use crate::call_answer::CallRefusal;
 use crate::call_headers::idempotency_key;
 use crate::node_core::NodeCore;
 
 /// The retries that a request without an idempotency key may spend over its whole chain.
 const KEYLESS_ALLOWANCE: u32 = 3;
 
+/// The time after which a caller may send a request again whose retries are spent, in
+/// milliseconds.
+const RESENDS_SPENT_MS: u64 = 60_000;
+
+/// Returns the refusal of a request whose retries are spent.
+pub(crate) const fn resends_spent() -> CallRefusal {
+    CallRefusal::not_run(RefusalReason::Overloaded).after_ms(RESENDS_SPENT_MS)
+}
+
+/// Counts a caller's request at the VM where its copies meet, until it turns out not to have run.
+pub(crate) struct ResendCount {
+    core: Rc<NodeCore>,
+    /// The key under which this attempt counted the request.
+    key: Option<u128>,
+    request: RequestId,
+}
+
+impl ResendCount {
+    /// Counts a request, or returns `None` when its copies have spent its retries.
+    ///
+    /// Claims keep duplicates of a call that must run once from running.
+    pub(crate) fn open(core: &Rc<NodeCore>, head: &CallHead) -> Option<Self> {
+        let is_counted = head.depth == 0 && !head.once;
+        let mut count = Self {
+            core: Rc::clone(core),
+            key: is_counted.then(|| resend_key(head)).flatten(),
+            request: head.request,
+        };
+        if let Some(key) = count.key {
+            let mut counts = core.resend_counts.borrow_mut();
+            match counts.admit(core.now(), key, head.request) {
+                CountDecision::Counted => {}
+                CountDecision::Known => count.key = None,
+                CountDecision::Exhausted => return None,
+            }
+        }
+        Some(count)
+    }
+
+    /// Takes the count back when the request didn't run.
+    pub(crate) fn close(self, verdict: RunVerdict) {
+        if let (Some(key), RunVerdict::NotRun) = (self.key, verdict) {
+            let mut counts = self.core.resend_counts.borrow_mut();
+            counts.take_back(key, self.request);
+        }
+    }
+}
+
 /// The retries of a caller's request, which its resends under one idempotency key share.
 pub(crate) struct ResendCharge {
     core: Rc<NodeCore>,
--- a/crates/retry/src/lib.rs
+++ b/crates/retry/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod allowance_share;
 mod call_repeats;
+mod resend_counts;
 mod resend_table;
 mod retry_allowance;
 mod retry_policy;
@@ -15,6 +16,7 @@
 
 pub use allowance_share::AllowanceShare;
 pub use call_repeats::{CallRepeats, RepeatDecision};
+pub use resend_counts::{CountDecision, ResendCounts};
 pub use resend_table::{ResendDecision, ResendSettings, ResendTable};
 pub use retry_allowance::RetryAllowance;
 pub use retry_policy::{RetryDecision, RetryPolicy, RetryQuestion, RetryStop};
