--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -30,6 +30,8 @@
 /// The wait before a call is tried again that failed at the VM that it was sent on to, in
 /// milliseconds: by then another VM is named when that one is down.
 const RUNNER_DOWN_MS: u64 = 250;
+/// The longest time in which a VM must be reached, in milliseconds.
+const REACH_LIMIT_MS: u64 = 1_000;
 /// The times that a call may be sent on to the VM that must run it.
 const MAX_REDIRECTS: u32 = 2;
 /// The time after which callers come back when no backend server is known, in milliseconds.
@@ -290,7 +292,7 @@
 
 /// Returns the link to a VM, and puts a mark of its table of attempts into the head.
 ///
-/// This takes half of the time left at most, so that there is time for another VM. An error tells
+/// This takes a second and half of the time left at most, so that there is time for another VM. An error tells
 /// that nothing was sent.
 async fn reach_vm(
     core: &NodeCore,
@@ -298,7 +300,8 @@
     head: &mut CallHead,
     deadline: ClockTime,
 ) -> Result<Rc<PeerLink>, LinkError> {
-    let limit_ms = core.now().until_ms(deadline) / 2;
+    let left_ms = core.now().until_ms(deadline);
+    let limit_ms = REACH_LIMIT_MS.min(left_ms / 2);
     let no_answer = || LinkError::ConnectTimeout(limit_ms);
     let reaching = async {
         let mark = fresh_mark(core, vm).await.ok_or_else(no_answer)?;
