--- a/crates/node/src/fleet_watch.rs
+++ b/crates/node/src/fleet_watch.rs
@@ -24,7 +24,7 @@
 }
 
 /// Brings routers, links, rates and relay plans in line with the members, where these changed.
-pub(crate) fn put_members(core: &Rc<NodeCore>, now: ClockTime) {
+pub(crate) fn put_members(core: &Rc<NodeCore>) {
     let is_changed = core.fleet.with(|feed| feed.fold().take_changed());
     if !is_changed {
         return;
@@ -32,14 +32,22 @@
     put_links(core);
     let services: Vec<ServiceName> = core.contract().services.keys().cloned().collect();
     for service in &services {
-        put_service(core, now, service);
+        put_service(core, service);
     }
     put_plan(core);
+    core.ready_members.set(count_ready(core));
     let mut siblings = core.ready_vms(&core.settings.service);
     siblings.retain(|vm| *vm != core.settings.vm);
     put_siblings(core, siblings);
 }
 
+fn count_ready(core: &NodeCore) -> usize {
+    core.fleet.with(|feed| {
+        let ready = feed.fold().view().ready_by_centre();
+        ready.values().map(Vec::len).sum()
+    })
+}
+
 fn put_links(core: &NodeCore) {
     let members = core.fleet.with(|feed| {
         let members = feed.fold().view().members();
@@ -54,7 +62,7 @@
         .with(|feed| feed.fold().limiter.set_members(ready));
 }
 
-fn put_service(core: &NodeCore, now: ClockTime, service: &ServiceName) {
+fn put_service(core: &NodeCore, service: &ServiceName) {
     let settings = &core.settings;
     let picked = core.fleet.with(|feed| {
         let ready = feed.fold().view().ready(service);
@@ -71,7 +79,6 @@
             let target = RouteTarget {
                 centre: member.centre,
                 slots: member.slots,
-                started: now,
             };
             router.upsert(member.vm, target);
         }
