--- a/crates/node/src/announce.rs
+++ b/crates/node/src/announce.rs
@@ -38,7 +38,7 @@
         if append.is_free(&mut timer, core.now()) {
             announce_due(&core, &mut timer, &append);
         }
-        put_members(&core, core.now());
+        put_members(&core);
         sleep(Duration::from_millis(LOOK_MS)).await;
     }
 }
