--- a/crates/graph/src/admission_settings.rs
+++ b/crates/graph/src/admission_settings.rs
@@ -5,9 +5,6 @@
     pub cut_hold_ms: u64,
     /// The time in which unrenewed cuts then fall to nothing, in milliseconds.
     pub cut_relax_ms: u64,
-    /// The time by which cuts are older than the newest of their service when they count half, in
-    /// milliseconds.
-    pub cut_half_life_ms: u64,
     /// The number of recent runs over which the uses of a call are counted.
     pub use_runs: u32,
     /// The number of runs from which on the uses of a call are trusted.
@@ -48,7 +45,6 @@
         Self {
             cut_hold_ms: 150,
             cut_relax_ms: 350,
-            cut_half_life_ms: 60,
             use_runs: 32,
             min_use_runs: 8,
             needed_share: 0.8,
--- a/crates/graph/src/service_cuts.rs
+++ b/crates/graph/src/service_cuts.rs
@@ -160,8 +160,6 @@
     }
 
     /// Returns the mean threshold of a service's VMs for a team, the older the lower.
-    ///
-    /// What was heard last counts most, so that the end of an overload is believed at once.
     fn mean_level(
         &self,
         now: ClockTime,
@@ -169,19 +167,16 @@
         team: Option<&TeamName>,
         settings: &AdmissionSettings,
     ) -> f64 {
-        let live = || self.live(now, service, settings);
-        let Some(newest) = live().map(|(_, heard, _)| heard.made_at).max() else {
-            return 0.0;
-        };
-        let (mut total, mut weights, mut count) = (0.0, 0.0, 0.0);
-        for (_, heard, trust) in live() {
-            let weight = recency(newest, heard, settings);
-            total += f64::from(heard.cuts.threshold_of(team).level()) * trust * weight;
-            weights += weight;
+        let mut total = 0.0;
+        let mut count = 0.0;
+        for (_, heard, trust) in self.live(now, service, settings) {
+            total += f64::from(heard.cuts.threshold_of(team).level()) * trust;
             count += 1.0;
         }
-        let least = self.least_count(now, service, settings);
-        total / weights * f64::min(1.0, count / least)
+        if count == 0.0 {
+            return 0.0;
+        }
+        total / f64::max(count, self.least_count(now, service, settings))
     }
 
     /// Returns the number of VMs over which a mean is taken at least.
@@ -199,13 +194,6 @@
     }
 }
 
-/// Returns the weight of cuts beside the newest, from 1 down to 0.
-#[expect(clippy::cast_precision_loss, reason = "spans are far below 2^52 ms")]
-fn recency(newest: ClockTime, heard: &HeardCuts, settings: &AdmissionSettings) -> f64 {
-    let behind_ms = newest.since_ms(heard.made_at) as f64;
-    (-behind_ms / settings.cut_half_life_ms.max(1) as f64).exp2()
-}
-
 /// Returns how far cuts still count at their age, from 1 down to 0.
 #[expect(clippy::cast_precision_loss, reason = "spans are far below 2^52 ms")]
 fn trust(now: ClockTime, heard: &HeardCuts, settings: &AdmissionSettings) -> f64 {
