feat(trial): add VMs of unequal size in one service

Of each three VMs of a service one has half of the usual slots and one has one and a half times as many, at twice capacity.

--- a/crates/trial/src/score.rs
+++ b/crates/trial/src/score.rs
@@ -216,7 +216,7 @@
             }
         }
         let window_ms = (self.end_us - self.start_us) as f64 / 1_000.0;
-        let slots = world.firm.slots();
+        let slots = slots_of(world);
         (0..wasted_ms.len())
             .map(|service| wasted_ms[service] / (slots[service] * window_ms))
             .fold(0.0, f64::max)
@@ -231,6 +231,15 @@
     sum_ms as f64 / 1_000.0 / told.len().max(1) as f64
 }
 
+/// Returns the slots of each service, those of VMs that are gone included.
+fn slots_of(world: &TrialWorld) -> Vec<f64> {
+    let mut slots = vec![0.0; world.firm.services.len()];
+    for vm in &world.vms {
+        slots[vm.service] += f64::from(vm.slots);
+    }
+    slots
+}
+
 /// Returns max-min shares of a capacity by weight.
 fn fair_shares(demand: &[f64], weights: &[u32], capacity: f64) -> Vec<f64> {
     let share = |level: f64| -> Vec<f64> {
--- a/crates/trial/src/workload.rs
+++ b/crates/trial/src/workload.rs
@@ -28,6 +28,9 @@
     FalseReports,
     /// A third of the VMs are gone at once.
     VmsGone,
+    /// Demand at twice capacity for a while; of each three VMs of a service one has half of the
+    /// usual slots and one has one and a half times as many.
+    UnequalVms,
 }
 
 /// The time before the cause sets in, in milliseconds.
@@ -39,7 +42,7 @@
 
 impl Workload {
     /// All workloads.
-    pub const ALL: [Self; 12] = [
+    pub const ALL: [Self; 13] = [
         Self::SteadyHalf,
         Self::SteadyFull,
         Self::Demand2,
@@ -52,6 +55,7 @@
         Self::ColdSteps,
         Self::FalseReports,
         Self::VmsGone,
+        Self::UnequalVms,
     ];
 
     /// Returns the name used on the command line.
@@ -70,6 +74,7 @@
             Self::ColdSteps => "cold-steps",
             Self::FalseReports => "false-reports",
             Self::VmsGone => "vms-gone",
+            Self::UnequalVms => "unequal-vms",
         }
     }
 
@@ -86,7 +91,7 @@
     /// Returns the demand during the strain, as a part of capacity.
     pub(crate) const fn strain_demand(self) -> f64 {
         match self {
-            Self::Demand2 => 2.0,
+            Self::Demand2 | Self::UnequalVms => 2.0,
             Self::Demand5 => 5.0,
             Self::Demand10 => 10.0,
             _ => self.base_demand(),
@@ -101,6 +106,15 @@
         }
     }
 
+    /// Returns the slots of one VM of a service.
+    pub(crate) const fn vm_slots(self, instance: usize, usual: u32) -> u32 {
+        match (self, instance % 3) {
+            (Self::UnequalVms, 0) => usual / 2,
+            (Self::UnequalVms, 2) => usual + usual / 2,
+            _ => usual,
+        }
+    }
+
     /// Returns the time of the strain, in milliseconds.
     pub(crate) const fn strain_ms(self) -> u64 {
         match self {
--- a/crates/trial/src/world.rs
+++ b/crates/trial/src/world.rs
@@ -87,7 +87,7 @@
         let targets = (0..firm.calls.len())
             .map(|call| firm.target(call))
             .collect();
-        let (scarcest, base_rate) = firm.scarcest(&firm.slots(), &speeds);
+        let (scarcest, base_rate) = firm.scarcest(&slots_of(&firm, workload), &speeds);
         let team_names = (0..firm.teams.len())
             .map(|team| TeamName::new(format!("team-{team}")))
             .collect();
@@ -169,14 +169,15 @@
             for instance in 0..plan.instances {
                 let index = self.vms.len();
                 let lies = self.workload == Workload::FalseReports && index.is_multiple_of(3);
-                let announced = if lies { plan.slots * 3 } else { plan.slots };
+                let slots = self.workload.vm_slots(instance, plan.slots);
+                let announced = if lies { slots * 3 } else { slots };
                 let vm = TrialVm {
                     name: VmName::new(format!("{}-{instance}", plan.name)),
                     service,
                     centre: instance % CENTRES.len(),
-                    slots: plan.slots,
+                    slots,
                     announced,
-                    backend: Backend::new(plan.slots),
+                    backend: Backend::new(slots),
                     ingress: Ingress::new(&self.policy, announced, seed ^ index as u64),
                     admission: ChainAdmission::new(self.policy.admission),
                     routers: self.new_routers(instance % CENTRES.len()),
@@ -274,3 +275,15 @@
         })
     }
 }
+
+/// Returns the slots of each service when all VMs live.
+fn slots_of(firm: &Firm, workload: Workload) -> Vec<f64> {
+    firm.services
+        .iter()
+        .map(|service| {
+            let vms = 0..service.instances;
+            let slots = vms.map(|vm| workload.vm_slots(vm, service.slots));
+            f64::from(slots.sum::<u32>())
+        })
+        .collect()
+}
