feat(trial): let calls be retried by the crate that nodes use

Cause: the trial stood in for the conserved allowance with one count for each try, which every hop could spend from.

Shares are halved twice at each hop and rounded down, so a call two hops down has no retry of its own.

--- a/crates/trial/src/call.rs
+++ b/crates/trial/src/call.rs
@@ -1,5 +1,6 @@
 use graph::CutReport;
 use model::{CallImportance, ShedOrder};
+use retry::RetryAllowance;
 
 /// A caller's request, over all its tries.
 #[derive(Clone, Debug)]
@@ -24,7 +25,6 @@
     pub(crate) root: Option<usize>,
     pub(crate) is_over: bool,
     pub(crate) is_good: bool,
-    pub(crate) retries_left: u32,
     /// The service that refused the try last.
     pub(crate) refused_by: Option<usize>,
     /// The time after which the caller was told to come back, in milliseconds; 0 when it wasn't.
@@ -47,7 +47,7 @@
 }
 
 /// One call to a service within a try.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub(crate) struct Call {
     pub(crate) client_try: usize,
     pub(crate) plan: usize,
@@ -65,6 +65,11 @@
     pub(crate) child_sent_us: u64,
     pub(crate) work_ms: f64,
     pub(crate) hop_retries_left: u32,
+    pub(crate) retries: u32,
+    /// The retries of the node that made the call.
+    pub(crate) allowance: RetryAllowance,
+    /// The retries of the node beside the backend server, for the calls below.
+    pub(crate) run_allowance: RetryAllowance,
 }
 
 /// How a call was answered.
--- a/crates/trial/src/event.rs
+++ b/crates/trial/src/event.rs
@@ -16,6 +16,8 @@
     ClientAnswered(usize, bool, bool),
     /// A caller gives up waiting for a try.
     ClientTimeout(usize),
+    /// A node sends a call again.
+    CallRetried(usize),
     /// A call reaches the node beside its backend server.
     CallArrives(usize),
     /// A cancellation reaches the node beside a backend server.
--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -17,6 +17,7 @@
 mod world;
 mod world_calls;
 mod world_clients;
+mod world_retries;
 mod world_script;
 
 pub use firm::Firm;
--- a/crates/trial/src/policy.rs
+++ b/crates/trial/src/policy.rs
@@ -1,5 +1,6 @@
 use graph::AdmissionSettings;
 use limit::QueueSettings;
+use retry::ResendSettings;
 use route::RouteSettings;
 
 /// The kinds of node that are compared.
@@ -46,7 +47,7 @@
             admission: AdmissionSettings::default(),
             cancels: true,
             callers_wait: false,
-            chain_retries: 2,
+            chain_retries: ResendSettings::default().retries,
         }
     }
 
--- a/crates/trial/src/world.rs
+++ b/crates/trial/src/world.rs
@@ -6,6 +6,7 @@
 use model::{CentreName, TeamName, VmName};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
+use retry::{RatioSettings, RetryRatio};
 use route::{LoadSample, RouteTarget, VmRouter};
 
 use crate::backend::Backend;
@@ -28,6 +29,12 @@
 /// The time between two rounds of the nodes' periodic work, in microseconds.
 pub(crate) const TICK_US: u64 = 20_000;
 
+/// The retries of a node to a service, as a node has them.
+const RATIO_SETTINGS: RatioSettings = RatioSettings {
+    per_thousand: 100,
+    max_saved: 200,
+};
+
 /// One VM: a backend server and the node beside it.
 #[derive(Clone, Debug)]
 pub(crate) struct TrialVm {
@@ -40,6 +47,7 @@
     pub(crate) ingress: Ingress,
     pub(crate) admission: ChainAdmission,
     pub(crate) routers: Vec<VmRouter>,
+    pub(crate) ratios: Vec<RetryRatio>,
     pub(crate) turns: Vec<usize>,
     pub(crate) linked: Vec<bool>,
     pub(crate) is_alive: bool,
@@ -48,7 +56,7 @@
 }
 
 /// A firm under a workload, with nodes of one kind, in virtual time.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct TrialWorld {
     pub(crate) firm: Firm,
     pub(crate) workload: Workload,
@@ -151,6 +159,7 @@
                 self.client_answered(client_try, is_good, is_refused);
             }
             TrialEvent::ClientTimeout(client_try) => self.client_timeout(client_try),
+            TrialEvent::CallRetried(call) => self.retry_call(call),
             TrialEvent::CallArrives(call) => self.call_arrives(call),
             TrialEvent::CancelArrives(call) => self.cancel_call(call),
             TrialEvent::WorkEnds(vm, generation) => self.work_ends(vm, generation),
@@ -181,6 +190,7 @@
                     ingress: Ingress::new(&self.policy, announced, seed ^ index as u64),
                     admission: ChainAdmission::new(self.policy.admission),
                     routers: self.new_routers(instance % CENTRES.len()),
+                    ratios: vec![RetryRatio::new(RATIO_SETTINGS); services.len()],
                     turns: vec![index; services.len()],
                     linked: vec![false; count],
                     is_alive: true,
--- a/crates/trial/src/world_calls.rs
+++ b/crates/trial/src/world_calls.rs
@@ -4,6 +4,7 @@
 use graph::{CallTarget, CutReport};
 use limit::{QueueTicket, ShedCuts};
 use model::RefusalReason;
+use retry::{AllowanceShare, RetryAllowance};
 use route::RouteOutcome;
 
 use crate::call::{Call, CallAnswer, CallResult, CallState};
@@ -20,6 +21,13 @@
         parent: Option<usize>,
         caller_vm: usize,
     ) -> usize {
+        let share = match parent {
+            Some(parent) => {
+                let id = attempt_id(self.calls.len());
+                self.calls[parent].run_allowance.hand_down(id, 1)
+            }
+            None => AllowanceShare::new(self.policy.chain_retries),
+        };
         self.calls.push(Call {
             client_try,
             plan,
@@ -37,6 +45,9 @@
             child_sent_us: 0,
             work_ms: 0.0,
             hop_retries_left: self.policy.hop_retries(),
+            retries: 0,
+            allowance: RetryAllowance::new(share),
+            run_allowance: RetryAllowance::default(),
         });
         self.calls.len() - 1
     }
@@ -55,6 +66,8 @@
         entry.vm = vm;
         entry.state = CallState::Sent;
         entry.sent_us = self.now_us;
+        let share = entry.allowance.hand_down(attempt_id(call), 1);
+        entry.run_allowance = RetryAllowance::new(share);
         let at_us = self.now_us + self.link_us(caller_vm, vm);
         self.events.push(at_us, TrialEvent::CallArrives(call));
     }
@@ -267,6 +280,9 @@
             CallResult::ChildFailed => RouteOutcome::Abandoned,
         };
         self.learn(call, answer);
+        let entry = &mut self.calls[call];
+        let unspent = std::mem::take(&mut entry.run_allowance).close();
+        entry.allowance.take_back(attempt_id(call), unspent);
         let (now, name) = (self.now(), self.vms[vm].name.clone());
         let service = self.vms[vm].service;
         self.vms[caller_vm].routers[service].finish(now, &name, outcome, answer.sample);
@@ -288,15 +304,14 @@
         if answer.result == CallResult::Done {
             let span_ms = (self.now_us - entry.sent_us) / 1_000;
             admission.observe_duration(now, target, span_ms);
+            let service = self.firm.calls[entry.plan].service;
+            self.vms[entry.caller_vm].ratios[service].succeed();
         }
     }
 
     /// Acts on the result of a call: goes on, tries again or gives up.
     fn settle(&mut self, call: usize, result: CallResult) {
-        if result != CallResult::Done && self.may_retry(call, result) {
-            let vm = self.calls[call].vm;
-            self.calls[call].tried.push(vm);
-            self.send_call(call);
+        if result != CallResult::Done && self.plans_retry(call, result) {
             return;
         }
         let Some(parent) = self.calls[call].parent else {
@@ -304,6 +319,9 @@
             self.answer_client(client_try, result);
             return;
         };
+        let unspent = std::mem::take(&mut self.calls[call].allowance).close();
+        let allowance = &mut self.calls[parent].run_allowance;
+        allowance.take_back(attempt_id(call), unspent);
         if self.calls[parent].state != CallState::Running {
             return;
         }
@@ -319,23 +337,6 @@
         }
     }
 
-    fn may_retry(&mut self, call: usize, result: CallResult) -> bool {
-        let entry = &mut self.calls[call];
-        if self.policy.kind != NodeKind::Policy {
-            let may_retry = entry.hop_retries_left > 0;
-            entry.hop_retries_left = entry.hop_retries_left.saturating_sub(1);
-            return may_retry;
-        }
-        let tried = &mut self.tries[entry.client_try];
-        let is_live = !tried.is_over && self.now_us < tried.deadline_us;
-        let is_useful = matches!(result, CallResult::Failed | CallResult::Refused(false));
-        if !is_live || !is_useful || tried.retries_left == 0 {
-            return false;
-        }
-        tried.retries_left -= 1;
-        true
-    }
-
     /// Stops a call whose caller has left, and the one that it is waiting for.
     pub(crate) fn cancel_call(&mut self, call: usize) {
         let entry = &self.calls[call];
--- a/crates/trial/src/world_clients.rs
+++ b/crates/trial/src/world_clients.rs
@@ -71,7 +71,6 @@
             root: None,
             is_over: false,
             is_good: false,
-            retries_left: self.policy.chain_retries,
             refused_by: None,
             told_ms: 0,
             comes_as_told: self.requests[request].comes_as_told,
