--- a/crates/trial/src/world_calls.rs
+++ b/crates/trial/src/world_calls.rs
@@ -280,9 +280,11 @@
             CallResult::ChildFailed => RouteOutcome::Abandoned,
         };
         self.learn(call, answer);
-        let entry = &mut self.calls[call];
-        let unspent = std::mem::take(&mut entry.run_allowance).close();
-        entry.allowance.take_back(attempt_id(call), unspent);
+        if answer.result != CallResult::Failed {
+            let entry = &mut self.calls[call];
+            let unspent = std::mem::take(&mut entry.run_allowance).close();
+            entry.allowance.take_back(attempt_id(call), unspent);
+        }
         let (now, name) = (self.now(), self.vms[vm].name.clone());
         let service = self.vms[vm].service;
         self.vms[caller_vm].routers[service].finish(now, &name, outcome, answer.sample);
