--- a/crates/trial/src/world.rs
+++ b/crates/trial/src/world.rs
@@ -6,6 +6,7 @@
 use model::{CentreName, TeamName, VmName};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
+use retry::{RatioSettings, RetryRatio};
 use route::{LoadSample, RouteTarget, VmRouter};
 
 use crate::backend::Backend;
@@ -28,6 +29,12 @@
 /// The time between two rounds of the nodes' periodic work, in microseconds.
 pub(crate) const TICK_US: u64 = 20_000;
 
+/// The retries of a node to a service, as a node has them.
+const RATIO_SETTINGS: RatioSettings = RatioSettings {
+    per_thousand: 100,
+    max_saved: 200,
+};
+
 /// One VM: a backend server and the node beside it.
 #[derive(Clone, Debug)]
 pub(crate) struct TrialVm {
@@ -40,6 +47,7 @@
     pub(crate) ingress: Ingress,
     pub(crate) admission: ChainAdmission,
     pub(crate) routers: Vec<VmRouter>,
+    pub(crate) ratios: Vec<RetryRatio>,
     pub(crate) turns: Vec<usize>,
     pub(crate) linked: Vec<bool>,
     pub(crate) is_alive: bool,
@@ -48,7 +56,7 @@
 }
 
 /// A firm under a workload, with nodes of one kind, in virtual time.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct TrialWorld {
     pub(crate) firm: Firm,
     pub(crate) workload: Workload,
@@ -87,7 +95,7 @@
         let targets = (0..firm.calls.len())
             .map(|call| firm.target(call))
             .collect();
-        let (scarcest, base_rate) = firm.scarcest(&firm.slots(), &speeds);
+        let (scarcest, base_rate) = firm.scarcest(&slots_of(&firm, workload), &speeds);
         let team_names = (0..firm.teams.len())
             .map(|team| TeamName::new(format!("team-{team}")))
             .collect();
@@ -151,6 +159,7 @@
                 self.client_answered(client_try, is_good, is_refused);
             }
             TrialEvent::ClientTimeout(client_try) => self.client_timeout(client_try),
+            TrialEvent::CallRetried(call) => self.retry_call(call),
             TrialEvent::CallArrives(call) => self.call_arrives(call),
             TrialEvent::CancelArrives(call) => self.cancel_call(call),
             TrialEvent::WorkEnds(vm, generation) => self.work_ends(vm, generation),
@@ -169,17 +178,19 @@
             for instance in 0..plan.instances {
                 let index = self.vms.len();
                 let lies = self.workload == Workload::FalseReports && index.is_multiple_of(3);
-                let announced = if lies { plan.slots * 3 } else { plan.slots };
+                let slots = self.workload.vm_slots(instance, plan.slots);
+                let announced = if lies { slots * 3 } else { slots };
                 let vm = TrialVm {
                     name: VmName::new(format!("{}-{instance}", plan.name)),
                     service,
                     centre: instance % CENTRES.len(),
-                    slots: plan.slots,
+                    slots,
                     announced,
-                    backend: Backend::new(plan.slots),
+                    backend: Backend::new(slots),
                     ingress: Ingress::new(&self.policy, announced, seed ^ index as u64),
                     admission: ChainAdmission::new(self.policy.admission),
                     routers: self.new_routers(instance % CENTRES.len()),
+                    ratios: vec![RetryRatio::new(RATIO_SETTINGS); services.len()],
                     turns: vec![index; services.len()],
                     linked: vec![false; count],
                     is_alive: true,
@@ -274,3 +285,15 @@
         })
     }
 }
+
+/// Returns the slots of each service when all VMs live.
+fn slots_of(firm: &Firm, workload: Workload) -> Vec<f64> {
+    firm.services
+        .iter()
+        .map(|service| {
+            let vms = 0..service.instances;
+            let slots = vms.map(|vm| workload.vm_slots(vm, service.slots));
+            f64::from(slots.sum::<u32>())
+        })
+        .collect()
+}
