fix(node): read on in the body of a request that is refused

Cause: a request refused by its head was answered while its body was still arriving. The body was dropped, hyper closed the connection without saying so in the answer, and the caller's next request on it, or the rest of the upload, met a closed connection. Seen as uploads without any answer beside refusals with 429 while nodes were stopped in random orders.

Ruled out: the stop itself; the node that closed the connection wasn't stopping.

Change: the head is admitted apart from the body, and a refused body is read on in the background, at most 1 MiB and 2 s. The answer goes out at once. A caller that waits for "100 Continue" isn't asked for its body.

--- a/crates/node/src/egress.rs
+++ b/crates/node/src/egress.rs
@@ -56,7 +56,7 @@
     parent: Option<Rc<RunningCall>>,
 ) -> Result<CallAnswer, CallRefusal> {
     let started = core.now();
-    let entry = find_call(core, &request, None);
+    let entry = find_call(core, request.method(), request.uri(), None);
     let entry = entry.ok_or_else(|| CallRefusal::not_run(RefusalReason::NoSuchCall))?;
     let deadline = find_deadline(core, &request, &entry, parent.as_deref());
     let head = build_head(core, request_id, entry, &request, parent.as_deref());
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -1,8 +1,9 @@
 use std::rc::Rc;
 
+use clock::ClockTime;
 use contract::CallContract;
 use http::request::Parts;
-use http::{HeaderMap, Request, Response};
+use http::{HeaderMap, Method, Request, Response, Uri};
 use hyper::body::Incoming;
 use model::{CallName, RefusalReason, RequestId, ServiceName, TeamName};
 use platform::KeyAnswer;
@@ -16,7 +17,7 @@
 use crate::http_answer::{build_response, refuse_response};
 use crate::node_core::NodeCore;
 use crate::rate_watch::admit_team;
-use crate::request_body::read_small;
+use crate::request_body::{read_small, skip_body};
 use crate::resend_charge::ResendCharge;
 
 /// The time after which a caller may send a request again whose retries are spent, in
@@ -56,22 +57,14 @@
     request: Request<Incoming>,
 ) -> Result<CallAnswer, CallRefusal> {
     let started = core.now();
-    let key = find_key(request.headers()).map(<[u8]>::to_vec);
-    let key = key.as_deref();
-    if is_key_in_path(request.uri().path(), key) {
-        return Err(CallRefusal::not_run(RefusalReason::BadRequest));
-    }
-    let entry = find_call(core, &request, key);
-    let (entry, team) = check_key(core, entry, key)?;
-    let allowed_ms = entry.contract.deadline_ms;
-    let wanted_ms = find_deadline_ms(request.headers()).unwrap_or(allowed_ms);
-    let deadline = started.plus_ms(wanted_ms.min(allowed_ms));
     let (parts, body) = request.into_parts();
-    let head = build_head(core, request_id, entry, team, &parts, key);
-    check_chain(core, &head, deadline)?;
-    if let Some(team) = &head.team {
-        admit_team(core, team).await?;
-    }
+    let (head, deadline) = match admit_caller(core, request_id, &parts).await {
+        Ok(admitted) => admitted,
+        Err(refusal) => {
+            skip_body(&parts, body);
+            return Err(refusal);
+        }
+    };
     let body = read_small(core, body, deadline).await?;
     let charge = ResendCharge::open(core, &head);
     let charge = charge.ok_or_else(|| {
@@ -90,6 +83,29 @@
     Ok(answer)
 }
 
+/// Admits a request by its head, and returns the call that it makes and its deadline.
+async fn admit_caller(
+    core: &Rc<NodeCore>,
+    request_id: RequestId,
+    parts: &Parts,
+) -> Result<(CallHead, ClockTime), CallRefusal> {
+    let key = find_key(&parts.headers);
+    if is_key_in_path(parts.uri.path(), key) {
+        return Err(CallRefusal::not_run(RefusalReason::BadRequest));
+    }
+    let entry = find_call(core, &parts.method, &parts.uri, key);
+    let (entry, team) = check_key(core, entry, key)?;
+    let allowed_ms = entry.contract.deadline_ms;
+    let wanted_ms = find_deadline_ms(&parts.headers).unwrap_or(allowed_ms);
+    let deadline = core.now().plus_ms(wanted_ms.min(allowed_ms));
+    let head = build_head(core, request_id, entry, team, parts, key);
+    check_chain(core, &head, deadline)?;
+    if let Some(team) = &head.team {
+        admit_team(core, team).await?;
+    }
+    Ok((head, deadline))
+}
+
 fn build_head(
     core: &NodeCore,
     request_id: RequestId,
@@ -123,10 +139,11 @@
 /// Returns the call of the contract that a request is.
 pub(crate) fn find_call(
     core: &NodeCore,
-    request: &Request<Incoming>,
+    method: &Method,
+    uri: &Uri,
     key: Option<&[u8]>,
 ) -> Option<EntryCall> {
-    let path = request.uri().path_and_query()?.as_str();
+    let path = uri.path_and_query()?.as_str();
     let rest = path.strip_prefix('/')?;
     let split = rest.find(['/', '?']).unwrap_or(rest.len());
     let (service, path) = rest.split_at(split);
@@ -136,7 +153,7 @@
         strip_path(&format!("/{path}"), key)
     };
     let contract = core.contract();
-    let found = contract.find_call(service, request.method().as_str(), &path)?;
+    let found = contract.find_call(service, method.as_str(), &path)?;
     Some(EntryCall {
         service: found.service.clone(),
         call: found.call.clone(),
--- a/crates/node/src/request_body.rs
+++ b/crates/node/src/request_body.rs
@@ -5,6 +5,8 @@
 use bytes::{Bytes, BytesMut};
 use clock::ClockTime;
 use compio::time::timeout;
+use http::header::EXPECT;
+use http::request::Parts;
 use http_body::Body;
 use hyper::body::Incoming;
 use model::RefusalReason;
@@ -17,6 +19,11 @@
 /// The largest body that is read whole before it is sent on, in bytes.
 const SMALL_BODY_BYTES: u64 = 64 * 1024;
 
+/// The most of a refused request's body that is read, in bytes.
+const MAX_SKIPPED_BYTES: usize = 1024 * 1024;
+/// The longest time that a refused request's body is read on, in milliseconds.
+const SKIP_MS: u64 = 2_000;
+
 /// Reads a small body whole, so that it can be sent again; a large one stays a stream.
 ///
 /// # Errors
@@ -41,6 +48,32 @@
     }
 }
 
+/// Reads on in a body that is not wanted, for a while.
+///
+/// An answer that is given while the caller still sends can otherwise be lost: the connection is
+/// closed with unread bytes, and the next request on it finds it closed. A caller that waits
+/// before it sends its body isn't asked for it.
+pub(crate) fn skip_body(parts: &Parts, body: Incoming) {
+    if body.is_end_stream() || parts.headers.contains_key(EXPECT) {
+        return;
+    }
+    let skipping = async move {
+        let _ = timeout(Duration::from_millis(SKIP_MS), read_on(body)).await;
+    };
+    compio::runtime::spawn(skipping).detach();
+}
+
+async fn read_on(mut body: Incoming) {
+    let mut left = MAX_SKIPPED_BYTES;
+    while let Some(Ok(frame)) = poll_fn(|context| Pin::new(&mut body).poll_frame(context)).await {
+        let bytes = frame.data_ref().map_or(0, Bytes::len);
+        left = left.saturating_sub(bytes);
+        if left == 0 {
+            return;
+        }
+    }
+}
+
 /// Reads a small body that another node sends whole, so that copies of its call are recognised
 /// by the same bytes at every node.
 ///
