fix(node): bound the wait for a silent VM's mark

Cause: before an attempt goes to another VM, its sender asks that VM for a mark when the last one is older than 10 s. This wait had no bound, so a call to a VM behind a cut link had no answer at its deadline.

Change: the wait is bounded by the deadline and 1 s. The attempt has not been sent then, so it is "not run", the router learns that the VM is silent, and the call goes elsewhere where the policy allows.

--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -30,6 +30,8 @@
 /// The wait before a call is tried again that failed at the VM that it was sent on to, in
 /// milliseconds: by then another VM is named when that one is down.
 const RUNNER_DOWN_MS: u64 = 250;
+/// The longest time that a VM may take to say its mark, in milliseconds.
+const MARK_LIMIT_MS: u64 = 1_000;
 /// The times that a call may be sent on to the VM that must run it.
 const MAX_REDIRECTS: u32 = 2;
 /// The time after which callers come back when no backend server is known, in milliseconds.
@@ -137,10 +139,10 @@
         };
         let share = self.allowance.hand_down(self.head.attempt, 1);
         self.head.allowance = share.retries();
-        self.head.mark = None;
-        if vm != self.core.settings.vm {
-            self.head.mark = fresh_mark(self.core, &vm).await;
+        if !self.take_mark(&vm, left_ms).await {
+            return self.give_up_on(&vm);
         }
+        let left_ms = self.core.now().until_ms(self.deadline);
         let body = self.body.take();
         let sending = send_to(self.core, &vm, &self.head, body, self.deadline);
         let in_time = Box::pin(timeout(Duration::from_millis(left_ms), sending)).await;
@@ -153,6 +155,30 @@
         answer
     }
 
+    /// Gets the mark that an attempt at a VM carries; returns `false` when the VM is silent.
+    async fn take_mark(&mut self, vm: &VmName, left_ms: u64) -> bool {
+        self.head.mark = None;
+        if *vm == self.core.settings.vm {
+            return true;
+        }
+        let limit = Duration::from_millis(left_ms.min(MARK_LIMIT_MS));
+        let Ok(mark) = timeout(limit, fresh_mark(self.core, vm)).await else {
+            return false;
+        };
+        self.head.mark = mark;
+        true
+    }
+
+    /// Returns the answer to an attempt that wasn't sent, as its VM is silent.
+    fn give_up_on(&mut self, vm: &VmName) -> CallAnswer {
+        let refusal = CallRefusal::not_run(RefusalReason::LinkBroken);
+        let answer = CallAnswer::refused(&self.head, &refusal, self.head.allowance);
+        RouteGuard::begin(self.core, &self.head, vm).finish(&answer.head);
+        let unspent = AllowanceShare::new(answer.head.allowance_left);
+        self.allowance.take_back(self.head.attempt, unspent);
+        answer
+    }
+
     /// Returns whether the call wasn't run because it must go to another VM, and may.
     fn is_redirected(&mut self, answer: &mut AnswerHead) -> bool {
         self.send_to = answer.send_to.take();
