fix(platform): one node cut off, or paused, is no outage of the log

Cause: the seeded schedules had no one-way cuts, partitions or pauses. Also found: nodes of a data centre whose link to the log was cut and whose reader was down stayed behind while other data centres had the news.

Ruled out: failures of all readers (one dead reader in an outage would refuse all keyed calls); a longer fresh time.

Change: two nodes tell of an outage where two or more read the log; reads under way during a pause of 1.5 s or more tell nothing; a node without news asks the readers of other data centres too. Schedules with one-way cuts, partitions for up to three times the retention and pauses; a text in force within 13 s wherever the log can be reached.

--- a/crates/node/src/config_state.rs
+++ b/crates/node/src/config_state.rs
@@ -3,7 +3,7 @@
 
 use clock::ClockTime;
 use contract::FleetContract;
-use model::CentreName;
+use model::{CentreName, VmName};
 use platform::{
     AppliedRecord, ConfigFeed, ConfigVersion, FeedSettings, FollowAction, LogStream, ReadBatch,
     ReadError, RelayBatch, RelayPull, StreamFeed, TextCheck,
@@ -40,10 +40,10 @@
 }
 
 impl ConfigState {
-    pub(crate) fn new(centre: CentreName) -> Self {
+    pub(crate) fn new(vm: VmName, centre: CentreName) -> Self {
         let check = ContractCheck::default();
         Self {
-            feed: ConfigFeed::new(centre, check.clone(), &FeedSettings::default()),
+            feed: ConfigFeed::new(vm, centre, check.clone(), &FeedSettings::default()),
             check,
         }
     }
--- a/crates/node/src/fleet_watch.rs
+++ b/crates/node/src/fleet_watch.rs
@@ -1,4 +1,4 @@
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 
 use clock::ClockTime;
@@ -98,8 +98,11 @@
     }
     let claims_plan = plan_for(core, &of_shard);
     core.claims.with(|feed| feed.set_plan(claims_plan));
-    let centres = by_centre.keys().cloned().collect();
-    use_plan(core, &plan, centres, has_peers);
+    let readers = by_centre.iter().map(|(centre, names)| {
+        let readers = RelayPlan::readers(names, &PlanSettings::default());
+        (centre.clone(), readers.len())
+    });
+    use_plan(core, &plan, readers.collect(), has_peers);
 }
 
 /// Plans whom this node asks among some VMs that take work.
@@ -120,13 +123,13 @@
 pub(crate) fn use_plan(
     core: &NodeCore,
     plan: &RelayPlan,
-    centres: BTreeSet<CentreName>,
+    readers: BTreeMap<CentreName, usize>,
     has_peers: bool,
 ) {
     core.fleet.with(|feed| feed.set_plan(plan.clone()));
     core.rates.with(|feed| feed.set_plan(plan.clone()));
     core.config
-        .with(|state| state.feed.set_members(plan.clone(), centres, has_peers));
+        .with(|state| state.feed.set_members(plan.clone(), readers, has_peers));
 }
 
 /// Plans by the addresses of the settings, for a node that knows no member yet.
--- a/crates/node/src/node_core.rs
+++ b/crates/node/src/node_core.rs
@@ -131,7 +131,10 @@
             clock,
             contract: RefCell::default(),
             log,
-            config: StreamHost::new(clock, ConfigState::new(settings.centre.clone())),
+            config: StreamHost::new(
+                clock,
+                ConfigState::new(settings.vm.clone(), settings.centre.clone()),
+            ),
             fleet: StreamHost::new(clock, FoldFeed::new(LogStream::Members, fleet)),
             rates: StreamHost::new(clock, FoldFeed::new(LogStream::Rates, rates)),
             claims: StreamHost::new(clock, FoldFeed::new(LogStream::Claims(shard), claims)),
--- a/crates/node/src/node_process.rs
+++ b/crates/node/src/node_process.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -115,7 +115,7 @@
         let core = &self.core;
         let plan = seed_plan(core);
         let has_peers = !core.settings.peers.is_empty();
-        use_plan(core, &plan, BTreeSet::new(), has_peers);
+        use_plan(core, &plan, BTreeMap::new(), has_peers);
         spawn(follow_config(Rc::clone(core))).detach();
         spawn(follow_fleet(Rc::clone(core))).detach();
         spawn(follow_rates(Rc::clone(core))).detach();
--- a/crates/platform/examples/config_slopes.rs
+++ b/crates/platform/examples/config_slopes.rs
@@ -87,7 +87,7 @@
 fn print_pull(services: usize) {
     let mut rng = SmallRng::seed_from_u64(1);
     let settings = FeedSettings::default();
-    let mut feed = ConfigFeed::new(CentreName::new("dc-a"), CHECK, &settings);
+    let mut feed = ConfigFeed::new("vm-a".into(), CentreName::new("dc-a"), CHECK, &settings);
     let now = ClockTime::from_ms(1_000);
     assert!(matches!(
         feed.next_read(now, &mut rng),
--- a/crates/platform/src/config_feed.rs
+++ b/crates/platform/src/config_feed.rs
@@ -1,7 +1,7 @@
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 
 use clock::ClockTime;
-use model::{CentreName, RecordId, TeamName};
+use model::{CentreName, RecordId, TeamName, VmName};
 use rand::Rng;
 
 use crate::{
@@ -60,13 +60,13 @@
 impl<C: TextCheck> ConfigFeed<C> {
     /// Creates the view of a node that knows nothing yet.
     #[must_use]
-    pub fn new(centre: CentreName, check: C, settings: &FeedSettings) -> Self {
+    pub fn new(vm: VmName, centre: CentreName, check: C, settings: &FeedSettings) -> Self {
         Self {
             follower: StreamFollower::new(LogStream::Config, settings.follow),
             relay: RecordRelay::new(LogStream::Config, settings.relay),
             fold: ConfigFold::new(check),
             timer: SnapshotTimer::new(settings.snapshot),
-            trust: KeyTrust::new(centre, settings.trust),
+            trust: KeyTrust::new(vm, centre, settings.trust),
         }
     }
 
@@ -82,10 +82,16 @@
         &self.follower
     }
 
-    /// Sets whom to ask, which data centres have members, and whether there are other members.
-    pub fn set_members(&mut self, plan: RelayPlan, centres: BTreeSet<CentreName>, has_peers: bool) {
+    /// Sets whom to ask, how many nodes of each data centre read the log, and whether there are
+    /// other members.
+    pub fn set_members(
+        &mut self,
+        plan: RelayPlan,
+        readers: BTreeMap<CentreName, usize>,
+        has_peers: bool,
+    ) {
         self.follower.set_plan(plan);
-        self.trust.set_members(centres, has_peers);
+        self.trust.set_members(readers, has_peers);
     }
 
     /// Returns what the loop that reads the log does next.
@@ -99,6 +105,7 @@
 
     /// Returns what the loop that asks other nodes does next.
     pub fn next_pull(&mut self, now: ClockTime) -> FollowAction {
+        self.trust.on_running(now);
         self.follower.next_pull(now)
     }
 
--- a/crates/platform/src/key_trust.rs
+++ b/crates/platform/src/key_trust.rs
@@ -1,10 +1,13 @@
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use clock::ClockTime;
-use model::CentreName;
+use model::{CentreName, VmName};
 
 use crate::{CentreOutage, NewsTime};
 
+/// The most nodes of one data centre whose failures are asked for and handed on.
+const MAX_WITNESSES: usize = 2;
+
 /// For how long keys are trusted without news.
 #[derive(Clone, Copy, Debug)]
 pub struct TrustSettings {
@@ -53,44 +56,63 @@
 ///
 /// A node that alone is cut off knows it by the age of its news and refuses. When nodes of
 /// *every* data centre tell of a failure to read the log, nobody can have confirmed a withdrawal
-/// on it, and keys are trusted up to a longer bound.
+/// on it, and keys are trusted up to a longer bound. Two nodes have to tell of it for a data
+/// centre where two read the log, since one may be cut off by itself; and what a node was
+/// waiting for while its process was paused tells nothing.
 #[derive(Clone, Debug)]
 pub struct KeyTrust {
     settings: TrustSettings,
+    own_vm: VmName,
     own: CentreName,
-    centres: BTreeSet<CentreName>,
+    readers: BTreeMap<CentreName, usize>,
     has_peers: bool,
-    failures: BTreeMap<CentreName, ClockTime>,
+    failures: BTreeMap<CentreName, BTreeMap<VmName, ClockTime>>,
     own_failure: Option<ClockTime>,
     reading_since: Option<ClockTime>,
     good_asked: ClockTime,
+    seen_at: ClockTime,
+    woke_at: ClockTime,
 }
 
 impl KeyTrust {
     /// Creates the trust of a node that knows no other.
     #[must_use]
-    pub fn new(own: CentreName, settings: TrustSettings) -> Self {
+    pub fn new(vm: VmName, centre: CentreName, settings: TrustSettings) -> Self {
         Self {
             settings,
-            centres: BTreeSet::from([own.clone()]),
-            own,
+            own_vm: vm,
+            readers: BTreeMap::from([(centre.clone(), 1)]),
+            own: centre,
             has_peers: false,
             failures: BTreeMap::new(),
             own_failure: None,
             reading_since: None,
             good_asked: ClockTime::ZERO,
+            seen_at: ClockTime::ZERO,
+            woke_at: ClockTime::ZERO,
         }
     }
 
-    /// Sets the data centres that have members, and whether there are members besides this node.
-    pub fn set_members(&mut self, centres: BTreeSet<CentreName>, has_peers: bool) {
-        self.centres = centres;
-        self.centres.insert(self.own.clone());
+    /// Sets how many nodes of each data centre read the log, and whether there are members besides
+    /// this node.
+    pub fn set_members(&mut self, readers: BTreeMap<CentreName, usize>, has_peers: bool) {
+        self.readers = readers;
+        self.readers.entry(self.own.clone()).or_insert(1);
         self.has_peers = has_peers;
     }
 
+    /// Takes in that the process runs now; one that didn't for `slow_ms` was paused.
+    pub fn on_running(&mut self, now: ClockTime) {
+        if now.since_ms(self.seen_at) > self.settings.slow_ms {
+            self.woke_at = now;
+            self.reading_since = self.reading_since.map(|_| now);
+        }
+        self.seen_at = now;
+    }
+
     /// Takes in that this node asks the log; several reads may be under way at once.
     pub fn on_read_start(&mut self, now: ClockTime) {
+        self.on_running(now);
         self.reading_since.get_or_insert(now);
     }
 
@@ -99,6 +121,7 @@
     /// A good answer that took long counts as a failure, and a failure counts for nothing when a
     /// later read had a good answer.
     pub fn on_read_end(&mut self, now: ClockTime, asked: ClockTime, is_good: bool) {
+        self.on_running(now);
         if asked < self.good_asked {
             return;
         }
@@ -109,7 +132,7 @@
         if is_good && now.since_ms(asked) <= self.settings.slow_ms {
             self.own_failure = None;
             self.failures.clear();
-        } else {
+        } else if asked >= self.woke_at {
             self.own_failure = Some(now);
         }
     }
@@ -119,8 +142,8 @@
     pub fn on_outages(&mut self, asked: ClockTime, outages: &[CentreOutage]) {
         for outage in outages {
             let time = asked.minus_ms(outage.age_ms);
-            let known = self.failures.entry(outage.centre.clone()).or_insert(time);
-            *known = time.max(*known);
+            let witnesses = self.failures.entry(outage.centre.clone()).or_default();
+            put_witness(witnesses, &outage.vm, time);
         }
     }
 
@@ -129,18 +152,24 @@
     /// A node whose own news is stale is no witness: it can't tell an outage from a cut.
     #[must_use]
     pub fn outages(&self, now: ClockTime, fresh_at: Option<NewsTime>) -> Vec<CentreOutage> {
-        let mut times = self.failures.clone();
+        let mut failures = self.failures.clone();
         let is_witness = self.state(now, fresh_at).is_trusted();
         if let Some(time) = self.failed_at(now).filter(|_| is_witness) {
-            let known = times.entry(self.own.clone()).or_insert(time);
-            *known = time.max(*known);
+            let witnesses = failures.entry(self.own.clone()).or_default();
+            put_witness(witnesses, &self.own_vm, time);
         }
-        times.retain(|_, time| now.since_ms(*time) <= self.settings.evidence_ms);
-        let with_age = |(centre, time)| CentreOutage {
-            centre,
-            age_ms: now.since_ms(time),
-        };
-        times.into_iter().map(with_age).collect()
+        let failures = failures.into_iter().flat_map(|(centre, witnesses)| {
+            let of_centre = move |(vm, time)| (centre.clone(), vm, time);
+            witnesses.into_iter().map(of_centre)
+        });
+        failures
+            .filter(|(_, _, time)| self.is_present(now, *time))
+            .map(|(centre, vm, time)| CentreOutage {
+                centre,
+                vm,
+                age_ms: now.since_ms(time),
+            })
+            .collect()
     }
 
     /// Returns whether keys are trusted, given when the news was fresh.
@@ -160,20 +189,41 @@
     }
 
     fn is_outage(&self, now: ClockTime) -> bool {
-        let is_present = |time: ClockTime| now.since_ms(time) <= self.settings.evidence_ms;
-        let is_down =
-            |centre: &CentreName| self.failures.get(centre).copied().is_some_and(is_present);
-        if !self.has_peers {
-            return false;
-        }
-        let is_down_here = is_down(&self.own) || self.failed_at(now).is_some_and(is_present);
-        let mut others = self.centres.iter().filter(|centre| **centre != self.own);
-        is_down_here && others.all(is_down) && !self.failures.is_empty()
+        let is_down = |(centre, readers): (&CentreName, &usize)| {
+            self.witnesses(now, centre) >= (*readers).clamp(1, MAX_WITNESSES)
+        };
+        self.has_peers && !self.failures.is_empty() && self.readers.iter().all(is_down)
+    }
+
+    /// Returns how many nodes of a data centre fail to read the log at present.
+    fn witnesses(&self, now: ClockTime, centre: &CentreName) -> usize {
+        let told = self.failures.get(centre).into_iter().flatten();
+        let is_other = |vm: &VmName| *centre != self.own || *vm != self.own_vm;
+        let others = told.filter(|(vm, time)| is_other(vm) && self.is_present(now, **time));
+        let own = self.failed_at(now).filter(|_| *centre == self.own);
+        let own = own.filter(|time| self.is_present(now, *time));
+        others.count() + usize::from(own.is_some())
+    }
+
+    const fn is_present(&self, now: ClockTime, time: ClockTime) -> bool {
+        now.since_ms(time) <= self.settings.evidence_ms
     }
 
     fn failed_at(&self, now: ClockTime) -> Option<ClockTime> {
         let is_slow = |since: &ClockTime| now.since_ms(*since) > self.settings.slow_ms;
-        let hanging = self.reading_since.filter(is_slow).map(|_| now);
-        self.own_failure.max(hanging)
+        let is_running = now.since_ms(self.seen_at) <= self.settings.slow_ms;
+        let hanging = self.reading_since.filter(is_slow).filter(|_| is_running);
+        self.own_failure.max(hanging.map(|_| now))
+    }
+}
+
+/// Notes a node's failure, and keeps the newest few.
+fn put_witness(witnesses: &mut BTreeMap<VmName, ClockTime>, vm: &VmName, time: ClockTime) {
+    let known = witnesses.entry(vm.clone()).or_insert(time);
+    *known = time.max(*known);
+    if witnesses.len() > MAX_WITNESSES {
+        let oldest = witnesses.iter().min_by_key(|(_, time)| **time);
+        let oldest = oldest.map(|(vm, _)| vm.clone());
+        oldest.map(|vm| witnesses.remove(&vm));
     }
 }
--- a/crates/platform/src/relay_message.rs
+++ b/crates/platform/src/relay_message.rs
@@ -1,4 +1,4 @@
-use model::CentreName;
+use model::{CentreName, VmName};
 use serde::{Deserialize, Serialize};
 
 use crate::{LogOffset, LogRecord, LogStream, RecordBody};
@@ -32,7 +32,7 @@
     pub fresh_ms: Option<u64>,
     /// The time that the question was kept waiting, in milliseconds.
     pub held_ms: u64,
-    /// The data centres where a node lately failed to read the log.
+    /// The nodes that lately failed to read the log, a few for each data centre.
     pub outages: Vec<CentreOutage>,
     /// The time since a snapshot was last seen on the stream, in milliseconds.
     pub snapshot_age_ms: Option<u64>,
@@ -57,11 +57,13 @@
     pub body: RecordBody,
 }
 
-/// A data centre where a node lately failed to read the log.
+/// A node that lately failed to read the log.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CentreOutage {
-    /// The data centre.
+    /// The node's data centre.
     pub centre: CentreName,
+    /// The node.
+    pub vm: VmName,
     /// The time since the failure, in milliseconds.
     pub age_ms: u64,
 }
--- a/crates/platform/src/relay_plan.rs
+++ b/crates/platform/src/relay_plan.rs
@@ -21,9 +21,10 @@
 /// Whom a node asks for news: the log itself, or a few nodes in turn.
 ///
 /// The nodes of a data centre are ranked by name. The first few read the log, and ask the
-/// readers of all data centres when they can't. Each later node asks one of a lower rank. Nodes
-/// that know different members may ask one another; news is only as fresh as it says, so they
-/// fall back to the log.
+/// readers of all data centres when they can't. Each later node asks one of a lower rank, and the
+/// readers of its own data centre and then of the others when that one has no news. Nodes that
+/// know different members may ask one another; news is only as fresh as it says, so they fall
+/// back to the log.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RelayPlan {
     is_reader: bool,
@@ -59,7 +60,12 @@
         let others = readers.iter().copied().filter(|name| *name != parent);
         Self {
             is_reader: false,
-            sources: [parent].into_iter().chain(others).cloned().collect(),
+            sources: [parent]
+                .into_iter()
+                .chain(others)
+                .chain(remote_readers)
+                .cloned()
+                .collect(),
         }
     }
 
--- a/crates/platform/tests/fleet/mod.rs
+++ b/crates/platform/tests/fleet/mod.rs
@@ -49,7 +49,7 @@
     asked: ClockTime,
     peer: VmName,
     pull: RelayPull,
-    answer: Option<RelayBatch>,
+    answer: Option<(ClockTime, RelayBatch, u64)>,
 }
 
 pub struct SimNode {
@@ -59,6 +59,10 @@
     pub is_cut_from_log: bool,
     pub is_cut_from_peers: bool,
     pub newest_in_force: u64,
+    /// The version of a node that takes each answer for the newest state.
+    pub naive_version: u64,
+    pub paused_until: ClockTime,
+    pub linked_since: ClockTime,
     starts_at: ClockTime,
     reading: Vec<PendingRead>,
     pulling: Option<PendingPull>,
@@ -73,11 +77,36 @@
     pub texts: BTreeMap<u64, String>,
     pub nodes: Vec<SimNode>,
     pub weather: LogWeather,
+    /// The pairs of places between which nothing goes from the first to the second.
+    pub cuts: BTreeSet<(CentreName, CentreName)>,
+    /// When each text came in force on the log.
+    pub in_force_at: Vec<(ClockTime, u64)>,
     centres: usize,
     plan: PlanSettings,
     starts: usize,
 }
 
+/// Returns the place of the log, which may be cut off as a data centre is.
+pub fn log_place() -> CentreName {
+    CentreName::new("log")
+}
+
+impl SimNode {
+    pub fn is_paused(&self, now: ClockTime) -> bool {
+        now < self.paused_until
+    }
+
+    fn is_started(&self, now: ClockTime) -> bool {
+        now >= self.starts_at
+    }
+
+    /// Returns whether the node serves and nothing cuts it off alone.
+    pub fn is_well(&self, now: ClockTime) -> bool {
+        let is_cut = self.is_cut_from_log || self.is_cut_from_peers;
+        self.feed.is_ready() && !self.is_paused(now) && !is_cut
+    }
+}
+
 impl SimFleet {
     /// Creates a fleet in three data centres.
     pub fn new(seed: u64, count: usize) -> Self {
@@ -94,6 +123,8 @@
             texts: BTreeMap::new(),
             nodes: Vec::new(),
             weather: LogWeather::default(),
+            cuts: BTreeSet::new(),
+            in_force_at: Vec::new(),
             centres,
             plan,
             starts: 0,
@@ -117,17 +148,18 @@
             ..FeedSettings::default()
         };
         let centre = CentreName::new(format!("dc-{}", index % self.centres));
+        let rank = self.rng.random_range(0..999);
+        let name = VmName::new(format!("vm-{rank}-{}", self.starts));
         SimNode {
-            name: VmName::new(format!(
-                "vm-{}-{}",
-                self.rng.random_range(0..999),
-                self.starts
-            )),
-            feed: ConfigFeed::new(centre.clone(), check as Check, &settings),
+            feed: ConfigFeed::new(name.clone(), centre.clone(), check as Check, &settings),
+            name,
             centre,
             is_cut_from_log: false,
             is_cut_from_peers: false,
             newest_in_force: 0,
+            naive_version: 0,
+            paused_until: ClockTime::ZERO,
+            linked_since: self.now,
             starts_at: self.now.plus_ms(self.rng.random_range(0..1_000)),
             reading: Vec::new(),
             pulling: None,
@@ -146,7 +178,11 @@
             let names = centres.entry(node.centre.clone()).or_default();
             names.push(node.name.clone());
         }
-        let all: BTreeSet<CentreName> = centres.keys().cloned().collect();
+        let readers = |names: &Vec<VmName>| RelayPlan::readers(names, &self.plan).len();
+        let all: BTreeMap<CentreName, usize> = centres
+            .iter()
+            .map(|(centre, names)| (centre.clone(), readers(names)))
+            .collect();
         let has_peers = self.nodes.len() > 1;
         for node in &mut self.nodes {
             let others = centres.iter().filter(|(centre, _)| **centre != node.centre);
@@ -175,6 +211,8 @@
         self.store
             .append(self.now, STREAM, vec![NewRecord { id, body }]);
         let outcome = self.oracle.apply_change(change);
+        let in_force = self.oracle.in_force().version.get();
+        self.in_force_at.push((self.now, in_force));
         let newest = self.oracle.newest();
         self.texts
             .insert(newest.version.get(), newest.text.to_string());
@@ -185,8 +223,13 @@
     pub fn step(&mut self) {
         self.now = self.now.plus_ms(TICK_MS);
         self.store.expire(self.now, RETENTION_MS);
+        self.note_links();
         for index in 0..self.nodes.len() {
-            if self.now < self.nodes[index].starts_at {
+            if !self.nodes[index].is_started(self.now) {
+                continue;
+            }
+            self.step_pull_answer(index);
+            if self.nodes[index].is_paused(self.now) || self.now == self.nodes[index].paused_until {
                 continue;
             }
             self.step_read(index);
@@ -195,13 +238,64 @@
         }
     }
 
+    fn is_open(&self, from: &CentreName, to: &CentreName) -> bool {
+        !self.cuts.contains(&(from.clone(), to.clone()))
+    }
+
+    /// Returns whether questions and answers pass between two places.
+    pub fn is_linked(&self, left: &CentreName, right: &CentreName) -> bool {
+        self.is_open(left, right) && self.is_open(right, left)
+    }
+
+    /// Returns the places with a path to the log, through data centres whose nodes all run.
+    fn linked_places(&self) -> BTreeSet<CentreName> {
+        let centres: BTreeSet<CentreName> =
+            self.nodes.iter().map(|node| node.centre.clone()).collect();
+        let carries = |place: &CentreName| {
+            let mut nodes = self.nodes.iter();
+            nodes.all(|node| node.centre != *place || node.is_well(self.now))
+        };
+        let mut linked = BTreeSet::from([log_place()]);
+        for _ in 0..centres.len() {
+            let sources: Vec<_> = linked
+                .iter()
+                .filter(|place| carries(place))
+                .cloned()
+                .collect();
+            let is_near =
+                |centre: &&CentreName| sources.iter().any(|to| self.is_linked(centre, to));
+            linked.extend(centres.iter().filter(is_near).cloned());
+        }
+        linked
+    }
+
+    /// Notes since when each node has had a path to the log without a break.
+    fn note_links(&mut self) {
+        let linked = self.linked_places();
+        let is_up = !self.weather.is_out && self.weather.delay_ms == 0;
+        for node in &mut self.nodes {
+            if !is_up || !node.is_well(self.now) || !linked.contains(&node.centre) {
+                node.linked_since = self.now;
+            }
+        }
+    }
+
     fn step_read(&mut self, index: usize) {
+        let is_linked = self.is_linked(&self.nodes[index].centre, &log_place());
         let (now, node) = (self.now, &mut self.nodes[index]);
         for pending in node
             .reading
             .extract_if(.., |pending| pending.done_at <= now)
         {
             let asked = pending.asked;
+            if let Ok(batch) = &pending.result {
+                let newest = batch.end == self.store.end(STREAM);
+                node.naive_version = if newest {
+                    self.oracle.in_force().version.get()
+                } else {
+                    node.naive_version
+                };
+            }
             node.feed.on_read(now, asked, pending.result, &mut self.rng);
         }
         let follow = FollowSettings::default();
@@ -213,10 +307,11 @@
         let FollowAction::Read { from, wait_ms } = node.feed.next_read(now, &mut self.rng) else {
             return;
         };
-        let is_out = self.weather.is_out || node.is_cut_from_log;
+        let is_out = self.weather.is_out || node.is_cut_from_log || !is_linked;
+        let hangs = self.weather.hangs || !is_linked;
         let mut done_at = now.plus_ms(self.weather.delay_ms);
         let result = if is_out {
-            done_at = now.plus_ms(if self.weather.hangs { 5_000 } else { TICK_MS });
+            done_at = now.plus_ms(if hangs { 5_000 } else { TICK_MS });
             Err(ReadError::Unavailable("out".into()))
         } else {
             self.store.read(STREAM, from)
@@ -248,30 +343,50 @@
         }
     }
 
-    fn step_pending_pull(&mut self, index: usize, mut pending: PendingPull) {
+    /// Lets the node that was asked answer, also while the one that asked is paused.
+    fn step_pull_answer(&mut self, index: usize) {
         let (now, node) = (self.now, &self.nodes[index]);
+        let Some(pending) = node.pulling.as_ref().filter(|pull| pull.answer.is_none()) else {
+            return;
+        };
         let waited = now.since_ms(pending.asked);
-        let is_linked = |other: &&SimNode| other.name == pending.peer && !other.is_cut_from_peers;
-        let other = self.nodes.iter().find(is_linked);
-        if let Some(other) = other.filter(|_| !node.is_cut_from_peers && pending.answer.is_none()) {
+        let is_reached = |other: &&SimNode| {
+            let is_up = !other.is_cut_from_peers && !other.is_paused(now);
+            other.name == pending.peer && is_up && self.is_linked(&node.centre, &other.centre)
+        };
+        let other = self.nodes.iter().find(is_reached);
+        let Some(other) = other.filter(|_| !node.is_cut_from_peers && waited > 0) else {
+            return;
+        };
+        if other.feed.has_news(&pending.pull) || waited >= pending.pull.wait_ms {
             let held = waited.saturating_sub(TICK_MS);
-            if other.feed.has_news(&pending.pull) || waited >= pending.pull.wait_ms {
-                pending.answer = Some(other.feed.answer(now, &pending.pull).held_ms(held));
-                self.nodes[index].pulling = Some(pending);
-                return;
-            }
+            let answer = other.feed.answer(now, &pending.pull).held_ms(held);
+            let naive_version = other.naive_version;
+            let node = &mut self.nodes[index];
+            node.pulling = node.pulling.take().map(|pending| PendingPull {
+                answer: Some((now, answer, naive_version)),
+                ..pending
+            });
         }
-        let node = &mut self.nodes[index];
-        match pending.answer.take() {
-            Some(batch) => drop(node.feed.on_batch(now, pending.asked, batch)),
+    }
+
+    fn step_pending_pull(&mut self, index: usize, pending: PendingPull) {
+        let (now, node) = (self.now, &mut self.nodes[index]);
+        let waited = now.since_ms(pending.asked);
+        match pending.answer {
+            Some((answered_at, batch, naive_version)) if answered_at < now => {
+                node.naive_version = naive_version;
+                node.feed.on_batch(now, pending.asked, batch);
+            }
             None if waited >= PULL_TIMEOUT_MS => node.feed.on_pull_failure(now, &mut self.rng),
-            None => node.pulling = Some(pending),
+            _ => node.pulling = Some(pending),
         }
     }
 
     fn step_snapshot(&mut self, index: usize) {
+        let is_open = self.is_open(&self.nodes[index].centre, &log_place());
         let (now, node) = (self.now, &mut self.nodes[index]);
-        if self.weather.is_out || node.is_cut_from_log {
+        if self.weather.is_out || node.is_cut_from_log || !is_open {
             return;
         }
         if let Some(body) = node.feed.due_snapshot(now, &mut self.rng) {
@@ -327,6 +442,9 @@
     /// Returns the nodes that admit a key.
     pub fn admitting(&self, digest: &KeyDigest) -> Vec<&SimNode> {
         let admits = |node: &&SimNode| {
+            if node.is_paused(self.now) {
+                return false;
+            }
             let answer = node.feed.key_answer(self.now, digest);
             matches!(answer, KeyAnswer::Team(_))
         };
--- a/crates/platform/tests/fleet_schedules.rs
+++ b/crates/platform/tests/fleet_schedules.rs
@@ -1,6 +1,7 @@
 //! Seeded schedules: racing operators, lost replies, retention, outages, cuts and replacements.
 
 mod fleet;
+mod partitions;
 
 use std::collections::BTreeMap;
 
@@ -11,6 +12,7 @@
     ConfigVersion, KeyDigest, LogOffset, ReadBatch, ReadError, RecordAttempt, TrustState,
 };
 use model::{RecordId, TeamName};
+use partitions::{PAIR_PLAN, PartitionPlan, check_in_force, has_readers, is_at_log};
 use rand::Rng;
 use rstest::rstest;
 
@@ -18,6 +20,9 @@
 const SCHEDULE_MS: u64 = 90_000;
 const PROMISE_MS: u64 = 5_000;
 
+/// The time until a text is in force at every node with a path to the log.
+const IN_FORCE_MS: u64 = 13_000;
+
 /// The time between two outages. What no node has any more can't outlive the log's retention, so
 /// the fleet gets time to repeat its state.
 const MIN_CALM_MS: u64 = 4_000;
@@ -43,19 +48,30 @@
     confirmed_at: Option<ClockTime>,
 }
 
+/// How often a naive node, which takes each answer for the newest state and trusts all keys it
+/// knows, went back or admitted a withdrawn key.
+#[derive(Debug, Default)]
+struct NaiveFaults {
+    reverts: u64,
+    admissions: u64,
+}
+
 struct Schedule {
     fleet: SimFleet,
     operators: Vec<Operator>,
     written: Vec<(RecordId, ConfigRecord)>,
     withdrawals: BTreeMap<KeyDigest, Withdrawal>,
     weather_until: ClockTime,
+    partitions: Option<PartitionPlan>,
+    naive: NaiveFaults,
 }
 
 impl Schedule {
     fn new(seed: u64) -> Self {
-        let fleet = SimFleet::new(seed, NODES);
         Self {
-            fleet,
+            fleet: SimFleet::new(seed, NODES),
+            partitions: None,
+            naive: NaiveFaults::default(),
             operators: Vec::new(),
             written: Vec::new(),
             withdrawals: BTreeMap::new(),
@@ -63,6 +79,14 @@
         }
     }
 
+    fn with_partitions(seed: u64) -> Self {
+        Self {
+            fleet: SimFleet::with_plan(seed, 9, 3, PAIR_PLAN),
+            partitions: Some(PartitionPlan::new(seed)),
+            ..Self::new(seed)
+        }
+    }
+
     fn run(&mut self) -> Result<(), String> {
         let end = self.fleet.now.plus_ms(SCHEDULE_MS);
         while self.fleet.now < end {
@@ -83,13 +107,28 @@
         if self.fleet.now >= self.weather_until {
             self.fleet.weather = fleet::LogWeather::default();
         }
+        if let Some(plan) = &mut self.partitions {
+            plan.step(&mut self.fleet);
+        }
+        let naive_versions = self.naive_versions();
         self.fleet.step();
+        let pairs = naive_versions.iter().zip(self.naive_versions());
+        self.naive.reverts += pairs.filter(|(before, now)| now < *before).count() as u64;
         self.step_operators()?;
         self.fleet.check_versions()?;
+        check_in_force(&self.fleet, IN_FORCE_MS)?;
         self.check_keys()
     }
 
+    fn naive_versions(&self) -> Vec<u64> {
+        let nodes = self.fleet.nodes.iter();
+        nodes.map(|node| node.naive_version).collect()
+    }
+
     fn heal(&mut self) {
+        if let Some(mut plan) = self.partitions.take() {
+            plan.heal(&mut self.fleet);
+        }
         self.fleet.weather = fleet::LogWeather::default();
         for node in &mut self.fleet.nodes {
             node.is_cut_from_log = false;
@@ -98,7 +137,7 @@
     }
 
     fn do_event(&mut self) {
-        let index = self.fleet.rng.random_range(0..NODES);
+        let index = self.fleet.rng.random_range(0..self.fleet.nodes.len());
         match self.fleet.rng.random_range(0..100) {
             0..30 => self.publish(),
             30..45 => self.change_key(),
@@ -106,12 +145,22 @@
             55..62 => self.change_weather(),
             62..75 => self.cut(index),
             75..85 => self.mend(index),
-            85..97 => self.fleet.replace(index),
-            97 => (0..NODES).for_each(|index| self.fleet.replace(index)),
+            85..97 if self.has_other_ready(index) => self.fleet.replace(index),
+            97 if self.partitions.is_none() => {
+                (0..NODES).for_each(|index| self.fleet.replace(index));
+            }
             _ => {}
         }
     }
 
+    /// Returns whether a node may be lost: in a partition, only if another one that is linked to
+    /// the log has the state too.
+    fn has_other_ready(&self, index: usize) -> bool {
+        let mut nodes = self.fleet.nodes.iter().enumerate();
+        self.partitions.is_none()
+            || nodes.any(|(other, node)| other != index && is_at_log(&self.fleet, node))
+    }
+
     fn publish(&mut self) {
         let newest = self.fleet.oracle.newest().clone();
         let lag = u64::from(self.fleet.rng.random_ratio(1, 4));
@@ -173,6 +222,9 @@
         let node = &mut self.fleet.nodes[index];
         node.is_cut_from_log = which != 0;
         node.is_cut_from_peers = which != 1;
+        if self.partitions.is_some() && !has_readers(&self.fleet) {
+            self.mend(index);
+        }
     }
 
     fn mend(&mut self, index: usize) {
@@ -267,10 +319,14 @@
         }
     }
 
-    fn check_keys(&self) -> Result<(), String> {
+    fn check_keys(&mut self) -> Result<(), String> {
         let now = self.fleet.now;
         let is_over = |time: ClockTime| now.since_ms(time) >= PROMISE_MS;
         for (digest, withdrawal) in &self.withdrawals {
+            if withdrawal.confirmed_at.is_some_and(is_over) {
+                let knows = |node: &&fleet::SimNode| node.feed.fold().keys().team(digest).is_some();
+                self.naive.admissions += self.fleet.nodes.iter().filter(knows).count() as u64;
+            }
             for node in self.fleet.admitting(digest) {
                 let is_fresh = node.feed.trust_state(now) == TrustState::Fresh;
                 let is_late = withdrawal.confirmed_at.is_some_and(is_over)
@@ -299,17 +355,35 @@
     text.parse().unwrap_or(default)
 }
 
+/// Runs schedules, and returns how many naive faults they held.
+fn run_all(count: u64, schedule: impl Fn(u64) -> Schedule) -> NaiveFaults {
+    let mut failures = Vec::new();
+    let mut naive = NaiveFaults::default();
+    for seed in 0..count {
+        let mut schedule = schedule(seed);
+        if let Err(error) = schedule.run() {
+            failures.push(format!("seed {seed}: {error}"));
+        }
+        naive.reverts += schedule.naive.reverts;
+        naive.admissions += schedule.naive.admissions;
+    }
+    println!(
+        "schedules={count} failures={} naive={naive:?}",
+        failures.len()
+    );
+    assert!(failures.is_empty(), "{}", failures.join("\n"));
+    naive
+}
+
 #[test]
 fn no_schedule_breaks_a_promise() {
-    let count = seed_count(60);
-    let failures: Vec<String> = (0..count)
-        .filter_map(|seed| {
-            let result = Schedule::new(seed).run();
-            result.err().map(|error| format!("seed {seed}: {error}"))
-        })
-        .collect();
-    println!("schedules={count} failures={}", failures.len());
-    assert!(failures.is_empty(), "{}", failures.join("\n"));
+    run_all(seed_count(60), Schedule::new);
+}
+
+#[test]
+fn no_partition_breaks_a_promise() {
+    let naive = run_all(seed_count(60), Schedule::with_partitions);
+    assert!(naive.reverts > 0 && naive.admissions > 0, "{naive:?}");
 }
 
 /// Seeds that failed before a fault was mended.
