--- a/crates/once/examples/claim_slopes.rs
+++ b/crates/once/examples/claim_slopes.rs
@@ -18,6 +18,12 @@
 /// The virtual time between an append and the moment its record is read, in milliseconds.
 const READ_BACK_MS: u64 = 10;
 
+/// The calls of one stream at the size to design for, in calls a second.
+const SHARD_CALLS_PER_S: u64 = 310;
+
+/// The appends of one stream at that size, in appends a second.
+const SHARD_APPENDS_PER_S: u64 = 10;
+
 /// The claims in one record of the memory measurement.
 const BATCH: u64 = 10;
 
@@ -28,16 +34,24 @@
     }
     println!("nodes  calls/s  appends/s  calls/append  bytes/claim  us/claim/node  wait_ms");
     for (nodes, calls_per_s) in [(4, 20), (4, 100), (8, 400), (8, 1_600), (16, 1_600)] {
-        measure_stream(nodes, calls_per_s);
+        measure_stream(nodes, calls_per_s, OnceSettings::default());
+    }
+    println!("one of 20 streams with 10 appends/s, by its nodes and by one that appends for all");
+    for nodes in [1, 8, 40, 200] {
+        let settings = OnceSettings {
+            appends_per_s: SHARD_APPENDS_PER_S,
+            ..OnceSettings::default()
+        };
+        measure_stream(nodes, SHARD_CALLS_PER_S, settings);
     }
 }
 
 /// Feeds the tables of one service with calls at an even rate.
-fn measure_stream(nodes: usize, calls_per_s: u64) {
+fn measure_stream(nodes: usize, calls_per_s: u64, settings: OnceSettings) {
     let vms: Vec<VmName> = (0..nodes)
         .map(|i| VmName::new(format!("filings-vm-{i:04}")))
         .collect();
-    let mut tables: Vec<ClaimTable> = vms.iter().map(table).collect();
+    let mut tables: Vec<ClaimTable> = vms.iter().map(|vm| table(vm, settings)).collect();
     let mut log: Vec<(u64, ClaimRecord)> = Vec::new();
     let mut read = 0;
     let mut begun = 0_u64;
@@ -104,7 +118,7 @@
 /// Measures what a table holds for claims of other nodes, and what a snapshot of them takes.
 fn measure_memory(claims: u64) {
     let before = resident_bytes();
-    let mut reader = table(&VmName::new("filings-vm-0002"));
+    let mut reader = table(&VmName::new("filings-vm-0002"), OnceSettings::default());
     for offset in 0..claims / BATCH {
         let record = batch(offset);
         let now = ClockTime::from_ms(offset);
@@ -145,8 +159,7 @@
     kib.and_then(|kib| kib.parse::<u64>().ok()).unwrap_or(0) * 1_024
 }
 
-fn table(vm: &VmName) -> ClaimTable {
-    let settings = OnceSettings::default();
+fn table(vm: &VmName, settings: OnceSettings) -> ClaimTable {
     ClaimTable::new(
         settings,
         "filings".into(),
