--- a/crates/node/src/call_headers.rs
+++ b/crates/node/src/call_headers.rs
@@ -1,7 +1,7 @@
 use http::header::{AUTHORIZATION, CONNECTION, EXPECT, HeaderName, PROXY_AUTHORIZATION, TE};
 use http::header::{PROXY_AUTHENTICATE, TRAILER, TRANSFER_ENCODING, UPGRADE};
 use http::{HeaderMap, HeaderValue};
-use model::AttemptId;
+use model::{AttemptId, TeamName};
 use wire::CallHead;
 
 /// The header that carries a caller's key, beside `Authorization: Bearer`.
@@ -134,3 +134,8 @@
     let key = headers.get(IDEMPOTENCY_KEY)?.as_bytes().trim_ascii();
     (!key.is_empty()).then(|| key.to_vec())
 }
+
+/// Returns the team that pays for a call, or a name that no team has.
+pub(crate) fn payer(head: &CallHead) -> TeamName {
+    head.team.clone().unwrap_or_else(|| TeamName::new(""))
+}
--- a/crates/node/src/claim_watch.rs
+++ b/crates/node/src/claim_watch.rs
@@ -1,7 +1,7 @@
 use std::rc::Rc;
 
 use clock::ClockTime;
-use model::{AttemptId, RefusalReason, RunVerdict, TeamName, VmName};
+use model::{AttemptId, RefusalReason, RunVerdict, VmName};
 use once::{
     CallFingerprint, ClaimAction, ClaimOutcome, ClaimRecord, ClaimRefusal, HolderReply, KeyDigest,
     OnceRequest, StoredAnswer,
@@ -12,7 +12,7 @@
 use wire::CallHead;
 
 use crate::call_answer::CallRefusal;
-use crate::call_headers::idempotency_key;
+use crate::call_headers::{idempotency_key, payer};
 use crate::config_watch::pull_from;
 use crate::node_core::NodeCore;
 use crate::node_message::{NodeMessage, NodeReply};
@@ -96,7 +96,7 @@
 ///
 /// # Errors
 ///
-/// Returns the fate of a call that may not run here.
+/// Returns what the call is told when it may not run here.
 pub(crate) async fn claim_call(
     core: &Rc<NodeCore>,
     head: &CallHead,
@@ -110,10 +110,9 @@
             retry_after_ms: None,
         }));
     };
-    let team = head.team.clone().unwrap_or_else(|| TeamName::new(""));
     let request = OnceRequest {
         attempt: head.attempt,
-        key: KeyDigest::new(&team, &key),
+        key: KeyDigest::new(&payer(head), &key),
         fingerprint: CallFingerprint::new(&head.call, &content_of(head, body)),
         deadline,
         key_age_ms: None,
@@ -132,7 +131,7 @@
     act_on_claims(core);
     match waiting.await {
         Ok(ClaimDecision::Run) => Ok(pass),
-        Ok(fate) => Err(fate),
+        Ok(decision) => Err(decision),
         Err(_) => Err(ClaimDecision::Refuse(ClaimRefusal {
             reason: RefusalReason::ClaimUnavailable,
             verdict: RunVerdict::NotRun,
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -3,20 +3,19 @@
 
 use clock::ClockTime;
 use compio::time::{sleep, timeout};
-use model::{RefusalReason, RunVerdict, TeamName, VmName};
+use model::{RefusalReason, RunVerdict, VmName};
 use quarantine::RequestFingerprint;
 use retry::{
     AllowanceShare, RatioSettings, RetryAllowance, RetryDecision, RetryPolicy, RetryQuestion,
     RetryRatio,
 };
-use wire::{AnswerHead, CallHead, LinkError, PeerLink};
+use wire::{AnswerHead, CallHead};
 
-use crate::answer_body::AnswerBody;
-use crate::attempt_query::{fresh_mark, note_mark, resolve_attempt};
 use crate::call_answer::{CallAnswer, CallRefusal};
 use crate::call_body::CallBody;
-use crate::call_headers::idempotency_key;
+use crate::call_headers::{idempotency_key, payer};
 use crate::ingress::run_call;
+use crate::link_call::send_over_link;
 use crate::node_core::NodeCore;
 use crate::replay_body::ReplayBody;
 use crate::route_guard::RouteGuard;
@@ -30,8 +29,6 @@
 /// The wait before a call is tried again that failed at the VM that it was sent on to, in
 /// milliseconds: by then another VM is named when that one is down.
 const RUNNER_DOWN_MS: u64 = 250;
-/// The longest time in which a VM must be reached, in milliseconds.
-const REACH_LIMIT_MS: u64 = 1_000;
 /// The times that a call may be sent on to the VM that must run it.
 const MAX_REDIRECTS: u32 = 2;
 /// The time after which callers come back when no backend server is known, in milliseconds.
@@ -213,8 +210,7 @@
 /// Calls without one stay where the load is least: equal bodies are no sign of a copy.
 fn copies_of(head: &CallHead) -> Option<RequestFingerprint> {
     let key = idempotency_key(head)?;
-    let team = head.team.clone().unwrap_or_else(|| TeamName::new(""));
-    Some(RequestFingerprint::new(&team, &head.call, &key))
+    Some(RequestFingerprint::new(&payer(head), &head.call, &key))
 }
 
 /// Returns whether a refusal would be the same at every VM of the service.
@@ -246,93 +242,3 @@
     route.finish(&answer.head);
     answer
 }
-
-async fn send_over_link(
-    core: &Rc<NodeCore>,
-    vm: &VmName,
-    head: &mut CallHead,
-    body: CallBody,
-    deadline: ClockTime,
-) -> CallAnswer {
-    let spare = body.copy_at_hand();
-    let is_repeatable = head.idempotent && !head.once && spare.is_some();
-    let mut result = call_over_link(core, vm, head, body, deadline).await;
-    if let (Err(LinkError::NotSent(_)), Some(body)) = (&result, spare) {
-        result = call_over_link(core, vm, head, body, deadline).await;
-    }
-    let error = match result {
-        Ok(answer) => return answer,
-        Err(error) => error,
-    };
-    let verdict = match error.verdict() {
-        RunVerdict::MayHaveRun => resolve_attempt(core, vm, head, deadline, is_repeatable).await,
-        verdict => verdict,
-    };
-    link_failure(vm, head, &error, verdict)
-}
-
-/// Sends a call once; one that a closing link didn't take may be sent again over a new one.
-async fn call_over_link(
-    core: &NodeCore,
-    vm: &VmName,
-    head: &mut CallHead,
-    body: CallBody,
-    deadline: ClockTime,
-) -> Result<CallAnswer, LinkError> {
-    let link = reach_vm(core, vm, head, deadline).await?;
-    let asked = core.now();
-    let (answer, body) = link.call(head, body).await?;
-    if let Some(mark) = answer.mark {
-        note_mark(core, vm, mark, asked);
-    }
-    let told = answer.body_bytes;
-    let body = AnswerBody::new(CallBody::Link(body), told);
-    Ok(CallAnswer { head: answer, body })
-}
-
-/// Returns the link to a VM, and puts a mark of its table of attempts into the head.
-///
-/// This takes a second and half of the time left at most, so that there is time for another VM. An error tells
-/// that nothing was sent.
-async fn reach_vm(
-    core: &NodeCore,
-    vm: &VmName,
-    head: &mut CallHead,
-    deadline: ClockTime,
-) -> Result<Rc<PeerLink>, LinkError> {
-    let left_ms = core.now().until_ms(deadline);
-    let limit_ms = REACH_LIMIT_MS.min(left_ms / 2);
-    let no_answer = || LinkError::ConnectTimeout(limit_ms);
-    let reaching = async {
-        let mark = fresh_mark(core, vm).await.ok_or_else(no_answer)?;
-        head.mark = Some(mark);
-        core.links.get(&core.settings, vm).await
-    };
-    let link = timeout(Duration::from_millis(limit_ms), reaching).await;
-    link.unwrap_or_else(|_| Err(no_answer()))
-}
-
-/// Answers a call whose link failed.
-fn link_failure(
-    vm: &VmName,
-    head: &CallHead,
-    error: &LinkError,
-    verdict: RunVerdict,
-) -> CallAnswer {
-    log::warn!(
-        "event=link-failed request={} attempt={} vm={vm} verdict={} error={:?}",
-        head.request,
-        head.attempt,
-        verdict.as_str(),
-        error.to_string(),
-    );
-    let refusal = CallRefusal {
-        verdict,
-        ..CallRefusal::not_run(RefusalReason::LinkBroken)
-    };
-    let unspent = match verdict {
-        RunVerdict::NotRun => head.allowance,
-        _ => 0,
-    };
-    CallAnswer::refused(head, &refusal, unspent)
-}
--- a/crates/node/src/suspect_watch.rs
+++ b/crates/node/src/suspect_watch.rs
@@ -4,14 +4,14 @@
 use clock::ClockTime;
 use compio::time::{sleep, timeout};
 use futures_channel::oneshot;
-use model::{AttemptId, RefusalReason, TeamName, VmName};
+use model::{AttemptId, RefusalReason, VmName};
 use quarantine::{
     NewsId, RequestFingerprint, SuspectAction, SuspectDecision, SuspectNews, SuspectTable,
 };
 use wire::CallHead;
 
 use crate::call_answer::CallRefusal;
-use crate::call_headers::idempotency_key;
+use crate::call_headers::{idempotency_key, payer};
 use crate::node_core::NodeCore;
 use crate::node_message::NodeMessage;
 use crate::peer_talk::ask_peer;
@@ -50,7 +50,7 @@
     core: Rc<NodeCore>,
     attempt: AttemptId,
     fingerprint: RequestFingerprint,
-    fate: Option<oneshot::Receiver<RunDecision>>,
+    decision: Option<oneshot::Receiver<RunDecision>>,
     stage: RunStage,
 }
 
@@ -95,11 +95,15 @@
         if core.backend.has_crashed().await {
             note_crash(&core);
         }
-        let Some(fate) = self.fate.take().filter(|_| core.backend.is_marked_down()) else {
+        let Some(decision) = self
+            .decision
+            .take()
+            .filter(|_| core.backend.is_marked_down())
+        else {
             return false;
         };
         let limit = Duration::from_millis(FAIL_WAIT_MS);
-        match timeout(limit, fate).await {
+        match timeout(limit, decision).await {
             Ok(Ok(RunDecision::Fail { may_retry })) => !may_retry,
             _ => true,
         }
@@ -130,7 +134,7 @@
     let fingerprint = fingerprint_of(head, body);
     let is_single = !head.once && idempotency_key(head).is_some();
     loop {
-        let fate = core.suspect_waiters.wait_for(head.attempt);
+        let waiting = core.suspect_waiters.wait_for(head.attempt);
         let now = core.now();
         let decision = core
             .suspects
@@ -140,7 +144,7 @@
             core: Rc::clone(core),
             attempt: head.attempt,
             fingerprint,
-            fate: Some(fate),
+            decision: Some(waiting),
             stage: RunStage::Unsent,
         };
         match decision {
@@ -154,11 +158,11 @@
             }
             SuspectDecision::Wait => {}
         }
-        let Some(fate) = pass.fate.take() else {
+        let Some(waiting) = pass.decision.take() else {
             continue;
         };
-        if let Ok(RunDecision::Start) = fate.await {
-            pass.fate = Some(core.suspect_waiters.wait_for(head.attempt));
+        if let Ok(RunDecision::Start) = waiting.await {
+            pass.decision = Some(core.suspect_waiters.wait_for(head.attempt));
             return Ok(pass);
         }
     }
@@ -197,12 +201,11 @@
 
 /// Returns what makes two calls the same request.
 pub(crate) fn fingerprint_of(head: &CallHead, body: &[u8]) -> RequestFingerprint {
-    let team = head.team.clone().unwrap_or_else(|| TeamName::new(""));
     let mut content = head.method.clone().into_bytes();
     content.extend_from_slice(head.path.as_bytes());
     content.extend_from_slice(&head.body_bytes.unwrap_or_default().to_be_bytes());
     content.extend_from_slice(body);
-    RequestFingerprint::new(&team, &head.call, &content)
+    RequestFingerprint::new(&payer(head), &head.call, &content)
 }
 
 fn note_crash(core: &Rc<NodeCore>) {
@@ -232,8 +235,8 @@
                 send_news(core, to, NodeMessage::SuspectAck(id, news));
             }
             SuspectAction::Fail { attempt, may_retry } => {
-                let fate = RunDecision::Fail { may_retry };
-                core.suspect_waiters.tell(attempt, fate);
+                let decision = RunDecision::Fail { may_retry };
+                core.suspect_waiters.tell(attempt, decision);
             }
             SuspectAction::Start(attempt) => core.suspect_waiters.tell(attempt, RunDecision::Start),
             SuspectAction::Reconsider(attempt) => {
