--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -98,7 +98,7 @@
     let head = build_head(core, request_id, entry, team, parts, key);
     check_chain(core, &head, deadline)?;
     if let Some(team) = &head.team {
-        admit_team(core, team).await?;
+        admit_team(core, team, deadline).await?;
     }
     Ok((head, deadline))
 }
