--- a/crates/node/src/link_call.rs
+++ b/crates/node/src/link_call.rs
@@ -11,9 +11,12 @@
 use crate::call_answer::{CallAnswer, CallRefusal};
 use crate::call_body::CallBody;
 use crate::node_core::NodeCore;
+use crate::request_body::read_whole;
 
 /// The longest time in which a VM must be reached, in milliseconds.
 const REACH_LIMIT_MS: u64 = 1_000;
+/// The largest answer that is read whole before it goes on, in bytes.
+const SMALL_ANSWER_BYTES: u64 = 64 * 1024;
 
 /// Sends a call to another VM, and settles whether it ran where its link broke.
 pub(crate) async fn send_over_link(
@@ -40,7 +43,9 @@
     link_failure(vm, head, &error, verdict)
 }
 
-/// Sends a call once; one that a closing link didn't take may be sent again over a new one.
+/// Sends a call once, and reads a small answer whole, so that a cut one isn't begun.
+///
+/// A call that a closing link didn't take may be sent again over a new one.
 async fn call_over_link(
     core: &NodeCore,
     vm: &VmName,
@@ -55,7 +60,11 @@
         note_mark(core, vm, mark, asked);
     }
     let told = answer.body_bytes;
-    let body = AnswerBody::new(CallBody::Link(body), told);
+    let body = match told {
+        Some(bytes) if bytes <= SMALL_ANSWER_BYTES => CallBody::Whole(read_whole(body).await?),
+        _ => CallBody::Link(body),
+    };
+    let body = AnswerBody::new(body, told);
     Ok(CallAnswer { head: answer, body })
 }
 
