--- a/crates/limit/tests/shed_control.rs
+++ b/crates/limit/tests/shed_control.rs
@@ -188,3 +188,40 @@
     assert!(flips < 4_000, "{flips}");
     assert!(ours > 8_800, "{ours}");
 }
+
+/// What is refused with slots free is lost, so the cuts don't wait for the usual time.
+#[rstest]
+#[case::naive(40, 0.0, 0.3, false)]
+#[case::free(10, 0.0, 0.3, true)]
+#[case::waiting(10, 200.0, 0.0, false)]
+fn the_cuts_change_soon_when_nothing_waits(
+    #[case] idle_update_ms: u64,
+    #[case] wait_ms: f64,
+    #[case] free_share: f64,
+    #[case] is_changed: bool,
+) {
+    let settings = ShedSettings {
+        update_ms: 40,
+        idle_update_ms,
+        ..ShedSettings::default()
+    };
+    let mut feed = Feed::new(settings, 1);
+    feed.run(4_000, &[("a", 1, [250.0; 4])]);
+    let start_ms = feed.now_ms + settings.update_ms;
+    let overloaded = QueueState {
+        waits_ms: [200.0; 4],
+        capacity: CAPACITY,
+        free_share: 0.0,
+    };
+    let start = ClockTime::from_ms(start_ms);
+    feed.control.update(start, overloaded);
+    let before = feed.control.cuts().clone();
+    assert!(!before.is_open());
+    let state = QueueState {
+        waits_ms: [wait_ms; 4],
+        free_share,
+        ..overloaded
+    };
+    feed.control.update(start.plus_ms(10), state);
+    assert_eq!(*feed.control.cuts() != before, is_changed);
+}
