--- a/crates/node/src/announce.rs
+++ b/crates/node/src/announce.rs
@@ -3,12 +3,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use clock::ClockTime;
 use compio::time::{sleep, timeout};
 use futures_util::future::{Either, select};
 use member::{AnnounceTimer, MemberAnnouncement, MemberSettings, MemberState};
 use model::VmName;
 use platform::{LogStream, NewRecord, PlatformLog, RecordBody};
 
+use crate::fleet_watch::put_members;
 use crate::node_core::NodeCore;
 use crate::node_message::NodeMessage;
 use crate::peer_talk::ask_peer;
@@ -17,6 +19,10 @@
 const LOOK_MS: u64 = 50;
 /// The time after which an announcement that failed is repeated, in milliseconds.
 const AGAIN_MS: u64 = 500;
+/// The shortest time between two new numbers of one start, in milliseconds.
+const RISE_MS: u64 = 1_000;
+/// The time that the backend server has to accept a connection, in milliseconds.
+const CONNECT_MS: u64 = 1_000;
 /// The time after which linked nodes are told what the log doesn't take, in milliseconds.
 const SOON_MS: u64 = 1_000;
 /// How often linked nodes are told of one state that the log hasn't taken.
@@ -24,42 +30,146 @@
 /// The time that a peer has to take an announcement, in milliseconds.
 const TELL_MS: u64 = 1_000;
 
-/// What became of the announcements that are on their way to the log.
-#[derive(Default)]
-struct AppendNews {
-    has_failed: Cell<bool>,
-    /// How often linked nodes may still be told of the present state.
-    tells: Cell<u32>,
-}
-
 /// Announces the node for as long as it runs.
+///
+/// What changes holds at this node at once; the log learns of it as soon as it takes the append.
 pub(crate) async fn announce_node(core: Rc<NodeCore>, own: MemberAnnouncement) {
     let mut timer = AnnounceTimer::new(MemberSettings::default(), own);
-    let news = Rc::new(AppendNews::default());
+    let append = Rc::new(OwnAppend::default());
+    let mut risen_at = None;
     loop {
         let state = present_state(&core).await;
-        if timer.set_state(state) {
-            news.tells.set(TELLS_PER_STATE);
-            log::info!(
-                "event=state-changed vm={} state={state:?}",
-                core.settings.vm
-            );
+        if put_state(&core, &mut timer, state) {
+            append.on_change(&core, timer.own());
         }
-        let now = core.now();
-        if news.has_failed.take() {
+        rise_above_other(&core, &mut timer, &mut risen_at);
+        if append.is_free(&mut timer, core.now()) {
+            announce_due(&core, &mut timer, &append);
+        }
+        put_members(&core);
+        sleep(Duration::from_millis(LOOK_MS)).await;
+    }
+}
+
+/// Takes in the state of the node, and returns whether it has changed.
+fn put_state(core: &Rc<NodeCore>, timer: &mut AnnounceTimer, state: MemberState) -> bool {
+    if !timer.set_state(state) {
+        return false;
+    }
+    log::info!(
+        "event=state-changed vm={} state={state:?}",
+        core.settings.vm
+    );
+    tell(core, timer.own());
+    true
+}
+
+/// Makes the own announcement newer than one that an earlier start of this VM left behind.
+fn rise_above_other(
+    core: &Rc<NodeCore>,
+    timer: &mut AnnounceTimer,
+    risen_at: &mut Option<ClockTime>,
+) {
+    let now = core.now();
+    let is_early = risen_at.is_some_and(|at| now.since_ms(at) < RISE_MS);
+    if is_early || core.is_leaving() {
+        return;
+    }
+    let known = core
+        .fleet
+        .with(|feed| feed.fold().view().get(&core.settings.vm).cloned());
+    let Some(other) = known.filter(|known| known.incarnation > timer.own().incarnation) else {
+        return;
+    };
+    *risen_at = Some(now);
+    timer.rise_above(&other);
+    log::info!(
+        "event=start-renumbered vm={} start={}",
+        core.settings.vm,
+        timer.own().incarnation
+    );
+    tell(core, timer.own());
+}
+
+fn announce_due(core: &Rc<NodeCore>, timer: &mut AnnounceTimer, append: &Rc<OwnAppend>) {
+    let members = core.fleet.with(|feed| feed.fold().view().len());
+    let due = core.with_random(|random| timer.take_due(core.now(), members, random));
+    let Some(announcement) = due else { return };
+    tell(core, &announcement);
+    append.start(core, announcement);
+}
+
+/// Takes an announcement into the own view, and tells linked nodes of a leave.
+fn tell(core: &Rc<NodeCore>, announcement: &MemberAnnouncement) {
+    core.fleet.with(|feed| feed.fold().learn(announcement));
+    if announcement.state >= MemberState::Leaving {
+        tell_peers(core, announcement);
+    }
+}
+
+/// The append of an announcement, one at a time.
+#[derive(Default)]
+struct OwnAppend {
+    is_running: Cell<bool>,
+    has_failed: Cell<bool>,
+    /// How often linked nodes may still be told of the present state.
+    tells: Cell<u32>,
+}
+
+impl OwnAppend {
+    /// Returns whether none runs, and has one that failed repeated.
+    fn is_free(&self, timer: &mut AnnounceTimer, now: ClockTime) -> bool {
+        if self.has_failed.take() {
             timer.on_failure(now, AGAIN_MS);
         }
-        let members = core.fleet.with(|feed| feed.fold().view().len());
-        let due = core.with_random(|random| timer.take_due(now, members, random));
-        if let Some(announcement) = due {
-            core.fleet.with(|feed| feed.fold().learn(&announcement));
-            if state >= MemberState::Leaving {
-                tell_peers(&core, &announcement);
+        !self.is_running.get()
+    }
+
+    /// Tells linked nodes of a new state at once while an earlier append keeps it waiting.
+    fn on_change(&self, core: &Rc<NodeCore>, announcement: &MemberAnnouncement) {
+        self.tells.set(TELLS_PER_STATE);
+        if self.is_running.get() {
+            self.tell_some(core, announcement);
+        }
+    }
+
+    fn start(self: &Rc<Self>, core: &Rc<NodeCore>, announcement: MemberAnnouncement) {
+        self.is_running.set(true);
+        let own = Rc::clone(self);
+        let core = Rc::clone(core);
+        let appending = async move {
+            let is_done = own.append_or_tell(&core, &announcement).await;
+            own.has_failed.set(!is_done);
+            own.is_running.set(false);
+        };
+        compio::runtime::spawn(appending).detach();
+    }
+
+    /// Appends an announcement, and tells it to linked nodes when the log doesn't take it soon.
+    ///
+    /// A node that starts in an outage can only be answered by nodes that know its address.
+    async fn append_or_tell(&self, core: &Rc<NodeCore>, announcement: &MemberAnnouncement) -> bool {
+        let appending = pin!(append(core, announcement));
+        let waiting = pin!(sleep(Duration::from_millis(SOON_MS)));
+        let is_done = match select(appending, waiting).await {
+            Either::Left((is_done, _)) => is_done,
+            Either::Right(((), appending)) => {
+                self.tell_some(core, announcement);
+                appending.await
             }
-            let appending = append_or_tell(Rc::clone(&core), announcement, Rc::clone(&news));
-            compio::runtime::spawn(appending).detach();
+        };
+        if !is_done {
+            self.tell_some(core, announcement);
+        }
+        is_done
+    }
+
+    fn tell_some(&self, core: &Rc<NodeCore>, announcement: &MemberAnnouncement) {
+        let tells = self.tells.get();
+        if tells > 0 {
+            self.tells.set(tells - 1);
+            tell_peers(core, announcement);
         }
-        sleep(Duration::from_millis(LOOK_MS)).await;
     }
 }
 
@@ -71,7 +181,10 @@
     if !core.has_contract() {
         return MemberState::Starting;
     }
-    let is_up = core.backend.keep_spare().await;
+    let limit = Duration::from_millis(CONNECT_MS);
+    let is_up = timeout(limit, core.backend.keep_spare())
+        .await
+        .unwrap_or(false);
     core.is_up.set(is_up);
     if is_up {
         MemberState::Ready
@@ -80,37 +193,6 @@
     }
 }
 
-/// Appends an announcement, and tells it to linked nodes when the log doesn't take it soon.
-///
-/// A node that starts in an outage can only be answered by nodes that know its address.
-async fn append_or_tell(
-    core: Rc<NodeCore>,
-    announcement: MemberAnnouncement,
-    news: Rc<AppendNews>,
-) {
-    let appending = pin!(append(&core, &announcement));
-    let waiting = pin!(sleep(Duration::from_millis(SOON_MS)));
-    let is_done = match select(appending, waiting).await {
-        Either::Left((is_done, _)) => is_done,
-        Either::Right(((), appending)) => {
-            tell_some(&core, &announcement, &news);
-            appending.await
-        }
-    };
-    if !is_done {
-        tell_some(&core, &announcement, &news);
-        news.has_failed.set(true);
-    }
-}
-
-fn tell_some(core: &Rc<NodeCore>, announcement: &MemberAnnouncement, news: &AppendNews) {
-    let tells = news.tells.get();
-    if tells > 0 {
-        news.tells.set(tells - 1);
-        tell_peers(core, announcement);
-    }
-}
-
 async fn append(core: &NodeCore, announcement: &MemberAnnouncement) -> bool {
     let record = NewRecord {
         id: core.new_record_id(),
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -12,17 +12,14 @@
 use crate::answer_body::AnswerBody;
 use crate::call_answer::{CallAnswer, CallRefusal};
 use crate::call_headers::{find_deadline_ms, find_key, is_key_in_path, strip_path, strip_request};
-use crate::chain_watch::check_chain;
+use crate::chain_watch::{EntryRequest, check_chain};
 use crate::dispatch::dispatch_call;
 use crate::http_answer::{build_response, refuse_response};
 use crate::node_core::NodeCore;
 use crate::rate_watch::admit_team;
 use crate::request_body::{read_small, skip_body};
-use crate::resend_charge::ResendCharge;
+use crate::resend_charge::{ResendCharge, resends_spent};
 
-/// The time after which a caller may send a request again whose retries are spent, in
-/// milliseconds.
-const RESENDS_SPENT_MS: u64 = 60_000;
 /// The time after which callers come back to a node that trusts no key, in milliseconds.
 const KEYS_STALE_MS: u64 = 2_000;
 
@@ -67,16 +64,16 @@
     };
     let body = read_small(core, body, deadline).await?;
     let charge = ResendCharge::open(core, &head);
-    let charge = charge.ok_or_else(|| {
-        CallRefusal::not_run(RefusalReason::Overloaded).after_ms(RESENDS_SPENT_MS)
-    })?;
+    let charge = charge.ok_or_else(resends_spent)?;
     let head = CallHead {
         body_bytes: body.known_bytes(),
         allowance: charge.allowance(),
         ..head
     };
+    let entered = EntryRequest::new(started, &head);
     let service = head.service.clone();
-    let answer = dispatch_call(core, head, body, deadline).await;
+    let mut answer = dispatch_call(core, head, body, deadline).await;
+    entered.note_answer(core, &mut answer);
     charge.close(answer.head.allowance_left);
     core.metrics
         .observe_call("entry", &service, started, core.now(), &answer.head);
--- a/crates/trial/src/policy.rs
+++ b/crates/trial/src/policy.rs
@@ -1,5 +1,6 @@
 use graph::AdmissionSettings;
 use limit::QueueSettings;
+use retry::ResendSettings;
 use route::RouteSettings;
 
 /// The kinds of node that are compared.
@@ -46,7 +47,7 @@
             admission: AdmissionSettings::default(),
             cancels: true,
             callers_wait: false,
-            chain_retries: 2,
+            chain_retries: ResendSettings::default().retries,
         }
     }
 
@@ -92,7 +93,6 @@
         add("no load reports", |p| p.route.uses_reports = false);
         add("no local preference", |p| p.route.prefers_local = false);
         add("no ejection", |p| p.route.ejects = false);
-        add("no ramp", |p| p.route.ramp_ms = 0);
         list
     }
 }
--- a/crates/trial/src/world.rs
+++ b/crates/trial/src/world.rs
@@ -6,6 +6,7 @@
 use model::{CentreName, TeamName, VmName};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
+use retry::{RatioSettings, RetryRatio};
 use route::{LoadSample, RouteTarget, VmRouter};
 
 use crate::backend::Backend;
@@ -15,7 +16,7 @@
 use crate::ingress::Ingress;
 use crate::policy::NodePolicy;
 use crate::score::TrialScore;
-use crate::workload::{AFTER_MS, WARM_MS, Workload};
+use crate::workload::{AFTER_MS, LONG_AFTER_MS, WARM_MS, Workload};
 
 /// The data centres of a firm.
 const CENTRES: [&str; 3] = ["north", "east", "west"];
@@ -28,6 +29,12 @@
 /// The time between two rounds of the nodes' periodic work, in microseconds.
 pub(crate) const TICK_US: u64 = 20_000;
 
+/// The retries of a node to a service, as a node has them.
+const RATIO_SETTINGS: RatioSettings = RatioSettings {
+    per_thousand: 100,
+    max_saved: 200,
+};
+
 /// One VM: a backend server and the node beside it.
 #[derive(Clone, Debug)]
 pub(crate) struct TrialVm {
@@ -40,6 +47,7 @@
     pub(crate) ingress: Ingress,
     pub(crate) admission: ChainAdmission,
     pub(crate) routers: Vec<VmRouter>,
+    pub(crate) ratios: Vec<RetryRatio>,
     pub(crate) turns: Vec<usize>,
     pub(crate) linked: Vec<bool>,
     pub(crate) is_alive: bool,
@@ -48,7 +56,7 @@
 }
 
 /// A firm under a workload, with nodes of one kind, in virtual time.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct TrialWorld {
     pub(crate) firm: Firm,
     pub(crate) workload: Workload,
@@ -87,7 +95,7 @@
         let targets = (0..firm.calls.len())
             .map(|call| firm.target(call))
             .collect();
-        let (scarcest, base_rate) = firm.scarcest(&firm.slots(), &speeds);
+        let (scarcest, base_rate) = firm.scarcest(&slots_of(&firm, workload), &speeds);
         let team_names = (0..firm.teams.len())
             .map(|team| TeamName::new(format!("team-{team}")))
             .collect();
@@ -121,7 +129,12 @@
     #[must_use]
     pub fn run(mut self) -> TrialScore {
         let strain_end_ms = WARM_MS + self.workload.strain_ms();
-        let end_us = (strain_end_ms + AFTER_MS) * 1_000;
+        let after_ms = if self.policy.callers_wait {
+            LONG_AFTER_MS
+        } else {
+            AFTER_MS
+        };
+        let end_us = (strain_end_ms + after_ms) * 1_000;
         self.events.push(0, TrialEvent::NextArrival);
         self.events.push(TICK_US, TrialEvent::Tick);
         self.events.push(WARM_MS * 1_000, TrialEvent::StrainStarts);
@@ -146,6 +159,7 @@
                 self.client_answered(client_try, is_good, is_refused);
             }
             TrialEvent::ClientTimeout(client_try) => self.client_timeout(client_try),
+            TrialEvent::CallRetried(call) => self.retry_call(call),
             TrialEvent::CallArrives(call) => self.call_arrives(call),
             TrialEvent::CancelArrives(call) => self.cancel_call(call),
             TrialEvent::WorkEnds(vm, generation) => self.work_ends(vm, generation),
@@ -164,17 +178,19 @@
             for instance in 0..plan.instances {
                 let index = self.vms.len();
                 let lies = self.workload == Workload::FalseReports && index.is_multiple_of(3);
-                let announced = if lies { plan.slots * 3 } else { plan.slots };
+                let slots = self.workload.vm_slots(instance, plan.slots);
+                let announced = if lies { slots * 3 } else { slots };
                 let vm = TrialVm {
                     name: VmName::new(format!("{}-{instance}", plan.name)),
                     service,
                     centre: instance % CENTRES.len(),
-                    slots: plan.slots,
+                    slots,
                     announced,
-                    backend: Backend::new(plan.slots),
+                    backend: Backend::new(slots),
                     ingress: Ingress::new(&self.policy, announced, seed ^ index as u64),
                     admission: ChainAdmission::new(self.policy.admission),
                     routers: self.new_routers(instance % CENTRES.len()),
+                    ratios: vec![RetryRatio::new(RATIO_SETTINGS); services.len()],
                     turns: vec![index; services.len()],
                     linked: vec![false; count],
                     is_alive: true,
@@ -186,7 +202,7 @@
             }
         }
         for index in 0..self.vms.len() {
-            self.announce(index, ClockTime::ZERO.minus_ms(1));
+            self.announce(index);
         }
     }
 
@@ -200,13 +216,12 @@
     }
 
     /// Tells all nodes about a VM.
-    pub(crate) fn announce(&mut self, index: usize, started: ClockTime) {
+    pub(crate) fn announce(&mut self, index: usize) {
         let vm = &self.vms[index];
         let (name, service) = (vm.name.clone(), vm.service);
         let target = RouteTarget {
             centre: CentreName::new(CENTRES[vm.centre]),
             slots: vm.announced,
-            started,
         };
         for other in &mut self.vms {
             other.routers[service].upsert(name.clone(), target.clone());
@@ -270,3 +285,15 @@
         })
     }
 }
+
+/// Returns the slots of each service when all VMs live.
+fn slots_of(firm: &Firm, workload: Workload) -> Vec<f64> {
+    firm.services
+        .iter()
+        .map(|service| {
+            let vms = 0..service.instances;
+            let slots = vms.map(|vm| workload.vm_slots(vm, service.slots));
+            f64::from(slots.sum::<u32>())
+        })
+        .collect()
+}
