test: parted data centres must be cut off from the news

A gate that let links through would have passed: a text accepted while parted must now stay out of force where neither the log nor a linked node is reached.

--- a/crates/lentilshift/tests/processes/parted_centres.rs
+++ b/crates/lentilshift/tests/processes/parted_centres.rs
@@ -141,6 +141,8 @@
     let (calls, (flood, (versions, parted))) = join(send_pairs(&fleet, &is_over), others).await;
     assert_eq!(versions, vec![2; PAIRS.len()], "in force everywhere");
     let reached = if reach == LogReach::Nobody { 1 } else { 2 };
+    let cut_off = if reach == LogReach::All { 2 } else { 1 };
+    assert!(parted[CUT_FROM..].iter().all(|version| *version == cut_off));
     assert!(parted[..CUT_FROM].iter().all(|version| *version == reached));
     flood.check();
     let mut counts = OnceCounts::default();
