--- a/crates/node/src/call_body.rs
+++ b/crates/node/src/call_body.rs
@@ -38,6 +38,15 @@
 }
 
 impl CallBody {
+    /// Returns the same body again, when all bytes are at hand.
+    pub(crate) fn copy_at_hand(&self) -> Option<Self> {
+        match self {
+            Self::Empty => Some(Self::Empty),
+            Self::Whole(bytes) => Some(Self::Whole(bytes.clone())),
+            _ => None,
+        }
+    }
+
     /// Returns the length in bytes, when it is known.
     pub(crate) fn known_bytes(&self) -> Option<u64> {
         match self {
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -9,7 +9,7 @@
     AllowanceShare, RatioSettings, RetryAllowance, RetryDecision, RetryPolicy, RetryQuestion,
     RetryRatio,
 };
-use wire::{AnswerHead, CallHead};
+use wire::{AnswerHead, CallHead, LinkError, PeerLink};
 
 use crate::answer_body::AnswerBody;
 use crate::attempt_query::{fresh_mark, note_mark, resolve_attempt};
@@ -30,6 +30,8 @@
 /// The wait before a call is tried again that failed at the VM that it was sent on to, in
 /// milliseconds: by then another VM is named when that one is down.
 const RUNNER_DOWN_MS: u64 = 250;
+/// The longest time in which a VM must be reached, in milliseconds.
+const REACH_LIMIT_MS: u64 = 1_000;
 /// The times that a call may be sent on to the VM that must run it.
 const MAX_REDIRECTS: u32 = 2;
 /// The time after which callers come back when no backend server is known, in milliseconds.
@@ -138,11 +140,8 @@
         let share = self.allowance.hand_down(self.head.attempt, 1);
         self.head.allowance = share.retries();
         self.head.mark = None;
-        if vm != self.core.settings.vm {
-            self.head.mark = fresh_mark(self.core, &vm).await;
-        }
         let body = self.body.take();
-        let sending = send_to(self.core, &vm, &self.head, body, self.deadline);
+        let sending = send_to(self.core, &vm, &mut self.head, body, self.deadline);
         let in_time = Box::pin(timeout(Duration::from_millis(left_ms), sending)).await;
         let answer = in_time.unwrap_or_else(|_| {
             let refusal = CallRefusal::may_have_run(RefusalReason::DeadlinePassed);
@@ -234,7 +233,7 @@
 async fn send_to(
     core: &Rc<NodeCore>,
     vm: &VmName,
-    head: &CallHead,
+    head: &mut CallHead,
     body: CallBody,
     deadline: ClockTime,
 ) -> CallAnswer {
@@ -251,31 +250,75 @@
 async fn send_over_link(
     core: &Rc<NodeCore>,
     vm: &VmName,
-    head: &CallHead,
+    head: &mut CallHead,
     body: CallBody,
     deadline: ClockTime,
 ) -> CallAnswer {
-    let asked = core.now();
-    let link = core.links.get(&core.settings, vm).await;
-    let result = match link {
-        Ok(link) => link.call(head, body).await,
-        Err(error) => Err(error),
-    };
+    let spare = body.copy_at_hand();
+    let is_repeatable = head.idempotent && !head.once && spare.is_some();
+    let mut result = call_over_link(core, vm, head, body, deadline).await;
+    if let (Err(LinkError::NotSent(_)), Some(body)) = (&result, spare) {
+        result = call_over_link(core, vm, head, body, deadline).await;
+    }
     let error = match result {
-        Ok((answer, body)) => {
-            if let Some(mark) = answer.mark {
-                note_mark(core, vm, mark, asked);
-            }
-            let told = answer.body_bytes;
-            let body = AnswerBody::new(CallBody::Link(body), told);
-            return CallAnswer { head: answer, body };
-        }
+        Ok(answer) => return answer,
         Err(error) => error,
     };
     let verdict = match error.verdict() {
-        RunVerdict::MayHaveRun => resolve_attempt(core, vm, head, deadline).await,
+        RunVerdict::MayHaveRun => resolve_attempt(core, vm, head, deadline, is_repeatable).await,
         verdict => verdict,
     };
+    link_failure(vm, head, &error, verdict)
+}
+
+/// Sends a call once; one that a closing link didn't take may be sent again over a new one.
+async fn call_over_link(
+    core: &NodeCore,
+    vm: &VmName,
+    head: &mut CallHead,
+    body: CallBody,
+    deadline: ClockTime,
+) -> Result<CallAnswer, LinkError> {
+    let link = reach_vm(core, vm, head, deadline).await?;
+    let asked = core.now();
+    let (answer, body) = link.call(head, body).await?;
+    if let Some(mark) = answer.mark {
+        note_mark(core, vm, mark, asked);
+    }
+    let told = answer.body_bytes;
+    let body = AnswerBody::new(CallBody::Link(body), told);
+    Ok(CallAnswer { head: answer, body })
+}
+
+/// Returns the link to a VM, and puts a mark of its table of attempts into the head.
+///
+/// This takes a second and half of the time left at most, so that there is time for another VM. An error tells
+/// that nothing was sent.
+async fn reach_vm(
+    core: &NodeCore,
+    vm: &VmName,
+    head: &mut CallHead,
+    deadline: ClockTime,
+) -> Result<Rc<PeerLink>, LinkError> {
+    let left_ms = core.now().until_ms(deadline);
+    let limit_ms = REACH_LIMIT_MS.min(left_ms / 2);
+    let no_answer = || LinkError::ConnectTimeout(limit_ms);
+    let reaching = async {
+        let mark = fresh_mark(core, vm).await.ok_or_else(no_answer)?;
+        head.mark = Some(mark);
+        core.links.get(&core.settings, vm).await
+    };
+    let link = timeout(Duration::from_millis(limit_ms), reaching).await;
+    link.unwrap_or_else(|_| Err(no_answer()))
+}
+
+/// Answers a call whose link failed.
+fn link_failure(
+    vm: &VmName,
+    head: &CallHead,
+    error: &LinkError,
+    verdict: RunVerdict,
+) -> CallAnswer {
     log::warn!(
         "event=link-failed request={} attempt={} vm={vm} verdict={} error={:?}",
         head.request,
--- a/crates/node/src/state_dump.rs
+++ b/crates/node/src/state_dump.rs
@@ -57,14 +57,7 @@
         allocated_slots: core
             .rates
             .with(|feed| feed.fold().limiter.allocated_slots(core.now())),
-        ready_members: core.fleet.with(|feed| {
-            feed.fold()
-                .view()
-                .ready_by_centre()
-                .values()
-                .map(Vec::len)
-                .sum()
-        }),
+        ready_members: core.ready_members.get(),
         unreadable_members: core.fleet.with(|feed| feed.fold().unreadable()),
         links: core.links.names(),
         contract: dump_contract(core),
--- a/crates/node/tests/fleet/mod.rs
+++ b/crates/node/tests/fleet/mod.rs
@@ -14,7 +14,7 @@
     ConfigRecord, ConfigVersion, KeyDigest, LogStream, NewRecord, PlatformLog, RecordBody,
 };
 use standin::{BackendServer, BackendSettings, LogControl, LogServer};
-use wire::FleetSecret;
+use wire::{FleetSecret, LinkSettings};
 
 /// The key that the tests' callers use.
 pub const KEY: &str = "sesame-opens-nothing-else";
@@ -40,6 +40,13 @@
 [services.filings.calls.read]
 path = "/filings"
 method = "GET"
+[services.filings.calls.watch]
+path = "/watch"
+open = true
+[services.filings.calls.watch-all]
+path = "/watch"
+method = "GET"
+open = true
 [services.filings.calls.status]
 path = "/status"
 open = true
@@ -159,11 +166,13 @@
         name: &str,
         service: &str,
         backend: BackendSettings,
+        link: LinkSettings,
     ) -> Rc<link_proxy::LinkProxy> {
         let proxy = link_proxy::LinkProxy::start().await;
         let address = Some(proxy.address());
         self.add_with(name, service, backend, |settings| NodeSettings {
             advertised_address: address,
+            link,
             ..settings
         })
         .await;
@@ -203,10 +212,7 @@
 
     async fn is_settled(&self) -> bool {
         for pair in &self.pairs {
-            let url = format!("http://{}/dump", pair.node.admin_address());
-            let answer = self.client.get(url).unwrap().send().await.unwrap();
-            let dump: serde_json::Value =
-                serde_json::from_str(&answer.text().await.unwrap()).unwrap();
+            let dump = self.dump_of(pair).await;
             let ready = dump["ready_members"].as_u64().unwrap_or(0);
             if dump["is_ready"] != true || ready != self.pairs.len() as u64 {
                 return false;
@@ -215,6 +221,18 @@
         true
     }
 
+    /// Returns what a node's dump says.
+    #[allow(dead_code, reason = "not every test file looks at dumps")]
+    pub async fn dump(&self, node: usize) -> serde_json::Value {
+        self.dump_of(&self.pairs[node]).await
+    }
+
+    async fn dump_of(&self, pair: &Pair) -> serde_json::Value {
+        let url = format!("http://{}/dump", pair.node.admin_address());
+        let answer = self.client.get(url).unwrap().send().await.unwrap();
+        serde_json::from_str(&answer.text().await.unwrap()).unwrap()
+    }
+
     /// Returns how often the backend servers started a request with a trace.
     #[allow(dead_code, reason = "not every test file counts runs")]
     pub fn runs(&self, trace: &str) -> usize {
