--- a/crates/node/src/announce.rs
+++ b/crates/node/src/announce.rs
@@ -1,9 +1,11 @@
 use std::cell::Cell;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use clock::ClockTime;
 use compio::time::{sleep, timeout};
+use futures_util::future::{Either, select};
 use member::{AnnounceTimer, MemberAnnouncement, MemberSettings, MemberState};
 use model::VmName;
 use platform::{LogStream, NewRecord, PlatformLog, RecordBody};
@@ -21,6 +23,10 @@
 const RISE_MS: u64 = 1_000;
 /// The time that the backend server has to accept a connection, in milliseconds.
 const CONNECT_MS: u64 = 1_000;
+/// The time after which linked nodes are told what the log doesn't take, in milliseconds.
+const SOON_MS: u64 = 1_000;
+/// How often linked nodes are told of one state that the log hasn't taken.
+const TELLS_PER_STATE: u32 = 2;
 /// The time that a peer has to take an announcement, in milliseconds.
 const TELL_MS: u64 = 1_000;
 
@@ -33,7 +39,9 @@
     let mut risen_at = None;
     loop {
         let state = present_state(&core).await;
-        put_state(&core, &mut timer, state);
+        if put_state(&core, &mut timer, state) {
+            append.on_change(&core, timer.own());
+        }
         rise_above_other(&core, &mut timer, &mut risen_at);
         if append.is_free(&mut timer, core.now()) {
             announce_due(&core, &mut timer, &append);
@@ -43,16 +51,17 @@
     }
 }
 
-/// Takes in the state of the node, and tells peers directly of a leave.
-fn put_state(core: &Rc<NodeCore>, timer: &mut AnnounceTimer, state: MemberState) {
+/// Takes in the state of the node, and returns whether it has changed.
+fn put_state(core: &Rc<NodeCore>, timer: &mut AnnounceTimer, state: MemberState) -> bool {
     if !timer.set_state(state) {
-        return;
+        return false;
     }
     log::info!(
         "event=state-changed vm={} state={state:?}",
         core.settings.vm
     );
     tell(core, timer.own());
+    true
 }
 
 /// Makes the own announcement newer than one that an earlier start of this VM left behind.
@@ -103,6 +112,8 @@
 struct OwnAppend {
     is_running: Cell<bool>,
     has_failed: Cell<bool>,
+    /// How often linked nodes may still be told of the present state.
+    tells: Cell<u32>,
 }
 
 impl OwnAppend {
@@ -114,17 +125,52 @@
         !self.is_running.get()
     }
 
+    /// Tells linked nodes of a new state at once while an earlier append keeps it waiting.
+    fn on_change(&self, core: &Rc<NodeCore>, announcement: &MemberAnnouncement) {
+        self.tells.set(TELLS_PER_STATE);
+        if self.is_running.get() {
+            self.tell_some(core, announcement);
+        }
+    }
+
     fn start(self: &Rc<Self>, core: &Rc<NodeCore>, announcement: MemberAnnouncement) {
         self.is_running.set(true);
         let own = Rc::clone(self);
         let core = Rc::clone(core);
         let appending = async move {
-            let is_done = append(&core, &announcement).await;
+            let is_done = own.append_or_tell(&core, &announcement).await;
             own.has_failed.set(!is_done);
             own.is_running.set(false);
         };
         compio::runtime::spawn(appending).detach();
     }
+
+    /// Appends an announcement, and tells it to linked nodes when the log doesn't take it soon.
+    ///
+    /// A node that starts in an outage can only be answered by nodes that know its address.
+    async fn append_or_tell(&self, core: &Rc<NodeCore>, announcement: &MemberAnnouncement) -> bool {
+        let appending = pin!(append(core, announcement));
+        let waiting = pin!(sleep(Duration::from_millis(SOON_MS)));
+        let is_done = match select(appending, waiting).await {
+            Either::Left((is_done, _)) => is_done,
+            Either::Right(((), appending)) => {
+                self.tell_some(core, announcement);
+                appending.await
+            }
+        };
+        if !is_done {
+            self.tell_some(core, announcement);
+        }
+        is_done
+    }
+
+    fn tell_some(&self, core: &Rc<NodeCore>, announcement: &MemberAnnouncement) {
+        let tells = self.tells.get();
+        if tells > 0 {
+            self.tells.set(tells - 1);
+            tell_peers(core, announcement);
+        }
+    }
 }
 
 /// Returns whether the node takes work now.
