--- a/crates/lentilshift/tests/processes/support/mod.rs
+++ b/crates/lentilshift/tests/processes/support/mod.rs
@@ -19,6 +19,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -70,15 +71,18 @@
 burst = 20
 "#;
 
-/// The fleets of this test process take turns, so that few processes run at once.
-static TURN: Mutex<()> = Mutex::new(());
+/// The places for fleets of this test process, so that few processes run at once.
+static PLACES: [Mutex<()>; 3] = [const { Mutex::new(()) }; 3];
+/// The fleets that have asked for a place.
+static ASKED: AtomicUsize = AtomicUsize::new(0);
 
-/// Lets no other fleet start for as long as it is held.
+/// Lets no other fleet have its place for as long as it is held.
 struct FleetTurn(#[allow(dead_code, reason = "it is held, not read")] MutexGuard<'static, ()>);
 
 impl FleetTurn {
     fn wait() -> Self {
-        Self(TURN.lock().unwrap_or_else(PoisonError::into_inner))
+        let place = &PLACES[ASKED.fetch_add(1, Ordering::Relaxed) % PLACES.len()];
+        Self(place.lock().unwrap_or_else(PoisonError::into_inner))
     }
 }
 
