refactor(node,wire): do the work of a request and of a member once

Cause: read again as a whole. The announcing loop put all members into routers, links and plans every 50 ms when anything had changed, so that the members of a starting data centre were no longer put four times a second at most; the count of ready VMs was taken from a second copy of the list; and each look at an idempotency key built a map of all headers, up to four times a request.

Change: only the own announcement is put at once, others wait for the look at the members as before. The count comes from the list that the plan is made of. HeaderList finds one header without a map.

No figures: the cost of either was not measured.

--- a/crates/node/src/announce.rs
+++ b/crates/node/src/announce.rs
@@ -46,7 +46,6 @@
         if append.is_free(&mut timer, core.now()) {
             announce_due(&core, &mut timer, &append);
         }
-        put_members(&core);
         sleep(Duration::from_millis(LOOK_MS)).await;
     }
 }
@@ -99,9 +98,10 @@
     append.start(core, announcement);
 }
 
-/// Takes an announcement into the own view, and tells linked nodes of a leave.
+/// Takes an announcement into the own view and the routers, and tells linked nodes of a leave.
 fn tell(core: &Rc<NodeCore>, announcement: &MemberAnnouncement) {
     core.fleet.with(|feed| feed.fold().learn(announcement));
+    put_members(core);
     if announcement.state >= MemberState::Leaving {
         tell_peers(core, announcement);
     }
--- a/crates/node/src/call_headers.rs
+++ b/crates/node/src/call_headers.rs
@@ -130,8 +130,8 @@
 
 /// Returns the idempotency key of a call, unless it has none or an empty one.
 pub(crate) fn idempotency_key(head: &CallHead) -> Option<Vec<u8>> {
-    let headers = head.headers.to_map();
-    let key = headers.get(IDEMPOTENCY_KEY)?.as_bytes().trim_ascii();
+    let value = head.headers.get(IDEMPOTENCY_KEY.as_str())?;
+    let key = value.as_bytes().trim_ascii();
     (!key.is_empty()).then(|| key.to_vec())
 }
 
--- a/crates/node/src/fleet_watch.rs
+++ b/crates/node/src/fleet_watch.rs
@@ -35,19 +35,11 @@
         put_service(core, service);
     }
     put_plan(core);
-    core.ready_members.set(count_ready(core));
     let mut siblings = core.ready_vms(&core.settings.service);
     siblings.retain(|vm| *vm != core.settings.vm);
     put_siblings(core, siblings);
 }
 
-fn count_ready(core: &NodeCore) -> usize {
-    core.fleet.with(|feed| {
-        let ready = feed.fold().view().ready_by_centre();
-        ready.values().map(Vec::len).sum()
-    })
-}
-
 fn put_links(core: &NodeCore) {
     let members = core.fleet.with(|feed| {
         let members = feed.fold().view().members();
@@ -99,6 +91,8 @@
         let of_shard = view.ready_by_centre_of(|service| ClaimShard::of(service) == shard);
         (view.ready_by_centre(), of_shard, has_peers)
     });
+    core.ready_members
+        .set(by_centre.values().map(Vec::len).sum());
     let mut plan = plan_for(core, &by_centre);
     if plan.sources().is_empty() {
         plan = seed_plan(core);
--- a/crates/wire/src/header_list.rs
+++ b/crates/wire/src/header_list.rs
@@ -19,6 +19,14 @@
         self.0.is_empty()
     }
 
+    /// Returns the first value of a header that HTTP allows.
+    #[must_use]
+    pub fn get(&self, name: &str) -> Option<HeaderValue> {
+        let named = self.0.iter().filter(|(n, _)| n.eq_ignore_ascii_case(name));
+        let mut values = named.map(|(_, value)| HeaderValue::from_bytes(value));
+        values.find_map(Result::ok)
+    }
+
     /// Returns the headers as a map; headers that HTTP doesn't allow are left out.
     #[must_use]
     pub fn to_map(&self) -> HeaderMap {
