--- a/crates/graph/src/expected_time.rs
+++ b/crates/graph/src/expected_time.rs
@@ -2,6 +2,7 @@
 
 use clock::ClockTime;
 
+use crate::span_cast::{to_f64, to_ms};
 use crate::{AdmissionSettings, CallTarget};
 
 /// The time that each kind of call needs at least, learnt from observed durations.
@@ -102,17 +103,3 @@
     let half_lives = to_f64(idle_ms) / to_f64(settings.time_half_life_ms.max(1));
     (-half_lives).exp2()
 }
-
-#[expect(clippy::cast_precision_loss, reason = "spans are far below 2^52 ms")]
-const fn to_f64(span_ms: u64) -> f64 {
-    span_ms as f64
-}
-
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "estimates are never negative, and the cast saturates"
-)]
-const fn to_ms(time_ms: f64) -> u64 {
-    time_ms as u64
-}
--- a/crates/graph/src/lib.rs
+++ b/crates/graph/src/lib.rs
@@ -18,6 +18,7 @@
 mod refused_request;
 mod return_slots;
 mod service_cuts;
+mod span_cast;
 
 pub use admission_settings::AdmissionSettings;
 pub use call_target::CallTarget;
--- a/crates/graph/src/return_slots.rs
+++ b/crates/graph/src/return_slots.rs
@@ -4,6 +4,7 @@
 use model::{ServiceName, ShedOrder, TeamName};
 
 use crate::event_rate::EventRate;
+use crate::span_cast::{to_f64, to_ms};
 use crate::{AdmissionSettings, CallTarget, RefusedRequest};
 
 /// A rate below this one, in calls a millisecond, is forgotten.
@@ -204,17 +205,3 @@
     let [_, low] = order.rank().to_be_bytes();
     f64::from(low) / f64::from(u8::MAX)
 }
-
-#[expect(clippy::cast_precision_loss, reason = "spans are far below 2^52 ms")]
-const fn to_f64(span_ms: u64) -> f64 {
-    span_ms as f64
-}
-
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "times are never negative, and the cast saturates"
-)]
-const fn to_ms(time_ms: f64) -> u64 {
-    time_ms as u64
-}
--- a/crates/once/src/claim_table.rs
+++ b/crates/once/src/claim_table.rs
@@ -229,16 +229,7 @@
         if !self.local.get(attempt).is_some_and(|l| is_asking(l.state)) {
             return;
         }
-        let verdict = match reply {
-            HolderReply::Running | HolderReply::NotRun => return,
-            HolderReply::Answer(answer) => {
-                self.answer(now, attempt, answer, actions);
-                return;
-            }
-            HolderReply::Ran => RunVerdict::Ran,
-            HolderReply::MayHaveRun => RunVerdict::MayHaveRun,
-        };
-        self.refuse_as_duplicate(now, attempt, verdict, actions);
+        self.end_with(now, attempt, reply, actions);
     }
 
     /// Returns what this node knows of an attempt that owns a key, for a node that asks.
--- a/crates/once/src/claim_table/settle.rs
+++ b/crates/once/src/claim_table/settle.rs
@@ -100,18 +100,31 @@
             self.refuse_misuse(now, attempt, actions);
             return;
         }
-        let verdict = match self.reply_for(owner.attempt) {
-            HolderReply::Running | HolderReply::NotRun => {
-                self.local.set_state(attempt, LocalState::Joined);
-                return;
-            }
+        let reply = self.reply_for(owner.attempt);
+        if !self.end_with(now, attempt, reply, actions) {
+            self.local.set_state(attempt, LocalState::Joined);
+        }
+    }
+
+    /// Ends an attempt by what became of the owner of its key, or returns `false` while that is
+    /// open.
+    pub(super) fn end_with(
+        &mut self,
+        now: ClockTime,
+        attempt: AttemptId,
+        reply: HolderReply,
+        actions: &mut Vec<ClaimAction>,
+    ) -> bool {
+        let verdict = match reply {
+            HolderReply::Running | HolderReply::NotRun => return false,
             HolderReply::Answer(answer) => {
                 self.answer(now, attempt, answer, actions);
-                return;
+                return true;
             }
             HolderReply::Ran => RunVerdict::Ran,
             HolderReply::MayHaveRun => RunVerdict::MayHaveRun,
         };
         self.refuse_as_duplicate(now, attempt, verdict, actions);
+        true
     }
 }
--- a/crates/retry/src/lib.rs
+++ b/crates/retry/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod allowance_share;
 mod call_repeats;
+mod recent_keys;
 mod resend_counts;
 mod resend_table;
 mod retry_allowance;
--- a/crates/retry/src/resend_table.rs
+++ b/crates/retry/src/resend_table.rs
@@ -1,8 +1,7 @@
-use std::collections::{BTreeMap, BTreeSet};
-
 use clock::ClockTime;
 
 use crate::AllowanceShare;
+use crate::recent_keys::RecentKeys;
 
 /// Settings of a [`ResendTable`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -39,21 +38,21 @@
     Exhausted,
 }
 
-#[derive(Debug)]
-struct SentKey {
-    left: AllowanceShare,
-    last: ClockTime,
-}
-
 /// The idempotency keys that callers have sent to this node lately.
 ///
 /// A request sent again under its key is charged to the first one. While a request is under
 /// way, only the retries kept back for resends are left here to spend.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct ResendTable {
     settings: ResendSettings,
-    keys: BTreeMap<u128, SentKey>,
-    by_age: BTreeSet<(ClockTime, u128)>,
+    /// What each key has left.
+    keys: RecentKeys<AllowanceShare>,
+}
+
+impl Default for ResendTable {
+    fn default() -> Self {
+        Self::new(ResendSettings::default())
+    }
 }
 
 impl ResendTable {
@@ -62,8 +61,7 @@
     pub const fn new(settings: ResendSettings) -> Self {
         Self {
             settings,
-            keys: BTreeMap::new(),
-            by_age: BTreeSet::new(),
+            keys: RecentKeys::new(&settings),
         }
     }
 
@@ -76,53 +74,27 @@
     /// Returns whether no key is remembered.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.keys.is_empty()
+        self.len() == 0
     }
 
     /// Judges a request by the digest of its team and idempotency key.
     pub fn open(&mut self, now: ClockTime, key: u128) -> ResendDecision {
-        self.forget(now);
-        let Some(sent) = self.keys.get_mut(&key) else {
+        let Some(left) = self.keys.touch(now, key) else {
             let mut share = AllowanceShare::new(self.settings.retries);
             let kept = share.split(self.settings.resends);
-            self.insert(now, key, kept);
+            self.keys.insert(now, key, kept);
             return ResendDecision::First(share);
         };
-        self.by_age.remove(&(sent.last, key));
-        self.by_age.insert((now, key));
-        sent.last = now;
-        if sent.left.split(1).retries() == 0 {
+        if left.split(1).retries() == 0 {
             return ResendDecision::Exhausted;
         }
-        ResendDecision::Resend(std::mem::take(&mut sent.left))
+        ResendDecision::Resend(std::mem::take(left))
     }
 
     /// Takes back what a request didn't spend.
     pub fn close(&mut self, key: u128, unspent: AllowanceShare) {
-        if let Some(sent) = self.keys.get_mut(&key) {
-            sent.left.merge(unspent);
-        }
-    }
-
-    fn insert(&mut self, now: ClockTime, key: u128, left: AllowanceShare) {
-        self.keys.insert(key, SentKey { left, last: now });
-        self.by_age.insert((now, key));
-        if self.keys.len() > self.settings.max_keys {
-            self.forget_oldest();
-        }
-    }
-
-    fn forget(&mut self, now: ClockTime) {
-        let remember_ms = self.settings.remember_ms;
-        let is_old = |time: ClockTime| now.since_ms(time) >= remember_ms;
-        while self.by_age.first().is_some_and(|(time, _)| is_old(*time)) {
-            self.forget_oldest();
-        }
-    }
-
-    fn forget_oldest(&mut self) {
-        if let Some((_, key)) = self.by_age.pop_first() {
-            self.keys.remove(&key);
+        if let Some(left) = self.keys.get_mut(key) {
+            left.merge(unspent);
         }
     }
 }
--- a/crates/trial/src/firm.rs
+++ b/crates/trial/src/firm.rs
@@ -12,6 +12,16 @@
     pub slots: u32,
 }
 
+impl FirmService {
+    const fn new(name: &'static str, instances: usize, slots: u32) -> Self {
+        Self {
+            name,
+            instances,
+            slots,
+        }
+    }
+}
+
 /// One call of a plan: work on a service, with calls to others in the middle of it.
 #[derive(Clone, Debug)]
 pub struct PlanCall {
@@ -62,19 +72,14 @@
     /// Returns the registry of summit cairns.
     #[must_use]
     pub fn zuma() -> Self {
-        let service = |name, instances, slots| FirmService {
-            name,
-            instances,
-            slots,
-        };
         let mut firm = Self {
             name: "zuma",
             between_centres_ms: 1.0,
             services: vec![
-                service("archive", 5, 65),
-                service("filings", 4, 80),
-                service("surveys", 3, 110),
-                service("registry", 3, 25),
+                FirmService::new("archive", 5, 65),
+                FirmService::new("filings", 4, 80),
+                FirmService::new("surveys", 3, 110),
+                FirmService::new("registry", 3, 25),
             ],
             calls: Vec::new(),
             kinds: Vec::new(),
@@ -101,19 +106,14 @@
     /// Returns the menders of collars.
     #[must_use]
     pub fn turnwell() -> Self {
-        let service = |name, instances, slots| FirmService {
-            name,
-            instances,
-            slots,
-        };
         let mut firm = Self {
             name: "turnwell",
             between_centres_ms: 1.5,
             services: vec![
-                service("tracker", 6, 100),
-                service("booking", 3, 200),
-                service("quoting", 3, 200),
-                service("catalogue", 3, 35),
+                FirmService::new("tracker", 6, 100),
+                FirmService::new("booking", 3, 200),
+                FirmService::new("quoting", 3, 200),
+                FirmService::new("catalogue", 3, 35),
             ],
             calls: Vec::new(),
             kinds: Vec::new(),
