--- a/crates/rate/src/team_limiter.rs
+++ b/crates/rate/src/team_limiter.rs
@@ -1,3 +1,5 @@
+mod slot_records;
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use clock::ClockTime;
@@ -10,8 +12,8 @@
 use crate::team_share::slot_of;
 use crate::token_holder::TokenHolder;
 use crate::{
-    LeaseRecord, RateAction, RateDecision, RateMessage, RateRecord, RateSettings, RateSnapshot,
-    TableRecord, TeamEntry, TeamRate,
+    RateAction, RateDecision, RateMessage, RateRecord, RateSettings, RateSnapshot, TeamEntry,
+    TeamRate,
 };
 
 /// The time between two looks at leases and tables, in milliseconds.
@@ -24,9 +26,6 @@
 /// The nodes known beside the successors, for when some of these are silent.
 const SPARE_CANDIDATES: usize = 2;
 
-/// The snapshots that a node without any state misses before it begins a slot anew.
-const LATE_SNAPSHOTS: u64 = 3;
-
 /// Keeps the teams to their rates on one node.
 #[derive(Clone, Debug)]
 pub struct TeamLimiter {
@@ -388,125 +387,6 @@
         let free_at = reset_at.map_or(ClockTime::ZERO, |time| time.plus_ms(life_ms));
         Some(self.caught_up_at?.max(free_at))
     }
-
-    /// Appends snapshots before the stream loses older records, and resets where all are lost.
-    fn keep_snapshots(&mut self, now: ClockTime, raised: &mut Vec<RateAction>) {
-        for slot in 0..self.settings.slots {
-            let tried_at = self.snapshots_tried.get(&slot);
-            if tried_at.is_some_and(|time| now.since_ms(*time) < RANK_STEP_MS) {
-                continue;
-            }
-            if let Some(record) = self.next_snapshot(now, slot) {
-                self.snapshots_tried.insert(slot, now);
-                raised.push(RateAction::Append(record));
-            }
-        }
-    }
-
-    fn next_snapshot(&self, now: ClockTime, slot: u16) -> Option<RateRecord> {
-        let fold = self.folds.get(&slot)?;
-        let caught_up_at = self.caught_up_at?;
-        let silent_ms = now.since_ms(fold.snapshot_at().unwrap_or(caught_up_at));
-        if fold.is_late() {
-            let rank = self.ranks.get(&slot)?.own?;
-            let wait_ms = LATE_SNAPSHOTS * self.settings.snapshot_ms + RANK_STEP_MS * rank;
-            let is_lost = now.since_ms(caught_up_at) >= wait_ms && silent_ms >= wait_ms;
-            return is_lost.then_some(RateRecord::Reset(slot));
-        }
-        if !self.allocators.get(&slot)?.may_grant(now, fold) {
-            return None;
-        }
-        let place = fold.leases().keys().position(|c| *c == self.centre)? as u64;
-        let is_due = silent_ms >= self.settings.snapshot_ms + RANK_STEP_MS * place;
-        is_due.then(|| RateRecord::Snapshot(fold.snapshot(slot, self.next_offset)))
-    }
-
-    /// Appends a table where the contract or the data centres changed.
-    fn propose_tables(&mut self, now: ClockTime, raised: &mut Vec<RateAction>) {
-        let Some(version) = self.version else {
-            return;
-        };
-        for slot in 0..self.settings.slots {
-            let tried_at = self.tables_tried.get(&slot);
-            if tried_at.is_some_and(|time| now.since_ms(*time) < RANK_STEP_MS) {
-                continue;
-            }
-            if let Some(table) = self.next_table(now, slot, version) {
-                self.tables_tried.insert(slot, now);
-                raised.push(RateAction::Append(RateRecord::Table(table)));
-            }
-        }
-    }
-
-    fn next_table(&self, now: ClockTime, slot: u16, version: u64) -> Option<TableRecord> {
-        let fold = self.folds.get(&slot)?;
-        let teams = self.teams.get(&slot).cloned().unwrap_or_default();
-        if fold.is_late() {
-            return None;
-        }
-        let Some(last) = fold.table() else {
-            let may_begin = self.begin_at(slot).is_some_and(|time| time <= now);
-            return (may_begin && !teams.is_empty()).then(|| TableRecord {
-                slot,
-                epoch: 1,
-                contract_version: version,
-                centres: self.live_centres.iter().cloned().collect(),
-                teams,
-            });
-        };
-        if !self.allocators.get(&slot)?.may_grant(now, fold) {
-            return None;
-        }
-        let is_newer = version > last.contract_version;
-        let next = TableRecord {
-            slot,
-            epoch: last.epoch + 1,
-            contract_version: version.max(last.contract_version),
-            centres: self.next_centres(fold, last),
-            teams: if is_newer { teams } else { last.teams.clone() },
-        };
-        (next.teams != last.teams || next.centres != last.centres).then_some(next)
-    }
-
-    /// Returns the live data centres and those whose share is still held.
-    fn next_centres(&self, fold: &LeaseFold, last: &TableRecord) -> Vec<CentreName> {
-        let mut centres = self.live_centres.clone();
-        let held = last.centres.iter().filter(|centre| fold.is_held(centre));
-        centres.extend(held.cloned());
-        centres.into_iter().collect()
-    }
-
-    /// Ends the leases of data centres without nodes once nobody can be using them.
-    fn vacate_leases(&self, now: ClockTime, raised: &mut Vec<RateAction>) {
-        let settings = &self.settings;
-        let life_ms =
-            settings.longer_ms(settings.abandon_ms) + settings.longer_ms(settings.grant_ms);
-        for (slot, fold) in &self.folds {
-            let is_ours = self
-                .allocators
-                .get(slot)
-                .is_some_and(|a| a.may_grant(now, fold));
-            let Some(epoch) = fold.table().map(|table| table.epoch).filter(|_| is_ours) else {
-                continue;
-            };
-            for (centre, state) in fold.leases() {
-                let is_over = now.since_ms(state.read_at) >= life_ms;
-                if self.live_centres.contains(centre) || state.record.holder.is_none() || !is_over {
-                    continue;
-                }
-                raised.push(RateAction::Append(RateRecord::Lease(LeaseRecord {
-                    slot: *slot,
-                    centre: centre.clone(),
-                    base: Some(state.offset),
-                    holder: None,
-                    successors: Vec::new(),
-                    renewal: 0,
-                    epoch,
-                    released: None,
-                })));
-            }
-        }
-    }
 }
 
 /// Returns the allocator of a slot with what the log says of it.
