test: one relay, one killable node, one chain for the tests

KillableNode, the chain of two services, the append to the log and a team's steady load stood twice. No assertion, bound or case changed.

--- a/crates/lentilshift/tests/processes/support/link_gate.rs
+++ b/crates/lentilshift/tests/processes/support/link_gate.rs
@@ -4,13 +4,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use compio::io::{AsyncRead, AsyncWriteExt};
-use compio::net::{TcpListener, TcpStream};
-use compio::runtime::JoinHandle;
 use compio::time::sleep;
+use standin::{RelayRule, RelayWay, TcpRelay};
 
-/// The bytes read at once.
-const CHUNK_BYTES: usize = 16 * 1024;
 /// The length of the name that a node gives itself, in bytes.
 const VM_NAME_BYTES: usize = 39;
 /// The time between two looks at a gate that holds, in milliseconds.
@@ -27,115 +23,78 @@
     Cut,
 }
 
-/// Relays connections to one address, and stops to on request.
-pub struct LinkGate {
-    address: SocketAddr,
-    target: Cell<Option<SocketAddr>>,
+/// What a gate lets pass.
+#[derive(Default)]
+struct GateRule {
     state: Cell<GateState>,
     /// The VMs that nothing passes from or to.
     cut_vms: RefCell<BTreeSet<String>>,
-    tasks: RefCell<Vec<JoinHandle<()>>>,
 }
 
 /// The VM that opened a connection, once its first message has told.
 type LinkSource = RefCell<Option<String>>;
 
-impl LinkGate {
-    pub async fn start() -> Rc<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let gate = Rc::new(Self {
-            address: listener.local_addr().unwrap(),
-            target: Cell::default(),
-            state: Cell::default(),
-            cut_vms: RefCell::default(),
-            tasks: RefCell::default(),
-        });
-        compio::runtime::spawn(Rc::clone(&gate).accept(listener)).detach();
-        gate
+impl RelayRule for GateRule {
+    type Connection = LinkSource;
+
+    fn open(&self, _number: u64) -> LinkSource {
+        LinkSource::default()
     }
 
-    pub const fn address(&self) -> SocketAddr {
-        self.address
+    async fn wait_open(&self) {
+        while self.state.get() == GateState::Held {
+            sleep(Duration::from_millis(LOOK_MS)).await;
+        }
     }
 
-    pub fn set_target(&self, target: SocketAddr) {
-        self.target.set(Some(target));
+    async fn passes(&self, source: &LinkSource, _way: RelayWay, bytes: &[u8]) -> bool {
+        if source.borrow().is_none() {
+            source.replace(vm_in(bytes));
+        }
+        self.wait_open().await;
+        !self.is_cut(source)
     }
+}
 
-    pub fn set_state(&self, state: GateState) {
-        self.state.set(state);
+impl GateRule {
+    fn is_cut(&self, source: &LinkSource) -> bool {
+        let source = source.borrow();
+        let is_cut_vm = |vm| self.cut_vms.borrow().contains(vm);
+        self.state.get() == GateState::Cut || source.as_ref().is_some_and(is_cut_vm)
     }
+}
 
-    /// Lets nothing pass from and to these VMs.
-    pub fn cut_vms(&self, vms: BTreeSet<String>) {
-        self.cut_vms.replace(vms);
+/// Relays connections to one address, and stops to on request.
+pub struct LinkGate(Rc<TcpRelay<GateRule>>);
+
+impl LinkGate {
+    pub async fn start() -> Rc<Self> {
+        let relay = TcpRelay::start(GateRule::default());
+        Rc::new(Self(relay.await.unwrap()))
     }
 
-    /// Lets all pass on new connections, and closes the old ones, which have lost bytes.
-    pub fn mend(&self) {
-        self.state.set(GateState::Open);
-        self.cut_vms.borrow_mut().clear();
-        self.tasks.borrow_mut().clear();
+    pub fn address(&self) -> SocketAddr {
+        self.0.address()
     }
 
-    async fn accept(self: Rc<Self>, listener: TcpListener) {
-        while let Ok((near, _)) = listener.accept().await {
-            let gate = Rc::clone(&self);
-            let task = compio::runtime::spawn(async move { gate.relay(near).await });
-            let mut tasks = self.tasks.borrow_mut();
-            tasks.retain(|task| !task.is_finished());
-            tasks.push(task);
-        }
+    pub fn set_target(&self, target: SocketAddr) {
+        self.0.set_target(target);
     }
 
-    async fn relay(&self, near: TcpStream) {
-        while self.state.get() == GateState::Held {
-            sleep(Duration::from_millis(LOOK_MS)).await;
-        }
-        let Some(target) = self.target.get() else {
-            return;
-        };
-        let Ok(far) = TcpStream::connect(target).await else {
-            return;
-        };
-        let _ = (near.set_nodelay(true), far.set_nodelay(true));
-        let source = LinkSource::default();
-        let out = self.pump(&near, &far, &source);
-        let back = self.pump(&far, &near, &source);
-        futures_util::future::select(std::pin::pin!(out), std::pin::pin!(back)).await;
+    pub fn set_state(&self, state: GateState) {
+        self.0.rule().state.set(state);
     }
 
-    async fn pump(&self, mut from: &TcpStream, mut to: &TcpStream, source: &LinkSource) {
-        let mut chunk = Vec::with_capacity(CHUNK_BYTES);
-        loop {
-            let read = from.read(chunk).await;
-            chunk = read.1;
-            if !matches!(read.0, Ok(1..)) {
-                return;
-            }
-            if source.borrow().is_none() {
-                source.replace(vm_in(&chunk));
-            }
-            while self.state.get() == GateState::Held {
-                sleep(Duration::from_millis(LOOK_MS)).await;
-            }
-            if self.is_cut(source) {
-                chunk.clear();
-                continue;
-            }
-            let written = to.write_all(chunk).await;
-            chunk = written.1;
-            if written.0.is_err() {
-                return;
-            }
-            chunk.clear();
-        }
+    /// Lets nothing pass from and to these VMs.
+    pub fn cut_vms(&self, vms: BTreeSet<String>) {
+        self.0.rule().cut_vms.replace(vms);
     }
 
-    fn is_cut(&self, source: &LinkSource) -> bool {
-        let source = source.borrow();
-        let is_cut_vm = |vm| self.cut_vms.borrow().contains(vm);
-        self.state.get() == GateState::Cut || source.as_ref().is_some_and(is_cut_vm)
+    /// Lets all pass on new connections, and closes the old ones, which have lost bytes.
+    pub fn mend(&self) {
+        self.set_state(GateState::Open);
+        self.cut_vms(BTreeSet::new());
+        self.0.reset();
     }
 }
 
--- a/crates/node/tests/faults_keys.rs
+++ b/crates/node/tests/faults_keys.rs
@@ -10,7 +10,6 @@
 use log::{LevelFilter, Log, Metadata, Record};
 use platform::{LogOffset, LogStream};
 use rstest::rstest;
-use standin::{BackendCall, BackendSettings};
 
 static LINES: Mutex<Vec<String>> = Mutex::new(Vec::new());
 
@@ -30,23 +29,6 @@
     fn flush(&self) {}
 }
 
-async fn chain() -> Fleet {
-    let mut fleet = Fleet::start().await;
-    let calls = vec![BackendCall {
-        method: "GET".parse().unwrap(),
-        path: "/registry/records/7".into(),
-    }];
-    let filings = BackendSettings {
-        calls,
-        ..BackendSettings::default()
-    };
-    fleet.add("filings-1", "filings", filings).await;
-    let registry = BackendSettings::default();
-    fleet.add("registry-1", "registry", registry).await;
-    fleet.settle().await;
-    fleet
-}
-
 /// Sends requests that are answered, refused, crash a backend server, and run once.
 async fn send_all_kinds(fleet: &Fleet) {
     let ways = [
@@ -83,7 +65,7 @@
 async fn no_key_is_written_anywhere() {
     log::set_logger(&LineKeeper).unwrap();
     log::set_max_level(LevelFilter::Trace);
-    let fleet = chain().await;
+    let fleet = Fleet::start_chain(1).await;
     send_all_kinds(&fleet).await;
     sleep(Duration::from_millis(300)).await;
     for node in 0..2 {
--- a/crates/node/tests/faults_kills.rs
+++ b/crates/node/tests/faults_kills.rs
@@ -7,16 +7,14 @@
 use std::time::Duration;
 
 use compio::time::{sleep, timeout};
+use fleet::killable_node::KillableNode;
 use fleet::{Fleet, KEY};
-use futures_channel::oneshot;
 use futures_util::future::join_all;
-use lentilshift_node::{NodeProcess, NodeSettings};
 use model::VmName;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
 use standin::{BackendServer, BackendSettings};
-use wire::FleetSecret;
 
 /// The nodes of the service.
 const NODES: usize = 3;
@@ -25,31 +23,6 @@
 /// The number of schedules, unless `LENTILSHIFT_SEEDS` says otherwise.
 const SEEDS: u64 = 1;
 
-/// A node on a thread of its own, which dies with all its connections when this is dropped.
-struct KillableNode {
-    callers: SocketAddr,
-    _kill: oneshot::Sender<()>,
-}
-
-impl KillableNode {
-    fn start(settings: NodeSettings) -> Self {
-        let (kill, killed) = oneshot::channel();
-        let (tell, told) = std::sync::mpsc::channel();
-        std::thread::spawn(move || {
-            let runtime = compio::runtime::Runtime::new().unwrap();
-            runtime.block_on(async move {
-                let node = NodeProcess::start(settings).await.unwrap();
-                tell.send(node.caller_address()).unwrap();
-                let _ = killed.await;
-            });
-        });
-        Self {
-            callers: told.recv().unwrap(),
-            _kill: kill,
-        }
-    }
-}
-
 /// The backend servers of a service with a killable node beside each.
 struct KillableService {
     fleet: Fleet,
@@ -87,12 +60,8 @@
     fn new_node(&mut self, index: usize) -> KillableNode {
         self.starts += 1;
         let name = VmName::new(format!("filings-{index}-{}", self.starts));
-        let secret = FleetSecret::new("a secret for tests only").unwrap();
-        KillableNode::start(NodeSettings {
-            backend_address: self.backends[index].address(),
-            platform_address: self.fleet.log_address,
-            ..NodeSettings::loopback(name, "filings".into(), secret)
-        })
+        let backend = &self.backends[index];
+        KillableNode::start(self.fleet.settings(name, "filings".into(), backend))
     }
 
     /// Kills a node and starts another beside its backend server.
--- a/crates/node/tests/faults_rates.rs
+++ b/crates/node/tests/faults_rates.rs
@@ -2,19 +2,16 @@
 
 mod fleet;
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use compio::time::sleep;
+use fleet::killable_node::KillableNode;
 use fleet::{Fleet, KEY};
-use futures_channel::oneshot;
 use futures_util::future::join_all;
-use lentilshift_node::{NodeProcess, NodeSettings};
 use model::VmName;
 use rstest::rstest;
 use standin::{BackendServer, BackendSettings};
-use wire::FleetSecret;
 
 /// The requests of a burst.
 const BURST: usize = 60;
@@ -58,45 +55,11 @@
     assert_eq!(refused, 0, "{statuses:?}");
 }
 
-/// A node on a thread of its own, which dies with all its connections when this is dropped.
-struct KillableNode {
-    callers: SocketAddr,
-    admin: SocketAddr,
-    _kill: oneshot::Sender<()>,
-}
-
-impl KillableNode {
-    fn start(settings: NodeSettings) -> Self {
-        let (kill, killed) = oneshot::channel();
-        let (tell, told) = std::sync::mpsc::channel();
-        std::thread::spawn(move || {
-            let runtime = compio::runtime::Runtime::new().unwrap();
-            runtime.block_on(async move {
-                let node = NodeProcess::start(settings).await.unwrap();
-                let ports = (node.caller_address(), node.admin_address());
-                tell.send(ports).unwrap();
-                let _ = killed.await;
-            });
-        });
-        let (callers, admin) = told.recv().unwrap();
-        Self {
-            callers,
-            admin,
-            _kill: kill,
-        }
-    }
-}
-
 /// Starts nodes on threads of their own and waits until one allocates.
 async fn killable_nodes(fleet: &Fleet, backends: &[Rc<BackendServer>]) -> Vec<KillableNode> {
     let named = backends.iter().enumerate().map(|(index, backend)| {
         let name = VmName::new(format!("filings-{index}"));
-        let secret = FleetSecret::new("a secret for tests only").unwrap();
-        KillableNode::start(NodeSettings {
-            backend_address: backend.address(),
-            platform_address: fleet.log_address,
-            ..NodeSettings::loopback(name, "filings".into(), secret)
-        })
+        KillableNode::start(fleet.settings(name, "filings".into(), backend))
     });
     let nodes: Vec<KillableNode> = named.collect();
     for node in &nodes {
--- a/crates/node/tests/fleet/mod.rs
+++ b/crates/node/tests/fleet/mod.rs
@@ -1,5 +1,7 @@
 //! A small fleet on one loop: the log's stand-in, backend servers and their nodes.
 
+#[allow(dead_code, reason = "not every test file kills nodes")]
+pub mod killable_node;
 #[allow(dead_code, reason = "not every test file breaks links")]
 pub mod link_proxy;
 
@@ -9,11 +11,12 @@
 
 use compio::time::sleep;
 use lentilshift_node::{NodeProcess, NodeSettings};
-use model::{RecordId, TeamName, VmName};
+use model::{RecordId, ServiceName, TeamName, VmName};
 use platform::{
-    ConfigRecord, ConfigVersion, KeyDigest, LogStream, NewRecord, PlatformLog, RecordBody,
+    AppendError, ConfigRecord, ConfigVersion, KeyDigest, LogStream, NewRecord, PlatformLog,
+    RecordBody,
 };
-use standin::{BackendServer, BackendSettings, LogControl, LogServer};
+use standin::{BackendCall, BackendServer, BackendSettings, LogControl, LogServer};
 use wire::{FleetSecret, LinkSettings};
 
 /// The key that the tests' callers use.
@@ -103,27 +106,47 @@
         fleet
     }
 
+    /// Starts a backend server of `filings`, which calls `registry` for each request, and some
+    /// of that.
+    #[allow(dead_code, reason = "not every test file wants a chain")]
+    pub async fn start_chain(registries: usize) -> Self {
+        let mut fleet = Self::start().await;
+        let filings = BackendSettings {
+            calls: vec![BackendCall {
+                method: "GET".parse().unwrap(),
+                path: "/registry/records/7".into(),
+            }],
+            ..BackendSettings::default()
+        };
+        fleet.add("filings-1", "filings", filings).await;
+        for number in 1..=registries {
+            let name = format!("registry-{number}");
+            let registry = BackendSettings::default();
+            fleet.add(&name, "registry", registry).await;
+        }
+        fleet.settle().await;
+        fleet
+    }
+
     /// Appends a record of the configuration stream.
     pub async fn append(&self, record: &ConfigRecord, id: u128) {
-        let base = format!("http://{}", self.log_address);
-        let log = adapter::HttpLog::new(base, adapter::HttpSettings::default()).unwrap();
-        let record = NewRecord {
-            id: RecordId::from_random(id),
-            body: RecordBody::encode(record),
-        };
-        log.append(LogStream::Config, vec![record]).await.unwrap();
+        self.try_append(record, id).await.unwrap();
     }
 
     /// Appends a record whose reply may be lost.
     #[allow(dead_code, reason = "not every test file loses replies")]
     pub async fn append_at_last(&self, record: &ConfigRecord, id: u128) {
+        let _ = self.try_append(record, id).await;
+    }
+
+    async fn try_append(&self, record: &ConfigRecord, id: u128) -> Result<(), AppendError> {
         let base = format!("http://{}", self.log_address);
         let log = adapter::HttpLog::new(base, adapter::HttpSettings::default()).unwrap();
         let record = NewRecord {
             id: RecordId::from_random(id),
             body: RecordBody::encode(record),
         };
-        let _ = log.append(LogStream::Config, vec![record]).await;
+        log.append(LogStream::Config, vec![record]).await.map(drop)
     }
 
     /// Starts a backend server with its node.
@@ -133,6 +156,21 @@
             .await;
     }
 
+    /// Returns the settings of a node beside a backend server.
+    pub fn settings(
+        &self,
+        name: VmName,
+        service: ServiceName,
+        backend: &BackendServer,
+    ) -> NodeSettings {
+        let secret = FleetSecret::new("a secret for tests only").unwrap();
+        NodeSettings {
+            backend_address: backend.address(),
+            platform_address: self.log_address,
+            ..NodeSettings::loopback(name, service, secret)
+        }
+    }
+
     /// Starts a backend server with a node of changed settings.
     pub async fn add_with(
         &mut self,
@@ -146,13 +184,10 @@
             ..backend
         };
         let backend = BackendServer::start(backend).await.unwrap();
-        let secret = FleetSecret::new("a secret for tests only").unwrap();
         let settings = NodeSettings {
-            backend_address: backend.address(),
-            platform_address: self.log_address,
             stall_limit_ms: self.limits_ms.0,
             head_limit_ms: self.limits_ms.1,
-            ..NodeSettings::loopback(VmName::new(name), service.into(), secret)
+            ..self.settings(VmName::new(name), service.into(), &backend)
         };
         let node = NodeProcess::start(change(settings)).await.unwrap();
         backend.set_egress(node.egress_address());
--- a/crates/node/tests/whole_path.rs
+++ b/crates/node/tests/whole_path.rs
@@ -5,30 +5,11 @@
 use compio::io::{AsyncReadExt, AsyncWriteExt};
 use fleet::{Fleet, KEY};
 use rstest::rstest;
-use standin::{BackendCall, BackendSettings};
-
-async fn chain() -> Fleet {
-    let mut fleet = Fleet::start().await;
-    let calls = vec![BackendCall {
-        method: "GET".parse().unwrap(),
-        path: "/registry/records/7".into(),
-    }];
-    let filings = BackendSettings {
-        calls,
-        ..BackendSettings::default()
-    };
-    fleet.add("filings-1", "filings", filings).await;
-    let registry = BackendSettings::default();
-    fleet.add("registry-1", "registry", registry.clone()).await;
-    fleet.add("registry-2", "registry", registry).await;
-    fleet.settle().await;
-    fleet
-}
 
 #[rstest]
 #[compio::test]
 async fn a_chain_of_two_services_answers() {
-    let fleet = chain().await;
+    let fleet = Fleet::start_chain(2).await;
     for node in 0..3 {
         let answer = fleet
             .send_admitted(node, "GET", "/filings/filings/1", &[])
@@ -48,7 +29,7 @@
 #[rstest]
 #[compio::test]
 async fn no_backend_server_sees_a_key() {
-    let fleet = chain().await;
+    let fleet = Fleet::start_chain(2).await;
     let path = format!("/filings/filings/1?api_key={KEY}&a={KEY}&b=2");
     let copy = format!("is {KEY}");
     let headers = [("x-api-key", KEY), ("x-copy", &copy)];
@@ -75,7 +56,7 @@
     #[case] status: u16,
     #[case] reason: &str,
 ) {
-    let fleet = chain().await;
+    let fleet = Fleet::start_chain(2).await;
     let url = format!("http://{}{path}", fleet.pairs[2].node.caller_address());
     let mut request = fleet.client.get(url).unwrap();
     if let Some(key) = key {
@@ -94,7 +75,7 @@
 #[rstest]
 #[compio::test]
 async fn an_open_call_needs_no_key() {
-    let fleet = chain().await;
+    let fleet = Fleet::start_chain(2).await;
     let url = format!(
         "http://{}/filings/status",
         fleet.pairs[1].node.caller_address()
@@ -106,7 +87,7 @@
 #[rstest]
 #[compio::test]
 async fn a_key_in_the_path_is_refused() {
-    let fleet = chain().await;
+    let fleet = Fleet::start_chain(2).await;
     let answer = fleet
         .send(0, "GET", &format!("/filings/filings/{KEY}"))
         .await;
@@ -119,7 +100,7 @@
 #[case(1)]
 #[compio::test]
 async fn trailers_of_a_request_go_no_further(#[case] node: usize) {
-    let fleet = chain().await;
+    let fleet = Fleet::start_chain(2).await;
     let address = fleet.pairs[node].node.caller_address();
     let head = format!(
         "POST /filings/filings HTTP/1.1\r\nhost: a\r\nx-api-key: {KEY}\r\n\
--- a/crates/rate/tests/allocator_loss.rs
+++ b/crates/rate/tests/allocator_loss.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use lentilshift_rate::{RateSettings, TeamLimiter, TeamRate};
+use lentilshift_rate::{RateSettings, TeamLimiter};
 use model::{CentreName, VmName};
 use rstest::rstest;
 use support::world::{Faults, TeamLoad, WARM_UP_MS, World};
@@ -12,21 +12,11 @@
 /// The time after which a fleet has surely settled again, in milliseconds.
 const AFTER_MS: u64 = 30_000;
 
-const fn load(rate_per_s: u32, burst: u32, sent_per_s: u32, vms: usize) -> TeamLoad {
-    TeamLoad {
-        rate: TeamRate { rate_per_s, burst },
-        sent_per_s,
-        on_ms: 1_000,
-        period_ms: 1_000,
-        vms,
-    }
-}
-
 /// Teams at half of their rates, as the data centres that are left have two thirds of them.
 const LOADS: [(&str, TeamLoad); 3] = [
-    ("large", load(2_000, 2_000, 1_000, 12)),
-    ("small", load(20, 20, 10, 2)),
-    ("single", load(50, 40, 25, 1)),
+    ("large", TeamLoad::steady(2_000, 2_000, 1_000, 12)),
+    ("small", TeamLoad::steady(20, 20, 10, 2)),
+    ("single", TeamLoad::steady(50, 40, 25, 1)),
 ];
 
 fn limiter(vm: VmName, centre: CentreName) -> TeamLimiter {
--- a/crates/rate/tests/support/world.rs
+++ b/crates/rate/tests/support/world.rs
@@ -56,6 +56,20 @@
     pub vms: usize,
 }
 
+impl TeamLoad {
+    /// Returns the load of a team that sends all the time.
+    #[allow(dead_code, reason = "not every test file sends all the time")]
+    pub const fn steady(rate_per_s: u32, burst: u32, sent_per_s: u32, vms: usize) -> Self {
+        Self {
+            rate: TeamRate { rate_per_s, burst },
+            sent_per_s,
+            on_ms: 1_000,
+            period_ms: 1_000,
+            vms,
+        }
+    }
+}
+
 struct Host<N> {
     node: N,
     centre: CentreName,
--- a/crates/rate/tests/table_changes.rs
+++ b/crates/rate/tests/table_changes.rs
@@ -28,16 +28,7 @@
 }
 
 fn world_at(rate_per_s: u32, seed: u64, vms: usize, sent_per_s: u32) -> World<TeamLimiter> {
-    let load = TeamLoad {
-        rate: TeamRate {
-            rate_per_s,
-            burst: BURST,
-        },
-        sent_per_s,
-        on_ms: 1_000,
-        period_ms: 1_000,
-        vms: 100,
-    };
+    let load = TeamLoad::steady(rate_per_s, BURST, sent_per_s, 100);
     World::new(seed, vms, &[(TEAM, load)], Faults::default(), limiter)
 }
 
--- a/crates/rate/tests/wrongful_refusals.rs
+++ b/crates/rate/tests/wrongful_refusals.rs
@@ -4,7 +4,7 @@
 
 use std::collections::BTreeSet;
 
-use lentilshift_rate::{RateSettings, TeamLimiter, TeamRate};
+use lentilshift_rate::{RateSettings, TeamLimiter};
 use model::{CentreName, TeamName, VmName};
 use rstest::rstest;
 use support::SimNode;
@@ -21,26 +21,16 @@
     TeamLimiter::new(vm, centre, RateSettings::default())
 }
 
-const fn load(rate_per_s: u32, burst: u32, sent_per_s: u32, vms: usize) -> TeamLoad {
-    TeamLoad {
-        rate: TeamRate { rate_per_s, burst },
-        sent_per_s,
-        on_ms: 1_000,
-        period_ms: 1_000,
-        vms,
-    }
-}
-
 const WITHIN: [(&str, TeamLoad); 4] = [
-    ("large", load(2_000, 1_000, 1_800, VMS)),
-    ("middle", load(200, 100, 180, VMS)),
-    ("small", load(20, 20, 15, 2)),
-    ("single", load(50, 40, 40, 1)),
+    ("large", TeamLoad::steady(2_000, 1_000, 1_800, VMS)),
+    ("middle", TeamLoad::steady(200, 100, 180, VMS)),
+    ("small", TeamLoad::steady(20, 20, 15, 2)),
+    ("single", TeamLoad::steady(50, 40, 40, 1)),
 ];
 const ABOVE: [(&str, TeamLoad); 3] = [
-    ("large", load(2_000, 1_000, 6_000, VMS)),
-    ("middle", load(200, 100, 800, VMS)),
-    ("single", load(50, 40, 400, 1)),
+    ("large", TeamLoad::steady(2_000, 1_000, 6_000, VMS)),
+    ("middle", TeamLoad::steady(200, 100, 800, VMS)),
+    ("single", TeamLoad::steady(50, 40, 400, 1)),
 ];
 
 fn shortfall<N: SimNode>(
@@ -92,7 +82,7 @@
 }
 
 fn admitted_of_whole_burst<N: SimNode>(make: fn(VmName, CentreName) -> N) -> usize {
-    let loads = [("quiet", load(1, 40, 0, 1))];
+    let loads = [("quiet", TeamLoad::steady(1, 40, 0, 1))];
     let mut world = World::new(3, VMS, &loads, Faults::default(), make);
     world.run_until(WARM_UP_MS + 60_000);
     let team = TeamName::new("quiet");
@@ -116,7 +106,7 @@
     #[values(1, 2, 3)] seed: u64,
     #[values(10, 50)] poll_every_ms: u64,
 ) {
-    let loads = [("quiet", load(1, 40, 0, 1))];
+    let loads = [("quiet", TeamLoad::steady(1, 40, 0, 1))];
     let mut world = World::new(seed, VMS, &loads, Faults::default(), limiter);
     world.run_until(WARM_UP_MS + 60_000);
     world.poll_every_ms = poll_every_ms;
@@ -134,7 +124,7 @@
 
 #[rstest]
 fn fresh_fleet_admits_the_whole_burst_at_once(#[values(1, 2, 3, 4, 5)] seed: u64) {
-    let loads = [("quiet", load(1, 40, 0, 1))];
+    let loads = [("quiet", TeamLoad::steady(1, 40, 0, 1))];
     let mut world = World::new(seed, VMS, &loads, Faults::default(), limiter);
     while !world.nodes().all(|(_, node, _)| node.is_served()) {
         world.run_until(world.now + 1);
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,6 +7,7 @@
 mod log_faults;
 mod log_server;
 mod log_store;
+mod tcp_relay;
 
 pub use backend_record::{BackendRecord, RunEntry};
 pub use backend_server::BackendServer;
@@ -14,3 +15,4 @@
 pub use log_faults::{LogFaults, LogOutage};
 pub use log_server::{LogControl, LogServer};
 pub use log_store::LogStore;
+pub use tcp_relay::{RelayRule, RelayWay, TcpRelay};
