--- a/crates/adapter/src/http_log.rs
+++ b/crates/adapter/src/http_log.rs
@@ -1,14 +1,15 @@
 use std::time::Duration;
 
 use compio::time::timeout;
-use cyper::{Client, Response};
-use http::{HeaderValue, Method, StatusCode, header::CONTENT_TYPE};
-use platform::{
+use http::{Method, StatusCode};
+use streams::{
     AppendError, AppendReceipt, LogOffset, LogStream, NewRecord, PlatformLog, ReadBatch, ReadError,
 };
-use serde::de::DeserializeOwned;
 
-use crate::{AppendRequest, GoneReply};
+use crate::{AppendRequest, GoneReply, HttpClient, SendError};
+
+/// The type of all bodies.
+const JSON: &str = "application/json";
 
 /// How the log is reached.
 #[derive(Clone, Copy, Debug)]
@@ -34,8 +35,7 @@
 /// A log that is reached over HTTP.
 #[derive(Clone, Debug)]
 pub struct HttpLog {
-    client: Client,
-    base: String,
+    client: HttpClient,
     settings: HttpSettings,
 }
 
@@ -46,47 +46,8 @@
     ///
     /// Returns the library's error when no client can be made.
     pub fn new(base: impl Into<String>, settings: HttpSettings) -> Result<Self, cyper::Error> {
-        let client = Client::builder().no_proxy().build()?;
-        let base = base.into().trim_end_matches('/').to_owned();
-        Ok(Self {
-            client,
-            base,
-            settings,
-        })
-    }
-
-    fn records_url(&self, stream: LogStream) -> String {
-        format!("{}/streams/{stream}/records", self.base)
-    }
-
-    async fn send(&self, method: Method, url: &str, body: String) -> Result<RawAnswer, SendError> {
-        let request = self
-            .client
-            .request(method, url)
-            .map_err(SendError::before)?;
-        let json = HeaderValue::from_static("application/json");
-        let request = request
-            .header(CONTENT_TYPE, json)
-            .map_err(SendError::before)?;
-        let response = request.body(body).send().await.map_err(SendError::new)?;
-        let status = response.status();
-        let body = self.read_body(response).await?;
-        Ok(RawAnswer { status, body })
-    }
-
-    async fn read_body(&self, mut response: Response) -> Result<Vec<u8>, SendError> {
-        use futures_util::StreamExt as _;
-        let mut body = Vec::new();
-        while let Some(chunk) = response.next().await {
-            body.extend_from_slice(&chunk.map_err(SendError::after)?);
-            if body.len() > self.settings.max_answer_bytes {
-                let limit = self.settings.max_answer_bytes;
-                return Err(SendError::Malformed(format!(
-                    "the answer has more than {limit} bytes"
-                )));
-            }
-        }
-        Ok(body)
+        let client = HttpClient::new(base, settings.max_answer_bytes)?;
+        Ok(Self { client, settings })
     }
 }
 
@@ -96,11 +57,12 @@
         stream: LogStream,
         records: Vec<NewRecord>,
     ) -> Result<AppendReceipt, AppendError> {
-        let body = serde_json::to_string(&AppendRequest { records })
+        let body = serde_json::to_vec(&AppendRequest { records })
             .map_err(|error| AppendError::NotWritten(error.to_string()))?;
-        let url = self.records_url(stream);
+        let path = records_path(stream);
         let limit = Duration::from_millis(self.settings.append_timeout_ms);
-        let answer = timeout(limit, self.send(Method::POST, &url, body)).await;
+        let sending = self.client.send(Method::POST, &path, JSON, body);
+        let answer = timeout(limit, sending).await;
         let answer = answer.map_err(|_| AppendError::OutcomeUnknown("no answer in time".into()))?;
         let answer = answer.map_err(SendError::into_append)?;
         if answer.status.is_client_error() && answer.status != StatusCode::REQUEST_TIMEOUT {
@@ -118,9 +80,10 @@
         from: LogOffset,
         wait_ms: u64,
     ) -> Result<ReadBatch, ReadError> {
-        let url = format!("{}?from={from}&wait_ms={wait_ms}", self.records_url(stream));
+        let path = format!("{}?from={from}&wait_ms={wait_ms}", records_path(stream));
         let limit = Duration::from_millis(self.settings.read_timeout_ms.saturating_add(wait_ms));
-        let answer = timeout(limit, self.send(Method::GET, &url, String::new())).await;
+        let sending = self.client.send(Method::GET, &path, JSON, Vec::new());
+        let answer = timeout(limit, sending).await;
         let answer = answer.map_err(|_| ReadError::Unavailable("no answer in time".into()))?;
         let answer = answer.map_err(SendError::into_read)?;
         if answer.status == StatusCode::GONE {
@@ -136,6 +99,11 @@
     }
 }
 
+/// Returns the path of a stream's records.
+fn records_path(stream: LogStream) -> String {
+    format!("/streams/{stream}/records")
+}
+
 fn check_order(batch: &ReadBatch, from: LogOffset) -> Result<(), String> {
     let mut expected = from;
     for record in &batch.records {
@@ -151,56 +119,3 @@
     }
     Ok(())
 }
-
-/// An answer before its body is understood.
-struct RawAnswer {
-    status: StatusCode,
-    body: Vec<u8>,
-}
-
-impl RawAnswer {
-    fn parse<T: DeserializeOwned>(&self) -> Result<T, String> {
-        serde_json::from_slice(&self.body).map_err(|error| error.to_string())
-    }
-}
-
-/// Why a request has no answer.
-enum SendError {
-    /// No byte of the request was sent.
-    Before(String),
-    /// The request may have arrived.
-    After(String),
-    /// The answer can't be taken.
-    Malformed(String),
-}
-
-impl SendError {
-    fn new(error: cyper::Error) -> Self {
-        match error {
-            cyper::Error::HyperClient(error) if error.is_connect() => Self::before(error),
-            error => Self::after(error),
-        }
-    }
-
-    fn before(error: impl std::fmt::Display) -> Self {
-        Self::Before(error.to_string())
-    }
-
-    fn after(error: impl std::fmt::Display) -> Self {
-        Self::After(error.to_string())
-    }
-
-    fn into_append(self) -> AppendError {
-        match self {
-            Self::Before(error) => AppendError::NotWritten(error),
-            Self::After(error) | Self::Malformed(error) => AppendError::OutcomeUnknown(error),
-        }
-    }
-
-    fn into_read(self) -> ReadError {
-        match self {
-            Self::Before(error) | Self::After(error) => ReadError::Unavailable(error),
-            Self::Malformed(error) => ReadError::Malformed(error),
-        }
-    }
-}
--- a/crates/adapter/src/log_message.rs
+++ b/crates/adapter/src/log_message.rs
@@ -1,5 +1,5 @@
-use platform::{LogOffset, NewRecord};
 use serde::{Deserialize, Serialize};
+use streams::{LogOffset, NewRecord};
 
 /// The body of a request to append.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/adapter/tests/http_log.rs
+++ b/crates/adapter/tests/http_log.rs
@@ -2,9 +2,9 @@
 
 use lentilshift_adapter::{HttpLog, HttpSettings};
 use model::RecordId;
-use platform::{AppendError, LogOffset, LogStream, NewRecord, PlatformLog, ReadError, RecordBody};
 use rstest::rstest;
 use standin::{LogControl, LogFaults, LogOutage, LogServer};
+use streams::{AppendError, LogOffset, LogStream, NewRecord, PlatformLog, ReadError, RecordBody};
 
 const STREAM: LogStream = LogStream::Config;
 
--- a/crates/contract/src/call_contract.rs
+++ b/crates/contract/src/call_contract.rs
@@ -21,12 +21,21 @@
     pub open: bool,
     /// The time from entry to answer, in milliseconds.
     pub deadline_ms: u64,
+    /// The time within which an answer is worth most, in milliseconds; 0 when none is named.
+    #[serde(skip_serializing_if = "is_zero")]
+    pub target_ms: u64,
+    /// The backend servers that one request may be sent to, at most.
+    #[serde(skip_serializing_if = "is_default_attempts")]
+    pub attempts: u32,
 }
 
 impl CallContract {
     /// The deadline of a call that names none, in milliseconds.
     pub const DEFAULT_DEADLINE_MS: u64 = 10_000;
 
+    /// The backend servers that a request may be sent to when its call names no number.
+    pub const DEFAULT_ATTEMPTS: u32 = 4;
+
     /// The path of a call that names none: every path.
     pub const DEFAULT_PATH: &str = "/";
 
@@ -69,6 +78,24 @@
             idempotent: false,
             open: false,
             deadline_ms: Self::DEFAULT_DEADLINE_MS,
+            target_ms: 0,
+            attempts: Self::DEFAULT_ATTEMPTS,
         }
     }
 }
+
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes fields by reference"
+)]
+const fn is_zero(span_ms: &u64) -> bool {
+    *span_ms == 0
+}
+
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes fields by reference"
+)]
+const fn is_default_attempts(attempts: &u32) -> bool {
+    *attempts == CallContract::DEFAULT_ATTEMPTS
+}
--- a/crates/contract/src/call_reader.rs
+++ b/crates/contract/src/call_reader.rs
@@ -6,7 +6,7 @@
 
 use crate::fault_list::{FaultList, shorten};
 use crate::field_reader::FieldReader;
-use crate::text_bounds::{KNOWN_METHODS, MAX_DEADLINE_MS, MAX_PATH_LEN};
+use crate::text_bounds::{KNOWN_METHODS, MAX_ATTEMPTS, MAX_DEADLINE_MS, MAX_PATH_LEN};
 use crate::{CallContract, FaultKind, is_plain_path};
 
 const FIELDS: &[&str] = &[
@@ -17,6 +17,8 @@
     "once",
     "open",
     "deadline_ms",
+    "target_ms",
+    "attempts",
 ];
 
 /// Reads one call, or returns `None` when its method or path is at fault.
@@ -35,6 +37,9 @@
     let open = reader.flag("open", faults).unwrap_or(false);
     let idempotent = reader.flag("idempotent", faults);
     let deadline_ms = reader.number("deadline_ms", 1..=MAX_DEADLINE_MS, faults);
+    let target_ms = reader.number("target_ms", 0..=MAX_DEADLINE_MS, faults);
+    let attempts = reader.number("attempts", 1..=u64::from(MAX_ATTEMPTS), faults);
+    let attempts = attempts.and_then(|attempts| u32::try_from(attempts).ok());
     if once && idempotent == Some(true) {
         faults.push(FaultKind::OnceAndIdempotent(name.to_string()), span.clone());
     }
@@ -51,6 +56,8 @@
         idempotent: idempotent.unwrap_or(is_safe && !once),
         open,
         deadline_ms: deadline_ms.unwrap_or(CallContract::DEFAULT_DEADLINE_MS),
+        target_ms: target_ms.unwrap_or(0),
+        attempts: attempts.unwrap_or(CallContract::DEFAULT_ATTEMPTS),
     })
 }
 
@@ -88,17 +95,25 @@
         && is_plain_path(path)
 }
 
-fn read_importance(reader: &FieldReader<'_>, faults: &mut FaultList<'_>) -> CallImportance {
-    let Some(field) = reader.text("importance", faults) else {
-        return CallImportance::default();
-    };
+/// Reads the class of a call, route or team that may leave it out.
+pub(crate) fn find_importance(
+    reader: &FieldReader<'_>,
+    faults: &mut FaultList<'_>,
+) -> Option<CallImportance> {
+    let field = reader.text("importance", faults)?;
     let mut classes = CallImportance::ALL.into_iter();
-    if let Some(importance) = classes.find(|class| class.as_str() == field.text) {
-        return importance;
+    let importance = classes.find(|class| class.as_str() == field.text);
+    if importance.is_none() {
+        let fault = FaultKind::UnknownImportance(shorten(field.text));
+        faults.push(fault, field.span);
     }
-    faults.push(
-        FaultKind::UnknownImportance(shorten(field.text)),
-        field.span,
-    );
-    CallImportance::default()
+    importance
+}
+
+/// Reads the class of a call or route, the usual one when it is left out.
+pub(crate) fn read_importance(
+    reader: &FieldReader<'_>,
+    faults: &mut FaultList<'_>,
+) -> CallImportance {
+    find_importance(reader, faults).unwrap_or_default()
 }
--- a/crates/contract/src/contract_reader.rs
+++ b/crates/contract/src/contract_reader.rs
@@ -5,9 +5,11 @@
 use toml::Spanned;
 use toml::de::{DeString, DeTable, DeValue, Error};
 
+use crate::call_reader::find_importance;
 use crate::dependency_check::{DependencySpans, check_dependencies};
 use crate::fault_list::{FaultList, shorten};
 use crate::field_reader::{FieldReader, type_name};
+use crate::route_reader::read_routes;
 use crate::service_reader::read_service;
 use crate::text_bounds::{MAX_BURST, MAX_RATE_PER_S, MAX_SERVICES, MAX_TEAMS, MAX_TEXT_LEN};
 use crate::{ContractError, FaultKind, FleetContract, ServiceContract, TeamContract};
@@ -16,7 +18,7 @@
 const TEXT_START: Range<usize> = 0..0;
 
 /// The tables of the text.
-const FIELDS: &[&str] = &["services", "teams"];
+const FIELDS: &[&str] = &["services", "teams", "routes"];
 
 /// Reads and checks the whole text.
 pub(crate) fn read_contract(source_name: &str, text: &str) -> Result<FleetContract, ContractError> {
@@ -51,9 +53,12 @@
     let entries = reader.table("services", &mut faults);
     let (services, _) = read_entries(entries.map(|(table, _)| table), &mut faults);
     let teams = read_teams(&reader, &mut faults);
-    faults
-        .is_empty()
-        .then_some(FleetContract { services, teams })
+    let routes = BTreeMap::new();
+    faults.is_empty().then_some(FleetContract {
+        services,
+        teams,
+        routes,
+    })
 }
 
 /// Returns whether a contract and its text are of a size that is allowed.
@@ -79,9 +84,11 @@
         return FleetContract::default();
     }
     let reader = FieldReader::new(table, "the text".into(), TEXT_START, FIELDS, faults);
+    let services = read_services(&reader, faults);
     FleetContract {
-        services: read_services(&reader, faults),
         teams: read_teams(&reader, faults),
+        routes: read_routes(&reader, &services, faults),
+        services,
     }
 }
 
@@ -150,11 +157,13 @@
     span: Range<usize>,
     faults: &mut FaultList<'_>,
 ) -> Option<TeamContract> {
-    const FIELDS: &[&str] = &["rate_per_s", "burst"];
+    const FIELDS: &[&str] = &["importance", "rate_per_s", "burst"];
     let reader = FieldReader::new(table, format!("team \"{name}\""), span, FIELDS, faults);
+    let importance = find_importance(&reader, faults);
     let rate = reader.required_number("rate_per_s", 1..=u64::from(MAX_RATE_PER_S), faults);
     let burst = reader.required_number("burst", 1..=u64::from(MAX_BURST), faults);
     Some(TeamContract {
+        importance,
         rate_per_s: u32::try_from(rate?).ok()?,
         burst: u32::try_from(burst?).ok()?,
     })
--- a/crates/contract/src/fault_kind.rs
+++ b/crates/contract/src/fault_kind.rs
@@ -2,8 +2,8 @@
 use thiserror::Error;
 
 use crate::text_bounds::{
-    KNOWN_METHODS, MAX_CALLS_PER_SERVICE, MAX_CHAIN_DEPTH, MAX_PATH_LEN, MAX_SERVICES, MAX_TEAMS,
-    MAX_TEXT_LEN,
+    KNOWN_METHODS, MAX_CALLS_PER_SERVICE, MAX_CHAIN_DEPTH, MAX_PATH_LEN, MAX_ROUTES, MAX_SERVICES,
+    MAX_TEAMS, MAX_TEXT_LEN,
 };
 
 /// What is wrong at one place of the text.
@@ -28,6 +28,34 @@
     /// There are too many teams; holds their number.
     #[error("the text lists {0} teams, at most {MAX_TEAMS} are allowed")]
     TooManyTeams(usize),
+    /// There are too many routes; holds their number.
+    #[error("the text lists {0} routes, at most {MAX_ROUTES} are allowed")]
+    TooManyRoutes(usize),
+    /// A route names no service that takes its requests.
+    #[error("route \"{0}\" has no backends")]
+    NoBackends(String),
+    /// A route names a service that the text doesn't list.
+    #[error("route \"{route}\" goes to \"{service}\", which the text doesn't list")]
+    UnknownBackend {
+        /// The route.
+        route: String,
+        /// The service that isn't listed.
+        service: String,
+    },
+    /// Two routes take the same requests.
+    #[error("routes \"{first}\" and \"{second}\" have the same host and path")]
+    DuplicateRoute {
+        /// The route whose name comes first.
+        first: String,
+        /// The other route.
+        second: String,
+    },
+    /// A host breaks the rules for hosts.
+    #[error("bad host \"{0}\"")]
+    BadHost(String),
+    /// The path of a route breaks the rules for prefixes.
+    #[error("bad path prefix \"{0}\"")]
+    BadPrefix(String),
     /// A service has too many calls.
     #[error("service \"{service}\" has {count} calls, at most {MAX_CALLS_PER_SERVICE} are allowed")]
     TooManyCalls {
@@ -157,6 +185,7 @@
             Self::TextTooLong(_)
             | Self::TooManyServices(_)
             | Self::TooManyTeams(_)
+            | Self::TooManyRoutes(_)
             | Self::TooManyCalls { .. } => "remove what is no longer used".into(),
             Self::TooManyFaults(_) => "correct the others and check again".into(),
             Self::UnknownField { allowed, .. } => format!("allowed: {}", allowed.join(", ")),
@@ -175,6 +204,18 @@
             Self::DuplicateCall { .. } => {
                 "give the calls different paths or methods, or remove one".into()
             }
+            Self::NoBackends(_) => "add a line such as backends = { registry = 1 }".into(),
+            Self::UnknownBackend { service, .. } => {
+                format!("add [services.{service}], or correct the name")
+            }
+            Self::DuplicateRoute { .. } => {
+                "give the routes different hosts or paths, or remove one".into()
+            }
+            Self::BadHost(_) => "allowed: letters, digits and -._ without a port".into(),
+            Self::BadPrefix(_) => format!(
+                "allowed: a path that begins and ends with a slash, such as \"/records/\", \
+                 {MAX_PATH_LEN} bytes at most"
+            ),
             Self::UnknownImportance(_) => "allowed: background, normal, high, critical".into(),
             Self::UnknownMethod(_) => format!("allowed: {}", KNOWN_METHODS.join(", ")),
             Self::BadPath(_) => format!(
--- a/crates/contract/src/field_reader.rs
+++ b/crates/contract/src/field_reader.rs
@@ -42,6 +42,11 @@
         Self { table, place, span }
     }
 
+    /// Creates a reader of a table whose fields are names that the text gives.
+    pub(crate) const fn any(table: &'t DeTable<'t>, place: String, span: Range<usize>) -> Self {
+        Self { table, place, span }
+    }
+
     pub(crate) fn table(
         &self,
         field: &'static str,
@@ -71,6 +76,16 @@
         Some(FieldText { text, span })
     }
 
+    /// Reads a text that must be there.
+    pub(crate) fn required_text(
+        &self,
+        field: &'static str,
+        faults: &mut FaultList<'_>,
+    ) -> Option<FieldText<'t>> {
+        self.expect_field(field, faults);
+        self.text(field, faults)
+    }
+
     pub(crate) fn texts(
         &self,
         field: &'static str,
@@ -94,7 +109,7 @@
 
     pub(crate) fn number(
         &self,
-        field: &'static str,
+        field: &str,
         range: RangeInclusive<u64>,
         faults: &mut FaultList<'_>,
     ) -> Option<u64> {
@@ -124,11 +139,16 @@
         range: RangeInclusive<u64>,
         faults: &mut FaultList<'_>,
     ) -> Option<u64> {
+        self.expect_field(field, faults);
+        self.number(field, range, faults)
+    }
+
+    /// Reports a field that isn't there.
+    fn expect_field(&self, field: &'static str, faults: &mut FaultList<'_>) {
         if self.get(field).is_none() {
             let place = self.place.clone();
             faults.push(FaultKind::MissingField { field, place }, self.span.clone());
         }
-        self.number(field, range, faults)
     }
 
     fn get(&self, field: &str) -> Option<&'t Spanned<DeValue<'t>>> {
--- a/crates/contract/src/fleet_contract.rs
+++ b/crates/contract/src/fleet_contract.rs
@@ -1,10 +1,12 @@
 use std::collections::BTreeMap;
 
-use model::{ServiceName, TeamName};
+use model::{CallName, ServiceName, TeamName};
 use serde::Serialize;
 
 use crate::contract_reader::read_contract;
-use crate::{CallMatch, ContractError, ServiceContract, TeamContract, is_plain_path};
+use crate::{
+    CallMatch, ContractError, RouteContract, ServiceContract, TeamContract, is_plain_path,
+};
 
 /// All that the operators' text says: the services, their calls and the teams.
 ///
@@ -35,6 +37,10 @@
     /// The teams, by name.
     #[serde(skip_serializing_if = "BTreeMap::is_empty")]
     pub teams: BTreeMap<TeamName, TeamContract>,
+    /// The routes by host and path, by name; without any, the first part of a path names the
+    /// service.
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    pub routes: BTreeMap<CallName, RouteContract>,
 }
 
 impl FleetContract {
@@ -48,6 +54,15 @@
         read_contract(source_name, text)
     }
 
+    /// Returns whether the contract has a call or a route of this name for a service.
+    #[must_use]
+    pub fn has_call(&self, service: &ServiceName, call: &CallName) -> bool {
+        let known = self.services.get(service);
+        let route = self.routes.get(call);
+        known.is_some_and(|known| known.calls.contains_key(call))
+            || route.is_some_and(|route| route.backends.contains_key(service))
+    }
+
     /// Returns the call that a request is, or `None` when the contract has none for it.
     ///
     /// The call with the longest path wins, and of two with the same path the one that names the
--- a/crates/contract/src/lib.rs
+++ b/crates/contract/src/lib.rs
@@ -20,6 +20,9 @@
 mod field_reader;
 mod fleet_contract;
 mod request_path;
+mod route_contract;
+mod route_index;
+mod route_reader;
 mod service_contract;
 mod service_reader;
 mod team_contract;
@@ -35,9 +38,11 @@
 pub use fault_kind::FaultKind;
 pub use fleet_contract::FleetContract;
 pub use request_path::is_plain_path;
+pub use route_contract::RouteContract;
+pub use route_index::RouteIndex;
 pub use service_contract::ServiceContract;
 pub use team_contract::TeamContract;
 pub use text_bounds::{
     KNOWN_METHODS, MAX_BURST, MAX_CALLS_PER_SERVICE, MAX_CHAIN_DEPTH, MAX_DEADLINE_MS,
-    MAX_PATH_LEN, MAX_RATE_PER_S, MAX_SERVICES, MAX_TEAMS, MAX_TEXT_LEN,
+    MAX_PATH_LEN, MAX_RATE_PER_S, MAX_ROUTES, MAX_SERVICES, MAX_TEAMS, MAX_TEXT_LEN, MAX_WEIGHT,
 };
--- a/crates/contract/src/text_bounds.rs
+++ b/crates/contract/src/text_bounds.rs
@@ -25,5 +25,14 @@
 /// The largest burst of a team, in requests.
 pub const MAX_BURST: u32 = 10_000_000;
 
+/// The most routes in one text.
+pub const MAX_ROUTES: usize = 16_384;
+
+/// The most backend servers that one request may be sent to.
+pub const MAX_ATTEMPTS: u32 = 16;
+
+/// The greatest weight of a service on a route.
+pub const MAX_WEIGHT: u32 = 1_000_000;
+
 /// The HTTP methods that a call may name.
 pub const KNOWN_METHODS: [&str; 7] = ["GET", "HEAD", "OPTIONS", "POST", "PUT", "PATCH", "DELETE"];
--- a/crates/contract/tests/round_trip.rs
+++ b/crates/contract/tests/round_trip.rs
@@ -53,9 +53,14 @@
                 .insert(ServiceName::new(format!("s{index}")), service);
         }
         for (name, (rate_per_s, burst)) in teams {
-            fleet
-                .teams
-                .insert(TeamName::new(name), TeamContract { rate_per_s, burst });
+            fleet.teams.insert(
+                TeamName::new(name),
+                TeamContract {
+                    importance: None,
+                    rate_per_s,
+                    burst,
+                },
+            );
         }
         fleet
     })
--- a/crates/graph/src/chain_admission.rs
+++ b/crates/graph/src/chain_admission.rs
@@ -155,10 +155,7 @@
 
     /// Forgets the calls that a new contract no longer has.
     pub fn forget_absent(&mut self, contract: &FleetContract) {
-        let is_kept = |target: &CallTarget| {
-            let service = contract.services.get(&target.service);
-            service.is_some_and(|service| service.calls.contains_key(&target.call))
-        };
+        let is_kept = |target: &CallTarget| contract.has_call(&target.service, &target.call);
         self.cuts.retain(is_kept);
         self.times.retain(is_kept);
         self.uses.retain(is_kept);
--- a/crates/lentilshift/src/args.rs
+++ b/crates/lentilshift/src/args.rs
@@ -36,6 +36,12 @@
 pub(crate) struct NodeArgs {
     #[options(help = "print this help")]
     pub(crate) help: bool,
+    #[options(
+        no_short,
+        meta = "FILE",
+        help = "the platform's settings file, in place of all other options"
+    )]
+    pub(crate) settings: Option<String>,
     #[options(no_short, meta = "NAME", help = "service of the backend server")]
     pub(crate) service: Option<String>,
     #[options(no_short, meta = "NAME", help = "data centre of this VM")]
--- a/crates/lentilshift/src/command_error.rs
+++ b/crates/lentilshift/src/command_error.rs
@@ -2,7 +2,7 @@
 
 use contract::ContractError;
 use model::TeamName;
-use platform::{ReadError, RecordOutcome};
+use streams::{ReadError, RecordOutcome};
 use thiserror::Error;
 
 use crate::demo::DemoError;
--- a/crates/lentilshift/src/commands/key.rs
+++ b/crates/lentilshift/src/commands/key.rs
@@ -2,9 +2,9 @@
 
 use contract::FleetContract;
 use model::TeamName;
-use platform::{ConfigRecord, KeyDigest};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
+use streams::{ConfigRecord, KeyDigest};
 
 use crate::args::{GrantArgs, KeyArgs, KeyCommand, WithdrawArgs};
 use crate::command_error::CommandError;
--- a/crates/lentilshift/src/commands/mod.rs
+++ b/crates/lentilshift/src/commands/mod.rs
@@ -9,3 +9,4 @@
 pub(crate) mod show;
 
 mod contract_file;
+mod file_settings;
--- a/crates/lentilshift/src/commands/node.rs
+++ b/crates/lentilshift/src/commands/node.rs
@@ -1,26 +1,83 @@
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use compio::signal::unix::signal;
+use compio::time::timeout;
 use futures_util::FutureExt;
 use log::LevelFilter;
 use model::{RecordId, VmName};
 use node::{NodeProcess, NodeSettings};
+use platform::FileSettings;
 
 use crate::args::NodeArgs;
 use crate::command_error::CommandError;
+use crate::commands::file_settings::{node_settings, open_log, read_file};
 use crate::process_log::start_log;
 use crate::setting_fault::SettingFaults;
 use crate::setting_reader::SettingReader;
 
-/// The numbers of the signals that ask a process to stop.
+/// The numbers of the signals that ask a process to read its settings again, or to stop.
+const SIGHUP: i32 = 1;
 const SIGINT: i32 = 2;
 const SIGTERM: i32 = 15;
 
+/// The time between two looks at whether the settings file has changed.
+const FILE_LOOK: Duration = Duration::from_secs(10);
+
 /// Runs the node beside a backend server until it is asked to stop.
 pub(crate) async fn run_node(args: &NodeArgs) -> Result<(), CommandError> {
+    let mut reader = SettingReader::default();
+    let file: Option<String> = reader.optional("settings", args.settings.as_deref());
+    match file {
+        Some(path) => run_on_platform(args, &path).await,
+        None => run_by_options(args).await,
+    }
+}
+
+/// Runs a node whose settings are options and variables.
+async fn run_by_options(args: &NodeArgs) -> Result<(), CommandError> {
     let settings = read_settings(args)?;
     start_log(settings.log_level)?;
     let node = NodeProcess::start(settings.node).await?;
+    run_until_stopped(node).await;
+    Ok(())
+}
+
+/// Runs a node whose settings stand in the platform's file.
+async fn run_on_platform(args: &NodeArgs, path: &str) -> Result<(), CommandError> {
+    let mut reader = SettingReader::default();
+    let level = reader.optional("log-level", args.log_level.as_deref());
+    let level = reader.finish(Some(level.unwrap_or(LevelFilter::Info)))?;
+    let file = read_file(path)?;
+    start_log(level)?;
+    log::info!("event=settings-read file={path:?} settings={file:?}");
+    let vm = new_start_name(&file.machine);
+    let log = open_log(&file)?;
+    let node = NodeProcess::start_on(node_settings(&file, vm), log).await?;
+    compio::runtime::spawn(watch_file(path.to_owned(), file)).detach();
+    run_until_stopped(node).await;
+    Ok(())
+}
+
+/// Reads the settings file again on a signal and every now and then, and tells what has changed.
+///
+/// Addresses and bounds hold for one start of a node: the file that it was started with stays in
+/// force until the next.
+async fn watch_file(path: String, mut known: FileSettings) {
+    loop {
+        let _ = timeout(FILE_LOOK, signal(SIGHUP)).await;
+        match read_file(&path) {
+            Ok(file) if file == known => {}
+            Ok(file) => {
+                log::warn!("event=settings-changed takes-effect=next-start settings={file:?}");
+                known = file;
+            }
+            Err(error) => log::error!("event=settings-unreadable error={:?}", error.to_string()),
+        }
+    }
+}
+
+async fn run_until_stopped(node: NodeProcess) {
     log::info!(
         "event=node-started callers={} egress={} ingress={} admin={}",
         node.caller_address(),
@@ -32,7 +89,6 @@
     log::info!("event=node-stopping");
     node.stop().await;
     log::info!("event=node-stopped");
-    Ok(())
 }
 
 /// Waits until the process is asked to stop.
@@ -93,6 +149,13 @@
     Some(ProcessSettings { node, log_level })
 }
 
+/// Returns the name of a new start of the node on a machine.
+fn new_start_name(machine: &str) -> VmName {
+    let id = RecordId::from_random(rand::random());
+    let separator = VmName::START_SEPARATOR;
+    VmName::new(format!("{machine}{separator}{id}"))
+}
+
 /// Returns a name that no earlier start of a node has had.
 fn new_vm_name() -> VmName {
     let id = RecordId::from_random(rand::random());
--- a/crates/lentilshift/src/commands/publish.rs
+++ b/crates/lentilshift/src/commands/publish.rs
@@ -1,6 +1,6 @@
 use std::net::SocketAddr;
 
-use platform::{ConfigRecord, ConfigVersion, RecordOutcome};
+use streams::{ConfigRecord, ConfigVersion, RecordOutcome};
 
 use crate::args::PublishArgs;
 use crate::command_error::CommandError;
--- a/crates/lentilshift/src/config_client.rs
+++ b/crates/lentilshift/src/config_client.rs
@@ -6,7 +6,7 @@
 use compio::time::sleep;
 use contract::FleetContract;
 use model::RecordId;
-use platform::{
+use streams::{
     AttemptAction, AttemptSettings, AttemptStatus, ConfigFold, ConfigRecord, LogStream, NewRecord,
     PlatformLog, ReadError, RecordAttempt, RecordBody, RecordOutcome,
 };
--- a/crates/lentilshift/src/demo/demo_fleet.rs
+++ b/crates/lentilshift/src/demo/demo_fleet.rs
@@ -7,9 +7,9 @@
 use http::Method;
 use model::{ServiceName, TeamName, VmName};
 use node::{NodeProcess, NodeSettings};
-use platform::{ConfigRecord, ConfigVersion, KeyDigest};
 use rand::Rng;
 use standin::{BackendCall, BackendServer, BackendSettings, LogServer};
+use streams::{ConfigRecord, ConfigVersion, KeyDigest};
 use wire::FleetSecret;
 
 use crate::command_error::CommandError;
--- a/crates/lentilshift/src/setting_fault.rs
+++ b/crates/lentilshift/src/setting_fault.rs
@@ -10,6 +10,8 @@
         flag: &'static str,
         variable: String,
     },
+    /// A setting of the platform's file is at fault.
+    InFile { path: String, problem: String },
     /// A value can't be read; what was found is left out for secrets.
     BadValue {
         origin: String,
@@ -25,6 +27,7 @@
             Self::MissingSetting { flag, variable } => {
                 write!(formatter, "--{flag} is missing; give it or set {variable}")
             }
+            Self::InFile { path, problem } => write!(formatter, "{path}: {problem}"),
             Self::BadValue {
                 origin,
                 expected,
--- a/crates/lentilshift/src/setting_value.rs
+++ b/crates/lentilshift/src/setting_value.rs
@@ -2,7 +2,7 @@
 
 use log::LevelFilter;
 use model::{CentreName, ServiceName, TeamName};
-use platform::KeyDigest;
+use streams::KeyDigest;
 use wire::FleetSecret;
 
 const NAME: &str = "1 to 63 lower-case letters, digits and inner hyphens";
--- a/crates/lentilshift/tests/processes/claim_shards.rs
+++ b/crates/lentilshift/tests/processes/claim_shards.rs
@@ -4,8 +4,8 @@
 
 use compio::time::sleep;
 use futures_util::future::join_all;
-use platform::{ClaimShard, LogOffset, LogStream};
 use rstest::rstest;
+use streams::{ClaimShard, LogOffset, LogStream};
 
 use super::support::{CallerRequest, OnceCounts, ProcessFleet, check_once};
 
--- a/crates/lentilshift/tests/processes/parted_centres.rs
+++ b/crates/lentilshift/tests/processes/parted_centres.rs
@@ -6,10 +6,10 @@
 
 use compio::time::sleep;
 use futures_util::future::{join, join_all};
-use platform::{ConfigRecord, ConfigVersion};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
+use streams::{ConfigRecord, ConfigVersion};
 
 use super::support::{
     CONTRACT, CallerRequest, GateState, OnceCounts, ProcessFleet, RateFlood, ToldCall, check_once,
--- a/crates/lentilshift/tests/processes/pauses.rs
+++ b/crates/lentilshift/tests/processes/pauses.rs
@@ -4,10 +4,10 @@
 
 use compio::time::sleep;
 use futures_util::future::{join, join_all};
-use platform::{ConfigRecord, KeyDigest};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
+use streams::{ConfigRecord, KeyDigest};
 
 use super::support::{
     CallerRequest, GateState, KEY, LOOK_UP, OnceCounts, ProcessFleet, RateFlood, ToldCall,
--- a/crates/lentilshift/tests/processes/support/mod.rs
+++ b/crates/lentilshift/tests/processes/support/mod.rs
@@ -24,12 +24,12 @@
 use std::time::{Duration, Instant};
 
 use compio::time::sleep;
-use platform::{
+use rate::{LeaseRecord, RateRecord};
+use standin::{BackendCall, BackendServer, BackendSettings, LogControl, LogServer, LogStore};
+use streams::{
     ConfigRecord, ConfigVersion, KeyDigest, LogOffset, LogStream, NewRecord, PlatformLog,
     RecordBody,
 };
-use rate::{LeaseRecord, RateRecord};
-use standin::{BackendCall, BackendServer, BackendSettings, LogControl, LogServer, LogStore};
 
 /// The longest that anything in these tests is waited for.
 pub const PATIENCE: Duration = Duration::from_mins(1);
--- a/crates/lentilshift/tests/processes/whole_path.rs
+++ b/crates/lentilshift/tests/processes/whole_path.rs
@@ -10,8 +10,8 @@
 use compio::net::TcpStream;
 use compio::time::{sleep, timeout};
 use futures_util::future::join;
-use platform::{ConfigRecord, KeyDigest};
 use rstest::rstest;
+use streams::{ConfigRecord, KeyDigest};
 
 /// The time within which a withdrawn key stops to work.
 const WITHDRAW_LIMIT: Duration = Duration::from_secs(5);
--- a/crates/load/src/load_fleet.rs
+++ b/crates/load/src/load_fleet.rs
@@ -6,7 +6,7 @@
 use adapter::{HttpLog, HttpSettings};
 use compio::time::sleep;
 use model::{RecordId, TeamName};
-use platform::{
+use streams::{
     ConfigRecord, ConfigVersion, KeyDigest, LogOffset, LogStream, NewRecord, PlatformLog,
     RecordBody,
 };
--- a/crates/member/examples/member_slopes.rs
+++ b/crates/member/examples/member_slopes.rs
@@ -6,7 +6,7 @@
     MemberAnnouncement, MemberSettings, MemberState, MemberSubset, MemberView,
 };
 use model::{CentreName, ServiceName, VmName};
-use platform::{LogOffset, RecordBody};
+use streams::{LogOffset, RecordBody};
 
 /// The size of a page of memory, in bytes.
 const PAGE_BYTES: usize = 4_096;
--- a/crates/member/src/announce_timer.rs
+++ b/crates/member/src/announce_timer.rs
@@ -41,6 +41,22 @@
         is_change
     }
 
+    /// Sets the requests that the backend server runs at once; a change is due at once.
+    pub fn set_slots(&mut self, slots: u32) -> bool {
+        let is_change = self.own.slots != slots;
+        if is_change {
+            self.own.slots = slots;
+            self.own.sequence += 1;
+            self.due_at = None;
+        }
+        is_change
+    }
+
+    /// Makes the announcement due at once.
+    pub const fn hasten(&mut self) {
+        self.due_at = None;
+    }
+
     /// Makes this start newer than another one of the same VM, which is due at once.
     pub fn rise_above(&mut self, other: &MemberAnnouncement) {
         self.own.incarnation = other.incarnation.saturating_add(1);
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -7,6 +7,7 @@
 //! that a node keeps links to.
 
 mod announce_timer;
+mod backend_watch;
 mod member_announcement;
 mod member_fold;
 mod member_settings;
@@ -14,6 +15,7 @@
 mod member_view;
 
 pub use announce_timer::AnnounceTimer;
+pub use backend_watch::{BackendName, BackendNotice, BackendReport, BackendWatch, NoticeOutcome};
 pub use member_announcement::{MemberAnnouncement, MemberState};
 pub use member_fold::MemberFold;
 pub use member_settings::MemberSettings;
--- a/crates/member/src/member_fold.rs
+++ b/crates/member/src/member_fold.rs
@@ -1,5 +1,5 @@
 use clock::ClockTime;
-use platform::{LogOffset, LogRecord, RecordBody, RelaySnapshot, StreamFold};
+use streams::{LogOffset, LogRecord, RecordBody, RelaySnapshot, StreamFold};
 
 use crate::{MemberAnnouncement, MemberSettings, MemberSnapshot, MemberView};
 
--- a/crates/member/src/member_view.rs
+++ b/crates/member/src/member_view.rs
@@ -2,8 +2,8 @@
 
 use clock::ClockTime;
 use model::{CentreName, ServiceName, VmName};
-use platform::LogOffset;
 use serde::{Deserialize, Serialize};
+use streams::LogOffset;
 
 use crate::{MemberAnnouncement, MemberSettings, MemberState};
 
@@ -62,6 +62,9 @@
             let service = known.announcement.service.clone();
             self.forget_service(&service, &announcement.vm);
         }
+        if announcement.state < MemberState::Leaving {
+            self.forget_other_starts(&announcement.vm);
+        }
         self.learn_service(announcement);
         let member = KnownMember {
             announcement: announcement.clone(),
@@ -71,6 +74,19 @@
         true
     }
 
+    /// Drops what other starts of a node on the same machine announced: only one is alive.
+    fn forget_other_starts(&mut self, vm: &VmName) {
+        let is_other = |other: &VmName| other != vm && other.machine() == vm.machine();
+        let others = self.members.iter().filter(|(other, _)| is_other(other));
+        let others =
+            others.map(|(other, known)| (other.clone(), known.announcement.service.clone()));
+        for (other, service) in others.collect::<Vec<_>>() {
+            self.members.remove(&other);
+            self.suspects.remove(&other);
+            self.forget_service(&service, &other);
+        }
+    }
+
     /// Takes in a snapshot from a peer, and returns whether it had news.
     pub fn adopt(&mut self, snapshot: &MemberSnapshot) -> bool {
         let news = snapshot.members.iter().filter(|member| self.apply(member));
--- a/crates/member/tests/member_fold.rs
+++ b/crates/member/tests/member_fold.rs
@@ -4,9 +4,11 @@
 
 use lentilshift_member::{MemberAnnouncement, MemberFold, MemberSettings, MemberState};
 use model::{RecordId, VmName};
-use platform::{FoldFeed, LogOffset, LogRecord, LogStream, ReadBatch, RecordBody, StreamFeed};
 use rand::SeedableRng;
 use rstest::rstest;
+use streams::{
+    FoldFeed, FollowSettings, LogOffset, LogRecord, LogStream, ReadBatch, RecordBody, StreamFeed,
+};
 
 fn announcement(sequence: u64, state: MemberState) -> MemberAnnouncement {
     MemberAnnouncement {
@@ -45,7 +47,7 @@
 #[rstest]
 fn a_repeated_announcement_is_no_change() {
     let fold = MemberFold::new(MemberSettings::default());
-    let mut feed = FoldFeed::new(LogStream::Members, fold);
+    let mut feed = FoldFeed::new(LogStream::Members, FollowSettings::default(), fold);
     assert!(feed.fold().take_changed());
     let ready = |sequence| RecordBody::encode(&announcement(sequence, MemberState::Ready));
     read(&mut feed, vec![record(0, ready(1))]);
@@ -60,7 +62,7 @@
 #[rstest]
 fn a_record_that_cant_be_read_is_counted_and_loses_nothing() {
     let fold = MemberFold::new(MemberSettings::default());
-    let mut feed = FoldFeed::new(LogStream::Members, fold);
+    let mut feed = FoldFeed::new(LogStream::Members, FollowSettings::default(), fold);
     let ready = RecordBody::encode(&announcement(1, MemberState::Ready));
     let records = vec![record(0, RecordBody::new("nonsense")), record(1, ready)];
     read(&mut feed, records);
--- a/crates/member/tests/member_view.rs
+++ b/crates/member/tests/member_view.rs
@@ -7,9 +7,9 @@
     AnnounceTimer, MemberAnnouncement, MemberSettings, MemberState, MemberSubset, MemberView,
 };
 use model::{CentreName, ServiceName, VmName};
-use platform::LogOffset;
 use rand::{Rng, SeedableRng, rngs::SmallRng, seq::SliceRandom};
 use rstest::rstest;
+use streams::LogOffset;
 
 fn member(index: u32, sequence: u64, state: MemberState) -> MemberAnnouncement {
     MemberAnnouncement {
--- a/crates/model/src/names.rs
+++ b/crates/model/src/names.rs
@@ -26,6 +26,21 @@
     CentreName
 );
 
+impl VmName {
+    /// What stands between the name of a machine and that of one start of its node.
+    pub const START_SEPARATOR: char = '.';
+
+    /// Returns the name of the machine, which all starts of its node share.
+    ///
+    /// A name without a separator is a machine's of its own.
+    #[must_use]
+    pub fn machine(&self) -> &str {
+        let name = self.as_str();
+        name.split_once(Self::START_SEPARATOR)
+            .map_or(name, |(machine, _)| machine)
+    }
+}
+
 /// What is wrong with a name.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum NameError {
--- a/crates/model/src/refusal_reason.rs
+++ b/crates/model/src/refusal_reason.rs
@@ -25,6 +25,8 @@
     NoBackend,
     /// The link to the backend server broke.
     LinkBroken,
+    /// The backend server turned the request away without running it.
+    BackendBusy,
     /// The backend server failed while the request ran.
     BackendFailed,
     /// The request has crashed backend servers.
@@ -43,7 +45,7 @@
 
 impl RefusalReason {
     /// All reasons, for bounded metric labels and documentation.
-    pub const ALL: [Self; 18] = [
+    pub const ALL: [Self; 19] = [
         Self::KeyMissing,
         Self::KeyUnknown,
         Self::KeysStale,
@@ -55,6 +57,7 @@
         Self::DeadlinePassed,
         Self::NoBackend,
         Self::LinkBroken,
+        Self::BackendBusy,
         Self::BackendFailed,
         Self::Quarantined,
         Self::Duplicate,
@@ -79,6 +82,7 @@
             Self::DeadlinePassed => "deadline-passed",
             Self::NoBackend => "no-backend",
             Self::LinkBroken => "link-broken",
+            Self::BackendBusy => "backend-busy",
             Self::BackendFailed => "backend-failed",
             Self::Quarantined => "quarantined",
             Self::Duplicate => "duplicate",
@@ -103,6 +107,7 @@
             Self::KeysStale
             | Self::Overloaded
             | Self::NoBackend
+            | Self::BackendBusy
             | Self::ClaimUnavailable
             | Self::NotReady => 503,
             Self::TooLate | Self::DeadlinePassed => 504,
--- a/crates/model/src/unique_id.rs
+++ b/crates/model/src/unique_id.rs
@@ -16,6 +16,12 @@
                 Self(uuid::Builder::from_random_bytes(bits.to_be_bytes()).into_uuid())
             }
 
+            /// Creates the identifier that stands for a number.
+            #[must_use]
+            pub const fn from_number(number: u128) -> Self {
+                Self(uuid::Uuid::from_u128(number))
+            }
+
             /// Parses an identifier, or returns `None` when the text isn't a UUID.
             #[must_use]
             pub fn parse(text: &str) -> Option<Self> {
--- a/crates/node/src/announce.rs
+++ b/crates/node/src/announce.rs
@@ -8,7 +8,7 @@
 use futures_util::future::{Either, select};
 use member::{AnnounceTimer, MemberAnnouncement, MemberSettings, MemberState};
 use model::VmName;
-use platform::{LogStream, NewRecord, PlatformLog, RecordBody};
+use streams::{LogStream, NewRecord, PlatformLog, RecordBody};
 
 use crate::fleet_watch::put_members;
 use crate::node_core::NodeCore;
@@ -39,7 +39,12 @@
     let mut risen_at = None;
     loop {
         let state = present_state(&core).await;
-        if put_state(&core, &mut timer, state) {
+        let is_resized = core
+            .backend_watch
+            .borrow()
+            .slots()
+            .is_some_and(|slots| timer.set_slots(slots));
+        if put_state(&core, &mut timer, state) || is_resized {
             append.on_change(&core, timer.own());
         }
         rise_above_other(&core, &mut timer, &mut risen_at);
@@ -77,6 +82,11 @@
     let known = core
         .fleet
         .with(|feed| feed.fold().view().get(&core.settings.vm).cloned());
+    if known.is_none() && timer.own().sequence > 0 {
+        *risen_at = Some(now);
+        timer.hasten();
+        return;
+    }
     let Some(other) = known.filter(|known| known.incarnation > timer.own().incarnation) else {
         return;
     };
@@ -102,7 +112,7 @@
 fn tell(core: &Rc<NodeCore>, announcement: &MemberAnnouncement) {
     core.fleet.with(|feed| feed.fold().learn(announcement));
     put_members(core);
-    if announcement.state >= MemberState::Leaving {
+    if announcement.state != MemberState::Ready {
         tell_peers(core, announcement);
     }
 }
@@ -181,6 +191,10 @@
     if !core.has_contract() {
         return MemberState::Starting;
     }
+    if !core.is_backend_open() {
+        core.is_up.set(false);
+        return MemberState::Starting;
+    }
     let limit = Duration::from_millis(CONNECT_MS);
     let is_up = timeout(limit, core.backend.keep_spare())
         .await
--- a/crates/node/src/call_headers.rs
+++ b/crates/node/src/call_headers.rs
@@ -1,19 +1,18 @@
 use http::header::{AUTHORIZATION, CONNECTION, EXPECT, HeaderName, PROXY_AUTHORIZATION, TE};
 use http::header::{PROXY_AUTHENTICATE, TRAILER, TRANSFER_ENCODING, UPGRADE};
 use http::{HeaderMap, HeaderValue};
-use model::{AttemptId, TeamName};
+use model::{AttemptId, RequestId, TeamName};
 use wire::CallHead;
+use xxhash_rust::xxh3::xxh3_128;
+
+use crate::edge_settings::EdgeSettings;
 
-/// The header that carries a caller's key, beside `Authorization: Bearer`.
-pub(crate) const API_KEY: HeaderName = HeaderName::from_static("x-api-key");
 /// The header that tells a caller whether its request may have run.
 pub(crate) const VERDICT: HeaderName = HeaderName::from_static("lentilshift-verdict");
 /// The header that names the whole request, for logs.
 pub(crate) const REQUEST_ID: HeaderName = HeaderName::from_static("lentilshift-request-id");
 /// The header by which a backend server ties its own calls to the request that it serves.
 pub(crate) const CALL_ID: HeaderName = HeaderName::from_static("lentilshift-call-id");
-/// The header that gives the time left in milliseconds, from callers and to backend servers.
-pub(crate) const DEADLINE: HeaderName = HeaderName::from_static("lentilshift-deadline-ms");
 /// The header that tells when to come back, in milliseconds.
 pub(crate) const RETRY_AFTER_MS: HeaderName = HeaderName::from_static("lentilshift-retry-after-ms");
 /// The header that names a call which must run at most once.
@@ -36,10 +35,13 @@
 ];
 
 /// Returns the key that came with a request.
-pub(crate) fn find_key(headers: &HeaderMap) -> Option<&[u8]> {
-    if let Some(key) = headers.get(API_KEY) {
+pub(crate) fn find_key<'h>(headers: &'h HeaderMap, edge: &EdgeSettings) -> Option<&'h [u8]> {
+    if let Some(key) = headers.get(&edge.key_header) {
         return Some(key.as_bytes().trim_ascii());
     }
+    if !edge.finds_stray_keys {
+        return None;
+    }
     let value = headers.get(AUTHORIZATION)?.as_bytes();
     let (scheme, key) = value.split_at_checked(b"Bearer ".len())?;
     scheme
@@ -50,9 +52,16 @@
 /// Returns the headers that the backend server may see.
 ///
 /// Credentials go, and so does every header whose value holds the caller's key.
-pub(crate) fn strip_request(headers: &HeaderMap, key: Option<&[u8]>) -> HeaderMap {
+pub(crate) fn strip_request(
+    headers: &HeaderMap,
+    key: Option<&[u8]>,
+    edge: &EdgeSettings,
+) -> HeaderMap {
     let mut kept = strip_hop(headers);
-    for name in [AUTHORIZATION, PROXY_AUTHORIZATION, API_KEY] {
+    for name in [&AUTHORIZATION, &PROXY_AUTHORIZATION] {
+        kept.remove(name);
+    }
+    for name in edge.set_headers() {
         kept.remove(name);
     }
     kept.into_iter()
@@ -104,16 +113,44 @@
 }
 
 /// Adds what a backend server is told about the call that it runs.
-pub(crate) fn add_call(headers: &mut HeaderMap, attempt: AttemptId, deadline_left_ms: u64) {
-    if let Ok(value) = HeaderValue::from_str(&attempt.to_string()) {
+pub(crate) fn add_call(
+    headers: &mut HeaderMap,
+    edge: &EdgeSettings,
+    attempt: AttemptId,
+    deadline_left_ms: u64,
+) {
+    if edge.has_own_headers
+        && let Ok(value) = HeaderValue::from_str(&attempt.to_string())
+    {
         headers.insert(CALL_ID, value);
     }
-    headers.insert(DEADLINE, HeaderValue::from(deadline_left_ms));
+    headers.insert(&edge.deadline_header, HeaderValue::from(deadline_left_ms));
+}
+
+/// Sets a header to a text, where the header has a name and the text can stand in one.
+pub(crate) fn set_header(headers: &mut HeaderMap, name: Option<&HeaderName>, text: &str) {
+    if let Some(name) = name
+        && let Ok(value) = HeaderValue::from_str(text)
+    {
+        headers.insert(name, value);
+    }
 }
 
 /// Returns the time that the caller allows, in milliseconds.
-pub(crate) fn find_deadline_ms(headers: &HeaderMap) -> Option<u64> {
-    headers.get(DEADLINE)?.to_str().ok()?.trim().parse().ok()
+pub(crate) fn find_deadline_ms(headers: &HeaderMap, edge: &EdgeSettings) -> Option<u64> {
+    let value = headers.get(&edge.deadline_header)?;
+    value.to_str().ok()?.trim().parse().ok()
+}
+
+/// Returns the id of a request that its caller has named.
+pub(crate) fn find_request_id(headers: &HeaderMap, edge: &EdgeSettings) -> Option<RequestId> {
+    let value = headers.get(edge.request_header.as_ref()?)?;
+    let number = value
+        .to_str()
+        .ok()
+        .and_then(|text| u128::from_str_radix(text, 16).ok());
+    let number = number.unwrap_or_else(|| xxh3_128(value.as_bytes()));
+    Some(RequestId::from_number(number))
 }
 
 fn is_key_parameter(pair: &str) -> bool {
--- a/crates/node/src/claim_state.rs
+++ b/crates/node/src/claim_state.rs
@@ -1,6 +1,6 @@
 use clock::ClockTime;
 use once::{ClaimAction, ClaimRecord, ClaimTable};
-use platform::{LogOffset, LogRecord, RelaySnapshot, StreamFold};
+use streams::{LogOffset, LogRecord, RelaySnapshot, StreamFold};
 
 /// The table of claims, fed by their stream, with what it wants done.
 pub(crate) struct ClaimState {
--- a/crates/node/src/claim_watch.rs
+++ b/crates/node/src/claim_watch.rs
@@ -6,7 +6,7 @@
     CallFingerprint, ClaimAction, ClaimOutcome, ClaimRecord, ClaimRefusal, HolderReply, KeyDigest,
     OnceRequest, StoredAnswer,
 };
-use platform::{
+use streams::{
     AppendError, ClaimShard, LogStream, NewRecord, PlatformLog, RecordBody, RelayBatch, RelayPull,
 };
 use wire::CallHead;
--- a/crates/node/src/config_state.rs
+++ b/crates/node/src/config_state.rs
@@ -3,12 +3,13 @@
 
 use clock::ClockTime;
 use contract::{ContractParser, FleetContract};
-use model::{CentreName, VmName};
-use platform::{
+use rand::Rng;
+use streams::{
     AppliedRecord, ConfigFeed, ConfigVersion, FeedSettings, FollowAction, LogStream, ReadBatch,
     ReadError, RelayBatch, RelayPull, StreamFeed, TextCheck,
 };
-use rand::Rng;
+
+use crate::node_settings::NodeSettings;
 
 /// The check that a text has to pass to be in force.
 ///
@@ -41,10 +42,16 @@
 }
 
 impl ConfigState {
-    pub(crate) fn new(vm: VmName, centre: CentreName) -> Self {
+    pub(crate) fn new(settings: &NodeSettings) -> Self {
         let check = ContractCheck::default();
+        let feed_settings = FeedSettings {
+            follow: settings.follow,
+            trust: settings.trust,
+            ..FeedSettings::default()
+        };
+        let (vm, centre) = (settings.vm.clone(), settings.centre.clone());
         Self {
-            feed: ConfigFeed::new(vm, centre, check.clone(), &FeedSettings::default()),
+            feed: ConfigFeed::new(vm, centre, check.clone(), &feed_settings),
             check,
         }
     }
--- a/crates/node/src/config_watch.rs
+++ b/crates/node/src/config_watch.rs
@@ -4,7 +4,7 @@
 use clock::ClockTime;
 use compio::time::{sleep, timeout};
 use model::VmName;
-use platform::{LogStream, NewRecord, PlatformLog, RelayBatch, RelayPull};
+use streams::{LogStream, NewRecord, PlatformLog, RelayBatch, RelayPull};
 
 use crate::node_core::NodeCore;
 use crate::node_message::{NodeMessage, NodeReply};
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -6,8 +6,7 @@
 use model::{RefusalReason, RunVerdict, VmName};
 use quarantine::RequestFingerprint;
 use retry::{
-    AllowanceShare, RatioSettings, RetryAllowance, RetryDecision, RetryPolicy, RetryQuestion,
-    RetryRatio,
+    AllowanceShare, RetryAllowance, RetryDecision, RetryPolicy, RetryQuestion, RetryRatio,
 };
 use wire::{AnswerHead, CallHead};
 
@@ -20,17 +19,13 @@
 use crate::replay_body::ReplayBody;
 use crate::route_guard::RouteGuard;
 
-/// The retries of a route. All calls that ran on one VM may fail at once, so as many are saved
-/// up as a large VM has slots.
-const RATIO_SETTINGS: RatioSettings = RatioSettings {
-    per_thousand: 100,
-    max_saved: 200,
-};
 /// The wait before a call is tried again that failed at the VM that it was sent on to, in
 /// milliseconds: by then another VM is named when that one is down.
 const RUNNER_DOWN_MS: u64 = 250;
 /// The times that a call may be sent on to the VM that must run it.
 const MAX_REDIRECTS: u32 = 2;
+/// The times that a call may move on from nodes that didn't let it reach a backend server.
+const MAX_MOVES: u32 = 4;
 /// The time after which callers come back when no backend server is known, in milliseconds.
 const NO_BACKEND_MS: u64 = 1_000;
 
@@ -54,6 +49,7 @@
         send_to: None,
         is_sent_on: false,
         redirects: 0,
+        moves: 0,
         earlier: RunVerdict::NotRun,
         copies: copies_of(&head),
         head,
@@ -75,6 +71,8 @@
     /// Whether the last attempt went to such a VM.
     is_sent_on: bool,
     redirects: u32,
+    /// How often a node turned the call away that never reached a backend server.
+    moves: u32,
     /// Whether an attempt before the present one may have run.
     earlier: RunVerdict,
     /// What copies of the call have in common, where they should meet at one VM.
@@ -85,7 +83,7 @@
     async fn run(mut self) -> CallAnswer {
         loop {
             let mut answer = self.try_once().await;
-            if self.is_redirected(&mut answer.head) {
+            if self.is_redirected(&mut answer.head) || self.moves_on(&answer.head) {
                 continue;
             }
             let wait_ms = match self.decide(&answer.head) {
@@ -160,6 +158,34 @@
         true
     }
 
+    /// Returns whether the call goes on to another VM, as a node turned it away before it reached a
+    /// backend server.
+    ///
+    /// This costs no backend server anything, so it is no retry. A call whose VM has just left
+    /// or can't be reached is served so within its time.
+    fn moves_on(&mut self, answer: &AnswerHead) -> bool {
+        let is_unreached = matches!(
+            answer.refusal,
+            Some(RefusalReason::NotReady | RefusalReason::LinkBroken | RefusalReason::NoBackend)
+        );
+        let has_time = self.core.now() < self.deadline;
+        let is_movable = answer.verdict == RunVerdict::NotRun && is_unreached;
+        if !is_movable || !has_time || !self.body.is_whole() || self.moves >= MAX_MOVES {
+            return false;
+        }
+        if !self.has_untried() {
+            return false;
+        }
+        self.moves += 1;
+        true
+    }
+
+    /// Returns whether a VM is left that the call hasn't been sent to.
+    fn has_untried(&self) -> bool {
+        let fresh = self.core.choose_vm(&self.head.service, &self.tried);
+        fresh.is_some()
+    }
+
     /// Chooses a VM that wasn't tried, or any when all were.
     fn choose_vm(&mut self) -> Option<VmName> {
         self.is_sent_on = self.send_to.is_some();
@@ -194,7 +220,7 @@
         };
         let mut ratios = self.core.ratios.borrow_mut();
         let ratio = ratios.entry(self.head.service.clone());
-        let ratio = ratio.or_insert_with(|| RetryRatio::new(RATIO_SETTINGS));
+        let ratio = ratio.or_insert_with(|| RetryRatio::new(self.core.settings.retry_ratio));
         if is_answered {
             ratio.succeed();
         }
@@ -220,6 +246,7 @@
         Some(
             RefusalReason::NoBackend
                 | RefusalReason::LinkBroken
+                | RefusalReason::BackendBusy
                 | RefusalReason::BackendFailed
                 | RefusalReason::NotReady
         )
--- a/crates/node/src/egress.rs
+++ b/crates/node/src/egress.rs
@@ -44,7 +44,7 @@
         Err(refusal) => Err(refusal),
     };
     match served {
-        Ok(answer) => build_response(request_id, answer),
+        Ok(answer) => build_response(&core, request_id, answer),
         Err(refusal) => refuse_response(&core, request_id, "egress", &refusal),
     }
 }
@@ -123,7 +123,7 @@
     parent: Option<&RunningCall>,
 ) -> ClockTime {
     let allowed_ms = entry.contract.deadline_ms;
-    let wanted_ms = find_deadline_ms(request.headers()).unwrap_or(allowed_ms);
+    let wanted_ms = find_deadline_ms(request.headers(), &core.settings.edge).unwrap_or(allowed_ms);
     let own = core.now().plus_ms(wanted_ms.min(allowed_ms));
     parent.map_or(own, |parent| own.min(parent.deadline))
 }
@@ -152,7 +152,7 @@
         idempotent: entry.contract.idempotent,
         method: request.method().as_str().to_owned(),
         path: entry.path,
-        headers: call_headers(request.headers()),
+        headers: call_headers(core, request.headers()),
         body_bytes: None,
     }
 }
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -2,16 +2,21 @@
 
 use clock::ClockTime;
 use contract::CallContract;
+use http::header::HOST;
 use http::request::Parts;
 use http::{HeaderMap, Method, Request, Response, Uri};
 use hyper::body::Incoming;
-use model::{CallName, RefusalReason, RequestId, ServiceName, TeamName};
-use platform::KeyAnswer;
+use model::{CallImportance, CallName, RefusalReason, RequestId, ServiceName, TeamName};
+use rand::Rng;
+use streams::KeyAnswer;
 use wire::{CallHead, HeaderList};
 
 use crate::answer_body::AnswerBody;
 use crate::call_answer::{CallAnswer, CallRefusal};
-use crate::call_headers::{find_deadline_ms, find_key, is_key_in_path, strip_path, strip_request};
+use crate::call_headers::{
+    find_deadline_ms, find_key, find_request_id, is_key_in_path, set_header, strip_path,
+    strip_request,
+};
 use crate::chain_watch::{EntryRequest, check_chain};
 use crate::dispatch::dispatch_call;
 use crate::http_answer::{build_response, refuse_response};
@@ -23,6 +28,10 @@
 /// The time after which callers come back to a node that trusts no key, in milliseconds.
 const KEYS_STALE_MS: u64 = 2_000;
 
+/// The time after which callers come back to a node without a contract, in milliseconds: by then
+/// one that starts has read the log.
+const NOT_READY_MS: u64 = 500;
+
 /// A request as it entered, with what its call's contract says.
 #[derive(Clone)]
 pub(crate) struct EntryCall {
@@ -38,9 +47,10 @@
     core: Rc<NodeCore>,
     request: Request<Incoming>,
 ) -> Response<AnswerBody> {
-    let request_id = core.new_request_id();
+    let named_id = find_request_id(request.headers(), &core.settings.edge);
+    let request_id = named_id.unwrap_or_else(|| core.new_request_id());
     match serve_caller(&core, request_id, request).await {
-        Ok(answer) => build_response(request_id, answer),
+        Ok(answer) => build_response(&core, request_id, answer),
         Err(refusal) => refuse_response(&core, request_id, "entry", &refusal),
     }
 }
@@ -86,14 +96,24 @@
     request_id: RequestId,
     parts: &Parts,
 ) -> Result<(CallHead, ClockTime), CallRefusal> {
-    let key = find_key(&parts.headers);
-    if is_key_in_path(parts.uri.path(), key) {
+    if !core.has_contract() {
+        let refusal = CallRefusal::not_run(RefusalReason::NotReady);
+        return Err(refusal.after_ms(NOT_READY_MS));
+    }
+    let edge = &core.settings.edge;
+    let key = find_key(&parts.headers, edge);
+    if edge.finds_stray_keys && is_key_in_path(parts.uri.path(), key) {
         return Err(CallRefusal::not_run(RefusalReason::BadRequest));
     }
-    let entry = find_call(core, &parts.method, &parts.uri, key);
+    let entry = if core.contract().routes.is_empty() {
+        find_call(core, &parts.method, &parts.uri, key)
+    } else {
+        let route = find_route(core, parts);
+        Some(route.ok_or_else(|| CallRefusal::not_run(RefusalReason::NoSuchCall))?)
+    };
     let (entry, team) = check_key(core, entry, key)?;
     let allowed_ms = entry.contract.deadline_ms;
-    let wanted_ms = find_deadline_ms(&parts.headers).unwrap_or(allowed_ms);
+    let wanted_ms = find_deadline_ms(&parts.headers, edge).unwrap_or(allowed_ms);
     let deadline = core.now().plus_ms(wanted_ms.min(allowed_ms));
     let head = build_head(core, request_id, entry, team, parts, key);
     check_chain(core, &head, deadline)?;
@@ -112,6 +132,8 @@
     key: Option<&[u8]>,
 ) -> CallHead {
     let team_weight = team_weight(core, team.as_ref());
+    let importance = importance_of(core, &entry.contract, team.as_ref());
+    let headers = backend_headers(core, &parts.headers, team.as_ref(), key);
     CallHead {
         request: request_id,
         attempt: core.new_attempt_id(),
@@ -119,20 +141,67 @@
         call: entry.call,
         team,
         team_weight,
-        importance: entry.contract.importance,
+        importance,
         depth: 0,
         mark: None,
         deadline_left_ms: 0,
-        allowance: 0,
+        allowance: entry.contract.attempts.saturating_sub(1),
         once: entry.contract.once,
         idempotent: entry.contract.idempotent,
         method: parts.method.as_str().to_owned(),
         path: entry.path,
-        headers: HeaderList::from(&strip_request(&parts.headers, key)),
+        headers: HeaderList::from(&headers),
         body_bytes: None,
     }
 }
 
+/// Returns the headers of a caller's request that its backend server sees.
+fn backend_headers(
+    core: &NodeCore,
+    headers: &HeaderMap,
+    team: Option<&TeamName>,
+    key: Option<&[u8]>,
+) -> HeaderMap {
+    let settings = &core.settings;
+    let edge = &settings.edge;
+    let mut kept = strip_request(headers, key, edge);
+    if let Some(team) = team {
+        set_header(&mut kept, edge.team_header.as_ref(), team.as_str());
+    }
+    let origin = settings.service.as_str();
+    set_header(&mut kept, edge.origin_header.as_ref(), origin);
+    kept
+}
+
+/// Returns the class of a request: its team's where that has one, else its call's.
+fn importance_of(core: &NodeCore, call: &CallContract, team: Option<&TeamName>) -> CallImportance {
+    let contract = core.contract();
+    let team = team.and_then(|team| contract.teams.get(team));
+    let of_team = team.and_then(|team| team.importance);
+    of_team.unwrap_or(call.importance)
+}
+
+/// Returns the route of the contract that a request takes, to one of its services by weight.
+fn find_route(core: &NodeCore, parts: &Parts) -> Option<EntryCall> {
+    let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
+    let host = host.or_else(|| parts.uri.host())?;
+    let path = parts.uri.path_and_query()?.as_str();
+    let index = Rc::clone(&core.routes.borrow());
+    let (call, route) = index.find(host, path)?;
+    let total = route.total_weight();
+    let place = if total > 0 {
+        core.with_random(|random| random.random_range(0..total))
+    } else {
+        0
+    };
+    Some(EntryCall {
+        service: route.backend_at(place)?.clone(),
+        call: call.clone(),
+        contract: route.to_call(),
+        path: path.to_owned(),
+    })
+}
+
 /// Returns the call of the contract that a request is.
 pub(crate) fn find_call(
     core: &NodeCore,
@@ -167,8 +236,8 @@
 }
 
 /// Returns the headers of a call that the backend server may see.
-pub(crate) fn call_headers(headers: &HeaderMap) -> HeaderList {
-    HeaderList::from(&strip_request(headers, None))
+pub(crate) fn call_headers(core: &NodeCore, headers: &HeaderMap) -> HeaderList {
+    HeaderList::from(&strip_request(headers, None, &core.settings.edge))
 }
 
 /// Checks the key of a request, unless its call is open to all, and returns its team.
--- a/crates/node/src/fleet_watch.rs
+++ b/crates/node/src/fleet_watch.rs
@@ -4,8 +4,8 @@
 use clock::ClockTime;
 use member::{MemberAnnouncement, MemberState, MemberSubset};
 use model::{CentreName, ServiceName, VmName};
-use platform::{ClaimShard, PlanSettings, RelayBatch, RelayPlan, RelayPull};
 use route::RouteTarget;
+use streams::{ClaimShard, PlanSettings, RelayBatch, RelayPlan, RelayPull};
 
 use crate::config_watch::pull_from;
 use crate::node_core::NodeCore;
--- a/crates/node/src/http_answer.rs
+++ b/crates/node/src/http_answer.rs
@@ -1,11 +1,12 @@
 use http::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use http::{HeaderMap, Response, StatusCode};
-use model::{RequestId, RunVerdict};
+use model::{RefusalReason, RequestId, RunVerdict};
 
 use crate::answer_body::AnswerBody;
 use crate::call_answer::{CallAnswer, CallRefusal};
 use crate::call_body::CallBody;
 use crate::call_headers::{REQUEST_ID, RETRY_AFTER_MS, VERDICT};
+use crate::edge_settings::EdgeSettings;
 use crate::node_core::NodeCore;
 use crate::problem_body::problem_body;
 
@@ -13,14 +14,23 @@
 const SECOND_MS: u64 = 1_000;
 
 /// Returns the HTTP response that carries an answer.
-pub(crate) fn build_response(request: RequestId, answer: CallAnswer) -> Response<AnswerBody> {
+pub(crate) fn build_response(
+    core: &NodeCore,
+    request: RequestId,
+    answer: CallAnswer,
+) -> Response<AnswerBody> {
+    let edge = &core.settings.edge;
     let mut response = Response::new(answer.body);
-    let status = StatusCode::from_u16(answer.head.status);
+    let status = match answer.head.refusal {
+        Some(reason) => status_of(edge, reason, answer.head.verdict),
+        None => answer.head.status,
+    };
+    let status = StatusCode::from_u16(status);
     *response.status_mut() = status.unwrap_or(StatusCode::BAD_GATEWAY);
     *response.headers_mut() = answer.head.headers.to_map();
     let retry_after_ms = u64::from(answer.head.retry_after_ms);
     let headers = response.headers_mut();
-    tell_verdict(headers, request, answer.head.verdict, retry_after_ms);
+    tell_verdict(headers, edge, request, answer.head.verdict, retry_after_ms);
     response
 }
 
@@ -31,6 +41,7 @@
     part: &str,
     refusal: &CallRefusal,
 ) -> Response<AnswerBody> {
+    let edge = &core.settings.edge;
     core.metrics.count_refusal(part, refusal.reason);
     log::debug!(
         "event=refused part={part} request={request} reason={} verdict={}",
@@ -39,21 +50,48 @@
     );
     let body = CallBody::Whole(problem_body(request, refusal));
     let mut response = Response::new(AnswerBody::from(body));
-    let status = StatusCode::from_u16(refusal.reason.status());
+    let status = StatusCode::from_u16(status_of(edge, refusal.reason, refusal.verdict));
     *response.status_mut() = status.unwrap_or(StatusCode::BAD_GATEWAY);
     let headers = response.headers_mut();
     let content_type = HeaderValue::from_static("application/problem+json");
     headers.insert(CONTENT_TYPE, content_type);
-    tell_verdict(headers, request, refusal.verdict, refusal.retry_after_ms);
+    tell_verdict(
+        headers,
+        edge,
+        request,
+        refusal.verdict,
+        refusal.retry_after_ms,
+    );
     response
 }
 
+/// Returns the status of a refusal.
+///
+/// Where the status has to tell whether the request has run, one that says "come back" is kept
+/// for requests that haven't, and those get no other.
+fn status_of(edge: &EdgeSettings, reason: RefusalReason, verdict: RunVerdict) -> u16 {
+    let status = reason.status();
+    if !edge.has_verdict_status {
+        return status;
+    }
+    match (verdict, status) {
+        (RunVerdict::NotRun, 422 | 502 | 504) => StatusCode::SERVICE_UNAVAILABLE.as_u16(),
+        (RunVerdict::MayHaveRun, 422 | 429 | 503) => StatusCode::BAD_GATEWAY.as_u16(),
+        _ => status,
+    }
+}
+
 fn tell_verdict(
     headers: &mut HeaderMap,
+    edge: &EdgeSettings,
     request: RequestId,
     verdict: RunVerdict,
     retry_after_ms: u64,
 ) {
+    if !edge.has_own_headers {
+        tell_return(headers, retry_after_ms);
+        return;
+    }
     headers.insert(VERDICT, HeaderValue::from_static(verdict.as_str()));
     if let Ok(value) = HeaderValue::from_str(&request.to_string()) {
         headers.insert(REQUEST_ID, value);
@@ -64,3 +102,14 @@
         headers.insert(RETRY_AFTER_MS, HeaderValue::from(retry_after_ms));
     }
 }
+
+/// Tells when to come back, in seconds with a fraction.
+fn tell_return(headers: &mut HeaderMap, retry_after_ms: u64) {
+    if retry_after_ms == 0 {
+        return;
+    }
+    let (seconds, rest_ms) = (retry_after_ms / SECOND_MS, retry_after_ms % SECOND_MS);
+    if let Ok(value) = HeaderValue::from_str(&format!("{seconds}.{rest_ms:03}")) {
+        headers.insert(RETRY_AFTER, value);
+    }
+}
--- a/crates/node/src/http_port.rs
+++ b/crates/node/src/http_port.rs
@@ -37,7 +37,7 @@
     Caller,
     /// The local backend server; it is served until the last running call has ended.
     Backend,
-    /// Operators.
+    /// Operators, and the backend server where it tells of itself.
     Operator,
 }
 
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -12,11 +12,12 @@
 use wire::{AnswerHead, CallHead, HeaderList};
 
 use crate::answer_body::AnswerBody;
+use crate::answer_check::AnswerKind;
 use crate::attempt_guard::AttemptGuard;
-use crate::backend_pool::BackendError;
+use crate::backend_pool::{BackendAnswer, BackendError};
 use crate::call_answer::{CallAnswer, CallRefusal};
 use crate::call_body::CallBody;
-use crate::call_headers::{add_call, strip_hop};
+use crate::call_headers::{add_call, set_header, strip_hop};
 use crate::chain_watch::{cut_reports_for, note_uses};
 use crate::claim_watch::{ClaimDecision, ClaimGuard, claim_call, claim_refusal};
 use crate::count_guard::CountGuard;
@@ -127,6 +128,10 @@
         let refusal = CallRefusal::not_run(RefusalReason::ClaimUnavailable);
         return CallAnswer::refused(head, &refusal, head.allowance);
     }
+    if !core.may_send() || core.now() >= deadline {
+        let refusal = CallRefusal::not_run(RefusalReason::NotReady);
+        return CallAnswer::refused(head, &refusal, head.allowance);
+    }
     run_now(core, head, body, deadline, passes).await
 }
 
@@ -147,7 +152,8 @@
     passes.suspect.mark_sent();
     let left = Duration::from_millis(core.now().until_ms(deadline));
     match timeout(left, send_call(core, head, body, deadline)).await {
-        Ok(Ok(response)) => {
+        Ok(Ok(BackendAnswer::NotRun(kind))) => refuse_unrun(core, head, kind, passes),
+        Ok(Ok(BackendAnswer::Ran(response))) => {
             passes.suspect.mark_answered();
             wrap_answer(core, head, response, passes).await
         }
@@ -164,19 +170,49 @@
     head: &CallHead,
     body: CallBody,
     deadline: ClockTime,
-) -> Result<Response<Incoming>, BackendError> {
+) -> Result<BackendAnswer, BackendError> {
+    let edge = &core.settings.edge;
     let mut request = Request::new(body);
     *request.method_mut() = head.method.parse().unwrap_or_default();
     *request.uri_mut() = head.path.parse().unwrap_or(Uri::from_static("/"));
     let mut headers = head.headers.to_map();
-    add_call(&mut headers, head.attempt, core.now().until_ms(deadline));
+    let left_ms = core.now().until_ms(deadline);
+    add_call(&mut headers, edge, head.attempt, left_ms);
+    if let Some(backend) = core.backend_name() {
+        set_header(&mut headers, edge.backend_header.as_ref(), backend.as_str());
+    }
     if !headers.contains_key(http::header::HOST)
         && let Ok(host) = core.backend.address().to_string().parse()
     {
         headers.insert(http::header::HOST, host);
     }
     *request.headers_mut() = headers;
-    core.backend.send(request).await
+    core.backend.send(request, edge).await
+}
+
+/// Answers a call that the backend server turned away.
+fn refuse_unrun(
+    core: &NodeCore,
+    head: &CallHead,
+    kind: AnswerKind,
+    mut passes: RunGuards,
+) -> CallAnswer {
+    passes.suspect.mark_answered();
+    if let Some(claim) = passes.claim {
+        claim.finish(ClaimOutcome::NotRun);
+    }
+    log::info!(
+        "event=backend-refused request={} attempt={} kind={kind:?}",
+        head.request,
+        head.attempt
+    );
+    if kind == AnswerKind::OtherBackend
+        && let Some(backend) = core.backend_name()
+    {
+        core.backend_watch.borrow_mut().forget(backend.as_str());
+    }
+    let refusal = CallRefusal::not_run(RefusalReason::BackendBusy).by(&head.service);
+    CallAnswer::refused(head, &refusal, head.allowance)
 }
 
 fn ticket_for(head: &CallHead, deadline: ClockTime) -> QueueTicket {
--- a/crates/node/src/ingress_gate.rs
+++ b/crates/node/src/ingress_gate.rs
@@ -23,8 +23,8 @@
         }
     }
 
-    pub(crate) fn set_slots(&mut self, slots: u32) {
-        self.queue.get_mut().set_slots(slots);
+    pub(crate) fn set_slots(&self, slots: u32) {
+        self.queue.borrow_mut().set_slots(slots);
     }
 
     /// Forgets what was measured, for a backend server that has restarted.
--- a/crates/node/src/node_core.rs
+++ b/crates/node/src/node_core.rs
@@ -2,20 +2,19 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
-use adapter::{HttpLog, HttpSettings};
 use clock::ClockTime;
-use contract::FleetContract;
+use contract::{FleetContract, RouteIndex};
 use graph::{AdmissionSettings, ChainAdmission};
-use member::{MemberFold, MemberSettings};
+use member::{BackendName, BackendWatch, MemberFold};
 use model::{AttemptId, RecordId, RequestId, ServiceName, VmName};
 use once::{AttemptSettings, AttemptTable, ClaimTable, OnceSettings};
-use platform::{ClaimShard, FoldFeed, KeyAnswer, KeyDigest, LogStream};
 use quarantine::{RequestFingerprint, SuspectSettings, SuspectTable, home_vm};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use rate::{RateSettings, TeamLimiter};
+use rate::TeamLimiter;
 use retry::{ResendCounts, ResendSettings, ResendTable, RetryRatio};
 use route::{RouteSettings, VmRouter};
+use streams::{ClaimShard, FoldFeed, KeyAnswer, KeyDigest, LogHandle, LogStream};
 
 use crate::attempt_query::HeardMark;
 use crate::backend_pool::BackendPool;
@@ -48,8 +47,12 @@
     pub(crate) settings: NodeSettings,
     pub(crate) clock: NodeClock,
     pub(crate) contract: RefCell<Rc<FleetContract>>,
-    pub(crate) log: HttpLog,
+    /// Finds routes of the contract by host and path.
+    pub(crate) routes: RefCell<Rc<RouteIndex>>,
+    pub(crate) log: LogHandle,
     pub(crate) config: StreamHost<ConfigState>,
+    /// Which backend server runs beside the node, where it tells of itself.
+    pub(crate) backend_watch: RefCell<BackendWatch>,
     pub(crate) fleet: StreamHost<FoldFeed<MemberFold>>,
     pub(crate) rates: StreamHost<FoldFeed<RateState>>,
     pub(crate) claims: StreamHost<FoldFeed<ClaimState>>,
@@ -95,23 +98,19 @@
 
 impl NodeCore {
     /// Creates the shared state.
-    ///
-    /// # Errors
-    ///
-    /// Returns the library's error when no client of the log can be made.
-    pub(crate) fn new(settings: NodeSettings) -> Result<Self, cyper::Error> {
+    pub(crate) fn new(settings: NodeSettings, log: LogHandle) -> Self {
         let mut random = StdRng::from_os_rng();
-        let mut gate = IngressGate::new(random.random());
+        let gate = IngressGate::new(random.random());
         gate.set_slots(settings.backend_slots);
         let clock = NodeClock::start();
-        let base = format!("http://{}", settings.platform_address);
-        let log = HttpLog::new(base, HttpSettings::default())?;
-        let fleet = MemberFold::new(MemberSettings::default());
+        let fleet = MemberFold::new(settings.members);
+        let watch = BackendWatch::new(settings.service.clone(), settings.backend_address);
+        let follow = settings.follow;
         let rates = RateState {
             limiter: TeamLimiter::new(
                 settings.vm.clone(),
                 settings.centre.clone(),
-                RateSettings::default(),
+                settings.rates.clone(),
             ),
         };
         let table = ClaimTable::new(
@@ -130,17 +129,19 @@
         let suspects = SuspectTable::new(SuspectSettings::default(), settings.vm.clone());
         let table_settings = AttemptSettings::default();
         let attempts = AttemptTable::new(table_settings, clock.now(), random.random());
-        Ok(Self {
+        Self {
             clock,
             contract: RefCell::default(),
+            routes: RefCell::default(),
+            backend_watch: RefCell::new(watch),
             log,
-            config: StreamHost::new(
+            config: StreamHost::new(clock, ConfigState::new(&settings)),
+            fleet: StreamHost::new(clock, FoldFeed::new(LogStream::Members, follow, fleet)),
+            rates: StreamHost::new(clock, FoldFeed::new(LogStream::Rates, follow, rates)),
+            claims: StreamHost::new(
                 clock,
-                ConfigState::new(settings.vm.clone(), settings.centre.clone()),
+                FoldFeed::new(LogStream::Claims(shard), follow, claims),
             ),
-            fleet: StreamHost::new(clock, FoldFeed::new(LogStream::Members, fleet)),
-            rates: StreamHost::new(clock, FoldFeed::new(LogStream::Rates, rates)),
-            claims: StreamHost::new(clock, FoldFeed::new(LogStream::Claims(shard), claims)),
             claim_waiters: DecisionWaiters::default(),
             suspects: RefCell::new(suspects),
             suspect_waiters: DecisionWaiters::default(),
@@ -170,7 +171,7 @@
             arrived: Rc::default(),
             random: RefCell::new(random),
             settings,
-        })
+        }
     }
 
     pub(crate) fn now(&self) -> ClockTime {
@@ -250,6 +251,7 @@
         let budget = claim_budget(&contract);
         let set_budget = |state: &mut ClaimState| state.table.set_appends_per_s(budget);
         self.claims.with(|feed| set_budget(feed.fold()));
+        self.routes.replace(Rc::new(RouteIndex::new(&contract)));
         self.contract.replace(contract);
         put_rates(self);
     }
@@ -285,10 +287,34 @@
         self.leave_at.get().is_some()
     }
 
+    /// Returns whether the backend server takes new calls, as far as it has told.
+    pub(crate) fn is_backend_open(&self) -> bool {
+        self.settings.reports.is_none() || self.backend_watch.borrow().open().is_some()
+    }
+
+    /// Returns whether a call that was let in may be sent to the backend server now.
+    pub(crate) fn may_send(&self) -> bool {
+        let Some(reports) = &self.settings.reports else {
+            return true;
+        };
+        let watch = self.backend_watch.borrow();
+        watch
+            .reachable(self.now(), reports.leave_grace_ms)
+            .is_some()
+    }
+
+    /// Returns the name of the backend server that calls are sent to, where it has told one.
+    pub(crate) fn backend_name(&self) -> Option<BackendName> {
+        let reports = self.settings.reports.as_ref()?;
+        let watch = self.backend_watch.borrow();
+        watch.reachable(self.now(), reports.leave_grace_ms).cloned()
+    }
+
     /// Returns whether new calls may run; those sent before others knew of a leave still may.
     pub(crate) fn takes_work(&self) -> bool {
         let left_at = self.leave_at.get();
-        left_at.is_none_or(|left_at| self.now().since_ms(left_at) < LEAVE_TAKE_MS)
+        self.is_backend_open()
+            && left_at.is_none_or(|left_at| self.now().since_ms(left_at) < LEAVE_TAKE_MS)
     }
 }
 
--- a/crates/node/src/node_message.rs
+++ b/crates/node/src/node_message.rs
@@ -1,10 +1,10 @@
 use member::MemberAnnouncement;
 use model::AttemptId;
 use once::{AttemptState, HolderReply, TableMark};
-use platform::{RelayBatch, RelayPull};
 use quarantine::{NewsId, SuspectNews};
 use rate::RateMessage;
 use serde::{Deserialize, Serialize};
+use streams::{RelayBatch, RelayPull};
 
 /// A control message from one node to another.
 #[derive(Debug, Serialize, Deserialize)]
--- a/crates/node/src/node_metrics.rs
+++ b/crates/node/src/node_metrics.rs
@@ -1,9 +1,9 @@
 use clock::ClockTime;
 use model::{RefusalReason, ServiceName};
-use platform::ConfigVersion;
 use prometheus::{
     HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
 };
+use streams::ConfigVersion;
 use wire::AnswerHead;
 
 /// The bounds of the latency buckets, in seconds.
--- a/crates/node/src/node_process.rs
+++ b/crates/node/src/node_process.rs
@@ -4,12 +4,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use adapter::{HttpLog, HttpSettings};
 use clock::ClockTime;
 use compio::net::TcpListener;
 use compio::runtime::spawn;
 use compio::time::{sleep, timeout};
 use member::{MemberAnnouncement, MemberState};
 use rand::Rng;
+use streams::LogHandle;
 use thiserror::Error;
 use wire::PeerServer;
 
@@ -25,6 +27,7 @@
 use crate::node_settings::NodeSettings;
 use crate::peer_port::PeerPort;
 use crate::rate_watch::{RateWatch, poll_rates};
+use crate::report_port::answer_report;
 use crate::suspect_watch::{greet_siblings, poll_suspects};
 
 /// The time between two looks at what has become due, in milliseconds.
@@ -68,22 +71,40 @@
 }
 
 impl NodeProcess {
-    /// Starts a node on the loop of this thread.
+    /// Starts a node on the loop of this thread, with the platform's log over HTTP.
     ///
     /// # Errors
     ///
     /// Returns [`NodeError::Listen`] when an address can't be listened on.
     pub async fn start(settings: NodeSettings) -> Result<Self, NodeError> {
+        let base = format!("http://{}", settings.platform_address);
+        let log = HttpLog::new(base, HttpSettings::default()).map_err(NodeError::Client)?;
+        Self::start_on(settings, LogHandle::new(log)).await
+    }
+
+    /// Starts a node on the loop of this thread, with a log of any protocol.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`NodeError::Listen`] when an address can't be listened on.
+    pub async fn start_on(settings: NodeSettings, log: LogHandle) -> Result<Self, NodeError> {
+        let mut listeners = Vec::new();
         let callers = listen("caller", settings.caller_address).await?;
         let egress = listen("egress", settings.egress_address).await?;
         let peers = listen("peer", settings.peer_address).await?;
         let admin = listen("admin", settings.admin_address).await?;
+        if let Some(reports) = settings.reports {
+            listeners.push((PortKind::Reports, listen("report", reports.address).await?));
+        }
+        if let Some(address) = settings.metrics_address {
+            listeners.push((PortKind::Metrics, listen("metrics", address).await?));
+        }
         let node = Self {
             caller_address: address_of(&callers, settings.caller_address),
             egress_address: address_of(&egress, settings.egress_address),
             peer_address: address_of(&peers, settings.peer_address),
             admin_address: address_of(&admin, settings.admin_address),
-            core: Rc::new(NodeCore::new(settings).map_err(NodeError::Client)?),
+            core: Rc::new(NodeCore::new(settings, log)),
         };
         let core = &node.core;
         spawn(serve_port(
@@ -107,6 +128,9 @@
             answer_admin,
         ))
         .detach();
+        for (kind, listener) in listeners {
+            serve_extra(core, kind, listener);
+        }
         spawn(serve_peers(Rc::clone(core), peers)).detach();
         spawn(keep_time(Rc::clone(core))).detach();
         spawn(keep_members(Rc::clone(core))).detach();
@@ -195,6 +219,23 @@
     }
 }
 
+/// What a port beside the usual ones is for.
+enum PortKind {
+    /// The backend server tells of itself.
+    Reports,
+    /// Metrics are fetched.
+    Metrics,
+}
+
+fn serve_extra(core: &Rc<NodeCore>, kind: PortKind, listener: TcpListener) {
+    let core = Rc::clone(core);
+    let user = PortUser::Operator;
+    match kind {
+        PortKind::Reports => spawn(serve_port(core, user, listener, answer_report)).detach(),
+        PortKind::Metrics => spawn(serve_port(core, user, listener, answer_admin)).detach(),
+    }
+}
+
 async fn listen(port: &'static str, address: SocketAddr) -> Result<TcpListener, NodeError> {
     let listener = TcpListener::bind(address).await;
     listener.map_err(|error| NodeError::Listen {
@@ -243,11 +284,24 @@
     core.rates.follow(&core.log, &watch).await;
 }
 
+/// Follows the claims from when a contract first has calls that must run once.
 async fn follow_claims(core: Rc<NodeCore>) {
+    while !has_once_calls(&core) {
+        sleep(Duration::from_millis(MEMBER_TICK_MS)).await;
+    }
     let watch = ClaimWatch(Rc::clone(&core));
     core.claims.follow(&core.log, &watch).await;
 }
 
+fn has_once_calls(core: &NodeCore) -> bool {
+    let contract = core.contract();
+    let mut calls = contract
+        .services
+        .values()
+        .flat_map(|service| service.calls.values());
+    calls.any(|call| call.once)
+}
+
 /// Lets time pass for what decides about requests: seldom while nothing is due.
 async fn keep_time(core: Rc<NodeCore>) {
     loop {
--- a/crates/node/src/node_settings.rs
+++ b/crates/node/src/node_settings.rs
@@ -1,8 +1,34 @@
 use std::net::{Ipv4Addr, SocketAddr};
 
+use member::MemberSettings;
 use model::{CentreName, ServiceName, VmName};
+use rate::RateSettings;
+use retry::RatioSettings;
+use streams::{FollowSettings, TrustSettings};
 use wire::{FleetSecret, LinkSettings};
 
+use crate::edge_settings::EdgeSettings;
+use crate::report_port::NoticeReader;
+
+/// The retries of a route. All calls that ran on one VM may fail at once, so as many are saved
+/// up as a large VM has slots.
+const RATIO: RatioSettings = RatioSettings {
+    per_thousand: 100,
+    max_saved: 200,
+};
+
+/// How a node hears of its backend server from that server itself.
+#[derive(Clone, Copy, Debug)]
+pub struct ReportSettings {
+    /// The address where the backend server reports.
+    pub address: SocketAddr,
+    /// Reads what it says.
+    pub read_notice: NoticeReader,
+    /// The time after its leaving for which calls that were let in before may reach it, in
+    /// milliseconds.
+    pub leave_grace_ms: u64,
+}
+
 /// Settings of a node.
 #[derive(Clone, Debug)]
 pub struct NodeSettings {
@@ -40,6 +66,24 @@
     pub head_limit_ms: u64,
     /// The settings of links to other nodes.
     pub link: LinkSettings,
+    /// How the node speaks with callers and with the backend server.
+    pub edge: EdgeSettings,
+    /// How the backend server tells of itself; without, it is taken to be there for good.
+    pub reports: Option<ReportSettings>,
+    /// An address for metrics alone, beside the admin address.
+    pub metrics_address: Option<SocketAddr>,
+    /// The largest body that is read whole before it is sent on, in bytes.
+    pub whole_body_bytes: u64,
+    /// The retries that the calls of a service may spend at this node.
+    pub retry_ratio: RatioSettings,
+    /// How the streams of the log are followed.
+    pub follow: FollowSettings,
+    /// For how long keys are trusted without news.
+    pub trust: TrustSettings,
+    /// How membership is kept.
+    pub members: MemberSettings,
+    /// How the teams are kept to their rates.
+    pub rates: RateSettings,
 }
 
 impl NodeSettings {
@@ -65,6 +109,15 @@
             stall_limit_ms: 30_000,
             head_limit_ms: 10_000,
             link: LinkSettings::default(),
+            edge: EdgeSettings::default(),
+            reports: None,
+            metrics_address: None,
+            whole_body_bytes: 64 * 1024,
+            retry_ratio: RATIO,
+            follow: FollowSettings::default(),
+            trust: TrustSettings::default(),
+            members: MemberSettings::default(),
+            rates: RateSettings::default(),
         }
     }
 }
--- a/crates/node/src/peer_port.rs
+++ b/crates/node/src/peer_port.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use model::VmName;
-use platform::{ClaimShard, LogStream, RelayBatch, RelayPull};
+use streams::{ClaimShard, LogStream, RelayBatch, RelayPull};
 use wire::{AnswerHead, CallHead, LinkBody, PeerHandler};
 
 use crate::answer_body::AnswerBody;
--- a/crates/node/src/rate_state.rs
+++ b/crates/node/src/rate_state.rs
@@ -1,6 +1,6 @@
 use clock::ClockTime;
-use platform::{LogOffset, LogRecord, RecordBody, RelaySnapshot, StreamFold};
 use rate::{RateRecord, RateSnapshot, TeamLimiter};
+use streams::{LogOffset, LogRecord, RecordBody, RelaySnapshot, StreamFold};
 
 /// The limiter of the teams' rates, fed by the stream of tables and leases.
 pub(crate) struct RateState {
--- a/crates/node/src/rate_watch.rs
+++ b/crates/node/src/rate_watch.rs
@@ -4,8 +4,8 @@
 use clock::ClockTime;
 use compio::time::timeout;
 use model::{RefusalReason, TeamName, VmName};
-use platform::{LogStream, NewRecord, PlatformLog, RecordBody, RelayBatch, RelayPull};
 use rate::{RateAction, RateDecision, RateMessage, TeamRate};
+use streams::{LogStream, NewRecord, PlatformLog, RecordBody, RelayBatch, RelayPull};
 
 use crate::call_answer::CallRefusal;
 use crate::config_watch::pull_from;
--- /dev/null
+++ b/crates/node/src/report_port.rs
@@ -0,0 +1,93 @@
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use member::{BackendNotice, NoticeOutcome};
+use thiserror::Error;
+
+use crate::answer_body::AnswerBody;
+use crate::call_body::CallBody;
+use crate::node_core::NodeCore;
+
+/// The longest notice of a backend server, in bytes; a real one has a few hundred.
+const MAX_NOTICE_BYTES: usize = 16 * 1024;
+
+/// Why a notice of a backend server can't be used.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum NoticeError {
+    /// The call isn't one by which backend servers speak.
+    #[error("no such call")]
+    UnknownCall,
+    /// The content can't be understood.
+    #[error("{0}")]
+    Malformed(String),
+}
+
+/// Reads the method, the path and the content of what a backend server tells of itself.
+pub type NoticeReader = fn(&Method, &str, &[u8]) -> Result<BackendNotice, NoticeError>;
+
+/// Answers a backend server that tells of itself.
+///
+/// What it says holds before the answer goes out: one that leaves gets no more new calls.
+pub(crate) async fn answer_report(
+    core: Rc<NodeCore>,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let (parts, body) = request.into_parts();
+    let Some(reports) = core.settings.reports else {
+        return status_response(StatusCode::NOT_FOUND);
+    };
+    let body = match Limited::new(body, MAX_NOTICE_BYTES).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) => {
+            log::warn!("event=notice-cut error={:?}", error.to_string());
+            return status_response(StatusCode::BAD_REQUEST);
+        }
+    };
+    match (reports.read_notice)(&parts.method, parts.uri.path(), &body) {
+        Ok(notice) => {
+            take_notice(&core, &notice);
+            status_response(StatusCode::OK)
+        }
+        Err(NoticeError::UnknownCall) => status_response(StatusCode::NOT_FOUND),
+        Err(error) => {
+            log::warn!("event=notice-refused error={:?}", error.to_string());
+            status_response(StatusCode::BAD_REQUEST)
+        }
+    }
+}
+
+/// Takes in what a backend server tells of itself.
+fn take_notice(core: &NodeCore, notice: &BackendNotice) {
+    let now = core.now();
+    let outcome = core.backend_watch.borrow_mut().take(now, notice);
+    let slots = core.backend_watch.borrow().slots();
+    match outcome {
+        NoticeOutcome::Known => return,
+        NoticeOutcome::Started => core.gate.reset(),
+        NoticeOutcome::Changed | NoticeOutcome::Late | NoticeOutcome::Foreign => {}
+    }
+    if let Some(slots) = slots {
+        core.gate.set_slots(slots);
+    }
+    core.activity.notify();
+    log::info!(
+        "event=backend-notice backend={} outcome={} slots={} sequence={} born_ms={} leaving={}",
+        notice.backend(),
+        outcome.as_str(),
+        slots.unwrap_or(0),
+        notice.sequence(),
+        notice.born_ms(),
+        notice.is_leaving(),
+    );
+}
+
+fn status_response(status: StatusCode) -> Response<AnswerBody> {
+    let body = if status.is_success() { "{}" } else { "" };
+    let body = CallBody::Whole(Bytes::from_static(body.as_bytes()));
+    let mut response = Response::new(AnswerBody::from(body));
+    *response.status_mut() = status;
+    response
+}
--- a/crates/node/src/request_body.rs
+++ b/crates/node/src/request_body.rs
@@ -16,9 +16,6 @@
 use crate::http_body::HttpBody;
 use crate::node_core::NodeCore;
 
-/// The largest body that is read whole before it is sent on, in bytes.
-const SMALL_BODY_BYTES: u64 = 64 * 1024;
-
 /// The most of a refused request's body that is read, in bytes.
 const MAX_SKIPPED_BYTES: usize = 1024 * 1024;
 /// The longest time that a refused request's body is read on, in milliseconds.
@@ -37,7 +34,7 @@
     let body = HttpBody::new(body, core.settings.stall_limit_ms);
     match body.size_hint().exact() {
         Some(0) => return Ok(CallBody::Empty),
-        Some(bytes) if bytes <= SMALL_BODY_BYTES => {}
+        Some(bytes) if bytes <= core.settings.whole_body_bytes => {}
         _ => return Ok(CallBody::Upload(body)),
     }
     let left = Duration::from_millis(core.now().until_ms(deadline));
@@ -91,7 +88,7 @@
     };
     match told {
         Some(0) => return Ok(CallBody::Empty),
-        Some(bytes) if bytes <= SMALL_BODY_BYTES => {}
+        Some(bytes) if bytes <= core.settings.whole_body_bytes => {}
         _ => return Ok(CallBody::Link(link)),
     }
     let left = Duration::from_millis(core.now().until_ms(deadline));
--- a/crates/node/src/resend_charge.rs
+++ b/crates/node/src/resend_charge.rs
@@ -9,9 +9,6 @@
 use crate::call_headers::idempotency_key;
 use crate::node_core::NodeCore;
 
-/// The retries that a request without an idempotency key may spend over its whole chain.
-const KEYLESS_ALLOWANCE: u32 = 3;
-
 /// The time after which a caller may send a request again whose retries are spent, in
 /// milliseconds.
 const RESENDS_SPENT_MS: u64 = 60_000;
@@ -68,14 +65,14 @@
 }
 
 impl ResendCharge {
-    /// Opens the charge of a request, or returns `None` when its retries are spent.
+    /// Opens the charge of a request whose head holds its allowance, or returns `None` when its retries are spent.
     ///
     /// A call that must run once goes on without retries: its duplicates don't run, and their
     /// caller may be waiting for the answer of the first.
     pub(crate) fn open(core: &Rc<NodeCore>, head: &CallHead) -> Option<Self> {
         let key = resend_key(head);
         let allowance = match key {
-            None => KEYLESS_ALLOWANCE,
+            None => head.allowance,
             Some(key) => match core.resends.borrow_mut().open(core.now(), key) {
                 ResendDecision::First(share) | ResendDecision::Resend(share) => share.retries(),
                 ResendDecision::Exhausted if head.once => 0,
--- a/crates/node/src/state_dump.rs
+++ b/crates/node/src/state_dump.rs
@@ -2,8 +2,8 @@
 
 use limit::LoadReport;
 use model::{CentreName, ServiceName, VmName};
-use platform::ConfigVersion;
 use serde::Serialize;
+use streams::ConfigVersion;
 
 use crate::node_core::NodeCore;
 
--- a/crates/node/src/stream_host.rs
+++ b/crates/node/src/stream_host.rs
@@ -6,9 +6,9 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use model::VmName;
-use platform::{FollowAction, FollowSettings, PlatformLog, RelayBatch, RelayPull, StreamFeed};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use streams::{FollowAction, FollowSettings, PlatformLog, RelayBatch, RelayPull, StreamFeed};
 
 use crate::change_notifier::ChangeNotifier;
 use crate::node_clock::NodeClock;
--- a/crates/node/tests/bad_input.rs
+++ b/crates/node/tests/bad_input.rs
@@ -13,10 +13,10 @@
 use fleet::{CONTRACT, Fleet, KEY};
 use hyper_util::rt::TokioIo;
 use model::VmName;
-use platform::{ConfigRecord, ConfigVersion};
 use raw::{read_to_end, send_raw};
 use rstest::rstest;
 use standin::{BackendSettings, LogFaults};
+use streams::{ConfigRecord, ConfigVersion};
 use wire::{FleetSecret, LinkError, LinkSettings, PeerLink};
 
 /// The longest that anything in these tests is waited for.
--- a/crates/node/tests/faults_keys.rs
+++ b/crates/node/tests/faults_keys.rs
@@ -8,8 +8,8 @@
 use compio::time::sleep;
 use fleet::{Fleet, KEY};
 use log::{LevelFilter, Log, Metadata, Record};
-use platform::{LogOffset, LogStream};
 use rstest::rstest;
+use streams::{LogOffset, LogStream};
 
 static LINES: Mutex<Vec<String>> = Mutex::new(Vec::new());
 
--- a/crates/node/tests/faults_log.rs
+++ b/crates/node/tests/faults_log.rs
@@ -6,9 +6,9 @@
 
 use compio::time::sleep;
 use fleet::{Fleet, KEY};
-use platform::{ConfigRecord, KeyDigest};
 use rstest::rstest;
 use standin::{BackendSettings, LogFaults, LogOutage};
+use streams::{ConfigRecord, KeyDigest};
 
 /// The time in which a withdrawn key stops working.
 const WITHDRAWN_WITHIN: Duration = Duration::from_secs(5);
--- a/crates/node/tests/fleet/mod.rs
+++ b/crates/node/tests/fleet/mod.rs
@@ -12,11 +12,11 @@
 use compio::time::sleep;
 use lentilshift_node::{NodeProcess, NodeSettings};
 use model::{RecordId, ServiceName, TeamName, VmName};
-use platform::{
+use standin::{BackendCall, BackendServer, BackendSettings, LogControl, LogServer};
+use streams::{
     AppendError, ConfigRecord, ConfigVersion, KeyDigest, LogStream, NewRecord, PlatformLog,
     RecordBody,
 };
-use standin::{BackendCall, BackendServer, BackendSettings, LogControl, LogServer};
 use wire::{FleetSecret, LinkSettings};
 
 /// The key that the tests' callers use.
--- a/crates/rate/src/rate_allocator/lease_steps.rs
+++ b/crates/rate/src/rate_allocator/lease_steps.rs
@@ -201,6 +201,14 @@
         self.book.fill_all(now, fold, settings);
     }
 
+    /// Tells whether an earlier start of this node holds the lease.
+    ///
+    /// That one is dead, as this start has its addresses; only its grants may live on.
+    fn is_own_past(&self, state: &LeaseState) -> bool {
+        let holder = state.record.holder.as_ref();
+        holder.is_some_and(|holder| *holder != self.vm && holder.machine() == self.vm.machine())
+    }
+
     /// Tells whether the lease, this node's promise and every grant under them have lapsed.
     fn may_take_over(
         &self,
@@ -233,7 +241,9 @@
             let free_at = state.read_at.plus_ms(life_ms + place * RELEASE_STEP_MS);
             return now >= free_at;
         }
-        let life_ms = if place.is_some() {
+        let life_ms = if self.is_own_past(state) {
+            0
+        } else if place.is_some() {
             settings.lease_ms
         } else {
             settings.abandon_ms
--- a/crates/standin/src/log_server.rs
+++ b/crates/standin/src/log_server.rs
@@ -18,8 +18,8 @@
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
-use platform::{LogOffset, LogStream, NewRecord, ReadError};
 use serde::{Deserialize, Serialize};
+use streams::{LogOffset, LogStream, NewRecord, ReadError};
 
 use crate::{LogFaults, LogOutage, LogStore};
 
--- a/crates/standin/src/log_store.rs
+++ b/crates/standin/src/log_store.rs
@@ -1,7 +1,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use clock::ClockTime;
-use platform::{AppendReceipt, LogOffset, LogRecord, LogStream, NewRecord, ReadBatch, ReadError};
+use streams::{AppendReceipt, LogOffset, LogRecord, LogStream, NewRecord, ReadBatch, ReadError};
 
 /// The most records in one answer.
 const MAX_BATCH_RECORDS: usize = 1_000;
@@ -14,7 +14,7 @@
 /// use clock::ClockTime;
 /// use lentilshift_standin::LogStore;
 /// use model::RecordId;
-/// use platform::{LogOffset, LogStream, NewRecord, RecordBody};
+/// use streams::{LogOffset, LogStream, NewRecord, RecordBody};
 ///
 /// let mut store = LogStore::default();
 /// let record = NewRecord { id: RecordId::from_random(1), body: RecordBody::new("{}") };
--- a/crates/platform/examples/config_slopes.rs
+++ b/crates/streams/examples/config_slopes.rs
@@ -3,7 +3,7 @@
 use std::{hint::black_box, time::Instant};
 
 use clock::ClockTime;
-use lentilshift_platform::{
+use lentilshift_streams::{
     ConfigFeed, ConfigFold, ConfigRecord, ConfigVersion, FeedSettings, FollowAction, KeyDigest,
     KeyFold, LogOffset, LogRecord, LogStream, ReadBatch, RecordBody, RelayPull,
 };
--- a/crates/platform/src/claim_shard.rs
+++ b/crates/streams/src/claim_shard.rs
@@ -31,7 +31,7 @@
 /// # Examples
 ///
 /// ```
-/// use lentilshift_platform::ClaimShard;
+/// use lentilshift_streams::ClaimShard;
 ///
 /// let shard = ClaimShard::of(&"filings".into());
 /// assert!(shard.index() < ClaimShard::COUNT);
--- a/crates/platform/src/config_feed.rs
+++ b/crates/streams/src/config_feed.rs
@@ -173,7 +173,8 @@
 
     /// Returns the state to append now, or `None` when none is due.
     pub fn due_snapshot<R: Rng>(&mut self, now: ClockTime, rng: &mut R) -> Option<RecordBody> {
-        if self.follower.next() == crate::LogOffset::ZERO || self.follower.fault().is_some() {
+        let is_begun = self.follower.next() != crate::LogOffset::ZERO;
+        if !is_begun || self.fold.is_replaced() || self.follower.fault().is_some() {
             return None;
         }
         let snapshot = self.fold.snapshot()?;
--- a/crates/platform/src/config_fold.rs
+++ b/crates/streams/src/config_fold.rs
@@ -1,8 +1,8 @@
 use std::sync::Arc;
 
 use crate::{
-    ChangeError, ConfigRecord, ConfigSnapshot, ConfigVersion, KeyFold, LogOffset, LogRecord,
-    RecordOutcome, TextChange, TextDigest,
+    ChangeError, ConfigRecord, ConfigReplacement, ConfigSnapshot, ConfigVersion, KeyFold,
+    LogOffset, LogRecord, RecordOutcome, TextChange, TextDigest,
 };
 
 /// The most records kept while a snapshot is waited for.
@@ -51,7 +51,7 @@
 /// # Examples
 ///
 /// ```
-/// use lentilshift_platform::{ConfigFold, ConfigRecord, ConfigVersion, RecordOutcome};
+/// use lentilshift_streams::{ConfigFold, ConfigRecord, ConfigVersion, RecordOutcome};
 ///
 /// let mut fold = ConfigFold::new(|_: &str| Ok(()));
 /// let record = ConfigRecord::publish(ConfigVersion::NONE, "", "first text");
@@ -68,6 +68,8 @@
     keys: KeyFold,
     next: LogOffset,
     waiting: Option<WaitingRecords>,
+    /// Whether each record replaces all of the state, so that no snapshot is needed.
+    is_replaced: bool,
 }
 
 /// The records after a gap, kept until a snapshot tells what the gap held.
@@ -102,6 +104,7 @@
             keys: KeyFold::default(),
             next: LogOffset::ZERO,
             waiting: None,
+            is_replaced: false,
         }
     }
 
@@ -141,6 +144,12 @@
         self.waiting.is_none()
     }
 
+    /// Returns whether each record replaces all of the state.
+    #[must_use]
+    pub const fn is_replaced(&self) -> bool {
+        self.is_replaced
+    }
+
     /// Returns the state as a snapshot, or `None` while it isn't whole.
     #[must_use]
     pub fn snapshot(&self) -> Option<ConfigSnapshot> {
@@ -153,6 +162,7 @@
             valid_version: self.in_force.version,
             valid_text,
             keys: self.keys.clone(),
+            is_replaced: self.is_replaced,
         })
     }
 
@@ -184,6 +194,10 @@
             let covers = snapshot.covers;
             return RecordOutcome::Repeated { covers };
         }
+        if let ConfigRecord::Replace(state) = &change {
+            self.waiting = None;
+            return self.replace(state);
+        }
         if is_new && self.waiting.is_some() {
             return self.wait_with(record, &change);
         }
@@ -200,6 +214,8 @@
             } => self.publish(*base, digest, change),
             ConfigRecord::Grant { digest, team } => self.keys.grant(*digest, team),
             ConfigRecord::Withdraw { digest } => self.keys.withdraw(*digest),
+            ConfigRecord::Replace(state) => self.replace(state),
+            ConfigRecord::Superseded => RecordOutcome::Superseded,
             ConfigRecord::Snapshot(snapshot) => {
                 self.adopt(snapshot);
                 let covers = snapshot.covers;
@@ -210,6 +226,10 @@
 
     /// Takes in a snapshot, from the log or from a peer; nothing is ever reverted.
     pub fn adopt(&mut self, snapshot: &ConfigSnapshot) {
+        if snapshot.is_replaced {
+            self.adopt_replaced(snapshot);
+            return;
+        }
         self.keys.merge_withdrawn(&snapshot.keys);
         let is_news = match &self.waiting {
             Some(waiting) => snapshot.covers >= waiting.from,
@@ -228,6 +248,31 @@
         }
     }
 
+    /// Takes in the state of a stream whose records replace all of it.
+    fn adopt_replaced(&mut self, snapshot: &ConfigSnapshot) {
+        self.is_replaced = true;
+        if snapshot.version > self.newest.version {
+            self.keys = snapshot.keys.clone();
+            self.adopt_text(snapshot);
+        }
+        if snapshot.covers >= self.next {
+            self.next = snapshot.covers;
+            self.waiting = None;
+        }
+    }
+
+    /// Puts a text and its keys in the place of the present ones, unless these are newer.
+    fn replace(&mut self, state: &ConfigReplacement) -> RecordOutcome {
+        self.is_replaced = true;
+        let now = self.newest.version;
+        if state.version <= now {
+            let base = state.version;
+            return RecordOutcome::Stale { base, now };
+        }
+        self.keys = KeyFold::of_granted(&state.keys);
+        self.put_newest(state.version, &state.text)
+    }
+
     fn replay(&mut self, waiting: &WaitingRecords, from: LogOffset) {
         let later = waiting
             .records
--- a/crates/platform/src/config_record.rs
+++ b/crates/streams/src/config_record.rs
@@ -1,3 +1,4 @@
+use std::collections::BTreeMap;
 use std::fmt;
 
 use model::TeamName;
@@ -66,10 +67,25 @@
         /// The key's digest.
         digest: KeyDigest,
     },
+    /// Replaces text and keys at once, on a platform whose operators publish all of both.
+    Replace(ConfigReplacement),
+    /// Stands for a record that a later one had replaced before it was read.
+    Superseded,
     /// Repeats the state, so that it outlives the records that led to it.
     Snapshot(ConfigSnapshot),
 }
 
+/// A text with all keys that hold from it on.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigReplacement {
+    /// The version that the operators gave it, above all earlier ones.
+    pub version: ConfigVersion,
+    /// The text.
+    pub text: String,
+    /// The keys by digest, with the teams that they stand for.
+    pub keys: BTreeMap<KeyDigest, TeamName>,
+}
+
 impl ConfigRecord {
     /// Creates the publication of a new text in place of the one of version `base`.
     #[must_use]
@@ -126,6 +142,8 @@
         /// The offset that the state covers the stream to.
         covers: LogOffset,
     },
+    /// A later record had replaced this one before it was read.
+    Superseded,
     /// The record can't be understood.
     Unreadable,
     /// The record waits for a snapshot, since records before it are gone.
@@ -162,6 +180,7 @@
             Self::KeyWithdrawnBefore => formatter
                 .write_str("rejected: the key was withdrawn, which is for good; grant a new key"),
             Self::Repeated { .. } => formatter.write_str("state repeated"),
+            Self::Superseded => formatter.write_str("replaced before it was read"),
             Self::Unreadable => formatter.write_str("rejected: the record can't be understood"),
             Self::Waiting => formatter.write_str("waiting for a snapshot"),
         }
--- a/crates/platform/src/config_snapshot.rs
+++ b/crates/streams/src/config_snapshot.rs
@@ -17,4 +17,7 @@
     pub valid_text: Option<String>,
     /// The keys granted and withdrawn.
     pub keys: KeyFold,
+    /// Whether each record of the stream replaces all of the state.
+    #[serde(default)]
+    pub is_replaced: bool,
 }
--- a/crates/platform/src/fold_feed.rs
+++ b/crates/streams/src/fold_feed.rs
@@ -36,9 +36,9 @@
 impl<S: StreamFold> FoldFeed<S> {
     /// Creates a feed that has read nothing yet.
     #[must_use]
-    pub fn new(stream: LogStream, fold: S) -> Self {
+    pub fn new(stream: LogStream, follow: FollowSettings, fold: S) -> Self {
         Self {
-            follower: StreamFollower::new(stream, FollowSettings::default()),
+            follower: StreamFollower::new(stream, follow),
             relay: RecordRelay::new(stream, RelaySettings::default()),
             fold,
         }
--- a/crates/platform/src/key_digest.rs
+++ b/crates/streams/src/key_digest.rs
@@ -8,7 +8,7 @@
 /// # Examples
 ///
 /// ```
-/// use lentilshift_platform::KeyDigest;
+/// use lentilshift_streams::KeyDigest;
 ///
 /// let digest = KeyDigest::of_key(b"a secret");
 /// assert_eq!(KeyDigest::parse(&digest.to_string()), Some(digest));
--- a/crates/platform/src/key_fold.rs
+++ b/crates/streams/src/key_fold.rs
@@ -40,6 +40,15 @@
         self.withdrawn.len()
     }
 
+    /// Creates the keys of a stream whose records list all keys in force.
+    #[must_use]
+    pub fn of_granted(granted: &BTreeMap<KeyDigest, TeamName>) -> Self {
+        Self {
+            granted: granted.clone(),
+            withdrawn: BTreeSet::new(),
+        }
+    }
+
     /// Grants a key to a team, unless it was withdrawn or belongs to another team.
     pub fn grant(&mut self, digest: KeyDigest, team: &TeamName) -> RecordOutcome {
         if self.is_withdrawn(&digest) {
--- a/crates/platform/src/news_time.rs
+++ b/crates/streams/src/news_time.rs
@@ -6,7 +6,7 @@
 ///
 /// ```
 /// use clock::ClockTime;
-/// use lentilshift_platform::NewsTime;
+/// use lentilshift_streams::NewsTime;
 ///
 /// let time = NewsTime::before(ClockTime::from_ms(10), 5_000);
 /// assert_eq!(time.age_ms(ClockTime::from_ms(30)), 5_020);
--- a/crates/platform/tests/claim_shard.rs
+++ b/crates/streams/tests/claim_shard.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use lentilshift_platform::{ClaimShard, LogStream};
+use lentilshift_streams::{ClaimShard, LogStream};
 use rstest::rstest;
 
 /// A service's shard must never change: its claims would be forgotten.
--- a/crates/platform/tests/fleet/mod.rs
+++ b/crates/streams/tests/fleet/mod.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use clock::ClockTime;
-use lentilshift_platform::{
+use lentilshift_streams::{
     AppendError, ConfigFeed, ConfigFold, ConfigRecord, FeedSettings, FollowAction, FollowSettings,
     KeyAnswer, KeyDigest, LogOffset, LogStream, NewRecord, PlanSettings, ReadBatch, ReadError,
     RecordBody, RecordOutcome, RelayBatch, RelayPlan, RelayPull, SnapshotSettings,
--- a/crates/platform/tests/fleet_cases.rs
+++ b/crates/streams/tests/fleet_cases.rs
@@ -3,7 +3,7 @@
 mod fleet;
 
 use fleet::{SimFleet, TICK_MS};
-use lentilshift_platform::{
+use lentilshift_streams::{
     ConfigRecord, ConfigVersion, KeyAnswer, KeyDigest, NewRecord, PlanSettings, RecordBody,
     TrustState,
 };
@@ -123,7 +123,7 @@
     #[case] one_by_one: bool,
 ) {
     run(&mut fleet, 3 * fleet::RETENTION_MS);
-    assert!(fleet.read(lentilshift_platform::LogOffset::new(1)).is_err());
+    assert!(fleet.read(lentilshift_streams::LogOffset::new(1)).is_err());
     for index in 0..NODES {
         fleet.replace(index);
         run(&mut fleet, if one_by_one { 2_000 } else { 0 });
--- a/crates/platform/tests/fleet_schedules.rs
+++ b/crates/streams/tests/fleet_schedules.rs
@@ -7,7 +7,7 @@
 
 use clock::ClockTime;
 use fleet::{Check, SimFleet};
-use lentilshift_platform::{
+use lentilshift_streams::{
     AppendReceipt, AttemptAction, AttemptSettings, AttemptStatus, ConfigFold, ConfigRecord,
     ConfigVersion, KeyDigest, LogOffset, ReadBatch, ReadError, RecordAttempt, TrustState,
 };
@@ -344,7 +344,7 @@
     }
 }
 
-fn whole_snapshot(fleet: &SimFleet) -> Option<lentilshift_platform::ConfigSnapshot> {
+fn whole_snapshot(fleet: &SimFleet) -> Option<lentilshift_streams::ConfigSnapshot> {
     let mut snapshot = fleet.oracle.snapshot()?;
     snapshot.covers = fleet.store.end(fleet::STREAM);
     Some(snapshot)
--- a/crates/platform/tests/key_digest.rs
+++ b/crates/streams/tests/key_digest.rs
@@ -1,6 +1,6 @@
 //! Digests of keys: their text form, and that no key shows.
 
-use lentilshift_platform::KeyDigest;
+use lentilshift_streams::KeyDigest;
 use rstest::rstest;
 
 const ABC_DIGEST: &str = "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad";
--- a/crates/platform/tests/key_trust.rs
+++ b/crates/streams/tests/key_trust.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use clock::ClockTime;
-use lentilshift_platform::{CentreOutage, KeyTrust, NewsTime, TrustSettings, TrustState};
+use lentilshift_streams::{CentreOutage, KeyTrust, NewsTime, TrustSettings, TrustState};
 use model::CentreName;
 use rstest::rstest;
 
--- a/crates/platform/tests/naive_fold.rs
+++ b/crates/streams/tests/naive_fold.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use clock::ClockTime;
-use lentilshift_platform::{
+use lentilshift_streams::{
     AppendError, AttemptAction, AttemptSettings, AttemptStatus, ConfigFold, ConfigRecord,
     ConfigVersion, KeyDigest, LogOffset, LogRecord, LogStream, NewRecord, ReadError, RecordAttempt,
     RecordBody, RecordOutcome,
--- a/crates/platform/tests/partitions/mod.rs
+++ b/crates/streams/tests/partitions/mod.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 
 use clock::ClockTime;
-use lentilshift_platform::PlanSettings;
+use lentilshift_streams::PlanSettings;
 use model::CentreName;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
--- a/crates/platform/tests/text_change.rs
+++ b/crates/streams/tests/text_change.rs
@@ -1,6 +1,6 @@
 //! Changes of texts, and records that no honest writer appends.
 
-use lentilshift_platform::{
+use lentilshift_streams::{
     ConfigFold, ConfigRecord, ConfigSnapshot, ConfigVersion, LogOffset, LogRecord, RecordBody,
     RecordOutcome, TextChange, TextDigest,
 };
