perf(streams): read the log less often

Cause: each record woke every reader for a read of its own, and a hedged read stayed beside every later one. Ruled out: the configuration's long polls, 0.5 a second and node.

--- a/crates/node/src/fleet_bounds.rs
+++ b/crates/node/src/fleet_bounds.rs
@@ -1,7 +1,7 @@
 use member::MemberSettings;
 use rate::RateSettings;
 use retry::RatioSettings;
-use streams::{FollowSettings, TrustSettings};
+use streams::{FollowSettings, PlanSettings, TrustSettings};
 
 use crate::node_settings::NodeSettings;
 
@@ -45,6 +45,18 @@
 /// The time that a read of the log waits for news, in milliseconds: two such waits and an answer
 /// are younger than the news that keys are trusted by.
 const READ_WAIT_MS: u64 = 1_900;
+/// The same for the streams that tell of members and leases; news ends the wait at once.
+const OTHERS_WAIT_MS: u64 = 1_200;
+/// The shortest time between two reads of these, in milliseconds; a start or a leave reaches
+/// other nodes directly as well, and a lease outlasts several such gaps.
+const OTHERS_GAP_MS: u64 = 700;
+/// The time that a question to another node for these waits for news, in milliseconds.
+const OTHERS_PULL_MS: u64 = 1_000;
+/// The nodes of a data centre that read the configuration themselves, so that each learns of a
+/// withdrawn key without another node; beyond that number it goes from node to node.
+const CONFIG_READERS: usize = 24;
+/// The nodes of a data centre that read the other streams.
+const OTHERS_READERS: usize = 1;
 /// The time beyond a read's wait after which another is asked for beside it, in milliseconds.
 const HEDGE_MS: u64 = 600;
 /// The part of the allowed retries that nodes spend, as those of the calls that a repeated run
@@ -87,6 +99,23 @@
                 pull_after_ms: 2 * READ_WAIT_MS + HEDGE_MS / 2,
                 ..FollowSettings::default()
             },
+            follow_others: FollowSettings {
+                read_wait_ms: OTHERS_WAIT_MS,
+                read_gap_ms: OTHERS_GAP_MS,
+                hedge_after_ms: OTHERS_WAIT_MS + HEDGE_MS,
+                pull_wait_ms: OTHERS_PULL_MS,
+                pull_after_ms: 2 * OTHERS_WAIT_MS + HEDGE_MS / 2,
+                direct_after_ms: 2 * OTHERS_WAIT_MS + HEDGE_MS,
+                ..FollowSettings::default()
+            },
+            plan: PlanSettings {
+                readers: CONFIG_READERS,
+                ..PlanSettings::default()
+            },
+            plan_others: PlanSettings {
+                readers: OTHERS_READERS,
+                ..PlanSettings::default()
+            },
             trust: TrustSettings {
                 fresh_ms: bounds.revoke_ms.saturating_sub(KEY_MARGIN_MS),
                 outage_ms: if bounds.is_fail_closed {
--- a/crates/node/src/fleet_watch.rs
+++ b/crates/node/src/fleet_watch.rs
@@ -93,44 +93,65 @@
     });
     core.ready_members
         .set(by_centre.values().map(Vec::len).sum());
-    let mut plan = plan_for(core, &by_centre);
-    if plan.sources().is_empty() {
-        plan = seed_plan(core);
-    }
-    let claims_plan = plan_for(core, &of_shard);
+    let settings = &core.settings;
+    let plan_by = |settings: &PlanSettings| {
+        let plan = plan_for(core, &by_centre, settings);
+        if plan.sources().is_empty() {
+            seed_plan(core)
+        } else {
+            plan
+        }
+    };
+    let plans = StreamPlans {
+        config: plan_by(&settings.plan),
+        others: plan_by(&settings.plan_others),
+    };
+    let claims_plan = plan_for(core, &of_shard, &settings.plan_others);
     core.claims.with(|feed| feed.set_plan(claims_plan));
     let readers = by_centre.iter().map(|(centre, names)| {
-        let readers = RelayPlan::readers(names, &PlanSettings::default());
+        let readers = RelayPlan::readers(names, &settings.plan);
         (centre.clone(), readers.len())
     });
-    use_plan(core, &plan, readers.collect(), has_peers);
+    use_plans(core, &plans, readers.collect(), has_peers);
 }
 
 /// Plans whom this node asks among some VMs that take work.
-fn plan_for(core: &NodeCore, by_centre: &BTreeMap<CentreName, Vec<VmName>>) -> RelayPlan {
-    let settings = PlanSettings::default();
+fn plan_for(
+    core: &NodeCore,
+    by_centre: &BTreeMap<CentreName, Vec<VmName>>,
+    settings: &PlanSettings,
+) -> RelayPlan {
     let own = &core.settings;
     let local = by_centre.get(&own.centre).map_or(&[][..], Vec::as_slice);
     let others = by_centre
         .iter()
         .filter(|(centre, _)| **centre != own.centre);
     let remote: Vec<VmName> = others
-        .flat_map(|(_, names)| RelayPlan::readers(names, &settings))
+        .flat_map(|(_, names)| RelayPlan::readers(names, settings))
         .collect();
-    RelayPlan::new(&own.vm, local, &remote, &settings)
+    RelayPlan::new(&own.vm, local, &remote, settings)
 }
 
-/// Follows the streams that all nodes read by a plan.
-pub(crate) fn use_plan(
+/// Whom a node asks for news of the streams that all nodes follow.
+pub(crate) struct StreamPlans {
+    pub(crate) config: RelayPlan,
+    pub(crate) others: RelayPlan,
+}
+
+/// Follows the streams that all nodes read by their plans.
+pub(crate) fn use_plans(
     core: &NodeCore,
-    plan: &RelayPlan,
+    plans: &StreamPlans,
     readers: BTreeMap<CentreName, usize>,
     has_peers: bool,
 ) {
-    core.fleet.with(|feed| feed.set_plan(plan.clone()));
-    core.rates.with(|feed| feed.set_plan(plan.clone()));
-    core.config
-        .with(|state| state.feed.set_members(plan.clone(), readers, has_peers));
+    core.fleet.with(|feed| feed.set_plan(plans.others.clone()));
+    core.rates.with(|feed| feed.set_plan(plans.others.clone()));
+    core.config.with(|state| {
+        state
+            .feed
+            .set_members(plans.config.clone(), readers, has_peers)
+    });
 }
 
 /// Plans by the addresses of the settings, for a node that knows no member yet.
--- a/crates/node/src/node_core.rs
+++ b/crates/node/src/node_core.rs
@@ -105,7 +105,7 @@
         let clock = NodeClock::start();
         let fleet = MemberFold::new(settings.members);
         let watch = BackendWatch::new(settings.service.clone(), settings.backend_address);
-        let follow = settings.follow;
+        let follow = settings.follow_others;
         let rates = RateState {
             limiter: TeamLimiter::new(
                 settings.vm.clone(),
--- a/crates/node/src/node_process.rs
+++ b/crates/node/src/node_process.rs
@@ -21,7 +21,7 @@
 use crate::config_watch::{ConfigWatch, repeat_config};
 use crate::egress::answer_backend;
 use crate::entry::answer_caller;
-use crate::fleet_watch::{FleetWatch, put_members, seed_plan, use_plan};
+use crate::fleet_watch::{FleetWatch, StreamPlans, put_members, seed_plan, use_plans};
 use crate::http_port::{PortUser, serve_port};
 use crate::node_core::NodeCore;
 use crate::node_settings::NodeSettings;
@@ -140,9 +140,12 @@
 
     fn follow_log(&self) {
         let core = &self.core;
-        let plan = seed_plan(core);
+        let plans = StreamPlans {
+            config: seed_plan(core),
+            others: seed_plan(core),
+        };
         let has_peers = !core.settings.peers.is_empty();
-        use_plan(core, &plan, BTreeMap::new(), has_peers);
+        use_plans(core, &plans, BTreeMap::new(), has_peers);
         spawn(follow_config(Rc::clone(core))).detach();
         spawn(follow_fleet(Rc::clone(core))).detach();
         spawn(follow_rates(Rc::clone(core))).detach();
--- a/crates/node/src/node_settings.rs
+++ b/crates/node/src/node_settings.rs
@@ -4,7 +4,7 @@
 use model::{CentreName, ServiceName, VmName};
 use rate::RateSettings;
 use retry::RatioSettings;
-use streams::{FollowSettings, TrustSettings};
+use streams::{FollowSettings, PlanSettings, TrustSettings};
 use wire::{FleetSecret, LinkSettings};
 
 use crate::edge_settings::EdgeSettings;
@@ -76,8 +76,14 @@
     pub whole_body_bytes: u64,
     /// The retries that the calls of a service may spend at this node.
     pub retry_ratio: RatioSettings,
-    /// How the streams of the log are followed.
+    /// How the configuration is followed.
     pub follow: FollowSettings,
+    /// How the other streams of the log are followed.
+    pub follow_others: FollowSettings,
+    /// How many nodes of a data centre read the configuration, and how it goes on to the others.
+    pub plan: PlanSettings,
+    /// The same for the other streams.
+    pub plan_others: PlanSettings,
     /// For how long keys are trusted without news.
     pub trust: TrustSettings,
     /// How membership is kept.
@@ -115,6 +121,9 @@
             whole_body_bytes: 64 * 1024,
             retry_ratio: RATIO,
             follow: FollowSettings::default(),
+            follow_others: FollowSettings::default(),
+            plan: PlanSettings::default(),
+            plan_others: PlanSettings::default(),
             trust: TrustSettings::default(),
             members: MemberSettings::default(),
             rates: RateSettings::default(),
--- a/crates/node/src/stream_host.rs
+++ b/crates/node/src/stream_host.rs
@@ -97,7 +97,9 @@
             let now = self.clock.now();
             let is_news = self.with_random(|feed, random| feed.on_read(now, asked, result, random));
             self.tell(is_news, watch);
-            next_at = now;
+            if reads.is_empty() {
+                next_at = now;
+            }
         }
     }
 
--- a/crates/streams/src/stream_follower.rs
+++ b/crates/streams/src/stream_follower.rs
@@ -18,6 +18,9 @@
 pub struct FollowSettings {
     /// How long a read of the log may wait for news, in milliseconds.
     pub read_wait_ms: u64,
+    /// The shortest time between two reads of the log, in milliseconds; records that come close
+    /// together are read at once.
+    pub read_gap_ms: u64,
     /// The time after which another read is asked for beside one without an answer, in
     /// milliseconds.
     pub hedge_after_ms: u64,
@@ -43,6 +46,7 @@
     fn default() -> Self {
         Self {
             read_wait_ms: 300,
+            read_gap_ms: 0,
             hedge_after_ms: 1_000,
             max_reads: 5,
             pull_wait_ms: 300,
@@ -300,7 +304,7 @@
         self.read_failures = 0;
         self.fault = None;
         self.direct_at = None;
-        self.read_at = now;
+        self.read_at = asked.plus_ms(self.settings.read_gap_ms).max(now);
         if batch.first > self.next {
             return self.skip_to(now, batch.first);
         }
