feat(node): tie a backend server's calls to the request they serve by deadline

The platform's backend servers pass no tag on, and their calls came in as new requests: they were shed after their parent was admitted.

--- a/crates/node/src/config_watch.rs
+++ b/crates/node/src/config_watch.rs
@@ -23,6 +23,16 @@
     fn on_news(&self, _now: ClockTime) {
         let core = &self.0;
         let contract = core.config.with(|state| state.contract());
+        log::info!(
+            "event=contract-in-force version={} services={} teams={} routes={}",
+            core.config.with(|state| state.version()),
+            contract.services.len(),
+            contract.teams.len(),
+            contract.routes.len(),
+        );
+        for (name, route) in &contract.routes {
+            log::debug!("event=route-in-force route={name} terms={route:?}");
+        }
         core.put_contract(contract);
         core.fleet.with(|feed| feed.fold().mark_changed());
     }
--- a/crates/node/src/egress.rs
+++ b/crates/node/src/egress.rs
@@ -3,6 +3,7 @@
 use clock::ClockTime;
 use futures_util::future::{Either, select};
 use graph::CallTarget;
+use http::request::Parts;
 use http::{HeaderMap, Request, Response};
 use hyper::body::Incoming;
 use model::{AttemptId, RefusalReason, RequestId};
@@ -16,7 +17,7 @@
 use crate::call_headers::{CALL_ID, find_deadline_ms};
 use crate::chain_watch::check_chain;
 use crate::dispatch::dispatch_call;
-use crate::entry::{EntryCall, call_headers, find_call};
+use crate::entry::{EntryCall, call_headers, find_entry};
 use crate::http_answer::{build_response, refuse_response};
 use crate::node_core::NodeCore;
 use crate::request_body::read_small;
@@ -43,9 +44,61 @@
         Ok(parent) => serve_backend(&core, request_id, request, parent).await,
         Err(refusal) => Err(refusal),
     };
+    answer_with(&core, request_id, served)
+}
+
+/// Answers a call that the local backend server is likely to make for a running one.
+///
+/// It goes on as work already begun, with the class and the team of that one. As the guess may be
+/// wrong, it spends nothing of it and isn't given up with it.
+pub(crate) async fn answer_guessed(
+    core: Rc<NodeCore>,
+    request_id: RequestId,
+    request: Request<Incoming>,
+    parent: Rc<RunningCall>,
+) -> Response<AnswerBody> {
+    let served = serve_guessed(&core, request_id, request, &parent).await;
+    answer_with(&core, request_id, served)
+}
+
+async fn serve_guessed(
+    core: &Rc<NodeCore>,
+    request_id: RequestId,
+    request: Request<Incoming>,
+    parent: &RunningCall,
+) -> Result<CallAnswer, CallRefusal> {
+    let started = core.now();
+    let (parts, body) = request.into_parts();
+    let entry = find_entry(core, &parts, None);
+    let entry = entry.ok_or_else(|| CallRefusal::not_run(RefusalReason::NoSuchCall))?;
+    let deadline = find_deadline(core, &parts.headers, &entry, None);
+    let allowance = entry.contract.attempts.saturating_sub(1);
+    let head = build_head(core, request_id, entry, &parts, Some(parent));
+    let body = read_small(core, body, deadline).await?;
+    let body_bytes = body.known_bytes();
+    let target = CallTarget::new(head.service.clone(), head.call.clone());
+    parent.used.borrow_mut().insert(target);
+    let head = CallHead {
+        body_bytes,
+        allowance,
+        ..head
+    };
+    let service = head.service.clone();
+    let answer = dispatch_call(core, head, body, deadline).await;
+    let now = core.now();
+    core.metrics
+        .observe_call("egress", &service, started, now, &answer.head);
+    Ok(answer)
+}
+
+fn answer_with(
+    core: &NodeCore,
+    request_id: RequestId,
+    served: Result<CallAnswer, CallRefusal>,
+) -> Response<AnswerBody> {
     match served {
-        Ok(answer) => build_response(&core, request_id, answer),
-        Err(refusal) => refuse_response(&core, request_id, "egress", &refusal),
+        Ok(answer) => build_response(core, request_id, answer),
+        Err(refusal) => refuse_response(core, request_id, "egress", &refusal),
     }
 }
 
@@ -57,12 +110,13 @@
     parent: Option<Rc<RunningCall>>,
 ) -> Result<CallAnswer, CallRefusal> {
     let started = core.now();
-    let entry = find_call(core, request.method(), request.uri(), None);
+    let (parts, body) = request.into_parts();
+    let entry = find_entry(core, &parts, None);
     let entry = entry.ok_or_else(|| CallRefusal::not_run(RefusalReason::NoSuchCall))?;
-    let deadline = find_deadline(core, &request, &entry, parent.as_deref());
-    let head = build_head(core, request_id, entry, &request, parent.as_deref());
+    let deadline = find_deadline(core, &parts.headers, &entry, parent.as_deref());
+    let head = build_head(core, request_id, entry, &parts, parent.as_deref());
     check_chain(core, &head, deadline)?;
-    let body = read_small(core, request.into_body(), deadline).await?;
+    let body = read_small(core, body, deadline).await?;
     let body_bytes = body.known_bytes();
     let mut head = CallHead { body_bytes, ..head };
     if let Some(parent) = &parent
@@ -118,12 +172,12 @@
 
 fn find_deadline(
     core: &NodeCore,
-    request: &Request<Incoming>,
+    headers: &HeaderMap,
     entry: &EntryCall,
     parent: Option<&RunningCall>,
 ) -> ClockTime {
     let allowed_ms = entry.contract.deadline_ms;
-    let wanted_ms = find_deadline_ms(request.headers(), &core.settings.edge).unwrap_or(allowed_ms);
+    let wanted_ms = find_deadline_ms(headers, &core.settings.edge).unwrap_or(allowed_ms);
     let own = core.now().plus_ms(wanted_ms.min(allowed_ms));
     parent.map_or(own, |parent| own.min(parent.deadline))
 }
@@ -132,7 +186,7 @@
     core: &NodeCore,
     request_id: RequestId,
     entry: EntryCall,
-    request: &Request<Incoming>,
+    parts: &Parts,
     parent: Option<&RunningCall>,
 ) -> CallHead {
     let own_importance = entry.contract.importance;
@@ -150,9 +204,9 @@
         allowance: OWN_ALLOWANCE,
         once: entry.contract.once,
         idempotent: entry.contract.idempotent,
-        method: request.method().as_str().to_owned(),
+        method: parts.method.as_str().to_owned(),
         path: entry.path,
-        headers: call_headers(core, request.headers()),
+        headers: call_headers(core, &parts.headers),
         body_bytes: None,
     }
 }
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -19,11 +19,13 @@
 };
 use crate::chain_watch::{EntryRequest, check_chain};
 use crate::dispatch::dispatch_call;
+use crate::egress::answer_guessed;
 use crate::http_answer::{build_response, refuse_response};
 use crate::node_core::NodeCore;
 use crate::rate_watch::admit_team;
 use crate::request_body::{read_small, skip_body};
 use crate::resend_charge::{ResendCharge, resends_spent};
+use crate::running_calls::RunningCall;
 
 /// The time after which callers come back to a node that trusts no key, in milliseconds.
 const KEYS_STALE_MS: u64 = 2_000;
@@ -49,12 +51,26 @@
 ) -> Response<AnswerBody> {
     let named_id = find_request_id(request.headers(), &core.settings.edge);
     let request_id = named_id.unwrap_or_else(|| core.new_request_id());
+    if let Some(parent) = guess_parent_of(&core, request.headers()) {
+        return answer_guessed(core, request_id, request, parent).await;
+    }
     match serve_caller(&core, request_id, request).await {
         Ok(answer) => build_response(&core, request_id, answer),
         Err(refusal) => refuse_response(&core, request_id, "entry", &refusal),
     }
 }
 
+/// Returns the running call that a request without a key is likely to serve, where the backend
+/// server's own calls come in among those of callers.
+fn guess_parent_of(core: &NodeCore, headers: &HeaderMap) -> Option<Rc<RunningCall>> {
+    let edge = &core.settings.edge;
+    if edge.has_own_headers || find_key(headers, edge).is_some() {
+        return None;
+    }
+    let left_ms = find_deadline_ms(headers, edge)?;
+    core.running.guess(core.now().plus_ms(left_ms))
+}
+
 /// Sends a caller's request on its way once nothing speaks against it.
 ///
 /// A request that the chain would shed spends none of its team's tokens.
@@ -101,16 +117,19 @@
         return Err(refusal.after_ms(NOT_READY_MS));
     }
     let edge = &core.settings.edge;
+    log::trace!(
+        "event=request-head request={request_id} uri={} headers={:?}",
+        parts.uri,
+        parts.headers
+    );
     let key = find_key(&parts.headers, edge);
     if edge.finds_stray_keys && is_key_in_path(parts.uri.path(), key) {
         return Err(CallRefusal::not_run(RefusalReason::BadRequest));
     }
-    let entry = if core.contract().routes.is_empty() {
-        find_call(core, &parts.method, &parts.uri, key)
-    } else {
-        let route = find_route(core, parts);
-        Some(route.ok_or_else(|| CallRefusal::not_run(RefusalReason::NoSuchCall))?)
-    };
+    let entry = find_entry(core, parts, key);
+    if entry.is_none() && !core.contract().routes.is_empty() {
+        return Err(CallRefusal::not_run(RefusalReason::NoSuchCall));
+    }
     let (entry, team) = check_key(core, entry, key)?;
     let allowed_ms = entry.contract.deadline_ms;
     let wanted_ms = find_deadline_ms(&parts.headers, edge).unwrap_or(allowed_ms);
@@ -181,6 +200,15 @@
     of_team.unwrap_or(call.importance)
 }
 
+/// Returns the call that a request is, by its route or by the service that its path names.
+pub(crate) fn find_entry(core: &NodeCore, parts: &Parts, key: Option<&[u8]>) -> Option<EntryCall> {
+    if core.contract().routes.is_empty() {
+        find_call(core, &parts.method, &parts.uri, key)
+    } else {
+        find_route(core, parts)
+    }
+}
+
 /// Returns the route of the contract that a request takes, to one of its services by weight.
 fn find_route(core: &NodeCore, parts: &Parts) -> Option<EntryCall> {
     let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
@@ -237,7 +265,7 @@
 
 /// Returns the headers of a call that the backend server may see.
 pub(crate) fn call_headers(core: &NodeCore, headers: &HeaderMap) -> HeaderList {
-    HeaderList::from(&strip_request(headers, None, &core.settings.edge))
+    HeaderList::from(&backend_headers(core, headers, None, None))
 }
 
 /// Checks the key of a request, unless its call is open to all, and returns its team.
--- a/crates/node/src/http_port.rs
+++ b/crates/node/src/http_port.rs
@@ -53,7 +53,8 @@
 {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
+            Ok((stream, from)) => {
+                log::trace!("event=connection-opened user={user:?} from={from}");
                 let connection = serve_connection(Rc::clone(&core), user, stream, answer.clone());
                 compio::runtime::spawn(connection).detach();
             }
--- a/crates/node/src/running_calls.rs
+++ b/crates/node/src/running_calls.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use clock::ClockTime;
-use graph::CallTarget;
+use graph::{CallTarget, guess_parent};
 use model::{AttemptId, CallImportance, RequestId, TeamName};
 use retry::{AllowanceShare, CallRepeats, RetryAllowance};
 use wire::CallHead;
@@ -80,6 +80,13 @@
         self.0.borrow().get(&attempt).cloned()
     }
 
+    /// Returns the call that is likely to be served by one that ends at a moment.
+    pub(crate) fn guess(&self, deadline: ClockTime) -> Option<Rc<RunningCall>> {
+        let running = self.0.borrow();
+        let running = running.values().map(|call| (call, call.deadline));
+        guess_parent(running, deadline).cloned()
+    }
+
     pub(crate) fn len(&self) -> usize {
         self.0.borrow().len()
     }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,9 +4,11 @@
 mod backend_record;
 mod backend_server;
 mod backend_settings;
+mod http_parts;
 mod log_faults;
 mod log_server;
 mod log_store;
+mod store_server;
 mod tcp_relay;
 
 pub use backend_record::{BackendRecord, RunEntry};
@@ -15,4 +17,5 @@
 pub use log_faults::{LogFaults, LogOutage};
 pub use log_server::{LogControl, LogServer};
 pub use log_store::LogStore;
+pub use store_server::{StoreFaults, StoreServer};
 pub use tcp_relay::{RelayRule, RelayWay, TcpRelay};
--- a/crates/standin/src/log_server.rs
+++ b/crates/standin/src/log_server.rs
@@ -4,23 +4,21 @@
     io,
     net::SocketAddr,
     rc::Rc,
-    time::{Duration, Instant},
+    time::Instant,
 };
 
-use bytes::Bytes;
 use clock::ClockTime;
 use compio::{
     net::{TcpListener, TcpStream},
     runtime::spawn,
-    time::sleep,
 };
 use cyper_core::HyperStream;
-use http::{Method, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full};
+use http::{Method, Request, StatusCode};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use serde::{Deserialize, Serialize};
 use streams::{LogOffset, LogStream, NewRecord, ReadError};
 
+use crate::http_parts::{TextResponse, body_of, json, query_number, text, wait_ms};
 use crate::{LogFaults, LogOutage, LogStore};
 
 /// How often a read that waits looks for records, in milliseconds.
@@ -129,8 +127,6 @@
     }
 }
 
-type TextResponse = Response<Full<Bytes>>;
-
 #[derive(Deserialize)]
 struct AppendBody {
     records: Vec<NewRecord>,
@@ -227,34 +223,7 @@
     }
 }
 
-async fn wait_ms(ms: u64) {
-    if ms > 0 {
-        sleep(Duration::from_millis(ms)).await;
-    }
-}
-
-async fn body_of(request: Request<Incoming>) -> Option<Bytes> {
-    let body = request.into_body().collect().await.ok()?;
-    Some(body.to_bytes())
-}
-
 fn stream_of(path: &str) -> Option<LogStream> {
     let name = path.strip_prefix("/streams/")?;
     LogStream::parse(name.strip_suffix("/records")?)
 }
-
-fn query_number(query: &str, name: &str) -> Option<u64> {
-    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-    pairs.find(|(key, _)| *key == name)?.1.parse().ok()
-}
-
-fn text(status: StatusCode, text: &str) -> TextResponse {
-    let mut response = Response::new(Full::from(text.to_owned()));
-    *response.status_mut() = status;
-    response
-}
-
-fn json<T: Serialize>(status: StatusCode, value: &T) -> TextResponse {
-    let body = serde_json::to_string(value).unwrap_or_default();
-    text(status, &body)
-}
--- /dev/null
+++ b/crates/standin/src/store_server.rs
@@ -0,0 +1,267 @@
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::future::pending;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use compio::net::{TcpListener, TcpStream};
+use compio::runtime::spawn;
+use cyper_core::HyperStream;
+use http::{Method, Request, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use serde_json::json;
+
+use crate::LogOutage;
+use crate::http_parts::{TextResponse, body_of, json, query_number, text, wait_ms};
+
+/// How often a read that waits looks for records, in milliseconds.
+const POLL_MS: u64 = 5;
+/// The longest wait of a read, in milliseconds.
+const MAX_WAIT_MS: u64 = 30_000;
+/// The bytes of the length before each record.
+const LENGTH_BYTES: usize = 4;
+/// What the names of topics with keys begin with.
+const KEYED: &str = "keyed.";
+
+/// The faults of a stand-in store.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StoreFaults {
+    /// How the store is unreachable.
+    pub outage: LogOutage,
+    /// Whether connections are cut after a write, in place of an answer.
+    pub loses_answers: bool,
+    /// The wait before an answer, in milliseconds.
+    pub delay_ms: u64,
+}
+
+/// One topic's records.
+#[derive(Clone, Debug, Default)]
+struct StoredTopic {
+    first: u64,
+    records: Vec<Vec<u8>>,
+}
+
+impl StoredTopic {
+    fn end(&self) -> u64 {
+        self.first + self.records.len() as u64
+    }
+}
+
+/// A stand-in for the store of the users' platform, in memory.
+///
+/// It knows appends with and without the condition on the end, reads that wait, the newest
+/// record of each key, and records that are dropped.
+#[derive(Clone, Debug, Default)]
+pub struct StoreServer {
+    topics: Rc<RefCell<BTreeMap<String, StoredTopic>>>,
+    /// The newest record of each key of a topic, with its offset.
+    newest: Rc<RefCell<BTreeMap<(String, String), (u64, Vec<u8>)>>>,
+    faults: Rc<Cell<StoreFaults>>,
+    calls: Rc<Cell<u64>>,
+}
+
+impl StoreServer {
+    /// Starts a store on the loop of this thread and returns its address.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error when the address can't be listened on.
+    pub async fn start(&self) -> io::Result<SocketAddr> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let server = self.clone();
+        spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                spawn(server.clone().serve(stream)).detach();
+            }
+        })
+        .detach();
+        Ok(address)
+    }
+
+    /// Sets the faults.
+    pub fn set_faults(&self, faults: StoreFaults) {
+        self.faults.set(faults);
+    }
+
+    /// Returns the number of calls so far.
+    #[must_use]
+    pub fn calls(&self) -> u64 {
+        self.calls.get()
+    }
+
+    /// Writes a value under a key, as operators do, and returns its offset.
+    pub fn put(&self, topic: &str, key: &str, value: &[u8]) -> u64 {
+        let length = u8::try_from(key.len()).expect("a key is short");
+        let mut record = vec![length];
+        record.extend_from_slice(key.as_bytes());
+        record.extend_from_slice(value);
+        self.push(topic, vec![record])
+    }
+
+    /// Drops the records of a topic but for the newest of each key.
+    pub fn forget(&self, topic: &str) {
+        let mut topics = self.topics.borrow_mut();
+        if let Some(stored) = topics.get_mut(topic) {
+            stored.first = stored.end();
+            stored.records.clear();
+        }
+    }
+
+    /// Returns the contents of a topic's records.
+    #[must_use]
+    pub fn records(&self, topic: &str) -> Vec<Vec<u8>> {
+        let topics = self.topics.borrow();
+        topics
+            .get(topic)
+            .map(|stored| stored.records.clone())
+            .unwrap_or_default()
+    }
+
+    fn push(&self, topic: &str, records: Vec<Vec<u8>>) -> u64 {
+        let mut topics = self.topics.borrow_mut();
+        let stored = topics.entry(topic.to_owned()).or_default();
+        let start = stored.end();
+        for (offset, record) in (start..).zip(&records) {
+            if let Some((key, value)) = split_keyed(topic, record) {
+                let newest = (offset, value.to_vec());
+                let place = (topic.to_owned(), key.to_owned());
+                self.newest.borrow_mut().insert(place, newest);
+            }
+        }
+        stored.records.extend(records);
+        start
+    }
+
+    async fn serve(self, stream: TcpStream) {
+        let service = service_fn(|request| self.answer(request));
+        let stream = HyperStream::new_plain(stream);
+        // A connection that ends early is what some of the faults are for.
+        let _ = http1::Builder::new()
+            .serve_connection(stream, service)
+            .await;
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> io::Result<TextResponse> {
+        self.calls.set(self.calls.get() + 1);
+        match self.faults.get().outage {
+            LogOutage::None => {}
+            LogOutage::Refuse => return Ok(text(StatusCode::SERVICE_UNAVAILABLE, "outage")),
+            LogOutage::Hang => pending().await,
+        }
+        wait_ms(self.faults.get().delay_ms).await;
+        let query = request.uri().query().unwrap_or_default().to_owned();
+        let path = request.uri().path().to_owned();
+        match (request.method(), path.as_str()) {
+            (&Method::POST, "/log-append") => self.append(&query, request).await,
+            (&Method::GET, "/log-read") => Ok(self.read(&query).await),
+            (&Method::GET, "/log-newest") => Ok(self.newest(&query)),
+            _ => Ok(text(StatusCode::NOT_FOUND, "no such call")),
+        }
+    }
+
+    async fn append(&self, query: &str, request: Request<Incoming>) -> io::Result<TextResponse> {
+        let body = body_of(request).await;
+        let body = body.ok_or_else(|| io::Error::other("the body is cut"))?;
+        let Some(records) = split_records(&body) else {
+            return Ok(text(StatusCode::BAD_REQUEST, "the records are cut"));
+        };
+        let topic = query_text(query, "topic").unwrap_or_default();
+        let end = self.end(topic);
+        if query_number(query, "at").is_some_and(|at| at != end) {
+            return Ok(json(
+                StatusCode::PRECONDITION_FAILED,
+                &json!({ "end": end }),
+            ));
+        }
+        let offset = self.push(topic, records);
+        if self.faults.get().loses_answers {
+            return Err(io::Error::other("the answer is lost by order"));
+        }
+        let end = self.end(topic);
+        Ok(json(
+            StatusCode::OK,
+            &json!({ "offset": offset, "end": end }),
+        ))
+    }
+
+    async fn read(&self, query: &str) -> TextResponse {
+        let topic = query_text(query, "topic").unwrap_or_default();
+        let from = query_number(query, "from").unwrap_or(0);
+        let wait = query_number(query, "wait-ms").unwrap_or(0).min(MAX_WAIT_MS);
+        let until = Instant::now() + Duration::from_millis(wait);
+        while self.end(topic) <= from && Instant::now() < until {
+            wait_ms(POLL_MS).await;
+        }
+        let topics = self.topics.borrow();
+        let stored = topics.get(topic).cloned().unwrap_or_default();
+        if from < stored.first {
+            let body = json!({ "first": stored.first });
+            return json(StatusCode::GONE, &body);
+        }
+        let mut body = stored.end().to_be_bytes().to_vec();
+        body.extend_from_slice(&stored.first.to_be_bytes());
+        let start = usize::try_from(from - stored.first).unwrap_or(usize::MAX);
+        for record in stored.records.iter().skip(start) {
+            let length = u32::try_from(record.len()).expect("a record is short");
+            body.extend_from_slice(&length.to_be_bytes());
+            body.extend_from_slice(record);
+        }
+        TextResponse::new(Full::new(Bytes::from(body)))
+    }
+
+    fn newest(&self, query: &str) -> TextResponse {
+        let topic = query_text(query, "topic").unwrap_or_default();
+        let newest = self.newest.borrow();
+        let of_topic = newest.iter().filter(|((name, _), _)| name == topic);
+        let items = of_topic.map(|((_, key), (offset, value))| {
+            let value = encode_base64(value);
+            json!({ "key": key, "value": value, "offset": offset })
+        });
+        let items: Vec<_> = items.collect();
+        let body = json!({ "items": items, "has-more": false, "end": self.end(topic) });
+        json(StatusCode::OK, &body)
+    }
+
+    fn end(&self, topic: &str) -> u64 {
+        self.topics.borrow().get(topic).map_or(0, StoredTopic::end)
+    }
+}
+
+fn split_keyed<'r>(topic: &str, record: &'r [u8]) -> Option<(&'r str, &'r [u8])> {
+    if !topic.starts_with(KEYED) {
+        return None;
+    }
+    let (length, rest) = record.split_first()?;
+    let (key, value) = rest.split_at_checked(usize::from(*length))?;
+    Some((std::str::from_utf8(key).ok()?, value))
+}
+
+fn split_records(mut body: &[u8]) -> Option<Vec<Vec<u8>>> {
+    let mut records = Vec::new();
+    while !body.is_empty() {
+        let (length, rest) = body.split_first_chunk::<LENGTH_BYTES>()?;
+        let length = usize::try_from(u32::from_be_bytes(*length)).ok()?;
+        let (record, rest) = rest.split_at_checked(length)?;
+        records.push(record.to_vec());
+        body = rest;
+    }
+    Some(records)
+}
+
+fn query_text<'q>(query: &'q str, name: &str) -> Option<&'q str> {
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    Some(pairs.find(|(key, _)| *key == name)?.1)
+}
+
+/// Writes bytes in base64, with padding.
+fn encode_base64(bytes: &[u8]) -> String {
+    use base64::Engine;
+    base64::engine::general_purpose::STANDARD.encode(bytes)
+}
--- /dev/null
+++ b/crates/streams/tests/replaced_config.rs
@@ -0,0 +1,99 @@
+//! Configurations that replace text and keys at once: the newest holds, and nothing reverts.
+
+use std::collections::BTreeMap;
+
+use lentilshift_streams::{
+    ConfigFold, ConfigRecord, ConfigReplacement, ConfigVersion, KeyDigest, LogOffset, LogRecord,
+    RecordBody, RecordOutcome, TextCheck,
+};
+use model::RecordId;
+
+fn fold() -> ConfigFold<impl TextCheck> {
+    ConfigFold::new(|text: &str| {
+        if text.contains("bad") {
+            Err("bad".to_owned())
+        } else {
+            Ok(())
+        }
+    })
+}
+
+fn replacement(version: u64, text: &str, keys: &[&str]) -> ConfigRecord {
+    let keys = keys
+        .iter()
+        .map(|key| (KeyDigest::of_key(key.as_bytes()), "clubs".into()));
+    ConfigRecord::Replace(ConfigReplacement {
+        version: ConfigVersion::new(version),
+        text: text.to_owned(),
+        keys: keys.collect::<BTreeMap<_, _>>(),
+    })
+}
+
+fn record(offset: u64, change: &ConfigRecord) -> LogRecord {
+    LogRecord {
+        offset: LogOffset::new(offset),
+        id: RecordId::from_number(u128::from(offset)),
+        body: RecordBody::encode(change),
+    }
+}
+
+fn knows(fold: &ConfigFold<impl TextCheck>, key: &str) -> bool {
+    fold.keys()
+        .team(&KeyDigest::of_key(key.as_bytes()))
+        .is_some()
+}
+
+#[test]
+fn key_that_a_version_drops_is_gone_and_may_come_back() {
+    let mut fold = fold();
+    fold.apply(&record(0, &replacement(4, "one", &["a", "b"])));
+    fold.apply(&record(1, &replacement(9, "two", &["b"])));
+    assert!(!knows(&fold, "a") && knows(&fold, "b"));
+    fold.apply(&record(2, &replacement(11, "three", &["a"])));
+    assert!(knows(&fold, "a") && !knows(&fold, "b"));
+}
+
+#[test]
+fn older_version_changes_neither_text_nor_keys() {
+    let mut fold = fold();
+    fold.apply(&record(0, &replacement(9, "two", &["b"])));
+    let outcome = fold.apply(&record(1, &replacement(4, "one", &["a"])));
+    assert!(matches!(outcome, RecordOutcome::Stale { .. }));
+    assert_eq!(&*fold.in_force().text, "two");
+    assert!(knows(&fold, "b") && !knows(&fold, "a"));
+}
+
+#[test]
+fn one_record_after_a_gap_makes_the_state_whole() {
+    let mut fold = fold();
+    fold.lose_before(LogOffset::new(5));
+    assert!(!fold.is_whole());
+    fold.apply(&record(5, &ConfigRecord::Superseded));
+    assert!(!fold.is_whole());
+    fold.apply(&record(6, &replacement(3, "one", &["a"])));
+    assert!(fold.is_whole() && knows(&fold, "a"));
+}
+
+#[test]
+fn peer_behind_takes_the_state_and_one_ahead_keeps_its_own() {
+    let mut ahead = fold();
+    ahead.apply(&record(0, &replacement(4, "one", &["a"])));
+    let mut behind = ahead.clone();
+    let old = behind.snapshot().unwrap();
+    ahead.apply(&record(1, &replacement(9, "two", &["b"])));
+    behind.adopt(&ahead.snapshot().unwrap());
+    assert!(knows(&behind, "b") && !knows(&behind, "a"));
+    ahead.adopt(&old);
+    assert!(knows(&ahead, "b") && !knows(&ahead, "a"));
+    assert_eq!(ahead.in_force().version, ConfigVersion::new(9));
+}
+
+#[test]
+fn text_at_fault_leaves_the_last_one_in_force_with_the_new_keys() {
+    let mut fold = fold();
+    fold.apply(&record(0, &replacement(4, "one", &["a"])));
+    let outcome = fold.apply(&record(1, &replacement(9, "bad", &["b"])));
+    assert!(matches!(outcome, RecordOutcome::Invalid { .. }));
+    assert_eq!(&*fold.in_force().text, "one");
+    assert!(!knows(&fold, "a") && knows(&fold, "b"));
+}
