--- a/crates/graph/src/chain_admission.rs
+++ b/crates/graph/src/chain_admission.rs
@@ -22,7 +22,7 @@
 /// let mut admission = ChainAdmission::new(AdmissionSettings::default());
 /// let look_up = CallTarget::new("registry", "look-up");
 /// let cuts = ShedCuts {
-///     threshold: ShedOrder::from_parts(CallImportance::High, 0),
+///     threshold: ShedOrder::from_parts(CallImportance::High.into(), 0),
 ///     ..ShedCuts::default()
 /// };
 /// let report = |vm: &str| CutReport {
@@ -34,7 +34,7 @@
 /// let now = ClockTime::from_ms(1_000);
 /// admission.observe_cuts(now, &look_up, [report("vm-1"), report("vm-2")]);
 ///
-/// let order = ShedOrder::from_parts(CallImportance::Normal, 9);
+/// let order = ShedOrder::from_parts(CallImportance::Normal.into(), 9);
 /// let refusal = admission.admit(now, &look_up, order, None, 800).unwrap_err();
 /// assert_eq!(refusal.service.as_str(), "archive");
 /// ```
--- a/crates/graph/src/parent_guess.rs
+++ b/crates/graph/src/parent_guess.rs
@@ -6,9 +6,10 @@
 
 /// Finds the running request that a backend server's call serves, where the call names none.
 ///
-/// A call ends at the deadline of the request that it serves, so the running request whose
-/// deadline is nearest is taken. Where several end within the tolerance the guess may be wrong:
-/// it may decide on the class of a call, but must not spend anything of the request.
+/// A call ends when the request that it serves does, or as long after that request's start as
+/// such a call may last. So the running request for which that moment is nearest to the call's
+/// end is taken. Where several are within the tolerance the guess may be wrong: it may decide on
+/// the class of a call, but must not spend anything of the request.
 ///
 /// # Examples
 ///
--- a/crates/graph/tests/chain_admission.rs
+++ b/crates/graph/tests/chain_admission.rs
@@ -26,7 +26,7 @@
 }
 
 fn high() -> ShedOrder {
-    ShedOrder::from_parts(CallImportance::High, 0)
+    ShedOrder::from_parts(CallImportance::High.into(), 0)
 }
 
 fn normal_order() -> ShedOrder {
@@ -160,7 +160,7 @@
     let top = levels.iter().enumerate().skip(1);
     let sheds = |now: ClockTime| {
         top.clone().any(|(level, admission)| {
-            let background = ShedOrder::from_parts(CallImportance::Background, 0);
+            let background = ShedOrder::from_parts(CallImportance::Background.into(), 0);
             let admitted = admission.admit(now, &targets[level - 1], background, None, LONG_MS);
             admitted.is_err()
         })
--- a/crates/graph/tests/service_cuts.rs
+++ b/crates/graph/tests/service_cuts.rs
@@ -4,11 +4,19 @@
 
 use clock::ClockTime;
 use lentilshift_graph::{AdmissionSettings, CallTarget, ChainAdmission, CutReport};
-use model::{CallImportance, RefusalReason, ShedCuts, ShedOrder, TeamCut, TeamName, VmName};
+use model::{
+    CallImportance, RefusalReason, ShedClass, ShedCuts, ShedOrder, TeamCut, TeamName, VmName,
+};
 use rstest::rstest;
 
-const LOW: ShedOrder = ShedOrder::from_parts(CallImportance::Background, 9);
-const HIGH: ShedOrder = ShedOrder::from_parts(CallImportance::High, 0);
+const LOW: ShedOrder = ShedOrder::from_parts(
+    ShedClass::new(CallImportance::Background, CallImportance::Background),
+    9,
+);
+const HIGH: ShedOrder = ShedOrder::from_parts(
+    ShedClass::new(CallImportance::High, CallImportance::High),
+    0,
+);
 
 fn report(vm: &str, team: &str, threshold: ShedOrder, age_ms: u32) -> CutReport {
     let cut = TeamCut {
--- a/crates/limit/src/shed_control.rs
+++ b/crates/limit/src/shed_control.rs
@@ -1,4 +1,5 @@
 use clock::ClockTime;
+use model::ShedClass;
 
 use crate::team_demand::DemandTable;
 use crate::{QueueTicket, ShedCuts};
@@ -54,7 +55,7 @@
 pub struct QueueState {
     /// The time that a request of each class would wait for its class and those above, in
     /// milliseconds, the least important class first.
-    pub waits_ms: [f64; 4],
+    pub waits_ms: [f64; ShedClass::COUNT],
     /// The work that the backend server can do, in milliseconds of expected run time a second.
     pub capacity: f64,
     /// The part of the limit that is free.
--- a/crates/limit/src/team_demand.rs
+++ b/crates/limit/src/team_demand.rs
@@ -1,6 +1,6 @@
 use std::collections::BTreeMap;
 
-use model::{CallImportance, ShedOrder, TeamName};
+use model::{CallImportance, ShedClass, ShedOrder, TeamName};
 
 use crate::team_credits::TeamCredits;
 use crate::{QueueTicket, ShedCuts, TeamCut};
@@ -22,8 +22,12 @@
 /// Shares are compared with this factor, so that rounding cuts nothing.
 const ROUNDING: f64 = 1.000_001;
 
+/// The lowest class of critical requests.
+const FIRST_CRITICAL: ShedClass =
+    ShedClass::new(CallImportance::Critical, CallImportance::Background);
+
 /// The work a second that each class and those above it may use, the least important first.
-pub(crate) type ClassCapacities = [f64; 4];
+pub(crate) type ClassCapacities = [f64; ShedClass::COUNT];
 
 /// The demand of one team in one class.
 #[derive(Clone, Debug)]
@@ -63,7 +67,7 @@
 /// Ranks are spread evenly, so the whole demand is what is admitted over the admitted fraction.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct DemandTable {
-    flows: BTreeMap<(CallImportance, Option<TeamName>), TeamFlow>,
+    flows: BTreeMap<(ShedClass, Option<TeamName>), TeamFlow>,
     credits: TeamCredits,
 }
 
@@ -72,7 +76,7 @@
     pub(crate) fn count(&mut self, ticket: &QueueTicket) {
         let flow = self
             .flows
-            .entry((ticket.order.importance(), ticket.team.clone()))
+            .entry((ticket.order.class(), ticket.team.clone()))
             .or_insert(TeamFlow {
                 weight: 1.0,
                 arrivals: 0.0,
@@ -124,8 +128,8 @@
         capacities: ClassCapacities,
         capacity: f64,
     ) -> ShedCuts {
-        let critical = self.class_demand(CallImportance::Critical);
-        if critical >= capacities[CallImportance::Critical as usize] {
+        let critical = self.critical_demand();
+        if critical >= capacities[FIRST_CRITICAL.index()] {
             return self.divide_by_class(capacities);
         }
         let teams = self.team_totals();
@@ -166,7 +170,7 @@
     }
 
     fn cut_team(&mut self, team: Option<&TeamName>, capacity: f64) -> ShedOrder {
-        self.cut_flows([capacity; 4], |other| other == team)
+        self.cut_flows([capacity; ShedClass::COUNT], |other| other == team)
     }
 
     /// Serves the classes of the flows chosen from the top, and returns where capacity ends.
@@ -177,7 +181,7 @@
     ) -> ShedOrder {
         let mut used = 0.0;
         let mut threshold = ShedOrder::FIRST;
-        for class in CallImportance::ALL.into_iter().rev() {
+        for class in ShedClass::all().rev() {
             let mut flows: Vec<&mut TeamFlow> = self
                 .flows
                 .iter_mut()
@@ -185,7 +189,7 @@
                 .map(|(_, flow)| flow)
                 .collect();
             let demand: f64 = flows.iter().map(|flow| flow.demand()).sum();
-            let left = (capacities[class as usize] - used).max(0.0);
+            let left = (capacities[class.index()] - used).max(0.0);
             let fraction = if demand <= left * ROUNDING {
                 1.0
             } else {
@@ -202,10 +206,10 @@
         threshold
     }
 
-    fn class_demand(&self, class: CallImportance) -> f64 {
+    fn critical_demand(&self) -> f64 {
         self.flows
             .iter()
-            .filter(|((importance, _), _)| *importance == class)
+            .filter(|((class, _), _)| class.importance() == CallImportance::Critical)
             .map(|(_, flow)| flow.demand())
             .sum()
     }
@@ -216,7 +220,7 @@
             let total = totals.entry(team.clone()).or_default();
             total.weight = flow.weight;
             total.demand += flow.demand();
-            if *class == CallImportance::Critical {
+            if class.importance() == CallImportance::Critical {
                 total.critical += flow.demand();
             }
         }
@@ -291,6 +295,6 @@
     clippy::cast_sign_loss,
     reason = "float-to-integer casts saturate"
 )]
-fn place(class: CallImportance, fraction: f64) -> ShedOrder {
+fn place(class: ShedClass, fraction: f64) -> ShedOrder {
     ShedOrder::from_parts(class, ((1.0 - fraction) * RANKS) as u16)
 }
--- a/crates/limit/src/wait_line.rs
+++ b/crates/limit/src/wait_line.rs
@@ -1,7 +1,7 @@
 use std::collections::BTreeMap;
 
 use clock::ClockTime;
-use model::{AttemptId, CallImportance, ShedOrder, TeamName};
+use model::{AttemptId, ShedClass, ShedOrder, TeamName};
 
 use crate::{QueueSettings, QueueTicket};
 
@@ -16,7 +16,7 @@
 /// The place of a waiting request; the greatest starts first.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct StartRank {
-    importance: CallImportance,
+    class: ShedClass,
     turn: std::cmp::Reverse<u64>,
     is_begun: bool,
     order: ShedOrder,
@@ -64,10 +64,10 @@
     }
 
     /// Returns the work that waits in each class and those above it, the least important first.
-    pub(crate) fn class_work_ms(&self) -> [f64; 4] {
-        let mut work_ms = [0.0; 4];
+    pub(crate) fn class_work_ms(&self) -> [f64; ShedClass::COUNT] {
+        let mut work_ms = [0.0; ShedClass::COUNT];
         for entry in &self.entries {
-            for sum in &mut work_ms[..=entry.ticket.order.importance() as usize] {
+            for sum in &mut work_ms[..=entry.ticket.order.class().index()] {
                 *sum += entry.ticket.work_ms();
             }
         }
@@ -79,10 +79,10 @@
         if !settings.orders_by_class {
             return self.work_ms();
         }
-        let importance = ticket.order.importance();
+        let class = ticket.order.class();
         self.entries
             .iter()
-            .filter(|entry| entry.ticket.order.importance() >= importance)
+            .filter(|entry| entry.ticket.order.class() >= class)
             .map(|entry| entry.ticket.work_ms())
             .sum()
     }
@@ -135,10 +135,10 @@
             0
         };
         StartRank {
-            importance: if settings.orders_by_class {
-                ticket.order.importance()
+            class: if settings.orders_by_class {
+                ticket.order.class()
             } else {
-                CallImportance::Normal
+                ShedClass::FIRST
             },
             turn: std::cmp::Reverse(turn),
             is_begun: settings.favors_begun && ticket.is_begun(),
--- a/crates/limit/tests/admission_queue.rs
+++ b/crates/limit/tests/admission_queue.rs
@@ -106,10 +106,10 @@
         }
         for id in started {
             let ticket = waiting.remove(&id).expect("only what waits starts");
-            let class = ticket.order.importance();
+            let class = ticket.order.class();
             let is_lesser = waiting
                 .values()
-                .any(|other| other.fits(now) && other.order.importance() > class);
+                .any(|other| other.fits(now) && other.order.class() > class);
             faults.lesser_first += u32::from(is_lesser);
             faults.too_late += u32::from(!ticket.fits(now));
             running = Some((id, now.plus_ms(RUN_MS)));
--- a/crates/limit/tests/shed_control.rs
+++ b/crates/limit/tests/shed_control.rs
@@ -72,7 +72,7 @@
         left_ms > 0.0
     }
 
-    fn waits_ms(&self) -> [f64; 4] {
+    fn waits_ms(&self) -> [f64; ShedClass::COUNT] {
         let wait_ms = |class: usize| -> f64 { self.backlog_ms[class..].iter().sum() };
         [0, 1, 2, 3].map(|class| wait_ms(class) * 1_000.0 / CAPACITY)
     }
@@ -177,7 +177,7 @@
 #[rstest]
 fn services_that_shed_drop_the_same_requests() {
     let mut random = SmallRng::seed_from_u64(5);
-    let threshold = ShedOrder::from_parts(CallImportance::Normal, 6_554);
+    let threshold = ShedOrder::from_parts(CallImportance::Normal.into(), 6_554);
     let (mut flips, mut ours) = (0, 0);
     for _ in 0..10_000 {
         let request = RequestId::from_random(random.random());
@@ -209,7 +209,7 @@
     feed.run(4_000, &[("a", 1, [250.0; 4])]);
     let start_ms = feed.now_ms + settings.update_ms;
     let overloaded = QueueState {
-        waits_ms: [200.0; 4],
+        waits_ms: [200.0; ShedClass::COUNT],
         capacity: CAPACITY,
         free_share: 0.0,
     };
@@ -218,7 +218,7 @@
     let before = feed.control.cuts().clone();
     assert!(!before.is_open());
     let state = QueueState {
-        waits_ms: [wait_ms; 4],
+        waits_ms: [wait_ms; ShedClass::COUNT],
         free_share,
         ..overloaded
     };
--- a/crates/model/src/shed_order.rs
+++ b/crates/model/src/shed_order.rs
@@ -1,11 +1,11 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::{CallImportance, RequestId};
+use crate::{RequestId, ShedClass};
 
 /// The place of a request in the one shedding order of all services.
 ///
-/// What compares less is shed first: first by importance, then by a hash of the request's
+/// What compares less is shed first: first by class, then by a hash of the request's
 /// identifier. The hash is the same at every hop, so services that shed at once drop the same
 /// requests.
 ///
@@ -21,34 +21,34 @@
 /// ```
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct ShedOrder {
-    importance: CallImportance,
+    class: ShedClass,
     rank: u16,
 }
 
 impl ShedOrder {
     /// The place of the request that is shed first.
     pub const FIRST: Self = Self {
-        importance: CallImportance::Background,
+        class: ShedClass::FIRST,
         rank: 0,
     };
 
     /// Returns the place of a request.
     #[must_use]
-    pub fn new(importance: CallImportance, request: RequestId) -> Self {
+    pub fn new(class: impl Into<ShedClass>, request: RequestId) -> Self {
         let [high, low, ..] = xxh3_64(&request.as_u128().to_be_bytes()).to_be_bytes();
-        Self::from_parts(importance, u16::from_be_bytes([high, low]))
+        Self::from_parts(class.into(), u16::from_be_bytes([high, low]))
     }
 
     /// Creates a place from a class and a rank within the class.
     #[must_use]
-    pub const fn from_parts(importance: CallImportance, rank: u16) -> Self {
-        Self { importance, rank }
+    pub const fn from_parts(class: ShedClass, rank: u16) -> Self {
+        Self { class, rank }
     }
 
     /// Returns the class.
     #[must_use]
-    pub const fn importance(self) -> CallImportance {
-        self.importance
+    pub const fn class(self) -> ShedClass {
+        self.class
     }
 
     /// Returns the rank within the class; ranks are spread evenly over `u16`.
@@ -59,7 +59,8 @@
 
     /// Returns the place on one scale over all classes.
     #[must_use]
+    #[expect(clippy::cast_possible_truncation, reason = "there are few classes")]
     pub const fn level(self) -> u32 {
-        ((self.importance as u32) << 16) | self.rank as u32
+        ((self.class.index() as u32) << 16) | self.rank as u32
     }
 }
--- a/crates/model/tests/shed_order.rs
+++ b/crates/model/tests/shed_order.rs
@@ -6,8 +6,8 @@
 #[rstest]
 fn classes_come_before_ranks() {
     for pair in CallImportance::ALL.windows(2) {
-        let last_of_lower = ShedOrder::from_parts(pair[0], u16::MAX);
-        let first_of_upper = ShedOrder::from_parts(pair[1], 0);
+        let last_of_lower = ShedOrder::from_parts(pair[0].into(), u16::MAX);
+        let first_of_upper = ShedOrder::from_parts(pair[1].into(), 0);
         assert!(last_of_lower < first_of_upper);
     }
 }
--- a/crates/node/src/chain_watch.rs
+++ b/crates/node/src/chain_watch.rs
@@ -22,7 +22,7 @@
         return Ok(());
     }
     let now = core.now();
-    let order = ShedOrder::new(head.importance, head.request);
+    let order = head.shed_order();
     let mut admission = core.chain.borrow_mut();
     let target = target_of(head);
     let team = head.team.as_ref();
@@ -56,7 +56,7 @@
             started,
             request: head.request,
             target: target_of(head),
-            order: ShedOrder::new(head.importance, head.request),
+            order: head.shed_order(),
             team: head.team.clone(),
         }
     }
--- a/crates/node/src/egress.rs
+++ b/crates/node/src/egress.rs
@@ -54,31 +54,34 @@
 pub(crate) async fn answer_guessed(
     core: Rc<NodeCore>,
     request_id: RequestId,
-    request: Request<Incoming>,
-    parent: Rc<RunningCall>,
+    parts: Parts,
+    body: Incoming,
 ) -> Response<AnswerBody> {
-    let served = serve_guessed(&core, request_id, request, &parent).await;
+    let served = serve_guessed(&core, request_id, parts, body).await;
     answer_with(&core, request_id, served)
 }
 
 async fn serve_guessed(
     core: &Rc<NodeCore>,
     request_id: RequestId,
-    request: Request<Incoming>,
-    parent: &RunningCall,
+    parts: Parts,
+    body: Incoming,
 ) -> Result<CallAnswer, CallRefusal> {
     let started = core.now();
-    let (parts, body) = request.into_parts();
     let entry = find_entry(core, &parts, None);
     let entry = entry.ok_or_else(|| CallRefusal::not_run(RefusalReason::NoSuchCall))?;
     let deadline = find_deadline(core, &parts.headers, &entry, None);
     let allowance = entry.contract.attempts.saturating_sub(1);
-    let head = build_head(core, request_id, entry, &parts, Some(parent));
+    let parent = core.running.guess(deadline, entry.contract.deadline_ms);
+    let head = build_head(core, request_id, entry, &parts, parent.as_deref());
     let body = read_small(core, body, deadline).await?;
     let body_bytes = body.known_bytes();
     let target = CallTarget::new(head.service.clone(), head.call.clone());
-    parent.used.borrow_mut().insert(target);
+    if let Some(parent) = parent {
+        parent.used.borrow_mut().insert(target);
+    }
     let head = CallHead {
+        depth: head.depth.max(1),
         body_bytes,
         allowance,
         ..head
@@ -198,6 +201,7 @@
         team: parent.and_then(|parent| parent.team.clone()),
         team_weight: parent.map_or(1, |parent| parent.team_weight),
         importance: parent.map_or(own_importance, |parent| parent.importance),
+        call_importance: parent.map_or(own_importance, |parent| parent.call_importance),
         depth: parent.map_or(0, |parent| parent.depth.saturating_add(1)),
         mark: None,
         deadline_left_ms: 0,
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -25,7 +25,6 @@
 use crate::rate_watch::admit_team;
 use crate::request_body::{read_small, skip_body};
 use crate::resend_charge::{ResendCharge, resends_spent};
-use crate::running_calls::RunningCall;
 
 /// The time after which callers come back to a node that trusts no key, in milliseconds.
 const KEYS_STALE_MS: u64 = 2_000;
@@ -51,24 +50,29 @@
 ) -> Response<AnswerBody> {
     let named_id = find_request_id(request.headers(), &core.settings.edge);
     let request_id = named_id.unwrap_or_else(|| core.new_request_id());
-    if let Some(parent) = guess_parent_of(&core, request.headers()) {
-        return answer_guessed(core, request_id, request, parent).await;
+    let (parts, body) = request.into_parts();
+    if is_own_call(&core, &parts) {
+        return answer_guessed(core, request_id, parts, body).await;
     }
-    match serve_caller(&core, request_id, request).await {
+    match serve_caller(&core, request_id, parts, body).await {
         Ok(answer) => build_response(&core, request_id, answer),
         Err(refusal) => refuse_response(&core, request_id, "entry", &refusal),
     }
 }
 
-/// Returns the running call that a request without a key is likely to serve, where the backend
-/// server's own calls come in among those of callers.
-fn guess_parent_of(core: &NodeCore, headers: &HeaderMap) -> Option<Rc<RunningCall>> {
+/// Returns whether a request is likely to be a call that the local backend server makes, where
+/// these come in among the requests of callers.
+///
+/// It has no key, its route needs none though there are teams with keys, and the backend server
+/// is at work. Such a call is work already begun: to shed it would waste what was admitted. A
+/// caller without a key at that moment is taken for one, which lets its request go first.
+fn is_own_call(core: &NodeCore, parts: &Parts) -> bool {
     let edge = &core.settings.edge;
-    if edge.has_own_headers || find_key(headers, edge).is_some() {
-        return None;
+    let is_keyless = !edge.has_own_headers && find_key(&parts.headers, edge).is_none();
+    if !is_keyless || core.running.len() == 0 || core.contract().teams.is_empty() {
+        return false;
     }
-    let left_ms = find_deadline_ms(headers, edge)?;
-    core.running.guess(core.now().plus_ms(left_ms))
+    find_entry(core, parts, None).is_some_and(|entry| entry.contract.open)
 }
 
 /// Sends a caller's request on its way once nothing speaks against it.
@@ -77,10 +81,10 @@
 async fn serve_caller(
     core: &Rc<NodeCore>,
     request_id: RequestId,
-    request: Request<Incoming>,
+    parts: Parts,
+    body: Incoming,
 ) -> Result<CallAnswer, CallRefusal> {
     let started = core.now();
-    let (parts, body) = request.into_parts();
     let (head, deadline) = match admit_caller(core, request_id, &parts).await {
         Ok(admitted) => admitted,
         Err(refusal) => {
@@ -161,6 +165,7 @@
         team,
         team_weight,
         importance,
+        call_importance: entry.contract.importance,
         depth: 0,
         mark: None,
         deadline_left_ms: 0,
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -7,7 +7,7 @@
 use http::{Request, Response, Uri};
 use hyper::body::Incoming;
 use limit::{LoadReport, QueueTicket};
-use model::{RefusalReason, RunVerdict, ShedOrder};
+use model::{RefusalReason, RunVerdict};
 use once::ClaimOutcome;
 use wire::{AnswerHead, CallHead, HeaderList};
 
@@ -218,7 +218,7 @@
 fn ticket_for(head: &CallHead, deadline: ClockTime) -> QueueTicket {
     QueueTicket {
         id: head.attempt,
-        order: ShedOrder::new(head.importance, head.request),
+        order: head.shed_order(),
         team: head.team.clone(),
         team_weight: head.team_weight,
         deadline,
@@ -324,6 +324,24 @@
     answer.head.load = core.gate.load(now);
     answer.head.mark = Some(core.attempts.borrow().mark(now));
     answer.head.cut_reports = cut_reports_for(core, head);
+    if let Some(reason) = answer.head.refusal {
+        log::info!(
+            "event=call-refused request={} attempt={} call={} reason={} verdict={} depth={} \
+             importance={} left_ms={} running={} queued={} limit={} retry_after_ms={}",
+            head.request,
+            head.attempt,
+            head.call,
+            reason.as_str(),
+            answer.head.verdict.as_str(),
+            head.depth,
+            head.importance.as_str(),
+            head.deadline_left_ms,
+            answer.head.load.in_flight,
+            answer.head.load.queued,
+            answer.head.load.limit,
+            answer.head.retry_after_ms,
+        );
+    }
     log::debug!(
         "event=call-run request={} attempt={} call={} verdict={} status={} run_ms={}",
         head.request,
--- a/crates/node/src/run_guard.rs
+++ b/crates/node/src/run_guard.rs
@@ -20,13 +20,14 @@
 
 impl RunGuard {
     pub(crate) fn start(core: &Rc<NodeCore>, head: &CallHead, deadline: ClockTime) -> Self {
-        let call = Rc::new(RunningCall::new(head, deadline));
+        let started = core.now();
+        let call = Rc::new(RunningCall::new(head, started, deadline));
         core.running.insert(head.attempt, Rc::clone(&call));
         Self {
             core: Rc::clone(core),
             call,
             attempt: head.attempt,
-            started: core.now(),
+            started,
             answered_ms: Cell::new(None),
         }
     }
--- a/crates/node/src/running_calls.rs
+++ b/crates/node/src/running_calls.rs
@@ -19,7 +19,9 @@
     pub(crate) team: Option<TeamName>,
     pub(crate) team_weight: u32,
     pub(crate) importance: CallImportance,
+    pub(crate) call_importance: CallImportance,
     pub(crate) depth: u8,
+    pub(crate) started: ClockTime,
     pub(crate) deadline: ClockTime,
     pub(crate) allowance: RefCell<RetryAllowance>,
     pub(crate) repeats: RefCell<CallRepeats>,
@@ -31,14 +33,16 @@
 }
 
 impl RunningCall {
-    pub(crate) fn new(head: &CallHead, deadline: ClockTime) -> Self {
+    pub(crate) fn new(head: &CallHead, started: ClockTime, deadline: ClockTime) -> Self {
         let share = AllowanceShare::new(head.allowance);
         Self {
             request: head.request,
             team: head.team.clone(),
             team_weight: head.team_weight,
             importance: head.importance,
+            call_importance: head.call_importance,
             depth: head.depth,
+            started,
             deadline,
             allowance: RefCell::new(RetryAllowance::new(share)),
             repeats: RefCell::new(CallRepeats::new(MAX_REMEMBERED_CALLS)),
@@ -80,11 +84,15 @@
         self.0.borrow().get(&attempt).cloned()
     }
 
-    /// Returns the call that is likely to be served by one that ends at a moment.
-    pub(crate) fn guess(&self, deadline: ClockTime) -> Option<Rc<RunningCall>> {
+    /// Returns the call that is likely to be served by one that ends at a moment, and may last
+    /// `allowed_ms` milliseconds at most.
+    pub(crate) fn guess(&self, end: ClockTime, allowed_ms: u64) -> Option<Rc<RunningCall>> {
         let running = self.0.borrow();
-        let running = running.values().map(|call| (call, call.deadline));
-        guess_parent(running, deadline).cloned()
+        let running = running.values().map(|call| {
+            let longest = call.started.plus_ms(allowed_ms);
+            (call, call.deadline.min(longest))
+        });
+        guess_parent(running, end).cloned()
     }
 
     pub(crate) fn len(&self) -> usize {
--- a/crates/trial/src/world_calls.rs
+++ b/crates/trial/src/world_calls.rs
@@ -151,7 +151,10 @@
     }
 
     fn start_call(&mut self, vm: usize, call: usize) {
-        let importance = self.tries[self.calls[call].client_try].order.importance();
+        let importance = self.tries[self.calls[call].client_try]
+            .order
+            .class()
+            .importance();
         let service = self.vms[vm].service;
         self.last_starts[service][importance as usize] = self.now_us;
         self.calls[call].state = CallState::Running;
--- a/crates/wire/src/call_head.rs
+++ b/crates/wire/src/call_head.rs
@@ -1,6 +1,8 @@
 use std::fmt;
 
-use model::{AttemptId, CallImportance, CallName, RequestId, ServiceName, TeamName};
+use model::{
+    AttemptId, CallImportance, CallName, RequestId, ServiceName, ShedClass, ShedOrder, TeamName,
+};
 use once::TableMark;
 use serde::de::{SeqAccess, Visitor};
 use serde::ser::SerializeTuple;
@@ -10,7 +12,7 @@
 use crate::field_reader::FieldReader;
 
 /// The number of fields of a [`CallHead`] on the wire.
-const FIELDS: usize = 17;
+const FIELDS: usize = 18;
 
 /// What a node tells the next about a call, ahead of the body.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -29,6 +31,8 @@
     pub team_weight: u32,
     /// The importance, inherited from the call at the entry.
     pub importance: CallImportance,
+    /// The importance of the call at the entry itself, where its team's goes first.
+    pub call_importance: CallImportance,
     /// The latest mark of the other node's table of attempts, for senders in doubt.
     pub mark: Option<TableMark>,
     /// The number of calls above this one.
@@ -51,6 +55,15 @@
     pub body_bytes: Option<u64>,
 }
 
+impl CallHead {
+    /// Returns the place of the request in the shedding order.
+    #[must_use]
+    pub fn shed_order(&self) -> ShedOrder {
+        let class = ShedClass::new(self.importance, self.call_importance);
+        ShedOrder::new(class, self.request)
+    }
+}
+
 impl Serialize for CallHead {
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
         let mut tuple = serializer.serialize_tuple(FIELDS)?;
@@ -61,6 +74,7 @@
         tuple.serialize_element(&self.team)?;
         tuple.serialize_element(&self.team_weight)?;
         tuple.serialize_element(&self.importance)?;
+        tuple.serialize_element(&self.call_importance)?;
         tuple.serialize_element(&self.mark)?;
         tuple.serialize_element(&self.depth)?;
         tuple.serialize_element(&self.deadline_left_ms)?;
@@ -100,6 +114,7 @@
             team: fields.next()?,
             team_weight: fields.next()?,
             importance: fields.next()?,
+            call_importance: fields.next()?,
             mark: fields.next()?,
             depth: fields.next()?,
             deadline_left_ms: fields.next()?,
