--- a/crates/contract/tests/faults.rs
+++ b/crates/contract/tests/faults.rs
@@ -77,7 +77,7 @@
 #[case::unknown_field_at_top(
     "[service.a]\n[services.a]",
     "line 1, column 2: unknown field \"service\" in the text",
-    "allowed: services, teams"
+    "allowed: services, teams, routes"
 )]
 #[case::wrong_type(
     "[services.a.calls.c]\nonce = \"yes\"",
--- a/crates/contract/tests/routes.rs
+++ b/crates/contract/tests/routes.rs
@@ -27,7 +27,7 @@
     error
         .faults()
         .iter()
-        .map(|fault| fault.kind.clone())
+        .map(|fault| fault.kind().clone())
         .collect()
 }
 
--- a/crates/graph/src/service_cuts.rs
+++ b/crates/graph/src/service_cuts.rs
@@ -75,10 +75,11 @@
         team: Option<&TeamName>,
         settings: &AdmissionSettings,
     ) -> Option<&ServiceName> {
+        let level = f64::from(order.level());
         self.below
             .get(target)?
             .iter()
-            .find(|service| self.refused_share(now, service, order, team, settings) > spread(order))
+            .find(|service| level < self.mean_level(now, service, team, settings))
     }
 
     /// Returns the reports that go on with an answer that passed some services.
@@ -158,25 +159,18 @@
             })
     }
 
-    /// Returns the part of a service's VMs that would refuse a request, the older their cuts the
-    /// less they count.
-    ///
-    /// A mean of the thresholds would lie among classes of which nothing comes, where one VM
-    /// sheds and others don't, and so refuse nobody.
-    fn refused_share(
+    /// Returns the mean threshold of a service's VMs for a team, the older the lower.
+    fn mean_level(
         &self,
         now: ClockTime,
         service: &ServiceName,
-        order: ShedOrder,
         team: Option<&TeamName>,
         settings: &AdmissionSettings,
     ) -> f64 {
         let mut total = 0.0;
         let mut count = 0.0;
         for (_, heard, trust) in self.live(now, service, settings) {
-            if order < heard.cuts.threshold_of(team) {
-                total += trust;
-            }
+            total += f64::from(heard.cuts.threshold_of(team).level()) * trust;
             count += 1.0;
         }
         if count == 0.0 {
@@ -200,13 +194,6 @@
     }
 }
 
-/// Returns a part from 0 to just under 1 that differs from request to request, and says nothing of
-/// the request's place in its class.
-fn spread(order: ShedOrder) -> f64 {
-    let [_, low] = order.rank().to_be_bytes();
-    f64::from(low) / 256.0
-}
-
 /// Returns how far cuts still count at their age, from 1 down to 0.
 #[expect(clippy::cast_precision_loss, reason = "spans are far below 2^52 ms")]
 fn trust(now: ClockTime, heard: &HeardCuts, settings: &AdmissionSettings) -> f64 {
--- a/crates/limit/tests/shed_control.rs
+++ b/crates/limit/tests/shed_control.rs
@@ -2,7 +2,7 @@
 
 use clock::ClockTime;
 use lentilshift_limit::{QueueState, QueueTicket, ShedControl, ShedSettings};
-use model::{AttemptId, CallImportance, RequestId, ShedOrder, TeamName};
+use model::{AttemptId, CallImportance, RequestId, ShedClass, ShedOrder, TeamName};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
@@ -21,7 +21,7 @@
     random: SmallRng,
     now_ms: u64,
     /// The work that waits, by class; the most important is done first.
-    backlog_ms: [f64; 4],
+    backlog_ms: [f64; ShedClass::COUNT],
 }
 
 /// The requests let in and offered, by team and class.
@@ -33,7 +33,7 @@
             control: ShedControl::new(settings),
             random: SmallRng::seed_from_u64(seed),
             now_ms: 0,
-            backlog_ms: [0.0; 4],
+            backlog_ms: [0.0; ShedClass::COUNT],
         }
     }
 
@@ -75,7 +75,7 @@
 
     fn waits_ms(&self) -> [f64; ShedClass::COUNT] {
         let wait_ms = |class: usize| -> f64 { self.backlog_ms[class..].iter().sum() };
-        [0, 1, 2, 3].map(|class| wait_ms(class) * 1_000.0 / CAPACITY)
+        std::array::from_fn(|class| wait_ms(class) * 1_000.0 / CAPACITY)
     }
 
     fn offer(&mut self, team: &str, weight: u32, class: CallImportance) -> bool {
@@ -93,7 +93,7 @@
         let is_admitted = self.control.arrive(&ticket) || ticket.is_begun();
         if is_admitted {
             self.control.charge(&ticket);
-            self.backlog_ms[class as usize] += 10.0;
+            self.backlog_ms[ShedClass::from(class).index()] += 10.0;
         }
         is_admitted
     }
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -121,11 +121,6 @@
         return Err(refusal.after_ms(NOT_READY_MS));
     }
     let edge = &core.settings.edge;
-    log::trace!(
-        "event=request-head request={request_id} uri={} headers={:?}",
-        parts.uri,
-        parts.headers
-    );
     let key = find_key(&parts.headers, edge);
     if edge.finds_stray_keys && is_key_in_path(parts.uri.path(), key) {
         return Err(CallRefusal::not_run(RefusalReason::BadRequest));
--- a/crates/streams/tests/replaced_config.rs
+++ b/crates/streams/tests/replaced_config.rs
@@ -78,7 +78,8 @@
 fn peer_behind_takes_the_state_and_one_ahead_keeps_its_own() {
     let mut ahead = fold();
     ahead.apply(&record(0, &replacement(4, "one", &["a"])));
-    let mut behind = ahead.clone();
+    let mut behind = fold();
+    behind.apply(&record(0, &replacement(4, "one", &["a"])));
     let old = behind.snapshot().unwrap();
     ahead.apply(&record(1, &replacement(9, "two", &["b"])));
     behind.adopt(&ahead.snapshot().unwrap());
--- a/crates/wire/tests/heads.rs
+++ b/crates/wire/tests/heads.rs
@@ -14,6 +14,7 @@
         team: once.then(|| "clubs".into()),
         team_weight: 200,
         importance: CallImportance::High,
+        call_importance: CallImportance::Normal,
         mark: None,
         depth: 3,
         deadline_left_ms: 800,
