--- /dev/null
+++ b/crates/standin/src/instance_server.rs
@@ -0,0 +1,136 @@
+use std::cell::{Cell, RefCell};
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use compio::net::{TcpListener, TcpStream};
+use compio::runtime::spawn;
+use cyper_core::HyperStream;
+use http::{HeaderMap, Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use serde_json::json;
+
+use crate::http_parts::{TextResponse, text};
+
+/// The header that names the backend server which alone may run a request.
+const EXPECTED: &str = "expect-instance";
+/// The header with the caller's id of its request.
+const REQUEST_ID: &str = "request-id";
+
+/// A request that an instance has run.
+#[derive(Clone, Debug)]
+pub struct InstanceRun {
+    /// The path and query.
+    pub path: String,
+    /// The headers.
+    pub headers: HeaderMap,
+}
+
+/// A stand-in for a backend server of the users' platform.
+///
+/// It runs requests that expect it, names itself in its signatures, and reports to its node.
+#[derive(Debug)]
+pub struct InstanceServer {
+    service: String,
+    id: String,
+    address: SocketAddr,
+    runs: RefCell<Vec<InstanceRun>>,
+    sequence: Cell<u64>,
+    client: cyper::Client,
+}
+
+impl InstanceServer {
+    /// Starts an instance on the loop of this thread.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error when no address can be listened on.
+    pub async fn start(service: &str, id: &str) -> io::Result<Rc<Self>> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let server = Rc::new(Self {
+            service: service.to_owned(),
+            id: id.to_owned(),
+            address: listener.local_addr()?,
+            runs: RefCell::default(),
+            sequence: Cell::new(0),
+            client: cyper::Client::new().map_err(io::Error::other)?,
+        });
+        let accepting = Rc::clone(&server);
+        spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                spawn(Rc::clone(&accepting).serve(stream)).detach();
+            }
+        })
+        .detach();
+        Ok(server)
+    }
+
+    /// Returns the address.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns what the instance has run so far.
+    #[must_use]
+    pub fn runs(&self) -> Vec<InstanceRun> {
+        self.runs.borrow().clone()
+    }
+
+    /// Reports to a node in a state, and returns whether that was acknowledged.
+    pub async fn report(&self, node: SocketAddr, state: &str) -> bool {
+        self.sequence.set(self.sequence.get() + 1);
+        let body = json!({
+            "service": self.service,
+            "address": self.address.to_string(),
+            "zone": "here",
+            "version": "v1",
+            "max-concurrency": 25,
+            "state": state,
+            "warmup-left-ms": 0,
+            "sequence": self.sequence.get(),
+            "born": 1,
+        });
+        let url = format!("http://{node}/instances/{}", self.id);
+        let Ok(request) = self.client.put(url) else {
+            return false;
+        };
+        let sent = request.body(body.to_string()).send().await;
+        sent.is_ok_and(|answer| answer.status().is_success())
+    }
+
+    async fn serve(self: Rc<Self>, stream: TcpStream) {
+        let service = service_fn(|request| {
+            let answer = self.answer(&request);
+            async move { Ok::<_, Infallible>(answer) }
+        });
+        let stream = HyperStream::new_plain(stream);
+        // A connection that ends early ends its requests only.
+        let _ = http1::Builder::new()
+            .serve_connection(stream, service)
+            .await;
+    }
+
+    fn answer(&self, request: &Request<Incoming>) -> TextResponse {
+        let headers = request.headers();
+        let expected = headers.get(EXPECTED).map(|value| value.as_bytes());
+        if expected.is_some_and(|expected| expected != self.id.as_bytes()) {
+            return text(StatusCode::MISDIRECTED_REQUEST, "");
+        }
+        self.runs.borrow_mut().push(InstanceRun {
+            path: request.uri().to_string(),
+            headers: headers.clone(),
+        });
+        let mut response = Response::builder().header("response-signature", &self.id);
+        if let Some(id) = headers.get(REQUEST_ID) {
+            response = response.header(REQUEST_ID, id);
+        }
+        let body = Full::from(Bytes::from(format!("{} answers", self.id)));
+        response.body(body).expect("a fixed answer is valid")
+    }
+}
