--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod admission_queue;
 mod concurrency_limit;
+mod line_budget;
 mod load_report;
 mod queue_settings;
 mod queue_ticket;
@@ -19,6 +20,7 @@
 
 pub use admission_queue::AdmissionQueue;
 pub use concurrency_limit::{ConcurrencyLimit, LimitSettings};
+pub use line_budget::LineBudget;
 pub use load_report::LoadReport;
 pub use model::{ShedCuts, TeamCut};
 pub use queue_settings::QueueSettings;
--- a/crates/node/src/http_answer.rs
+++ b/crates/node/src/http_answer.rs
@@ -43,16 +43,18 @@
 ) -> Response<AnswerBody> {
     let edge = &core.settings.edge;
     core.metrics.count_refusal(part, refusal.reason);
-    log::info!(
-        "event=refused part={part} request={request} reason={} verdict={} by={} retry_after_ms={}",
-        refusal.reason.as_str(),
-        refusal.verdict.as_str(),
-        refusal
-            .service
-            .as_ref()
-            .map_or("", model::ServiceName::as_str),
-        refusal.retry_after_ms,
-    );
+    if core.may_log() {
+        log::info!(
+            "event=refused part={part} request={request} reason={} verdict={} by={} retry_after_ms={}",
+            refusal.reason.as_str(),
+            refusal.verdict.as_str(),
+            refusal
+                .service
+                .as_ref()
+                .map_or("", model::ServiceName::as_str),
+            refusal.retry_after_ms,
+        );
+    }
     let body = CallBody::Whole(problem_body(request, refusal));
     let mut response = Response::new(AnswerBody::from(body));
     let status = StatusCode::from_u16(status_of(edge, refusal.reason, refusal.verdict));
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -201,11 +201,13 @@
     if let Some(claim) = passes.claim {
         claim.finish(ClaimOutcome::NotRun);
     }
-    log::info!(
-        "event=backend-refused request={} attempt={} kind={kind:?}",
-        head.request,
-        head.attempt
-    );
+    if core.may_log() {
+        log::info!(
+            "event=backend-refused request={} attempt={} kind={kind:?}",
+            head.request,
+            head.attempt
+        );
+    }
     if kind == AnswerKind::OtherBackend
         && let Some(backend) = core.backend_name()
     {
@@ -324,7 +326,9 @@
     answer.head.load = core.gate.load(now);
     answer.head.mark = Some(core.attempts.borrow().mark(now));
     answer.head.cut_reports = cut_reports_for(core, head);
-    if let Some(reason) = answer.head.refusal {
+    if let Some(reason) = answer.head.refusal
+        && core.may_log()
+    {
         log::info!(
             "event=call-refused request={} attempt={} call={} reason={} verdict={} depth={} \
              importance={} left_ms={} running={} queued={} limit={} retry_after_ms={}",
--- a/crates/node/src/node_core.rs
+++ b/crates/node/src/node_core.rs
@@ -5,6 +5,7 @@
 use clock::ClockTime;
 use contract::{FleetContract, RouteIndex};
 use graph::{AdmissionSettings, ChainAdmission};
+use limit::LineBudget;
 use member::{BackendName, BackendWatch, MemberFold};
 use model::{AttemptId, RecordId, RequestId, ServiceName, VmName};
 use once::{AttemptSettings, AttemptTable, ClaimTable, OnceSettings};
@@ -42,6 +43,10 @@
 /// they haven't heard of it yet, in milliseconds.
 const LEAVE_TAKE_MS: u64 = 2_000;
 
+/// The lines of log a second that requests may cause: some 10 KiB, and far under a hundredth of a
+/// node's processor time. Lines of changed beliefs aren't counted.
+const LINES_PER_S: u32 = 50;
+
 /// All that the tasks of a node share, on one thread.
 pub(crate) struct NodeCore {
     pub(crate) settings: NodeSettings,
@@ -93,6 +98,8 @@
     pub(crate) egress_connections: Rc<Cell<usize>>,
     /// The calls that arrived for the backend server and aren't answered to the end yet.
     pub(crate) arrived: Rc<Cell<usize>>,
+    /// The lines of log that requests may cause.
+    lines: RefCell<LineBudget>,
     random: RefCell<StdRng>,
 }
 
@@ -169,6 +176,7 @@
             open_connections: Rc::default(),
             egress_connections: Rc::default(),
             arrived: Rc::default(),
+            lines: RefCell::new(LineBudget::new(LINES_PER_S)),
             random: RefCell::new(random),
             settings,
         }
@@ -194,6 +202,16 @@
         RecordId::from_random(self.random.borrow_mut().random())
     }
 
+    /// Returns whether a request may cause a line of log now, and tells of those left out before.
+    pub(crate) fn may_log(&self) -> bool {
+        let now = self.now();
+        let mut lines = self.lines.borrow_mut();
+        if let Some(count) = lines.take_left_out(now) {
+            log::warn!("event=lines-left-out count={count} lines_per_s={LINES_PER_S}");
+        }
+        lines.take(now)
+    }
+
     /// Calls a function with the random numbers of this node.
     pub(crate) fn with_random<T>(&self, draw: impl FnOnce(&mut StdRng) -> T) -> T {
         draw(&mut self.random.borrow_mut())
