--- a/crates/contract/src/route_index.rs
+++ b/crates/contract/src/route_index.rs
@@ -5,6 +5,9 @@
 
 use crate::{FleetContract, RouteContract};
 
+/// The routes of one host, by the prefix of their paths.
+type HostRoutes = BTreeMap<Arc<str>, (CallName, RouteContract)>;
+
 /// Finds the route of a request by its host and the longest prefix of its path.
 ///
 /// # Examples
@@ -31,7 +34,7 @@
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct RouteIndex {
-    hosts: BTreeMap<Arc<str>, BTreeMap<Arc<str>, (CallName, RouteContract)>>,
+    hosts: BTreeMap<Arc<str>, HostRoutes>,
 }
 
 impl RouteIndex {
--- a/crates/model/src/shed_class.rs
+++ b/crates/model/src/shed_class.rs
@@ -56,6 +56,7 @@
     }
 
     /// Returns all classes, the first to be shed first.
+    #[must_use]
     pub fn all() -> impl DoubleEndedIterator<Item = Self> {
         let calls = CallImportance::ALL.into_iter();
         calls.flat_map(|importance| {
--- a/crates/node/src/fleet_watch.rs
+++ b/crates/node/src/fleet_watch.rs
@@ -150,7 +150,7 @@
     core.config.with(|state| {
         state
             .feed
-            .set_members(plans.config.clone(), readers, has_peers)
+            .set_members(plans.config.clone(), readers, has_peers);
     });
 }
 
--- a/crates/node/src/node_process.rs
+++ b/crates/node/src/node_process.rs
@@ -223,6 +223,7 @@
 }
 
 /// What a port beside the usual ones is for.
+#[derive(Clone, Copy)]
 enum PortKind {
     /// The backend server tells of itself.
     Reports,
--- a/crates/standin/src/instance_server.rs
+++ b/crates/standin/src/instance_server.rs
@@ -8,7 +8,7 @@
 use compio::net::{TcpListener, TcpStream};
 use compio::runtime::spawn;
 use cyper_core::HyperStream;
-use http::{HeaderMap, Request, Response, StatusCode};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -118,7 +118,7 @@
 
     fn answer(&self, request: &Request<Incoming>) -> TextResponse {
         let headers = request.headers();
-        let expected = headers.get(EXPECTED).map(|value| value.as_bytes());
+        let expected = headers.get(EXPECTED).map(HeaderValue::as_bytes);
         if expected.is_some_and(|expected| expected != self.id.as_bytes()) {
             return text(StatusCode::MISDIRECTED_REQUEST, "");
         }
--- a/crates/standin/src/store_server.rs
+++ b/crates/standin/src/store_server.rs
@@ -40,6 +40,11 @@
     pub delay_ms: u64,
 }
 
+/// A topic and a key in it.
+type TopicKey = (String, String);
+/// The offset of a record and the value in it.
+type KeyedValue = (u64, Vec<u8>);
+
 /// One topic's records.
 #[derive(Clone, Debug, Default)]
 struct StoredTopic {
@@ -61,7 +66,7 @@
 pub struct StoreServer {
     topics: Rc<RefCell<BTreeMap<String, StoredTopic>>>,
     /// The newest record of each key of a topic, with its offset.
-    newest: Rc<RefCell<BTreeMap<(String, String), (u64, Vec<u8>)>>>,
+    newest: Rc<RefCell<BTreeMap<TopicKey, KeyedValue>>>,
     faults: Rc<Cell<StoreFaults>>,
     calls: Rc<Cell<u64>>,
 }
@@ -97,6 +102,11 @@
     }
 
     /// Writes a value under a key, as operators do, and returns its offset.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the key has more than 255 bytes.
+    #[allow(clippy::must_use_candidate, reason = "most tests write without looking back")]
     pub fn put(&self, topic: &str, key: &str, value: &[u8]) -> u64 {
         let length = u8::try_from(key.len()).expect("a key is short");
         let mut record = vec![length];
