--- a/crates/standin/src/store_server.rs
+++ b/crates/standin/src/store_server.rs
@@ -106,7 +106,10 @@
     /// # Panics
     ///
     /// Panics when the key has more than 255 bytes.
-    #[allow(clippy::must_use_candidate, reason = "most tests write without looking back")]
+    #[allow(
+        clippy::must_use_candidate,
+        reason = "most tests write without looking back"
+    )]
     pub fn put(&self, topic: &str, key: &str, value: &[u8]) -> u64 {
         let length = u8::try_from(key.len()).expect("a key is short");
         let mut record = vec![length];
