fix(node): a stopping node takes no request that it might have to cut

Ruled out: a slow backend server, its run would have ended in time on a node that stays. Change: once callers had 3 s to move away, new requests are told that they haven't run and when to come back; calls of the backend server for running requests are still served. The test wasn't run against the code before the change.

--- a/crates/lentilshift/tests/platform_path/main.rs
+++ b/crates/lentilshift/tests/platform_path/main.rs
@@ -108,3 +108,29 @@
     };
     assert_eq!(fleet.ask(0, &open).await.status, 200);
 }
+
+/// The time for which a node that stops lets callers move away, and a little more.
+const MOVED_AWAY: Duration = Duration::from_millis(3_300);
+
+/// A request that a stopping node took late was cut at the end of its grace time.
+#[rstest]
+#[compio::test]
+async fn stopping_node_takes_no_request_that_it_might_have_to_cut() {
+    let fleet = PlatformFleet::start().await;
+    for instance in &fleet.instances {
+        instance.set_run_ms(800);
+    }
+    fleet.terminate(0);
+    let stopping = compio::time::sleep(MOVED_AWAY);
+    let keeping_busy = async {
+        for _ in 0..5 {
+            let ask = Ask::new("/records/7");
+            let _ = fleet.try_ask(0, &ask).await;
+        }
+    };
+    futures_util::future::select(Box::pin(stopping), Box::pin(keeping_busy)).await;
+    if let Some(told) = fleet.try_ask(0, &Ask::new("/records/7")).await {
+        assert_eq!(told.status, 503, "{told:?}");
+        assert!(told.header("retry-after").is_some());
+    }
+}
--- a/crates/lentilshift/tests/platform_path/platform_fleet.rs
+++ b/crates/lentilshift/tests/platform_path/platform_fleet.rs
@@ -139,6 +139,18 @@
             .collect()
     }
 
+    /// Asks a node to stop.
+    pub fn terminate(&self, node: usize) {
+        let id = self.nodes[node].id().to_string();
+        let status = Command::new("kill").args(["-TERM", &id]).status();
+        assert!(status.expect("the signal is sent").success());
+    }
+
+    /// Asks a node once, and returns nothing when it takes no connection or gives no answer.
+    pub async fn try_ask(&self, node: usize, ask: &Ask) -> Option<Told> {
+        self.send(node, ask).await.ok()
+    }
+
     /// Asks a node, again while the team's tokens are on their way.
     pub async fn ask(&self, node: usize, ask: &Ask) -> Told {
         let until = Instant::now() + PATIENCE;
@@ -152,6 +164,10 @@
     }
 
     async fn ask_once(&self, node: usize, ask: &Ask) -> Told {
+        self.send(node, ask).await.expect("the node answers")
+    }
+
+    async fn send(&self, node: usize, ask: &Ask) -> Result<Told, cyper::Error> {
         let url = format!("http://{}:{CALLERS}{}", self.machines[node], ask.path);
         let mut headers = vec![
             ("host", ask.host),
@@ -163,11 +179,11 @@
         let request = headers.into_iter().fold(request, |request, (name, value)| {
             request.header(name, value).unwrap()
         });
-        let answer = request.send().await.expect("the node answers");
-        Told {
+        let answer = request.send().await?;
+        Ok(Told {
             status: answer.status().as_u16(),
             headers: answer.headers().clone(),
-        }
+        })
     }
 
     async fn add(&mut self, service: &str, store: SocketAddr) {
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -120,6 +120,10 @@
         let refusal = CallRefusal::not_run(RefusalReason::NotReady);
         return Err(refusal.after_ms(NOT_READY_MS));
     }
+    if core.drain.is_given() {
+        let refusal = CallRefusal::not_run(RefusalReason::NotReady);
+        return Err(refusal.after_ms(NOT_READY_MS));
+    }
     let edge = &core.settings.edge;
     let key = find_key(&parts.headers, edge);
     if edge.finds_stray_keys && is_key_in_path(parts.uri.path(), key) {
--- a/crates/standin/src/instance_server.rs
+++ b/crates/standin/src/instance_server.rs
@@ -15,7 +15,7 @@
 use hyper::service::service_fn;
 use serde_json::json;
 
-use crate::http_parts::{TextResponse, text};
+use crate::http_parts::{TextResponse, text, wait_ms};
 
 /// The header that names the backend server which alone may run a request.
 const EXPECTED: &str = "expect-instance";
@@ -41,6 +41,7 @@
     address: SocketAddr,
     runs: RefCell<Vec<InstanceRun>>,
     sequence: Cell<u64>,
+    run_ms: Cell<u64>,
     client: cyper::Client,
 }
 
@@ -58,6 +59,7 @@
             address: listener.local_addr()?,
             runs: RefCell::default(),
             sequence: Cell::new(0),
+            run_ms: Cell::new(0),
             client: cyper::Client::new().map_err(io::Error::other)?,
         });
         let accepting = Rc::clone(&server);
@@ -82,6 +84,11 @@
         self.runs.borrow().clone()
     }
 
+    /// Sets the time that a request runs, in milliseconds.
+    pub fn set_run_ms(&self, run_ms: u64) {
+        self.run_ms.set(run_ms);
+    }
+
     /// Reports to a node in a state, and returns whether that was acknowledged.
     pub async fn report(&self, node: SocketAddr, state: &str) -> bool {
         self.sequence.set(self.sequence.get() + 1);
@@ -107,7 +114,11 @@
     async fn serve(self: Rc<Self>, stream: TcpStream) {
         let service = service_fn(|request| {
             let answer = self.answer(&request);
-            async move { Ok::<_, Infallible>(answer) }
+            let run_ms = self.run_ms.get();
+            async move {
+                wait_ms(run_ms).await;
+                Ok::<_, Infallible>(answer)
+            }
         });
         let stream = HyperStream::new_plain(stream);
         // A connection that ends early ends its requests only.
