feat(limit,node): bound the requests in flight that entered at a node, by kind and class

Cuts tell of a full service only as fast as whole requests come back, and ties blur the classes at the lowest one. Ruled out: the processor (0.15 of 0.4 cores); refusals by the backend server (none in the first 8 s). Change: a window per kind and class at each entry, from mean latency; requests whose calls were lost to load, which answers now tell hop by hop, weigh three times their time.

--- a/crates/contract/src/call_contract.rs
+++ b/crates/contract/src/call_contract.rs
@@ -45,6 +45,16 @@
         self.idempotent && !self.once
     }
 
+    /// Returns the time in which an answer is worth most, in milliseconds.
+    #[must_use]
+    pub const fn useful_ms(&self) -> u64 {
+        if self.target_ms > 0 && self.target_ms < self.deadline_ms {
+            self.target_ms
+        } else {
+            self.deadline_ms
+        }
+    }
+
     /// Returns whether a call takes requests with this method.
     #[must_use]
     pub fn takes_method(&self, method: &str) -> bool {
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod admission_queue;
 mod concurrency_limit;
+mod entry_window;
 mod line_budget;
 mod load_report;
 mod queue_settings;
@@ -20,6 +21,7 @@
 
 pub use admission_queue::AdmissionQueue;
 pub use concurrency_limit::{ConcurrencyLimit, LimitSettings};
+pub use entry_window::{EntryWindow, WindowSettings};
 pub use line_budget::LineBudget;
 pub use load_report::LoadReport;
 pub use model::{ShedCuts, TeamCut};
--- a/crates/model/src/refusal_reason.rs
+++ b/crates/model/src/refusal_reason.rs
@@ -67,6 +67,19 @@
         Self::BadRequest,
     ];
 
+    /// Returns whether the reason is that there was too little room or time.
+    #[must_use]
+    pub const fn is_load(self) -> bool {
+        matches!(
+            self,
+            Self::Overloaded
+                | Self::OverShare
+                | Self::TooLate
+                | Self::DeadlinePassed
+                | Self::BackendBusy
+        )
+    }
+
     /// Returns the name used in problem documents, logs and metrics.
     #[must_use]
     pub const fn as_str(self) -> &'static str {
--- a/crates/node/src/call_answer.rs
+++ b/crates/node/src/call_answer.rs
@@ -86,6 +86,7 @@
                 mark: None,
                 send_to: None,
                 is_suspect: false,
+                is_lost_to_load: refusal.reason.is_load(),
             },
             body: CallBody::Whole(body).into(),
         }
--- a/crates/node/src/chain_watch.rs
+++ b/crates/node/src/chain_watch.rs
@@ -2,7 +2,7 @@
 
 use clock::ClockTime;
 use graph::{CallTarget, CutReport, RefusedRequest};
-use model::{RefusalReason, RequestId, RunVerdict, ShedOrder, TeamName, VmName};
+use model::{RefusalReason, RequestId, RunVerdict, ServiceName, ShedOrder, TeamName, VmName};
 use wire::{AnswerHead, CallHead};
 
 use crate::call_answer::{CallAnswer, CallRefusal};
@@ -23,24 +23,33 @@
     }
     let now = core.now();
     let order = head.shed_order();
-    let mut admission = core.chain.borrow_mut();
+    let admission = core.chain.borrow();
     let target = target_of(head);
     let team = head.team.as_ref();
     let left_ms = now.until_ms(deadline);
     let admitted = admission.admit(now, &target, order, team, left_ms);
+    drop(admission);
     admitted.map_err(|refusal| {
-        let refused = RefusedRequest {
-            service: &refusal.service,
-            target: &target,
-            team,
-            order,
-        };
+        let after_ms = return_after_ms(core, head, &refusal.service);
         CallRefusal::not_run(refusal.reason)
-            .after_ms(admission.return_after_ms(now, refused))
+            .after_ms(after_ms)
             .by(&refusal.service)
     })
 }
 
+/// Returns when the caller of a request should come back that a service has no room for, in
+/// milliseconds.
+pub(crate) fn return_after_ms(core: &NodeCore, head: &CallHead, service: &ServiceName) -> u64 {
+    let refused = RefusedRequest {
+        service,
+        target: &target_of(head),
+        team: head.team.as_ref(),
+        order: head.shed_order(),
+    };
+    let mut admission = core.chain.borrow_mut();
+    admission.return_after_ms(core.now(), refused)
+}
+
 /// A request that entered here, as its answer is judged.
 pub(crate) struct EntryRequest {
     started: ClockTime,
--- a/crates/node/src/egress.rs
+++ b/crates/node/src/egress.rs
@@ -78,7 +78,7 @@
     let body = read_small(core, body, deadline).await?;
     let body_bytes = body.known_bytes();
     let target = CallTarget::new(head.service.clone(), head.call.clone());
-    if let Some(parent) = parent {
+    if let Some(parent) = &parent {
         parent.used.borrow_mut().insert(target);
     }
     let head = CallHead {
@@ -89,6 +89,9 @@
     };
     let service = head.service.clone();
     let answer = dispatch_call(core, head, body, deadline).await;
+    if let Some(parent) = &parent {
+        parent.note_loss(&answer.head);
+    }
     let now = core.now();
     core.metrics
         .observe_call("egress", &service, started, now, &answer.head);
@@ -137,6 +140,7 @@
     core.metrics
         .observe_call("egress", &service, started, now, &answer.head);
     if let Some(parent) = &parent {
+        parent.note_loss(&answer.head);
         settle_with(parent, attempt, &answer, now.since_ms(started));
     }
     Ok(answer)
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -20,6 +20,7 @@
 use crate::chain_watch::{EntryRequest, check_chain};
 use crate::dispatch::dispatch_call;
 use crate::egress::answer_guessed;
+use crate::entry_place::EntryPlace;
 use crate::http_answer::{build_response, refuse_response};
 use crate::node_core::NodeCore;
 use crate::rate_watch::admit_team;
@@ -85,7 +86,7 @@
     body: Incoming,
 ) -> Result<CallAnswer, CallRefusal> {
     let started = core.now();
-    let (head, deadline) = match admit_caller(core, request_id, &parts).await {
+    let (head, deadline, place) = match admit_caller(core, request_id, &parts).await {
         Ok(admitted) => admitted,
         Err(refusal) => {
             skip_body(&parts, body);
@@ -104,23 +105,21 @@
     let service = head.service.clone();
     let mut answer = dispatch_call(core, head, body, deadline).await;
     entered.note_answer(core, &mut answer);
+    place.close(&answer.head);
     charge.close(answer.head.allowance_left);
     core.metrics
         .observe_call("entry", &service, started, core.now(), &answer.head);
     Ok(answer)
 }
 
-/// Admits a request by its head, and returns the call that it makes and its deadline.
+/// Admits a request by its head, and returns the call that it makes, its deadline and the place
+/// that it holds.
 async fn admit_caller(
     core: &Rc<NodeCore>,
     request_id: RequestId,
     parts: &Parts,
-) -> Result<(CallHead, ClockTime), CallRefusal> {
-    if !core.has_contract() {
-        let refusal = CallRefusal::not_run(RefusalReason::NotReady);
-        return Err(refusal.after_ms(NOT_READY_MS));
-    }
-    if core.drain.is_given() {
+) -> Result<(CallHead, ClockTime, EntryPlace), CallRefusal> {
+    if !core.has_contract() || core.drain.is_given() {
         let refusal = CallRefusal::not_run(RefusalReason::NotReady);
         return Err(refusal.after_ms(NOT_READY_MS));
     }
@@ -137,12 +136,14 @@
     let allowed_ms = entry.contract.deadline_ms;
     let wanted_ms = find_deadline_ms(&parts.headers, edge).unwrap_or(allowed_ms);
     let deadline = core.now().plus_ms(wanted_ms.min(allowed_ms));
+    let useful_ms = entry.contract.useful_ms();
     let head = build_head(core, request_id, entry, team, parts, key);
     check_chain(core, &head, deadline)?;
+    let place = EntryPlace::take(core, &head, useful_ms)?;
     if let Some(team) = &head.team {
         admit_team(core, team, deadline).await?;
     }
-    Ok((head, deadline))
+    Ok((head, deadline, place))
 }
 
 fn build_head(
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -301,6 +301,7 @@
         mark: None,
         send_to: None,
         is_suspect: false,
+        is_lost_to_load: parts.status.is_server_error() && run.call.has_lost_call.get(),
     };
     if let Some(claim) = claim {
         match keep_answer(&mut answer, body).await {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -29,6 +29,7 @@
 mod edge_settings;
 mod egress;
 mod entry;
+mod entry_place;
 mod fleet_bounds;
 mod fleet_watch;
 mod held_answer;
--- a/crates/node/src/node_core.rs
+++ b/crates/node/src/node_core.rs
@@ -5,7 +5,7 @@
 use clock::ClockTime;
 use contract::{FleetContract, RouteIndex};
 use graph::{AdmissionSettings, ChainAdmission};
-use limit::LineBudget;
+use limit::{EntryWindow, LineBudget};
 use member::{BackendName, BackendWatch, MemberFold};
 use model::{AttemptId, RecordId, RequestId, ServiceName, VmName};
 use once::{AttemptSettings, AttemptTable, ClaimTable, OnceSettings};
@@ -24,6 +24,7 @@
 use crate::claim_watch::ClaimDecision;
 use crate::config_state::ConfigState;
 use crate::decision_waiters::DecisionWaiters;
+use crate::entry_place::WindowKey;
 use crate::held_answer::HeldAnswers;
 use crate::ingress_gate::IngressGate;
 use crate::node_clock::NodeClock;
@@ -71,6 +72,8 @@
     /// Notifies when a call arrives, so that time passes for it.
     pub(crate) activity: ChangeNotifier,
     pub(crate) chain: RefCell<ChainAdmission>,
+    /// The requests in flight that entered here, by kind and class.
+    pub(crate) windows: RefCell<BTreeMap<WindowKey, EntryWindow>>,
     pub(crate) resends: RefCell<ResendTable>,
     pub(crate) resend_counts: RefCell<ResendCounts>,
     pub(crate) ratios: RefCell<BTreeMap<ServiceName, RetryRatio>>,
@@ -157,6 +160,7 @@
             tokens: ChangeNotifier::default(),
             activity: ChangeNotifier::default(),
             chain: RefCell::new(ChainAdmission::new(AdmissionSettings::default())),
+            windows: RefCell::default(),
             resends: RefCell::new(ResendTable::new(ResendSettings::default())),
             resend_counts: RefCell::new(ResendCounts::new(ResendSettings::default())),
             ratios: RefCell::default(),
--- a/crates/node/src/running_calls.rs
+++ b/crates/node/src/running_calls.rs
@@ -6,7 +6,7 @@
 use graph::{CallTarget, guess_parent};
 use model::{AttemptId, CallImportance, RequestId, TeamName};
 use retry::{AllowanceShare, CallRepeats, RetryAllowance};
-use wire::CallHead;
+use wire::{AnswerHead, CallHead};
 
 use crate::change_notifier::ChangeNotifier;
 
@@ -28,6 +28,8 @@
     pub(crate) used: RefCell<BTreeSet<CallTarget>>,
     /// The time spent waiting for calls below, in milliseconds.
     pub(crate) below_ms: Cell<u64>,
+    /// Whether a call that it made was lost to load.
+    pub(crate) has_lost_call: Cell<bool>,
     is_given_up: Cell<bool>,
     given_up: ChangeNotifier,
 }
@@ -48,11 +50,19 @@
             repeats: RefCell::new(CallRepeats::new(MAX_REMEMBERED_CALLS)),
             used: RefCell::default(),
             below_ms: Cell::new(0),
+            has_lost_call: Cell::new(false),
             is_given_up: Cell::new(false),
             given_up: ChangeNotifier::default(),
         }
     }
 
+    /// Notes whether a call that this one made was lost to load.
+    pub(crate) fn note_loss(&self, answer: &AnswerHead) {
+        if answer.is_lost_to_load {
+            self.has_lost_call.set(true);
+        }
+    }
+
     /// Stops the calls below, as nobody waits for this one any more.
     pub(crate) fn give_up(&self) {
         self.is_given_up.set(true);
--- a/crates/wire/src/answer_head.rs
+++ b/crates/wire/src/answer_head.rs
@@ -12,7 +12,7 @@
 use crate::field_reader::FieldReader;
 
 /// The number of fields of a [`AnswerHead`] on the wire.
-const FIELDS: usize = 16;
+const FIELDS: usize = 17;
 
 /// What a node tells the one that called, ahead of the answer's body.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -49,6 +49,8 @@
     pub send_to: Option<VmName>,
     /// Whether sending the call again might crash another backend server.
     pub is_suspect: bool,
+    /// Whether the call failed as it, or one that it needed, was refused for want of room or time.
+    pub is_lost_to_load: bool,
 }
 
 impl Serialize for AnswerHead {
@@ -70,6 +72,7 @@
         tuple.serialize_element(&self.mark)?;
         tuple.serialize_element(&self.send_to)?;
         tuple.serialize_element(&self.is_suspect)?;
+        tuple.serialize_element(&self.is_lost_to_load)?;
         tuple.end()
     }
 }
@@ -108,6 +111,7 @@
             mark: fields.next()?,
             send_to: fields.next()?,
             is_suspect: fields.next()?,
+            is_lost_to_load: fields.next()?,
         })
     }
 }
--- a/crates/wire/tests/heads.rs
+++ b/crates/wire/tests/heads.rs
@@ -46,6 +46,7 @@
         mark: None,
         send_to: Some("registry-2".into()),
         is_suspect: false,
+        is_lost_to_load: true,
     }
 }
 
