feat(limit): lesser classes give way first, also where their requests have more time; silent backend connections

Change: a late class shrinks the least important window that shares a service and has room; none of these widens meanwhile. entry_window.rs replays it. The idle age of connections counts suspended time.

--- a/crates/graph/src/chain_admission.rs
+++ b/crates/graph/src/chain_admission.rs
@@ -148,6 +148,16 @@
         })
     }
 
+    /// Returns whether two kinds of call are known to pass a service that is the same.
+    #[must_use]
+    pub fn share_service(&self, one: &CallTarget, other: &CallTarget) -> bool {
+        let cuts = &self.cuts;
+        let passes = |service: &ServiceName| {
+            *service == other.service || cuts.services_below(other).any(|below| below == service)
+        };
+        passes(&one.service) || cuts.services_below(one).any(passes)
+    }
+
     /// Takes in the lower calls that one complete run of a call of the own service made.
     pub fn observe_uses(&mut self, target: &CallTarget, used: &BTreeSet<CallTarget>) {
         self.uses.observe(target, used);
--- a/crates/limit/src/entry_window.rs
+++ b/crates/limit/src/entry_window.rs
@@ -1,3 +1,5 @@
+use clock::ClockTime;
+
 /// The settings of an [`EntryWindow`].
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct WindowSettings {
@@ -32,33 +34,23 @@
 
 /// How much of a step a mean latency takes for each part by which it is off.
 const STEP_SLOPE: f64 = 3.0;
+/// The time for which a mean without news keeps lesser classes from widening, in milliseconds: the
+/// longest that an ordinary request takes.
+const LATE_LIFE_MS: u64 = 1_000;
 
 /// Bounds the requests of one kind and class that entered at a node and aren't answered yet.
 ///
-/// Load pattern: a service deep in the chain has too little room for what all entries let in, and
-/// what is known of it at the entry is as old as a whole request. A bound on requests in flight
-/// needs no news: when the chain slows down, fewer enter at once. The window closes once the mean
-/// latency is above what the class may take, and widens below that. Classes that give way first
-/// may take less, so theirs close while those of others stay open.
-///
-/// # Examples
-///
-/// ```
-/// use lentilshift_limit::{EntryWindow, WindowSettings};
-///
-/// let mut window = EntryWindow::new(WindowSettings::default(), 0.0);
-/// assert!(window.enter());
-/// assert!(window.enter());
-/// window.leave(Some(900), 1_000);
-/// assert!(!window.enter(), "the first latency is above 0.55 of what is allowed");
-/// ```
+/// It is open until a shrink closes it, and open again once only half of it is used.
 #[derive(Clone, Debug)]
-pub struct EntryWindow {
+pub(crate) struct EntryWindow {
     settings: WindowSettings,
     /// The part of the allowed time that the mean latency may reach.
     part: f64,
     in_flight: u32,
     mean_ms: Option<f64>,
+    /// By which part the mean was above what the class may take, and when that was found.
+    excess: f64,
+    noted_at: ClockTime,
     /// The requests that may be in flight; `None` while the window is open.
     limit: Option<f64>,
     /// The least that the limit falls to.
@@ -68,21 +60,22 @@
 impl EntryWindow {
     /// Creates an open window for a class, by its place in the shedding order, from 0 for the one
     /// that gives way first to 1.
-    #[must_use]
-    pub fn new(settings: WindowSettings, place: f64) -> Self {
+    pub(crate) fn new(settings: WindowSettings, place: f64) -> Self {
         let span = settings.last_part - settings.first_part;
         Self {
             settings,
             part: settings.first_part + span * place.clamp(0.0, 1.0),
             in_flight: 0,
             mean_ms: None,
+            excess: 0.0,
+            noted_at: ClockTime::ZERO,
             limit: None,
             least: 1.0,
         }
     }
 
     /// Counts a request in, unless the window is full.
-    pub fn enter(&mut self) -> bool {
+    pub(crate) fn enter(&mut self) -> bool {
         let wanted = f64::from(self.in_flight) + 1.0;
         if self.limit.is_some_and(|limit| wanted > limit) {
             return false;
@@ -91,39 +84,44 @@
         true
     }
 
-    /// Counts a request out that was allowed to take `allowed_ms` milliseconds, with its latency in
-    /// milliseconds where that says how loaded the chain is.
-    pub fn leave(&mut self, latency_ms: Option<u64>, allowed_ms: u64) {
-        let held = f64::from(self.in_flight);
+    /// Counts a request out.
+    pub(crate) const fn leave(&mut self) {
         self.in_flight = self.in_flight.saturating_sub(1);
-        let Some(latency_ms) = latency_ms else {
-            return;
-        };
+    }
+
+    /// Takes in the latency of a request that was allowed to take `allowed_ms` milliseconds, and
+    /// returns by which part the mean is above what the class may take.
+    pub(crate) fn note_latency(&mut self, now: ClockTime, latency_ms: u64, allowed_ms: u64) -> f64 {
         let latency = to_float(latency_ms);
         let mean = self.mean_ms.unwrap_or(latency);
         let mean = mean + self.settings.mean_gain * (latency - mean);
         self.mean_ms = Some(mean);
-        let excess = mean / (self.part * to_float(allowed_ms.max(1))) - 1.0;
-        if excess > 0.0 {
-            self.shrink(held, excess);
-        } else {
-            self.widen(held, -excess);
-        }
-    }
-
-    /// Returns the requests in flight.
-    #[must_use]
-    pub const fn in_flight(&self) -> u32 {
-        self.in_flight
+        self.excess = mean / (self.part * to_float(allowed_ms.max(1))) - 1.0;
+        self.noted_at = now;
+        self.excess
     }
 
     /// Returns the requests that may be in flight, or `None` while the window is open.
-    #[must_use]
-    pub const fn limit(&self) -> Option<f64> {
+    pub(crate) const fn limit(&self) -> Option<f64> {
         self.limit
     }
 
-    fn shrink(&mut self, held: f64, excess: f64) {
+    /// Returns whether requests of the class took too long a short time ago.
+    pub(crate) fn is_late(&self, now: ClockTime) -> bool {
+        self.excess > 0.0 && now.since_ms(self.noted_at) < LATE_LIFE_MS
+    }
+
+    /// Returns whether the window is in use and can shrink further.
+    pub(crate) fn can_shrink(&self) -> bool {
+        match self.limit {
+            Some(limit) => limit > self.least,
+            None => self.in_flight > 0,
+        }
+    }
+
+    /// Takes room away, the more the further a mean latency is above what its class may take.
+    pub(crate) fn shrink(&mut self, excess: f64) {
+        let held = f64::from(self.in_flight);
         let limit = self.limit.unwrap_or_else(|| {
             self.least = (held * self.settings.least_part).max(1.0);
             held
@@ -133,7 +131,8 @@
     }
 
     /// Gives room back, and opens the window once only half of it is used.
-    fn widen(&mut self, held: f64, room: f64) {
+    pub(crate) fn widen(&mut self, room: f64) {
+        let held = f64::from(self.in_flight);
         let Some(limit) = self.limit else {
             return;
         };
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -9,6 +9,7 @@
 mod admission_queue;
 mod concurrency_limit;
 mod entry_window;
+mod entry_windows;
 mod line_budget;
 mod load_report;
 mod queue_settings;
@@ -21,7 +22,8 @@
 
 pub use admission_queue::AdmissionQueue;
 pub use concurrency_limit::{ConcurrencyLimit, LimitSettings};
-pub use entry_window::{EntryWindow, WindowSettings};
+pub use entry_window::WindowSettings;
+pub use entry_windows::EntryWindows;
 pub use line_budget::LineBudget;
 pub use load_report::LoadReport;
 pub use model::{ShedCuts, TeamCut};
--- a/crates/limit/tests/entry_window.rs
+++ b/crates/limit/tests/entry_window.rs
@@ -3,7 +3,9 @@
 
 use std::collections::VecDeque;
 
-use lentilshift_limit::{EntryWindow, WindowSettings};
+use clock::ClockTime;
+use lentilshift_limit::{EntryWindows, WindowSettings};
+use model::{CallImportance, ShedClass};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
@@ -22,11 +24,11 @@
 const FRONT_MS: u64 = 200;
 /// The time that a request may take, in milliseconds.
 const ALLOWED_MS: u64 = 1_000;
-/// The requests a second, 2.2 times what the deep service has room for.
-const REQUESTS_PER_S: f64 = 2.2 * 93_000.0 / (DEEP_MS as f64 * 8.0);
+/// The requests a second: 2.2 times what 93 slots have room for, at 320 ms of work a request.
+const REQUESTS_PER_S: f64 = 2.2 * 93_000.0 / 320.0;
 /// The length of a replay, in milliseconds.
 const SPAN_MS: u64 = 20_000;
-/// The time from which on requests are counted, in milliseconds.
+/// The time from which on requests are counted, in milliseconds; 15 s are left then.
 const SETTLED_MS: u64 = 5_000;
 
 /// A request that was let in.
@@ -125,13 +127,14 @@
 fn replay(seed: u64, has_windows: bool) -> (f64, f64) {
     let mut random = SmallRng::seed_from_u64(seed);
     let settings = WindowSettings::default();
-    let mut windows = vec![EntryWindow::new(settings, 0.0); ENTRIES];
+    let mut windows = vec![EntryWindows::new(settings); ENTRIES];
+    let key = (ShedClass::FIRST, ());
     let mut world = ChainWorld::default();
     for now in 0..SPAN_MS {
         let mut due = REQUESTS_PER_S / 1_000.0;
         while due > 0.0 && random.random::<f64>() < due {
             let entry = random.random_range(0..ENTRIES);
-            if windows[entry].enter() || !has_windows {
+            if windows[entry].enter(&key) || !has_windows {
                 world.begin(entry, now);
             }
             due -= 1.0;
@@ -143,14 +146,15 @@
             } else {
                 now - request.began
             };
-            windows[request.entry].leave(Some(latency), ALLOWED_MS);
+            let moment = ClockTime::from_ms(now);
+            windows[request.entry].leave(moment, &key, Some(latency), ALLOWED_MS, |()| true);
             if now >= SETTLED_MS {
                 world.lost += u32::from(request.is_lost);
                 world.served += u32::from(!request.is_lost);
             }
         }
     }
-    let room = REQUESTS_PER_S / 2.2 * (SPAN_MS - SETTLED_MS) as f64 / 1_000.0;
+    let room = REQUESTS_PER_S / 2.2 * 15.0;
     (f64::from(world.served) / room, f64::from(world.lost) / room)
 }
 
@@ -170,38 +174,87 @@
 
 #[test]
 fn calm_load_never_meets_a_closed_window() {
-    let mut window = EntryWindow::new(WindowSettings::default(), 0.0);
+    let mut windows = EntryWindows::new(WindowSettings::default());
+    let key = (ShedClass::FIRST, ());
     for latency_ms in [300, 420, 380, 530, 410, 350].into_iter().cycle().take(600) {
-        assert!(window.enter());
-        window.leave(Some(latency_ms), ALLOWED_MS);
-        assert_eq!(window.limit(), None);
+        assert!(windows.enter(&key));
+        windows.leave(ClockTime::ZERO, &key, Some(latency_ms), ALLOWED_MS, |()| {
+            true
+        });
+        assert_eq!(windows.limit(&key), None);
     }
 }
 
+/// The time that a request of the greater class may take, less than that of the lesser one.
+const SHORT_MS: u64 = 800;
+
+fn two_classes() -> [(ShedClass, &'static str); 2] {
+    [
+        (ShedClass::from(CallImportance::Normal), "job-status"),
+        (ShedClass::from(CallImportance::Critical), "book-charge"),
+    ]
+}
+
 #[test]
-fn classes_that_give_way_first_close_first() {
-    let settings = WindowSettings::default();
-    let mut first = EntryWindow::new(settings, 0.0);
-    let mut last = EntryWindow::new(settings, 1.0);
-    for window in [&mut first, &mut last] {
-        for _ in 0..20 {
-            assert!(window.enter());
-        }
-        window.leave(Some(700), ALLOWED_MS);
+fn lesser_class_closes_first_though_it_may_take_longer() {
+    let mut windows = EntryWindows::new(WindowSettings::default());
+    let [lesser, greater] = two_classes();
+    for _ in 0..20 {
+        assert!(windows.enter(&lesser));
+        assert!(windows.enter(&greater));
+    }
+    let now = ClockTime::from_ms(1_000);
+    for _ in 0..10 {
+        windows.leave(now, &greater, Some(760), SHORT_MS, |_| true);
+        windows.leave(now, &lesser, Some(760), 2 * SHORT_MS, |_| true);
+    }
+    assert_eq!(windows.limit(&greater), None);
+    let limit = windows.limit(&lesser);
+    assert!(limit.is_some_and(|limit| limit < 20.0), "{limit:?}");
+}
+
+#[test]
+fn class_that_shares_no_service_gives_nothing_up() {
+    let mut windows = EntryWindows::new(WindowSettings::default());
+    let [lesser, greater] = two_classes();
+    for _ in 0..20 {
+        assert!(windows.enter(&lesser));
+        assert!(windows.enter(&greater));
     }
-    assert!(first.limit().is_some());
-    assert_eq!(last.limit(), None);
+    windows.leave(ClockTime::ZERO, &greater, Some(760), SHORT_MS, |_| false);
+    assert_eq!(windows.limit(&lesser), None);
+    assert!(windows.limit(&greater).is_some());
+}
+
+#[test]
+fn greater_class_closes_once_the_lesser_has_no_room_left_to_give() {
+    let mut windows = EntryWindows::new(WindowSettings::default());
+    let [lesser, greater] = two_classes();
+    for _ in 0..20 {
+        assert!(windows.enter(&lesser));
+    }
+    for _ in 0..400 {
+        windows.enter(&greater);
+        windows.leave(ClockTime::ZERO, &greater, Some(SHORT_MS), SHORT_MS, |_| {
+            true
+        });
+    }
+    assert_eq!(windows.limit(&lesser), Some(3.0));
+    assert!(windows.limit(&greater).is_some());
 }
 
 #[test]
 fn slowness_that_no_load_causes_leaves_a_part_of_the_window() {
-    let mut window = EntryWindow::new(WindowSettings::default(), 0.0);
+    let mut windows = EntryWindows::new(WindowSettings::default());
+    let key = (ShedClass::FIRST, ());
     for _ in 0..100 {
-        assert!(window.enter());
+        assert!(windows.enter(&key));
     }
     for _ in 0..10_000 {
-        window.leave(Some(ALLOWED_MS), ALLOWED_MS);
-        window.enter();
+        windows.leave(ClockTime::ZERO, &key, Some(ALLOWED_MS), ALLOWED_MS, |()| {
+            true
+        });
+        windows.enter(&key);
     }
-    assert_eq!(window.limit(), Some(15.0));
+    assert_eq!(windows.limit(&key), Some(15.0));
 }
--- a/crates/node/src/backend_pool.rs
+++ b/crates/node/src/backend_pool.rs
@@ -3,8 +3,9 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use clock::ClockTime;
 use compio::net::TcpStream;
 use compio::time::timeout;
 use cyper_core::HyperStream;
@@ -13,21 +14,31 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{SendRequest, handshake};
 use model::RunVerdict;
+use rustix::net::sockopt::set_tcp_user_timeout;
 use thiserror::Error;
 
 use crate::answer_check::{AnswerFault, AnswerKind, judge_answer};
 use crate::call_body::CallBody;
 use crate::edge_settings::EdgeSettings;
+use crate::node_clock::NodeClock;
 
 /// The idle connections kept open.
 const MAX_IDLE: usize = 256;
 /// The header in which a server tells how long it keeps an idle connection.
 const KEEP_ALIVE: &str = "keep-alive";
-/// The time for which an idle connection is used where the server tells none: well under the five
-/// seconds that servers commonly keep one.
-const UNTOLD_KEPT: Duration = Duration::from_secs(3);
-/// The time before a told close from which a connection isn't used any more.
-const CLOSE_MARGIN: Duration = Duration::from_secs(1);
+/// The time for which an idle connection is used where the server tells none, in milliseconds: well
+/// under the five seconds that servers commonly keep one.
+const UNTOLD_KEPT_MS: u64 = 3_000;
+/// The time before a told close from which a connection isn't used any more, in milliseconds.
+const CLOSE_MARGIN_MS: u64 = 1_000;
+/// The time after which a connection breaks whose bytes aren't acknowledged, in milliseconds. The
+/// backend server runs on the same VM, whose acknowledgements take less than one.
+const UNACKED_MS: u32 = 500;
+/// The time without any answer from which on connections are taken for silent, in milliseconds: a
+/// backend server in use answers several requests in that time.
+const SILENT_MS: u64 = 250;
+/// The number of milliseconds in a second.
+const SECOND_MS: u64 = 1_000;
 /// The largest refusal that is read to keep its connection, in bytes.
 const MAX_SKIPPED_BYTES: usize = 64 * 1024;
 /// The longest time that a refusal is read.
@@ -71,9 +82,9 @@
 /// A connection that carries no request now.
 struct IdleConnection {
     sender: SendRequest<CallBody>,
-    since: Instant,
-    /// The time for which the backend server keeps it open.
-    kept: Duration,
+    since: ClockTime,
+    /// The time for which the backend server keeps it open, in milliseconds.
+    kept_ms: u64,
 }
 
 /// The HTTP/1.1 connections to the backend server.
@@ -82,19 +93,24 @@
 /// one whose request was abandoned.
 pub(crate) struct BackendPool {
     address: SocketAddr,
+    clock: NodeClock,
     idle: RefCell<VecDeque<IdleConnection>>,
     /// A connection that carries no request; it closes when the backend server crashes.
     spare: RefCell<Option<SendRequest<CallBody>>>,
     is_down: Cell<bool>,
+    /// When the backend server last answered on any connection.
+    answered_at: Cell<ClockTime>,
 }
 
 impl BackendPool {
-    pub(crate) const fn new(address: SocketAddr) -> Self {
+    pub(crate) const fn new(address: SocketAddr, clock: NodeClock) -> Self {
         Self {
             address,
+            clock,
             idle: RefCell::new(VecDeque::new()),
             spare: RefCell::new(None),
             is_down: Cell::new(false),
+            answered_at: Cell::new(ClockTime::ZERO),
         }
     }
 
@@ -161,9 +177,26 @@
         self.is_down.get()
     }
 
+    /// Closes the idle connections when nothing was answered on any since a request was sent that was
+    /// then given up.
+    ///
+    /// Load pattern: something between the two ends loses track of all open connections, while new
+    /// ones work. Without this each of them costs a request.
+    fn drop_silent(&self, sent_at: ClockTime) {
+        let waited_ms = self.clock.now().since_ms(sent_at);
+        if waited_ms < SILENT_MS || self.answered_at.get() > sent_at {
+            return;
+        }
+        let closed = self.idle.take().len();
+        if closed > 0 {
+            log::warn!("event=backend-silent waited_ms={waited_ms} connections_closed={closed}");
+        }
+    }
+
     async fn connect(&self) -> Result<SendRequest<CallBody>, BackendError> {
         let stream = TcpStream::connect(self.address).await?;
         stream.set_nodelay(true)?;
+        set_tcp_user_timeout(&stream, UNACKED_MS).map_err(io::Error::from)?;
         let stream = HyperStream::new_plain(stream);
         let opened = handshake(stream).await;
         let (sender, connection) = opened.map_err(BackendError::Failed)?;
@@ -174,7 +207,8 @@
     fn take_idle(&self) -> Option<SendRequest<CallBody>> {
         let mut idle = self.idle.borrow_mut();
         while let Some(connection) = idle.pop_back() {
-            let is_fresh = connection.since.elapsed() < connection.kept;
+            let idle_ms = self.clock.now().since_ms(connection.since);
+            let is_fresh = idle_ms < connection.kept_ms;
             if is_fresh && connection.sender.is_ready() {
                 return Some(connection.sender);
             }
@@ -190,13 +224,17 @@
     ) -> Result<BackendAnswer, Unsent> {
         let named = edge.request_header.as_ref();
         let sent_id = named.and_then(|name| request.headers().get(name).cloned());
-        match sender.try_send_request(request).await {
+        let wait = AnswerWait::begin(self);
+        let sent = sender.try_send_request(request).await;
+        wait.end();
+        match sent {
             Ok(response) => {
+                self.answered_at.set(self.clock.now());
                 let kind = judge_answer(edge, sent_id.as_ref(), &response);
                 let kind = kind.map_err(|fault| Unsent::Nothing(fault.into()))?;
                 let pool = Rc::clone(self);
-                let kept = kept_span(&response);
-                compio::runtime::spawn(async move { pool.keep(sender, kept).await }).detach();
+                let kept_ms = kept_ms(&response);
+                compio::runtime::spawn(async move { pool.keep(sender, kept_ms).await }).detach();
                 if kind == AnswerKind::Ran {
                     return Ok(BackendAnswer::Ran(response));
                 }
@@ -211,35 +249,67 @@
     }
 
     /// Puts a connection back once its answer has been read.
-    async fn keep(&self, mut sender: SendRequest<CallBody>, kept: Duration) {
+    async fn keep(&self, mut sender: SendRequest<CallBody>, kept_ms: u64) {
         if sender.ready().await.is_err() {
             return;
         }
         let mut idle = self.idle.borrow_mut();
         if idle.len() < MAX_IDLE {
-            let since = Instant::now();
+            let since = self.clock.now();
             idle.push_back(IdleConnection {
                 sender,
                 since,
-                kept,
+                kept_ms,
             });
         }
     }
 }
 
-/// Returns how long a connection may be used again after an answer.
+/// A request that was sent and not answered yet; one that is given up so may show that connections
+/// have gone silent.
+struct AnswerWait<'p> {
+    pool: &'p BackendPool,
+    sent_at: ClockTime,
+    is_over: bool,
+}
+
+impl<'p> AnswerWait<'p> {
+    fn begin(pool: &'p BackendPool) -> Self {
+        Self {
+            pool,
+            sent_at: pool.clock.now(),
+            is_over: false,
+        }
+    }
+
+    fn end(mut self) {
+        self.is_over = true;
+    }
+}
+
+impl Drop for AnswerWait<'_> {
+    fn drop(&mut self) {
+        if !self.is_over {
+            self.pool.drop_silent(self.sent_at);
+        }
+    }
+}
+
+/// Returns how long a connection may be used again after an answer, in milliseconds.
 ///
 /// A backend server closes an idle connection after a time that it may tell in whole seconds. A
 /// request that crosses the close may have run, so the last second isn't used.
-fn kept_span(response: &Response<Incoming>) -> Duration {
+fn kept_ms(response: &Response<Incoming>) -> u64 {
     let value = response.headers().get(KEEP_ALIVE);
     let text = value.and_then(|value| value.to_str().ok()).unwrap_or("");
     let named = text
         .split(',')
         .find_map(|part| part.trim().strip_prefix("timeout="));
     let seconds = named.and_then(|seconds| seconds.trim().parse::<u64>().ok());
-    seconds.map_or(UNTOLD_KEPT, |seconds| {
-        Duration::from_secs(seconds).saturating_sub(CLOSE_MARGIN)
+    seconds.map_or(UNTOLD_KEPT_MS, |seconds| {
+        seconds
+            .saturating_mul(SECOND_MS)
+            .saturating_sub(CLOSE_MARGIN_MS)
     })
 }
 
--- a/crates/node/src/entry_place.rs
+++ b/crates/node/src/entry_place.rs
@@ -2,7 +2,6 @@
 
 use clock::ClockTime;
 use graph::CallTarget;
-use limit::{EntryWindow, WindowSettings};
 use model::{RefusalReason, RunVerdict, ShedClass};
 use wire::{AnswerHead, CallHead};
 
@@ -16,13 +15,11 @@
 /// The first status by which a backend server tells that it failed.
 const FIRST_FAILURE: u16 = 500;
 
-/// The kind and class of requests that share a window.
-pub(crate) type WindowKey = (CallTarget, ShedClass);
-
 /// The place that a request holds among those that entered here and aren't answered yet.
 pub(crate) struct EntryPlace {
     core: Rc<NodeCore>,
-    key: WindowKey,
+    /// The class and kind of request that share a window.
+    key: (ShedClass, CallTarget),
     started: ClockTime,
     allowed_ms: u64,
     /// Whether the request was served.
@@ -42,18 +39,12 @@
         head: &CallHead,
         allowed_ms: u64,
     ) -> Result<Self, CallRefusal> {
-        let class = head.shed_order().class();
-        let key = (target_of(head), class);
-        let mut windows = core.windows.borrow_mut();
-        let window = windows
-            .entry(key.clone())
-            .or_insert_with(|| EntryWindow::new(WindowSettings::default(), place_of(class)));
-        if !window.enter() {
+        let key = (head.shed_order().class(), target_of(head));
+        if !core.windows.borrow_mut().enter(&key) {
             let refusal = CallRefusal::not_run(RefusalReason::Overloaded);
             let after_ms = return_after_ms(core, head, &head.service);
             return Err(refusal.after_ms(after_ms).by(&head.service));
         }
-        drop(windows);
         Ok(Self {
             core: Rc::clone(core),
             key,
@@ -77,22 +68,18 @@
     /// A request lost to load counts as one that took far too long. One that was refused, failed
     /// for another reason or was left by its caller says nothing of the time that others take.
     fn drop(&mut self) {
-        let latency_ms = self.core.now().since_ms(self.started);
+        let now = self.core.now();
+        let latency_ms = now.since_ms(self.started);
         let is_late = latency_ms >= self.allowed_ms;
         let latency_ms = if self.is_lost {
             Some(self.allowed_ms * LOST_TIMES)
         } else {
             (self.is_served || is_late).then_some(latency_ms)
         };
+        let chain = self.core.chain.borrow();
         let mut windows = self.core.windows.borrow_mut();
-        if let Some(window) = windows.get_mut(&self.key) {
-            window.leave(latency_ms, self.allowed_ms);
-        }
+        windows.leave(now, &self.key, latency_ms, self.allowed_ms, |kind| {
+            chain.share_service(&self.key.1, kind)
+        });
     }
 }
-
-/// Returns the place of a class in the shedding order, from 0 for the one that is shed first to 1.
-#[expect(clippy::cast_precision_loss, reason = "there are few classes")]
-fn place_of(class: ShedClass) -> f64 {
-    class.index() as f64 / (ShedClass::COUNT - 1) as f64
-}
--- a/crates/node/src/node_core.rs
+++ b/crates/node/src/node_core.rs
@@ -4,8 +4,8 @@
 
 use clock::ClockTime;
 use contract::{FleetContract, RouteIndex};
-use graph::{AdmissionSettings, ChainAdmission};
-use limit::{EntryWindow, LineBudget};
+use graph::{AdmissionSettings, CallTarget, ChainAdmission};
+use limit::{EntryWindows, LineBudget, WindowSettings};
 use member::{BackendName, BackendWatch, MemberFold};
 use model::{AttemptId, RecordId, RequestId, ServiceName, VmName};
 use once::{AttemptSettings, AttemptTable, ClaimTable, OnceSettings};
@@ -24,7 +24,6 @@
 use crate::claim_watch::ClaimDecision;
 use crate::config_state::ConfigState;
 use crate::decision_waiters::DecisionWaiters;
-use crate::entry_place::WindowKey;
 use crate::held_answer::HeldAnswers;
 use crate::ingress_gate::IngressGate;
 use crate::node_clock::NodeClock;
@@ -73,7 +72,7 @@
     pub(crate) activity: ChangeNotifier,
     pub(crate) chain: RefCell<ChainAdmission>,
     /// The requests in flight that entered here, by kind and class.
-    pub(crate) windows: RefCell<BTreeMap<WindowKey, EntryWindow>>,
+    pub(crate) windows: RefCell<EntryWindows<CallTarget>>,
     pub(crate) resends: RefCell<ResendTable>,
     pub(crate) resend_counts: RefCell<ResendCounts>,
     pub(crate) ratios: RefCell<BTreeMap<ServiceName, RetryRatio>>,
@@ -160,7 +159,7 @@
             tokens: ChangeNotifier::default(),
             activity: ChangeNotifier::default(),
             chain: RefCell::new(ChainAdmission::new(AdmissionSettings::default())),
-            windows: RefCell::default(),
+            windows: RefCell::new(EntryWindows::new(WindowSettings::default())),
             resends: RefCell::new(ResendTable::new(ResendSettings::default())),
             resend_counts: RefCell::new(ResendCounts::new(ResendSettings::default())),
             ratios: RefCell::default(),
@@ -168,7 +167,7 @@
             routers: RefCell::default(),
             ready_members: Cell::new(0),
             links: PeerLinks::default(),
-            backend: Rc::new(BackendPool::new(settings.backend_address)),
+            backend: Rc::new(BackendPool::new(settings.backend_address, clock)),
             gate,
             running: RunningCalls::default(),
             held: HeldAnswers::default(),
@@ -270,6 +269,8 @@
         }
         drop(routers);
         self.chain.borrow_mut().forget_absent(&contract);
+        let is_kept = |kind: &CallTarget| contract.has_call(&kind.service, &kind.call);
+        self.windows.borrow_mut().retain(is_kept);
         let budget = claim_budget(&contract);
         let set_budget = |state: &mut ClaimState| state.table.set_appends_per_s(budget);
         self.claims.with(|feed| set_budget(feed.fold()));
