--- a/crates/limit/src/entry_window.rs
+++ b/crates/limit/src/entry_window.rs
@@ -1,6 +1,6 @@
 use clock::ClockTime;
 
-/// The settings of an [`EntryWindow`].
+/// The settings of [`EntryWindows`](crate::EntryWindows).
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct WindowSettings {
     /// The part of the time that a request may take which its class takes on the mean, for the
@@ -8,12 +8,15 @@
     pub first_part: f64,
     /// The same for the class that gives way last: what is left takes the spread of latencies.
     pub last_part: f64,
-    /// The weight of one latency in the mean: some ten requests, a second's at one node.
+    /// The weight of one latency in the mean: some five requests.
     pub mean_gain: f64,
     /// The part of the window that one latency takes away at most; a second of them halves it.
     pub shrink_step: f64,
     /// The part of the window that one latency gives back at most.
     pub widen_step: f64,
+    /// The requests that as many latencies as there are in the window give back besides, at most, so
+    /// that a window of a few requests opens within some latencies too.
+    pub widen_by: f64,
     /// The least that the window shrinks to, as a part of what was in flight when it closed, so
     /// that slowness that no load causes can't shut it.
     pub least_part: f64,
@@ -24,9 +27,10 @@
         Self {
             first_part: 0.55,
             last_part: 0.85,
-            mean_gain: 0.1,
+            mean_gain: 0.2,
             shrink_step: 0.05,
             widen_step: 0.03,
+            widen_by: 1.0,
             least_part: 0.15,
         }
     }
@@ -91,10 +95,13 @@
 
     /// Takes in the latency of a request that was allowed to take `allowed_ms` milliseconds, and
     /// returns by which part the mean is above what the class may take.
+    ///
+    /// The mean is kept within the allowed time, so that it comes down soon after an overload.
     pub(crate) fn note_latency(&mut self, now: ClockTime, latency_ms: u64, allowed_ms: u64) -> f64 {
         let latency = to_float(latency_ms);
         let mean = self.mean_ms.unwrap_or(latency);
         let mean = mean + self.settings.mean_gain * (latency - mean);
+        let mean = mean.min(to_float(allowed_ms));
         self.mean_ms = Some(mean);
         self.excess = mean / (self.part * to_float(allowed_ms.max(1))) - 1.0;
         self.noted_at = now;
@@ -140,8 +147,8 @@
             self.limit = None;
             return;
         }
-        let step = self.settings.widen_step * (room * STEP_SLOPE).min(1.0);
-        self.limit = Some(limit * (1.0 + step));
+        let most = self.settings.widen_step * limit + self.settings.widen_by / limit;
+        self.limit = Some(limit + most * (room * STEP_SLOPE).min(1.0));
     }
 }
 
--- a/crates/limit/tests/entry_window.rs
+++ b/crates/limit/tests/entry_window.rs
@@ -12,6 +12,8 @@
 
 /// The nodes at which requests enter.
 const ENTRIES: usize = 15;
+/// The same where windows hold one or two requests each, as of teams of several classes.
+const MANY_ENTRIES: usize = 75;
 /// The calls that the deep service runs at once.
 const DEEP_SLOTS: usize = 93;
 /// The time that the deep service runs a call, in milliseconds.
@@ -31,6 +33,11 @@
 /// The time from which on requests are counted, in milliseconds; 15 s are left then.
 const SETTLED_MS: u64 = 5_000;
 
+/// The calm load after an overload, as a part of what the deep service has room for.
+const CALM_PART: f64 = 0.7;
+/// The target of recovery: 0.95 of normal within this time, in milliseconds.
+const RECOVERY_MS: u64 = 2_000;
+
 /// A request that was let in.
 struct ChainRequest {
     entry: usize,
@@ -123,20 +130,40 @@
     }
 }
 
-/// Returns the requests served and lost, as parts of what the deep service has room for.
-fn replay(seed: u64, has_windows: bool) -> (f64, f64) {
+/// What became of a replay's requests.
+struct Replayed {
+    served: f64,
+    lost: f64,
+    /// The requests refused and those that came once calm had lasted for the target of recovery.
+    refused_in_calm: u32,
+    came_in_calm: u32,
+}
+
+/// Replays the overload, from `calm_from_ms` on with `CALM_PART` of what there is room for.
+fn replay(seed: u64, has_windows: bool, entries: usize, calm_from_ms: u64) -> Replayed {
+    let (mut refused_in_calm, mut came_in_calm) = (0, 0);
     let mut random = SmallRng::seed_from_u64(seed);
     let settings = WindowSettings::default();
-    let mut windows = vec![EntryWindows::new(settings); ENTRIES];
+    let mut windows = vec![EntryWindows::new(settings); entries];
     let key = (ShedClass::FIRST, ());
     let mut world = ChainWorld::default();
     for now in 0..SPAN_MS {
-        let mut due = REQUESTS_PER_S / 1_000.0;
+        let is_calm = now >= calm_from_ms;
+        let is_counted = now >= calm_from_ms.saturating_add(RECOVERY_MS);
+        let rate = if is_calm {
+            CALM_PART * REQUESTS_PER_S / 2.2
+        } else {
+            REQUESTS_PER_S
+        };
+        let mut due = rate / 1_000.0;
         while due > 0.0 && random.random::<f64>() < due {
-            let entry = random.random_range(0..ENTRIES);
-            if windows[entry].enter(&key) || !has_windows {
+            let entry = random.random_range(0..entries);
+            let is_let_in = windows[entry].enter(&key) || !has_windows;
+            if is_let_in {
                 world.begin(entry, now);
             }
+            came_in_calm += u32::from(is_counted);
+            refused_in_calm += u32::from(is_counted && !is_let_in);
             due -= 1.0;
         }
         for index in world.step(now) {
@@ -155,20 +182,47 @@
         }
     }
     let room = REQUESTS_PER_S / 2.2 * 15.0;
-    (f64::from(world.served) / room, f64::from(world.lost) / room)
+    Replayed {
+        served: f64::from(world.served) / room,
+        lost: f64::from(world.lost) / room,
+        refused_in_calm,
+        came_in_calm,
+    }
 }
 
 #[rstest]
-fn windows_keep_the_chain_useful_where_letting_all_in_does_not(#[values(1, 2, 3, 4, 5)] seed: u64) {
-    let (naive_served, naive_lost) = replay(seed, false);
-    let (served, lost) = replay(seed, true);
+fn windows_keep_the_chain_useful_where_letting_all_in_does_not(
+    #[values(ENTRIES, MANY_ENTRIES)] entries: usize,
+    #[values(1, 2, 3, 4, 5)] seed: u64,
+) {
+    let naive = replay(seed, false, entries, u64::MAX);
+    let ours = replay(seed, true, entries, u64::MAX);
     assert!(
-        served > 0.9 && lost < 0.1,
-        "served {served:.3} and lost {lost:.3} of the room there is"
+        ours.served > 0.9 && ours.lost < 0.1,
+        "served {:.3} and lost {:.3} of the room there is",
+        ours.served,
+        ours.lost
     );
     assert!(
-        naive_served < 0.5 && naive_lost > 0.5,
-        "without windows, served {naive_served:.3} and lost {naive_lost:.3}"
+        naive.served < 0.5 && naive.lost > 0.5,
+        "without windows, served {:.3} and lost {:.3}",
+        naive.served,
+        naive.lost
+    );
+}
+
+#[rstest]
+fn windows_open_again_soon_after_an_overload(
+    #[values(ENTRIES, MANY_ENTRIES)] entries: usize,
+    #[values(1, 2, 3, 4, 5)] seed: u64,
+) {
+    let ours = replay(seed, true, entries, 10_000);
+    let most = f64::from(ours.came_in_calm) * 0.05;
+    assert!(
+        f64::from(ours.refused_in_calm) <= most,
+        "{} of {} refused",
+        ours.refused_in_calm,
+        ours.came_in_calm
     );
 }
 
