refactor(node): look the route of a backend server's call up once

Read again as a whole: each call without a key looked its route up twice, with a random draw each; the call that was found is handed on now. find_route says that a total weight of 0 leads nowhere.

--- a/crates/limit/src/shed_control.rs
+++ b/crates/limit/src/shed_control.rs
@@ -47,8 +47,8 @@
 /// The smallest part of capacity that is let in.
 const MIN_CAPACITY_SHARE: f64 = 0.2;
 
-/// What is left of the capacity that new requests are let in to, each time that a call of a
-/// request already begun was given up.
+/// What is left of the capacity that new requests are let in to, after each update since the last of
+/// which calls of requests already begun were given up.
 const LOSS_FACTOR: f64 = 0.93;
 /// How much of it comes back with each update without such a loss.
 const LOSS_RETURN: f64 = 0.01;
--- a/crates/node/src/egress.rs
+++ b/crates/node/src/egress.rs
@@ -54,22 +54,22 @@
 pub(crate) async fn answer_guessed(
     core: Rc<NodeCore>,
     request_id: RequestId,
+    entry: EntryCall,
     parts: Parts,
     body: Incoming,
 ) -> Response<AnswerBody> {
-    let served = serve_guessed(&core, request_id, parts, body).await;
+    let served = serve_guessed(&core, request_id, entry, parts, body).await;
     answer_with(&core, request_id, served)
 }
 
 async fn serve_guessed(
     core: &Rc<NodeCore>,
     request_id: RequestId,
+    entry: EntryCall,
     parts: Parts,
     body: Incoming,
 ) -> Result<CallAnswer, CallRefusal> {
     let started = core.now();
-    let entry = find_entry(core, &parts, None);
-    let entry = entry.ok_or_else(|| CallRefusal::not_run(RefusalReason::NoSuchCall))?;
     let deadline = find_deadline(core, &parts.headers, &entry, None);
     let allowance = entry.contract.attempts.saturating_sub(1);
     let parent = core.running.guess(deadline, entry.contract.deadline_ms);
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -52,8 +52,8 @@
     let named_id = find_request_id(request.headers(), &core.settings.edge);
     let request_id = named_id.unwrap_or_else(|| core.new_request_id());
     let (parts, body) = request.into_parts();
-    if is_own_call(&core, &parts) {
-        return answer_guessed(core, request_id, parts, body).await;
+    if let Some(entry) = find_own_call(&core, &parts) {
+        return answer_guessed(core, request_id, entry, parts, body).await;
     }
     match serve_caller(&core, request_id, parts, body).await {
         Ok(answer) => build_response(&core, request_id, answer),
@@ -61,19 +61,19 @@
     }
 }
 
-/// Returns whether a request is likely to be a call that the local backend server makes, where
-/// these come in among the requests of callers.
+/// Returns the call that a request is when the local backend server is likely to have made it, where
+/// its calls come in among the requests of callers.
 ///
 /// It has no key, its route needs none though there are teams with keys, and the backend server
 /// is at work. Such a call is work already begun: to shed it would waste what was admitted. A
 /// caller without a key at that moment is taken for one, which lets its request go first.
-fn is_own_call(core: &NodeCore, parts: &Parts) -> bool {
+fn find_own_call(core: &NodeCore, parts: &Parts) -> Option<EntryCall> {
     let edge = &core.settings.edge;
     let is_keyless = !edge.has_own_headers && find_key(&parts.headers, edge).is_none();
     if !is_keyless || core.running.len() == 0 || core.contract().teams.is_empty() {
-        return false;
+        return None;
     }
-    find_entry(core, parts, None).is_some_and(|entry| entry.contract.open)
+    find_entry(core, parts, None).filter(|entry| entry.contract.open)
 }
 
 /// Sends a caller's request on its way once nothing speaks against it.
@@ -222,11 +222,7 @@
     let index = Rc::clone(&core.routes.borrow());
     let (call, route) = index.find(host, path)?;
     let total = route.total_weight();
-    let place = if total > 0 {
-        core.with_random(|random| random.random_range(0..total))
-    } else {
-        0
-    };
+    let place = (total > 0).then(|| core.with_random(|random| random.random_range(0..total)))?;
     Some(EntryCall {
         service: route.backend_at(place)?.clone(),
         call: call.clone(),
--- a/crates/node/src/entry_place.rs
+++ b/crates/node/src/entry_place.rs
@@ -9,8 +9,8 @@
 use crate::chain_watch::{return_after_ms, target_of};
 use crate::node_core::NodeCore;
 
-/// How many times its whole time a request counts for that was lost to load: the work of its chain is
-/// wasted, so the window closes until fewer than one in twenty is lost.
+/// How many times its whole time a request counts for that was lost to load: the work of its whole
+/// chain is wasted, so a few such requests close the window.
 const LOST_TIMES: u64 = 3;
 /// The first status by which a backend server tells that it failed.
 const FIRST_FAILURE: u16 = 500;
