fix(limit): cuts of many teams fit an answer and hold for all

Cause: an overloaded service made a cut for each team over its share, and an answer carried sixteen of them. With eight teams that is all; with ninety nearly all are over their share, so the entries cut a sixth and let the rest in.

Only the sixteen teams furthest over their share have cuts of their own now; the others share one threshold, which is what is told.

Test: `cuts_of_many_teams_fit_an_answer_and_hold_for_all`.

--- a/crates/limit/src/admission_queue.rs
+++ b/crates/limit/src/admission_queue.rs
@@ -25,9 +25,6 @@
 /// milliseconds.
 const OVERLOAD_RETRY_MS: f64 = 500.0;
 
-/// The most teams whose cuts are told to callers; those of the others are met at the queue.
-const MAX_TEAM_CUTS: usize = 16;
-
 /// A run that hasn't ended.
 #[derive(Clone, Debug)]
 struct RunStart {
@@ -195,7 +192,7 @@
             limit: self.limit.current(),
             queued: u32::try_from(self.line.len()).unwrap_or(u32::MAX),
             wait_ms: u32::try_from(self.wait_now()).unwrap_or(u32::MAX),
-            cuts: self.shed.cuts().bounded(MAX_TEAM_CUTS),
+            cuts: self.shed.cuts().clone(),
         }
     }
 
--- a/crates/limit/src/shed_control.rs
+++ b/crates/limit/src/shed_control.rs
@@ -11,6 +11,8 @@
     pub is_enabled: bool,
     /// Whether teams get max-min shares when something is cut.
     pub shares_by_team: bool,
+    /// The most teams with cuts of their own, which travel with each answer.
+    pub listed_teams: u16,
     /// Whether a team that was let in less than its share is let in more later.
     pub repays_teams: bool,
     /// The wait that is held while requests are cut, in milliseconds.
@@ -33,6 +35,7 @@
         Self {
             is_enabled: true,
             shares_by_team: true,
+            listed_teams: 16,
             repays_teams: true,
             target_wait_ms: 80,
             horizon_ms: 300,
@@ -160,7 +163,9 @@
             .map(|wait| state.capacity * self.capacity_share(wait, state.free_share))
             .map(|share| share * self.kept_part);
         self.cuts = if self.settings.shares_by_team {
-            self.demand.divide_by_team(capacities, state.capacity)
+            let listed = usize::from(self.settings.listed_teams);
+            self.demand
+                .divide_by_team(capacities, state.capacity, listed)
         } else {
             self.demand.divide_by_class(capacities)
         };
--- a/crates/limit/src/team_demand.rs
+++ b/crates/limit/src/team_demand.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use model::{CallImportance, ShedClass, ShedOrder, TeamName};
 
@@ -123,10 +123,14 @@
     /// Critical calls come first, whoever sends them. What is left goes to the teams in max-min
     /// shares by weight of all that they send, and within a team to its classes from the top.
     /// A backlog is charged to the teams over their share of `capacity`, as far as that goes.
+    ///
+    /// Load pattern: most of many teams are over their share at once. Only the `listed` furthest
+    /// over theirs have cuts of their own, as many as an answer can carry; the others share one.
     pub(crate) fn divide_by_team(
         &mut self,
         capacities: ClassCapacities,
         capacity: f64,
+        listed: usize,
     ) -> ShedCuts {
         let critical = self.critical_demand();
         if critical >= capacities[FIRST_CRITICAL.index()] {
@@ -143,12 +147,28 @@
         self.credits.settle(&over);
         let mut users: Vec<_> = teams.iter().collect();
         users.sort_by(|a, b| b.1.demand.total_cmp(&a.1.demand));
+        let share_of = |credits: &TeamCredits, team: &Option<TeamName>, total: &TeamTotal| {
+            let over_share = over.get(team);
+            over_share.map_or_else(
+                || total.share(level),
+                |share| (share + credits.rate(team.as_ref())).max(total.critical),
+            )
+        };
         let mut cuts = ShedCuts::default();
-        for (team, total) in users {
-            let share = match over.get(team) {
-                Some(share) => (share + self.credits.rate(team.as_ref())).max(total.critical),
-                None => total.share(level),
+        if over.len() > listed {
+            users.sort_by(|a, b| b.1.use_by_weight().total_cmp(&a.1.use_by_weight()));
+            let rest = users.split_off(listed);
+            let share = |(team, total): &(&Option<TeamName>, &TeamTotal)| {
+                share_of(&self.credits, team, total)
             };
+            let capacity: f64 = rest.iter().map(share).sum();
+            let names: BTreeSet<Option<&TeamName>> =
+                rest.iter().map(|(team, _)| team.as_ref()).collect();
+            let is_rest = |team: Option<&TeamName>| names.contains(&team);
+            cuts.threshold = self.cut_flows([capacity; ShedClass::COUNT], is_rest);
+        }
+        for (team, total) in users {
+            let share = share_of(&self.credits, team, total);
             let threshold = self.cut_team(team.as_ref(), share);
             if threshold > ShedOrder::FIRST {
                 cuts.over_share.push(TeamCut {
@@ -240,6 +260,11 @@
 }
 
 impl TeamTotal {
+    /// Returns what the team sends for each unit of its weight.
+    fn use_by_weight(&self) -> f64 {
+        self.demand / self.weight
+    }
+
     /// Returns the team's share when each unit of weight is given `level`.
     fn share(&self, level: f64) -> f64 {
         (level * self.weight).min(self.demand).max(self.critical)
--- a/crates/limit/tests/shed_control.rs
+++ b/crates/limit/tests/shed_control.rs
@@ -227,3 +227,36 @@
     feed.control.update(start.plus_ms(10), state);
     assert_eq!(*feed.control.cuts() != before, is_changed);
 }
+
+/// The load pattern: ninety teams, nearly all over their share of a service that gets twice what it
+/// can do.
+#[rstest]
+fn cuts_of_many_teams_fit_an_answer_and_hold_for_all(#[values(1, 2, 3)] seed: u64) {
+    const TEAMS: usize = 90;
+    const GREEDY: usize = 7;
+    let names: Vec<&'static str> = (0..TEAMS)
+        .map(|index| &*Box::leak(format!("team-{index}").into_boxed_str()))
+        .collect();
+    let demand = |(index, name): (usize, &&'static str)| {
+        let per_s = if index == GREEDY { 100.0 } else { 10.0 };
+        (*name, 5, [0.0, per_s, 0.0, 0.0])
+    };
+    let teams: Vec<TeamDemand> = names.iter().enumerate().map(demand).collect();
+    let settings = ShedSettings::default();
+    let mut feed = Feed::new(settings, seed);
+    feed.run(3_000, &teams);
+    let counts = feed.run(4_000, &teams);
+    let cuts = feed.control.cuts();
+    assert!(!cuts.is_open());
+    assert!(cuts.over_share.len() <= usize::from(settings.listed_teams));
+    let normal = CallImportance::Normal as usize;
+    let is_other = |(index, _): &(usize, &[(u32, u32); 4])| *index != GREEDY;
+    let others = counts.iter().enumerate().filter(is_other);
+    let sum = others.fold((0, 0), |sum, (_, count)| {
+        (sum.0 + count[normal].0, sum.1 + count[normal].1)
+    });
+    // 500 requests a second fit, in max-min shares of 5.6 for each team.
+    let (others, greedy) = (part(sum), part(counts[GREEDY][normal]));
+    assert!((0.45..=0.65).contains(&others), "{others}");
+    assert!(greedy < 0.2, "{greedy}");
+}
--- a/crates/model/src/shed_cuts.rs
+++ b/crates/model/src/shed_cuts.rs
@@ -39,15 +39,6 @@
 }
 
 impl ShedCuts {
-    /// Returns the cuts with at most `limit` teams listed, those that use the most.
-    #[must_use]
-    pub fn bounded(&self, limit: usize) -> Self {
-        Self {
-            threshold: self.threshold,
-            over_share: self.over_share.iter().take(limit).cloned().collect(),
-        }
-    }
-
     /// Returns the threshold that applies to a team.
     #[must_use]
     pub fn threshold_of(&self, team: Option<&TeamName>) -> ShedOrder {
