--- a/crates/retry/src/retry_policy.rs
+++ b/crates/retry/src/retry_policy.rs
@@ -2,7 +2,7 @@
 
 use model::RunVerdict;
 
-use crate::{RetryAllowance, RetryRatio};
+use crate::{RetryAllowance, RetrySource};
 
 /// What is known when a call has failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -75,12 +75,12 @@
 }
 
 impl RetryPolicy {
-    /// Decides on one retry, and spends it from the allowance and from the ratio.
+    /// Decides on one retry, and spends it from the allowance and from what pays for the route.
     pub fn may_retry(
         &self,
         question: &RetryQuestion,
         allowance: &mut RetryAllowance,
-        ratio: &mut RetryRatio,
+        source: &mut impl RetrySource,
         random: &mut impl Rng,
     ) -> RetryDecision {
         if let Some(stop) = reason_to_stop(question) {
@@ -90,13 +90,13 @@
         if wait_ms.saturating_add(question.expected_ms) >= question.left_ms {
             return RetryDecision::Stop(RetryStop::NoTime);
         }
-        if !ratio.has_retry() {
+        if !source.has_retry() {
             return RetryDecision::Stop(RetryStop::RatioSpent);
         }
         if !allowance.spend() {
             return RetryDecision::Stop(RetryStop::AllowanceSpent);
         }
-        ratio.spend();
+        source.spend();
         RetryDecision::Retry { wait_ms }
     }
 
--- a/crates/retry/src/retry_ratio.rs
+++ b/crates/retry/src/retry_ratio.rs
@@ -1,3 +1,5 @@
+use crate::RetrySource;
+
 /// The price of one retry, in thousandths of a token.
 const RETRY_PRICE: u64 = 1_000;
 
@@ -41,15 +43,14 @@
         let most = self.settings.max_saved * RETRY_PRICE;
         self.saved = (self.saved + self.settings.per_thousand).min(most);
     }
+}
 
-    /// Returns whether a retry is saved up.
-    #[must_use]
-    pub const fn has_retry(&self) -> bool {
+impl RetrySource for RetryRatio {
+    fn has_retry(&self) -> bool {
         self.saved >= RETRY_PRICE
     }
 
-    /// Spends a retry, or returns `false` when none is saved up.
-    pub fn spend(&mut self) -> bool {
+    fn spend(&mut self) -> bool {
         if !self.has_retry() {
             return false;
         }
--- a/crates/retry/tests/retry_policy.rs
+++ b/crates/retry/tests/retry_policy.rs
@@ -3,7 +3,7 @@
 use clock::ClockTime;
 use lentilshift_retry::{
     AllowanceShare, RatioSettings, ResendDecision, ResendSettings, ResendTable, RetryAllowance,
-    RetryDecision, RetryPolicy, RetryQuestion, RetryRatio, RetryStop,
+    RetryDecision, RetryPolicy, RetryQuestion, RetryRatio, RetrySource, RetryStop,
 };
 use model::{AttemptId, RunVerdict};
 use rand::SeedableRng;
