--- a/crates/graph/src/chain_admission.rs
+++ b/crates/graph/src/chain_admission.rs
@@ -111,12 +111,6 @@
         self.cuts.reports(now, &needed, &self.settings)
     }
 
-    /// Returns whether a kind of call is known to make calls of another kind itself.
-    #[must_use]
-    pub fn needs(&self, target: &CallTarget, lower: &CallTarget) -> bool {
-        self.uses.needed(target).any(|used| used == lower)
-    }
-
     /// Returns the time that a kind of call needs at least, in milliseconds.
     #[must_use]
     pub fn time_needed_ms(&self, now: ClockTime, target: &CallTarget) -> u64 {
--- a/crates/graph/src/lib.rs
+++ b/crates/graph/src/lib.rs
@@ -30,6 +30,6 @@
 pub use cut_report::CutReport;
 pub use dependency_graph::DependencyGraph;
 pub use expected_time::ExpectedTime;
-pub use parent_guess::{CallMoment, CallerCandidate, guess_caller, guess_parent};
+pub use parent_guess::guess_parent;
 pub use refused_request::RefusedRequest;
 pub use service_cuts::ServiceCuts;
--- a/crates/node/src/egress.rs
+++ b/crates/node/src/egress.rs
@@ -2,7 +2,7 @@
 
 use clock::ClockTime;
 use futures_util::future::{Either, select};
-use graph::{CallMoment, CallTarget};
+use graph::CallTarget;
 use http::request::Parts;
 use http::{HeaderMap, Request, Response};
 use hyper::body::Incoming;
@@ -72,21 +72,12 @@
     let started = core.now();
     let deadline = find_deadline(core, &parts.headers, &entry, None);
     let allowance = entry.contract.attempts.saturating_sub(1);
-    let target = CallTarget::new(entry.service.clone(), entry.call.clone());
-    let moment = CallMoment {
-        now: started,
-        end: deadline,
-        allowed_ms: entry.contract.deadline_ms,
-    };
-    let parent = {
-        let chain = core.chain.borrow();
-        let makes_such = |kind: &CallTarget| chain.needs(kind, &target);
-        core.running.guess(&target, moment, makes_such)
-    };
+    let parent = core.running.guess(deadline, entry.contract.deadline_ms);
     let request_id = parent.as_ref().map_or(request_id, |parent| parent.request);
     let head = build_head(core, request_id, entry, &parts, parent.as_deref());
     let body = read_small(core, body, deadline).await?;
     let body_bytes = body.known_bytes();
+    let target = CallTarget::new(head.service.clone(), head.call.clone());
     if let Some(parent) = &parent {
         parent.used.borrow_mut().insert(target);
     }
--- a/crates/node/src/running_calls.rs
+++ b/crates/node/src/running_calls.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use clock::ClockTime;
-use graph::{CallMoment, CallTarget, CallerCandidate, guess_caller, guess_parent};
+use graph::{CallTarget, guess_parent};
 use model::{AttemptId, CallImportance, RequestId, TeamName};
 use retry::{AllowanceShare, CallRepeats, RetryAllowance};
 use wire::{AnswerHead, CallHead};
@@ -16,8 +16,6 @@
 /// A call that the local backend server runs now.
 pub(crate) struct RunningCall {
     pub(crate) request: RequestId,
-    /// The kind of call.
-    pub(crate) target: CallTarget,
     pub(crate) team: Option<TeamName>,
     pub(crate) team_weight: u32,
     pub(crate) importance: CallImportance,
@@ -28,8 +26,6 @@
     pub(crate) allowance: RefCell<RetryAllowance>,
     pub(crate) repeats: RefCell<CallRepeats>,
     pub(crate) used: RefCell<BTreeSet<CallTarget>>,
-    /// When the calls of each kind end that it has made.
-    call_ends: RefCell<BTreeMap<CallTarget, ClockTime>>,
     /// The time spent waiting for calls below, in milliseconds.
     pub(crate) below_ms: Cell<u64>,
     /// Whether a call that it made was lost to load.
@@ -43,7 +39,6 @@
         let share = AllowanceShare::new(head.allowance);
         Self {
             request: head.request,
-            target: CallTarget::new(head.service.clone(), head.call.clone()),
             team: head.team.clone(),
             team_weight: head.team_weight,
             importance: head.importance,
@@ -54,7 +49,6 @@
             allowance: RefCell::new(RetryAllowance::new(share)),
             repeats: RefCell::new(CallRepeats::new(MAX_REMEMBERED_CALLS)),
             used: RefCell::default(),
-            call_ends: RefCell::default(),
             below_ms: Cell::new(0),
             has_lost_call: Cell::new(false),
             is_given_up: Cell::new(false),
@@ -100,31 +94,15 @@
         self.0.borrow().get(&attempt).cloned()
     }
 
-    /// Returns the call that is likely to be served by one of a kind that ends at a moment.
-    ///
-    /// `makes_such` says whether calls of a kind are known to make such calls.
-    pub(crate) fn guess(
-        &self,
-        target: &CallTarget,
-        moment: CallMoment,
-        makes_such: impl Fn(&CallTarget) -> bool,
-    ) -> Option<Rc<RunningCall>> {
+    /// Returns the call that is likely to be served by one that ends at a moment, and may last
+    /// `allowed_ms` milliseconds at most.
+    pub(crate) fn guess(&self, end: ClockTime, allowed_ms: u64) -> Option<Rc<RunningCall>> {
         let running = self.0.borrow();
-        let ends = running.values().map(|call| {
-            let longest = call.started.plus_ms(moment.allowed_ms);
+        let running = running.values().map(|call| {
+            let longest = call.started.plus_ms(allowed_ms);
             (call, call.deadline.min(longest))
         });
-        let candidates = running.values().map(|call| CallerCandidate {
-            request: call,
-            started: call.started,
-            calls_end: call.call_ends.borrow().get(target).copied(),
-            makes_such: makes_such(&call.target),
-        });
-        let parent = guess_caller(candidates, moment).or_else(|| guess_parent(ends, moment.end))?;
-        let mut ends = parent.call_ends.borrow_mut();
-        ends.entry(target.clone()).or_insert(moment.end);
-        drop(ends);
-        Some(Rc::clone(parent))
+        guess_parent(running, end).cloned()
     }
 
     pub(crate) fn len(&self) -> usize {
