perf(node): two nodes read the log for all, and few links stay open

Each start told all 94 others and opened a link to each.

Change: `RelayPlan` plans over the fleet, the heads of two data centres read and the rest form a tree; fresh proofs travel down it at once, by the age that a question names; waits follow from the operators' bound on a configuration. `AnnounceBatch` gathers announcements at the first reader. A node that starts looks for others before it reads the log. The retries of `RetryBudget` take the place of the ratio, with the fleet's slack shared by the nodes that take work. Only a leave is told directly, over open links.

Ruled out: a reader in each data centre (grows with them), one reader by lease (its loss is felt for the lease).

--- a/crates/member/src/announce_timer.rs
+++ b/crates/member/src/announce_timer.rs
@@ -52,6 +52,12 @@
         is_change
     }
 
+    /// Returns whether the announcement is due at once, since there is something new to tell.
+    #[must_use]
+    pub const fn is_hasty(&self) -> bool {
+        self.due_at.is_none()
+    }
+
     /// Makes the announcement due at once.
     pub const fn hasten(&mut self) {
         self.due_at = None;
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -3,9 +3,10 @@
 //! Each node tells of itself with a [`MemberAnnouncement`], on the log and, when it leaves,
 //! directly to its peers. [`MemberView`] folds the announcements of all nodes,
 //! [`MemberFold`] keeps it up to date from the log and from other nodes,
-//! [`AnnounceTimer`] says when a node announces itself again, and [`MemberSubset`] picks the VMs
-//! that a node keeps links to.
+//! [`AnnounceTimer`] says when a node announces itself again, [`AnnounceBatch`] gathers what many
+//! nodes announce, and [`MemberSubset`] picks the VMs that a node keeps links to.
 
+mod announce_batch;
 mod announce_timer;
 mod backend_watch;
 mod member_announcement;
@@ -14,6 +15,7 @@
 mod member_subset;
 mod member_view;
 
+pub use announce_batch::{AnnounceBatch, BatchSettings};
 pub use announce_timer::AnnounceTimer;
 pub use backend_watch::{BackendName, BackendNotice, BackendReport, BackendWatch, NoticeOutcome};
 pub use member_announcement::{MemberAnnouncement, MemberState};
--- a/crates/member/src/member_view.rs
+++ b/crates/member/src/member_view.rs
@@ -162,20 +162,24 @@
         self.ready_by_centre_of(|_| true)
     }
 
+    /// Returns the VMs of each data centre whose nodes run and don't leave, ordered by name.
+    #[must_use]
+    pub fn live_by_centre(&self) -> BTreeMap<CentreName, Vec<VmName>> {
+        by_centre(
+            self.members()
+                .filter(|member| member.state < MemberState::Leaving),
+        )
+    }
+
     /// Returns the VMs of each data centre that take work and are selected by their service.
     #[must_use]
     pub fn ready_by_centre_of(
         &self,
         is_selected: impl Fn(&ServiceName) -> bool,
     ) -> BTreeMap<CentreName, Vec<VmName>> {
-        let mut centres: BTreeMap<CentreName, Vec<VmName>> = BTreeMap::new();
         let is_ready = |member: &&MemberAnnouncement| member.state == MemberState::Ready;
         let ready = self.members().filter(is_ready);
-        for member in ready.filter(|member| is_selected(&member.service)) {
-            let names = centres.entry(member.centre.clone()).or_default();
-            names.push(member.vm.clone());
-        }
-        centres
+        by_centre(ready.filter(|member| is_selected(&member.service)))
     }
 
     /// Returns the number of VMs known, also of those that have just ended.
@@ -211,3 +215,14 @@
         }
     }
 }
+
+fn by_centre<'a>(
+    members: impl Iterator<Item = &'a MemberAnnouncement>,
+) -> BTreeMap<CentreName, Vec<VmName>> {
+    let mut centres: BTreeMap<CentreName, Vec<VmName>> = BTreeMap::new();
+    for member in members {
+        let names = centres.entry(member.centre.clone()).or_default();
+        names.push(member.vm.clone());
+    }
+    centres
+}
--- a/crates/node/src/announce.rs
+++ b/crates/node/src/announce.rs
@@ -8,17 +8,23 @@
 use futures_util::future::{Either, select};
 use member::{AnnounceTimer, MemberAnnouncement, MemberSettings, MemberState};
 use model::VmName;
-use streams::{LogStream, NewRecord, PlatformLog, RecordBody};
 
+use crate::announce_keeper::{append_all, keep_announcement};
 use crate::fleet_watch::put_members;
 use crate::node_core::NodeCore;
-use crate::node_message::NodeMessage;
+use crate::node_message::{NodeMessage, NodeReply};
 use crate::peer_talk::ask_peer;
 
 /// The time between two looks at whether an announcement is due, in milliseconds.
 const LOOK_MS: u64 = 50;
-/// The time after which an announcement that failed is repeated, in milliseconds.
-const AGAIN_MS: u64 = 500;
+/// The time after which an announcement of a change that failed is repeated, in milliseconds.
+const CHANGE_AGAIN_MS: u64 = 500;
+/// The same for one that only repeated the last, in milliseconds: several of these fit into the
+/// time for which an announcement holds.
+const REPEAT_AGAIN_MS: u64 = 2_000;
+/// The time that another node has to append an announcement, in milliseconds: its wait for others
+/// and an append.
+const KEEP_MS: u64 = 3_000;
 /// The shortest time between two new numbers of one start, in milliseconds.
 const RISE_MS: u64 = 1_000;
 /// The time that the backend server has to accept a connection, in milliseconds.
@@ -102,9 +108,11 @@
 
 fn announce_due(core: &Rc<NodeCore>, timer: &mut AnnounceTimer, append: &Rc<OwnAppend>) {
     let members = core.fleet.with(|feed| feed.fold().view().len());
+    let is_change = timer.is_hasty() || append.has_change.get();
     let due = core.with_random(|random| timer.take_due(core.now(), members, random));
     let Some(announcement) = due else { return };
     tell(core, &announcement);
+    append.has_change.set(is_change);
     append.start(core, announcement);
 }
 
@@ -112,8 +120,8 @@
 fn tell(core: &Rc<NodeCore>, announcement: &MemberAnnouncement) {
     core.fleet.with(|feed| feed.fold().learn(announcement));
     put_members(core);
-    if announcement.state != MemberState::Ready {
-        tell_peers(core, announcement);
+    if announcement.state >= MemberState::Leaving {
+        tell_peers(core, announcement, core.links.open_names());
     }
 }
 
@@ -122,6 +130,8 @@
 struct OwnAppend {
     is_running: Cell<bool>,
     has_failed: Cell<bool>,
+    /// Whether the last one told of a change that the log hasn't taken.
+    has_change: Cell<bool>,
     /// How often linked nodes may still be told of the present state.
     tells: Cell<u32>,
 }
@@ -130,7 +140,13 @@
     /// Returns whether none runs, and has one that failed repeated.
     fn is_free(&self, timer: &mut AnnounceTimer, now: ClockTime) -> bool {
         if self.has_failed.take() {
-            timer.on_failure(now, AGAIN_MS);
+            let is_change = self.has_change.get();
+            let again_ms = if is_change {
+                CHANGE_AGAIN_MS
+            } else {
+                REPEAT_AGAIN_MS
+            };
+            timer.on_failure(now, again_ms);
         }
         !self.is_running.get()
     }
@@ -150,6 +166,10 @@
         let appending = async move {
             let is_done = own.append_or_tell(&core, &announcement).await;
             own.has_failed.set(!is_done);
+            if is_done {
+                own.has_change.set(false);
+                own.tells.set(0);
+            }
             own.is_running.set(false);
         };
         compio::runtime::spawn(appending).detach();
@@ -159,7 +179,8 @@
     ///
     /// A node that starts in an outage can only be answered by nodes that know its address.
     async fn append_or_tell(&self, core: &Rc<NodeCore>, announcement: &MemberAnnouncement) -> bool {
-        let appending = pin!(append(core, announcement));
+        let is_change = self.has_change.get();
+        let appending = pin!(append(core, announcement, is_change));
         let waiting = pin!(sleep(Duration::from_millis(SOON_MS)));
         let is_done = match select(appending, waiting).await {
             Either::Left((is_done, _)) => is_done,
@@ -178,7 +199,7 @@
         let tells = self.tells.get();
         if tells > 0 {
             self.tells.set(tells - 1);
-            tell_peers(core, announcement);
+            tell_peers(core, announcement, core.links.names());
         }
     }
 }
@@ -207,23 +228,43 @@
     }
 }
 
-async fn append(core: &NodeCore, announcement: &MemberAnnouncement) -> bool {
-    let record = NewRecord {
-        id: core.new_record_id(),
-        body: RecordBody::encode(announcement),
-    };
-    match core.log.append(LogStream::Members, vec![record]).await {
-        Ok(_) => true,
-        Err(error) => {
-            log::warn!("event=announcement-failed error={:?}", error.to_string());
-            false
-        }
+/// Has an announcement appended by the node that does so for all, or else appends it.
+///
+/// A leave is appended at once: the node may end before another one would.
+async fn append(core: &Rc<NodeCore>, announcement: &MemberAnnouncement, is_change: bool) -> bool {
+    let keeper = core.keeper.borrow().clone();
+    let keeper = keeper.filter(|_| announcement.state < MemberState::Leaving);
+    if let Some(keeper) = keeper
+        && is_kept(core, &keeper, announcement, is_change).await
+    {
+        return true;
+    }
+    append_all(core, std::slice::from_ref(announcement)).await
+}
+
+async fn is_kept(
+    core: &Rc<NodeCore>,
+    keeper: &VmName,
+    announcement: &MemberAnnouncement,
+    is_change: bool,
+) -> bool {
+    let announcement = announcement.clone();
+    if *keeper == core.settings.vm {
+        return keep_announcement(core, announcement, is_change).await;
+    }
+    let message = NodeMessage::Keep(announcement, is_change);
+    let asking = ask_peer(core, keeper, &message);
+    let reply = timeout(Duration::from_millis(KEEP_MS), asking).await;
+    let is_kept = matches!(reply, Ok(Some(NodeReply::Kept(true))));
+    if !is_kept {
+        log::info!("event=announcement-not-kept by={keeper}");
     }
+    is_kept
 }
 
-/// Tells all linked nodes directly, without waiting for them.
-fn tell_peers(core: &Rc<NodeCore>, announcement: &MemberAnnouncement) {
-    for vm in core.links.names() {
+/// Tells some nodes directly, without waiting for them.
+fn tell_peers(core: &Rc<NodeCore>, announcement: &MemberAnnouncement, names: Vec<VmName>) {
+    for vm in names {
         let core = Rc::clone(core);
         let message = NodeMessage::Member(announcement.clone());
         compio::runtime::spawn(async move { tell_peer(&core, &vm, &message).await }).detach();
--- a/crates/node/src/backend_pool.rs
+++ b/crates/node/src/backend_pool.rs
@@ -8,7 +8,6 @@
 use clock::ClockTime;
 use compio::net::TcpStream;
 use compio::time::timeout;
-use cyper_core::HyperStream;
 use http::{Request, Response};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -16,6 +15,7 @@
 use model::RunVerdict;
 use rustix::net::sockopt::set_tcp_user_timeout;
 use thiserror::Error;
+use wire::BufferedStream;
 
 use crate::answer_check::{AnswerFault, AnswerKind, judge_answer};
 use crate::call_body::CallBody;
@@ -197,7 +197,7 @@
         let stream = TcpStream::connect(self.address).await?;
         stream.set_nodelay(true)?;
         set_tcp_user_timeout(&stream, UNACKED_MS).map_err(io::Error::from)?;
-        let stream = HyperStream::new_plain(stream);
+        let stream = BufferedStream::new(stream);
         let opened = handshake(stream).await;
         let (sender, connection) = opened.map_err(BackendError::Failed)?;
         compio::runtime::spawn(connection).detach();
--- a/crates/node/src/caller_stream.rs
+++ b/crates/node/src/caller_stream.rs
@@ -5,8 +5,8 @@
 use std::task::{Context, Poll};
 
 use compio::net::TcpStream;
-use cyper_core::HyperStream;
 use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
+use wire::BufferedStream;
 
 use crate::node_settings::NodeSettings;
 use crate::stall_timer::StallTimer;
@@ -16,7 +16,7 @@
 
 /// A connection that is cut when its other end stops reading, or never says what it speaks.
 pub(crate) struct CallerStream {
-    stream: HyperStream<TcpStream>,
+    stream: BufferedStream,
     preface: Option<PrefaceWait>,
     writing: StallTimer,
 }
@@ -32,7 +32,7 @@
     /// Reads no further than the preface, and fails when that takes too long.
     fn poll_read(
         &mut self,
-        stream: &mut HyperStream<TcpStream>,
+        stream: &mut BufferedStream,
         context: &mut Context<'_>,
         mut buffer: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
@@ -72,7 +72,7 @@
             timer: StallTimer::new(settings.head_limit_ms),
         };
         Self {
-            stream: HyperStream::new_plain(stream),
+            stream: BufferedStream::new(stream),
             preface: Some(preface),
             writing: StallTimer::new(settings.stall_limit_ms),
         }
--- a/crates/node/src/config_state.rs
+++ b/crates/node/src/config_state.rs
@@ -5,8 +5,8 @@
 use contract::{ContractParser, FleetContract};
 use rand::Rng;
 use streams::{
-    AppliedRecord, ConfigFeed, ConfigVersion, FeedSettings, FollowAction, LogStream, ReadBatch,
-    ReadError, RelayBatch, RelayPull, StreamFeed, TextCheck,
+    AppliedRecord, ConfigFeed, ConfigVersion, FeedSettings, FollowAction, LogStream, NewsTime,
+    ReadBatch, ReadError, RelayBatch, RelayPull, StreamFeed, TextCheck,
 };
 
 use crate::node_settings::NodeSettings;
@@ -103,8 +103,12 @@
         self.feed.on_pull_failure(now, random);
     }
 
-    fn has_news(&self, pull: &RelayPull) -> bool {
-        self.feed.has_news(pull)
+    fn has_news(&self, now: ClockTime, pull: &RelayPull, held_ms: u64) -> bool {
+        self.feed.has_news(now, pull, held_ms)
+    }
+
+    fn fresh_at(&self) -> Option<NewsTime> {
+        self.feed.follower().fresh_at()
     }
 
     fn answer(&self, now: ClockTime, pull: &RelayPull) -> RelayBatch {
--- a/crates/node/src/config_watch.rs
+++ b/crates/node/src/config_watch.rs
@@ -12,7 +12,7 @@
 use crate::stream_host::StreamWatch;
 
 /// The time that an answer to a pull may take besides its wait, in milliseconds.
-const PULL_SLACK_MS: u64 = 1_000;
+const PULL_SLACK_MS: u64 = 400;
 /// The time between two looks at whether a snapshot is due, in milliseconds.
 const SNAPSHOT_LOOK_MS: u64 = 1_000;
 
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -5,9 +5,7 @@
 use compio::time::{sleep, timeout};
 use model::{RefusalReason, RunVerdict, VmName};
 use quarantine::RequestFingerprint;
-use retry::{
-    AllowanceShare, RetryAllowance, RetryDecision, RetryPolicy, RetryQuestion, RetryRatio,
-};
+use retry::{AllowanceShare, RetryAllowance, RetryDecision, RetryPolicy, RetryQuestion};
 use wire::{AnswerHead, CallHead};
 
 use crate::call_answer::{CallAnswer, CallRefusal};
@@ -81,6 +79,10 @@
 
 impl CallSending<'_> {
     async fn run(mut self) -> CallAnswer {
+        let now = self.core.now();
+        let service = &self.head.service;
+        self.core
+            .with_retries(service, |budget| budget.note_call(now));
         loop {
             let mut answer = self.try_once().await;
             if self.is_redirected(&mut answer.head) || self.moves_on(&answer.head) {
@@ -218,16 +220,13 @@
             left_ms: self.core.now().until_ms(self.deadline),
             expected_ms: u64::from(answer.run_ms),
         };
-        let mut ratios = self.core.ratios.borrow_mut();
-        let ratio = ratios.entry(self.head.service.clone());
-        let ratio = ratio.or_insert_with(|| RetryRatio::new(self.core.settings.retry_ratio));
-        if is_answered {
-            ratio.succeed();
-        }
-        let policy = RetryPolicy::default();
-        let allowance = &mut self.allowance;
-        self.core
-            .with_random(|random| policy.may_retry(&question, allowance, ratio, random))
+        let (core, allowance) = (self.core, &mut self.allowance);
+        let is_begun = self.head.depth > 0;
+        core.with_retries(&self.head.service, |budget| {
+            let mut budget = budget.at(core.now(), is_begun);
+            let policy = RetryPolicy::default();
+            core.with_random(|random| policy.may_retry(&question, allowance, &mut budget, random))
+        })
     }
 }
 
--- a/crates/node/src/fleet_watch.rs
+++ b/crates/node/src/fleet_watch.rs
@@ -89,13 +89,15 @@
         let view = feed.fold().view();
         let has_peers = view.members().any(|member| member.vm != own.vm);
         let of_shard = view.ready_by_centre_of(|service| ClaimShard::of(service) == shard);
-        (view.ready_by_centre(), of_shard, has_peers)
+        let ready = view.ready_by_centre();
+        core.ready_members.set(ready.values().map(Vec::len).sum());
+        (view.live_by_centre(), of_shard, has_peers)
     });
-    core.ready_members
-        .set(by_centre.values().map(Vec::len).sum());
+    let keeper = RelayPlan::first_reader(&by_centre).cloned();
+    core.keeper.replace(keeper.filter(|_| has_peers));
     let settings = &core.settings;
     let plan_by = |settings: &PlanSettings| {
-        let plan = plan_for(core, &by_centre, settings);
+        let plan = RelayPlan::new(&own.vm, &own.centre, &by_centre, settings);
         if plan.sources().is_empty() {
             seed_plan(core)
         } else {
@@ -106,32 +108,15 @@
         config: plan_by(&settings.plan),
         others: plan_by(&settings.plan_others),
     };
-    let claims_plan = plan_for(core, &of_shard, &settings.plan_others);
+    let claims_plan = RelayPlan::new(&own.vm, &own.centre, &of_shard, &settings.plan_others);
     core.claims.with(|feed| feed.set_plan(claims_plan));
     let readers = by_centre.iter().map(|(centre, names)| {
-        let readers = RelayPlan::readers(names, &settings.plan);
-        (centre.clone(), readers.len())
+        let heads = RelayPlan::heads(names, &settings.plan);
+        (centre.clone(), heads.len())
     });
     use_plans(core, &plans, readers.collect(), has_peers);
 }
 
-/// Plans whom this node asks among some VMs that take work.
-fn plan_for(
-    core: &NodeCore,
-    by_centre: &BTreeMap<CentreName, Vec<VmName>>,
-    settings: &PlanSettings,
-) -> RelayPlan {
-    let own = &core.settings;
-    let local = by_centre.get(&own.centre).map_or(&[][..], Vec::as_slice);
-    let others = by_centre
-        .iter()
-        .filter(|(centre, _)| **centre != own.centre);
-    let remote: Vec<VmName> = others
-        .flat_map(|(_, names)| RelayPlan::readers(names, settings))
-        .collect();
-    RelayPlan::new(&own.vm, local, &remote, settings)
-}
-
 /// Whom a node asks for news of the streams that all nodes follow.
 pub(crate) struct StreamPlans {
     pub(crate) config: RelayPlan,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod admin_port;
 mod announce;
+mod announce_keeper;
 mod answer_body;
 mod answer_check;
 mod attempt_guard;
--- a/crates/node/src/link_slot.rs
+++ b/crates/node/src/link_slot.rs
@@ -51,6 +51,11 @@
         opened.map_err(LinkError::Unopened)
     }
 
+    /// Returns whether the link is open now.
+    pub(crate) fn is_open(&self) -> bool {
+        self.open_link().is_some()
+    }
+
     fn open_link(&self) -> Option<Rc<PeerLink>> {
         let link = self.link.borrow();
         link.as_ref().filter(|link| !link.is_down()).cloned()
--- a/crates/node/src/node_core.rs
+++ b/crates/node/src/node_core.rs
@@ -13,10 +13,11 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use rate::TeamLimiter;
-use retry::{ResendCounts, ResendSettings, ResendTable, RetryRatio};
+use retry::{ResendCounts, ResendSettings, ResendTable, RetryBudget};
 use route::{RouteSettings, VmRouter};
 use streams::{ClaimShard, FoldFeed, KeyAnswer, KeyDigest, LogHandle, LogStream};
 
+use crate::announce_keeper::AnnounceKeeper;
 use crate::attempt_query::HeardMark;
 use crate::backend_pool::BackendPool;
 use crate::change_notifier::ChangeNotifier;
@@ -56,6 +57,10 @@
     pub(crate) routes: RefCell<Rc<RouteIndex>>,
     pub(crate) log: LogHandle,
     pub(crate) config: StreamHost<ConfigState>,
+    /// Appends the announcements of other nodes.
+    pub(crate) announce_keeper: AnnounceKeeper,
+    /// The node that appends the announcements of all.
+    pub(crate) keeper: RefCell<Option<VmName>>,
     /// Which backend server runs beside the node, where it tells of itself.
     pub(crate) backend_watch: RefCell<BackendWatch>,
     pub(crate) fleet: StreamHost<FoldFeed<MemberFold>>,
@@ -75,7 +80,7 @@
     pub(crate) windows: RefCell<EntryWindows<CallTarget>>,
     pub(crate) resends: RefCell<ResendTable>,
     pub(crate) resend_counts: RefCell<ResendCounts>,
-    pub(crate) ratios: RefCell<BTreeMap<ServiceName, RetryRatio>>,
+    retry_budgets: RefCell<BTreeMap<ServiceName, RetryBudget>>,
     /// Whether the backend server has accepted a connection since the start.
     pub(crate) is_up: Cell<bool>,
     pub(crate) routers: RefCell<BTreeMap<ServiceName, VmRouter>>,
@@ -152,6 +157,8 @@
                 FoldFeed::new(LogStream::Claims(shard), follow, claims),
             ),
             claim_waiters: DecisionWaiters::default(),
+            announce_keeper: AnnounceKeeper::default(),
+            keeper: RefCell::default(),
             suspects: RefCell::new(suspects),
             suspect_waiters: DecisionWaiters::default(),
             attempts: RefCell::new(attempts),
@@ -162,7 +169,7 @@
             windows: RefCell::new(EntryWindows::new(WindowSettings::default())),
             resends: RefCell::new(ResendTable::new(ResendSettings::default())),
             resend_counts: RefCell::new(ResendCounts::new(ResendSettings::default())),
-            ratios: RefCell::default(),
+            retry_budgets: RefCell::default(),
             is_up: Cell::new(false),
             routers: RefCell::default(),
             ready_members: Cell::new(0),
@@ -257,6 +264,26 @@
         }
     }
 
+    /// Calls a function with the budget of retries to a service.
+    ///
+    /// What the fleet shares is shared between the nodes that take work at present.
+    pub(crate) fn with_retries<T>(
+        &self,
+        service: &ServiceName,
+        change: impl FnOnce(&mut RetryBudget) -> T,
+    ) -> T {
+        let mut budgets = self.retry_budgets.borrow_mut();
+        let settings = &self.settings;
+        let budget = budgets
+            .entry(service.clone())
+            .or_insert_with(|| RetryBudget::new(settings.retry_budget));
+        if let Some(slack) = settings.fleet_retry_slack {
+            let nodes = u64::try_from(self.ready_members.get()).unwrap_or(u64::MAX);
+            budget.set_slack(slack / nodes.max(1));
+        }
+        change(budget)
+    }
+
     /// Puts a contract in force.
     pub(crate) fn put_contract(&self, contract: Rc<FleetContract>) {
         let mut routers = self.routers.borrow_mut();
--- a/crates/node/src/node_message.rs
+++ b/crates/node/src/node_message.rs
@@ -13,6 +13,8 @@
     Pull(RelayPull),
     /// Tells that a member changed its state.
     Member(MemberAnnouncement),
+    /// Asks to append an announcement, which tells of a change or repeats the last one.
+    Keep(MemberAnnouncement, bool),
     /// Carries a message between the limiters of two nodes.
     Rate(RateMessage),
     /// Asks for the mark of the node's table of attempts.
@@ -40,6 +42,8 @@
     Attempt(AttemptState),
     /// What became of the attempt that owns the key.
     Holder(HolderReply),
+    /// Whether the announcement was appended.
+    Kept(bool),
     /// The message was taken, or wasn't understood.
     Nothing,
 }
--- a/crates/node/src/node_process.rs
+++ b/crates/node/src/node_process.rs
@@ -11,7 +11,7 @@
 use compio::time::{sleep, timeout};
 use member::{MemberAnnouncement, MemberState};
 use rand::Rng;
-use streams::LogHandle;
+use streams::{LogHandle, StreamFeed};
 use thiserror::Error;
 use wire::PeerServer;
 
@@ -273,7 +273,20 @@
     }
 }
 
+/// Waits until other nodes are known, unless there are none for long.
+///
+/// Load pattern: all nodes start at once, and each asks the log for all that one of them could
+/// tell the others.
+async fn find_members(core: &Rc<NodeCore>) {
+    let until = core.now().plus_ms(core.settings.start_wait_ms);
+    while core.now() < until && core.keeper.borrow().is_none() {
+        sleep(Duration::from_millis(TICK_MS)).await;
+        put_members(core);
+    }
+}
+
 async fn follow_config(core: Rc<NodeCore>) {
+    find_members(&core).await;
     let watch = ConfigWatch(Rc::clone(&core));
     core.config.follow(&core.log, &watch).await;
 }
@@ -284,6 +297,7 @@
 }
 
 async fn follow_rates(core: Rc<NodeCore>) {
+    find_members(&core).await;
     let watch = RateWatch(Rc::clone(&core));
     core.rates.follow(&core.log, &watch).await;
 }
--- a/crates/node/src/node_settings.rs
+++ b/crates/node/src/node_settings.rs
@@ -4,19 +4,16 @@
 use member::MemberSettings;
 use model::{CentreName, ServiceName, VmName};
 use rate::RateSettings;
-use retry::RatioSettings;
+use retry::BudgetSettings;
 use streams::{FollowSettings, PlanSettings, TrustSettings};
 use wire::{FleetSecret, LinkSettings};
 
 use crate::edge_settings::EdgeSettings;
 use crate::report_port::NoticeReader;
 
-/// The retries of a route. All calls that ran on one VM may fail at once, so as many are saved
-/// up as a large VM has slots.
-const RATIO: RatioSettings = RatioSettings {
-    per_thousand: 100,
-    max_saved: 200,
-};
+/// The retries to a service in a window besides those that calls pay for, in thousandths: all calls
+/// that ran on one VM may fail at once, so as many as a large VM has slots.
+const RETRY_SLACK: u64 = 200_000;
 
 /// How a node hears of its backend server from that server itself.
 #[derive(Clone, Copy, Debug)]
@@ -77,8 +74,11 @@
     pub metrics_address: Option<SocketAddr>,
     /// The largest body that is read whole before it is sent on, in bytes.
     pub whole_body_bytes: u64,
-    /// The retries that the calls of a service may spend at this node.
-    pub retry_ratio: RatioSettings,
+    /// The retries that this node may send to a service.
+    pub retry_budget: BudgetSettings,
+    /// The part of these that the whole fleet shares, in thousandths, in place of the node's own
+    /// slack.
+    pub fleet_retry_slack: Option<u64>,
     /// How the configuration is followed.
     pub follow: FollowSettings,
     /// How the other streams of the log are followed.
@@ -89,6 +89,9 @@
     pub plan_others: PlanSettings,
     /// For how long keys are trusted without news.
     pub trust: TrustSettings,
+    /// The longest time for which a node that starts looks for others to learn the state from,
+    /// before it reads it from the log itself, in milliseconds.
+    pub start_wait_ms: u64,
     /// How membership is kept.
     pub members: MemberSettings,
     /// How the teams are kept to their rates.
@@ -123,12 +126,17 @@
             reports: None,
             metrics_address: None,
             whole_body_bytes: 64 * 1024,
-            retry_ratio: RATIO,
+            retry_budget: BudgetSettings {
+                slack_thousandths: RETRY_SLACK,
+                ..BudgetSettings::default()
+            },
+            fleet_retry_slack: None,
             follow: FollowSettings::default(),
             follow_others: FollowSettings::default(),
             plan: PlanSettings::default(),
             plan_others: PlanSettings::default(),
             trust: TrustSettings::default(),
+            start_wait_ms: 0,
             members: MemberSettings::default(),
             rates: RateSettings::default(),
         }
--- a/crates/node/src/peer_links.rs
+++ b/crates/node/src/peer_links.rs
@@ -52,6 +52,13 @@
         self.slots.borrow().keys().cloned().collect()
     }
 
+    /// Returns the names of the VMs to which a link is open.
+    pub(crate) fn open_names(&self) -> Vec<VmName> {
+        let slots = self.slots.borrow();
+        let open = slots.iter().filter(|(_, slot)| slot.is_open());
+        open.map(|(vm, _)| vm.clone()).collect()
+    }
+
     /// Takes the names of the VMs to which a link was opened since this was last asked.
     pub(crate) fn take_opened(&self) -> Vec<VmName> {
         self.opened.take()
--- a/crates/node/src/peer_port.rs
+++ b/crates/node/src/peer_port.rs
@@ -5,6 +5,7 @@
 use streams::{ClaimShard, LogStream, RelayBatch, RelayPull};
 use wire::{AnswerHead, CallHead, LinkBody, PeerHandler};
 
+use crate::announce_keeper::keep_announcement;
 use crate::answer_body::AnswerBody;
 use crate::call_body::CallBody;
 use crate::claim_watch::answer_holder;
@@ -31,6 +32,9 @@
             NodeMessage::Member(announcement) => {
                 core.fleet.with(|feed| feed.fold().learn(&announcement));
             }
+            NodeMessage::Keep(announcement, is_change) => {
+                return NodeReply::Kept(keep_announcement(core, announcement, is_change).await);
+            }
             NodeMessage::Rate(message) => receive_rate(core, from, message),
             NodeMessage::AskMark => {
                 let mark = core.attempts.borrow().mark(core.now());
--- a/crates/node/src/rate_watch.rs
+++ b/crates/node/src/rate_watch.rs
@@ -5,7 +5,7 @@
 use compio::time::timeout;
 use model::{RefusalReason, TeamName, VmName};
 use rate::{RateAction, RateDecision, RateMessage, TeamRate};
-use streams::{LogStream, NewRecord, PlatformLog, RecordBody, RelayBatch, RelayPull};
+use streams::{LogStream, NewRecord, PlatformLog, RecordBody, RelayBatch, RelayPull, StreamFeed};
 
 use crate::call_answer::CallRefusal;
 use crate::config_watch::pull_from;
@@ -17,6 +17,10 @@
 /// The time after which callers come back when no tokens came in time, in milliseconds.
 const NO_TOKENS_MS: u64 = 200;
 
+/// The part of a request's time, as a divisor, for which it waits for its team's tokens: one that
+/// is refused then has the time to come back.
+const WAIT_PART: u64 = 2;
+
 /// Lets the limiter act on what the rates stream brings.
 pub(crate) struct RateWatch(pub(crate) Rc<NodeCore>);
 
@@ -65,7 +69,7 @@
         RateDecision::Ask { wait_ms } => wait_ms,
     };
     let now = core.now();
-    let give_up_at = now.plus_ms(wait_ms.min(now.until_ms(deadline) / 2));
+    let give_up_at = now.plus_ms(wait_ms.min(now.until_ms(deadline) / WAIT_PART));
     let mut wait = TokenWait {
         core,
         team,
--- a/crates/node/src/stream_host.rs
+++ b/crates/node/src/stream_host.rs
@@ -58,13 +58,17 @@
     /// Answers another node's question, once there is news or its wait is over.
     pub(crate) async fn answer(&self, pull: &RelayPull) -> RelayBatch {
         let arrived = self.clock.now();
-        let has_news = self.feed.borrow().has_news(pull);
-        if !has_news {
-            let _ = timeout(Duration::from_millis(pull.wait_ms), self.news.wait()).await;
+        loop {
+            let now = self.clock.now();
+            let held_ms = now.since_ms(arrived);
+            let has_news = self.feed.borrow().has_news(now, pull, held_ms);
+            if has_news || held_ms >= pull.wait_ms {
+                let batch = self.feed.borrow().answer(now, pull);
+                return batch.held_ms(held_ms);
+            }
+            let left = Duration::from_millis(pull.wait_ms - held_ms);
+            let _ = timeout(left, self.news.wait()).await;
         }
-        let now = self.clock.now();
-        let batch = self.feed.borrow().answer(now, pull);
-        batch.held_ms(now.since_ms(arrived))
     }
 
     /// Reads the log, with another read beside one that has had no answer for long.
@@ -95,8 +99,9 @@
                 continue;
             };
             let now = self.clock.now();
-            let is_news = self.with_random(|feed, random| feed.on_read(now, asked, result, random));
-            self.tell(is_news, watch);
+            let take_in =
+                |feed: &mut F, random: &mut SmallRng| feed.on_read(now, asked, result, random);
+            self.take_in(watch, take_in);
             if reads.is_empty() {
                 next_at = now;
             }
@@ -112,8 +117,7 @@
                     let batch = Box::pin(watch.pull(&peer, pull)).await;
                     let now = self.clock.now();
                     if let Some(batch) = batch {
-                        let is_news = self.feed.borrow_mut().on_batch(now, asked, batch);
-                        self.tell(is_news, watch);
+                        self.take_in(watch, |feed, _| feed.on_batch(now, asked, batch));
                     } else {
                         self.with_random(|feed, random| feed.on_pull_failure(now, random));
                     }
@@ -124,9 +128,14 @@
         }
     }
 
-    fn tell(&self, is_news: bool, watch: &impl StreamWatch) {
+    /// Takes in an answer, and wakes the nodes that wait for records or for fresher news.
+    fn take_in(&self, watch: &impl StreamWatch, take: impl FnOnce(&mut F, &mut SmallRng) -> bool) {
+        let before = self.feed.borrow().fresh_at();
+        let is_news = self.with_random(take);
         if is_news {
             watch.on_news(self.clock.now());
+        }
+        if is_news || self.feed.borrow().fresh_at() != before {
             self.news.notify();
         }
     }
--- a/crates/streams/examples/config_slopes.rs
+++ b/crates/streams/examples/config_slopes.rs
@@ -110,6 +110,7 @@
         stream: LogStream::Config,
         from: LogOffset::new(1),
         needs_snapshot: false,
+        age_ms: Some(0),
         wait_ms: 500,
     };
     let answer_ns = nanos_each(10_000, |_| {
--- a/crates/streams/src/config_feed.rs
+++ b/crates/streams/src/config_feed.rs
@@ -151,10 +151,12 @@
         self.follower.on_pull_failure(now, rng);
     }
 
-    /// Returns whether another node's question can be answered with news now.
+    /// Returns whether another node's question, kept for `held_ms`, can be answered with records
+    /// or with fresher news now.
     #[must_use]
-    pub const fn has_news(&self, pull: &RelayPull) -> bool {
-        self.relay.has_news(pull)
+    pub fn has_news(&self, now: ClockTime, pull: &RelayPull, held_ms: u64) -> bool {
+        let is_fresher = self.fold.is_whole() && self.follower.is_fresher(now, pull, held_ms);
+        self.relay.has_news(pull) || is_fresher
     }
 
     /// Answers another node's question; add [`RelayBatch::held_ms`] when it was kept waiting.
--- a/crates/streams/src/fold_feed.rs
+++ b/crates/streams/src/fold_feed.rs
@@ -49,12 +49,6 @@
         &mut self.fold
     }
 
-    /// Returns up to when the stream was followed.
-    #[must_use]
-    pub const fn fresh_at(&self) -> Option<NewsTime> {
-        self.follower.fresh_at()
-    }
-
     /// Sets whom to ask.
     pub fn set_plan(&mut self, plan: RelayPlan) {
         self.follower.set_plan(plan);
@@ -115,8 +109,13 @@
         self.follower.on_pull_failure(now, random);
     }
 
-    fn has_news(&self, pull: &RelayPull) -> bool {
-        self.relay.has_news(pull)
+    fn has_news(&self, now: ClockTime, pull: &RelayPull, held_ms: u64) -> bool {
+        let is_whole = !self.fold.needs_snapshot();
+        self.relay.has_news(pull) || (is_whole && self.follower.is_fresher(now, pull, held_ms))
+    }
+
+    fn fresh_at(&self) -> Option<NewsTime> {
+        self.follower.fresh_at()
     }
 
     fn answer(&self, now: ClockTime, pull: &RelayPull) -> RelayBatch {
--- a/crates/streams/src/relay_message.rs
+++ b/crates/streams/src/relay_message.rs
@@ -12,6 +12,8 @@
     pub from: LogOffset,
     /// Whether the asker lacks the state before `from`.
     pub needs_snapshot: bool,
+    /// The age of the asker's news, in milliseconds; `None` when it never was at the end.
+    pub age_ms: Option<u64>,
     /// How long the answer may wait for news, in milliseconds.
     pub wait_ms: u64,
 }
--- a/crates/streams/src/stream_feed.rs
+++ b/crates/streams/src/stream_feed.rs
@@ -1,7 +1,7 @@
 use clock::ClockTime;
 use rand::Rng;
 
-use crate::{FollowAction, LogStream, ReadBatch, ReadError, RelayBatch, RelayPull};
+use crate::{FollowAction, LogStream, NewsTime, ReadBatch, ReadError, RelayBatch, RelayPull};
 
 /// One stream of the platform's log, followed, folded and handed on, without I/O.
 pub trait StreamFeed {
@@ -30,8 +30,12 @@
     /// Takes in that a node gave no answer.
     fn on_pull_failure<R: Rng>(&mut self, now: ClockTime, random: &mut R);
 
-    /// Returns whether another node's question can be answered with news now.
-    fn has_news(&self, pull: &RelayPull) -> bool;
+    /// Returns whether another node's question, kept for `held_ms`, can be answered with records
+    /// or with fresher news now.
+    fn has_news(&self, now: ClockTime, pull: &RelayPull, held_ms: u64) -> bool;
+
+    /// Returns up to when the stream was followed.
+    fn fresh_at(&self) -> Option<NewsTime>;
 
     /// Answers another node's question; add [`RelayBatch::held_ms`] when it was kept waiting.
     fn answer(&self, now: ClockTime, pull: &RelayPull) -> RelayBatch;
--- a/crates/streams/src/stream_follower.rs
+++ b/crates/streams/src/stream_follower.rs
@@ -13,6 +13,10 @@
 /// The shortest time between two questions to other nodes, in milliseconds.
 const MIN_PULL_GAP_MS: u64 = 20;
 
+/// How much fresher news must be to end another node's wait, in milliseconds: several times the
+/// way between two data centres.
+const MIN_FRESHER_MS: u64 = 150;
+
 /// How a stream is followed.
 #[derive(Clone, Copy, Debug)]
 pub struct FollowSettings {
@@ -200,6 +204,19 @@
         self.plan = plan;
     }
 
+    /// Returns whether another node's question, kept for `held_ms`, can be answered with fresher
+    /// news than the asker has.
+    #[must_use]
+    pub fn is_fresher(&self, now: ClockTime, pull: &RelayPull, held_ms: u64) -> bool {
+        let asker_age = pull.age_ms.map(|age| age.saturating_add(held_ms));
+        let own_age = self.fresh_at.map(|time| time.age_ms(now));
+        match (own_age, asker_age) {
+            (Some(own_age), Some(asker_age)) => own_age + MIN_FRESHER_MS <= asker_age,
+            (own_age, None) => own_age.is_some(),
+            (None, Some(_)) => false,
+        }
+    }
+
     /// Sets whether the stream's fold waits for a snapshot.
     pub const fn set_needs_snapshot(&mut self, needs_snapshot: bool) {
         self.needs_snapshot = needs_snapshot;
@@ -213,9 +230,17 @@
         if !self.plan.is_reader() && !self.is_direct(now, rng) {
             return FollowAction::Wait(now.plus_ms(IDLE_CHECK_MS));
         }
+        // A read that waits proves nothing until it ends, so one that is late asks for an answer
+        // at once.
+        let is_aged = self.age_ms(now) >= self.late_after_ms();
+        let wait_ms = if is_aged {
+            0
+        } else {
+            self.settings.read_wait_ms
+        };
         FollowAction::Read {
             from: self.next,
-            wait_ms: self.settings.read_wait_ms,
+            wait_ms,
         }
     }
 
@@ -237,7 +262,7 @@
         }
         FollowAction::Pull {
             peer,
-            pull: self.pull(is_late),
+            pull: self.pull(now, is_late),
         }
     }
 
@@ -346,7 +371,7 @@
         self.fresh_at = Some(latest);
     }
 
-    fn pull(&self, is_late: bool) -> RelayPull {
+    fn pull(&self, now: ClockTime, is_late: bool) -> RelayPull {
         let wait_ms = if is_late {
             self.settings.turn_wait_ms
         } else {
@@ -356,6 +381,7 @@
             stream: self.stream,
             from: self.next,
             needs_snapshot: self.needs_snapshot,
+            age_ms: self.fresh_at.map(|time| time.age_ms(now)),
             wait_ms,
         }
     }
@@ -365,12 +391,15 @@
     }
 
     fn is_late(&self, now: ClockTime) -> bool {
-        let bound_ms = if self.plan.is_reader() {
+        self.needs_snapshot || self.age_ms(now) >= self.late_after_ms()
+    }
+
+    const fn late_after_ms(&self) -> u64 {
+        if self.plan.is_reader() {
             self.settings.pull_after_ms
         } else {
             self.settings.direct_after_ms
-        };
-        self.needs_snapshot || self.age_ms(now) >= bound_ms
+        }
     }
 
     fn is_direct<R: Rng>(&mut self, now: ClockTime, rng: &mut R) -> bool {
--- a/crates/streams/tests/fleet/mod.rs
+++ b/crates/streams/tests/fleet/mod.rs
@@ -15,12 +15,14 @@
 pub const STREAM: LogStream = LogStream::Config;
 pub const TICK_MS: u64 = 25;
 pub const RETENTION_MS: u64 = 20_000;
-const PULL_TIMEOUT_MS: u64 = 1_000;
+/// The time that an answer to a pull may take besides its wait.
+const PULL_SLACK_MS: u64 = 400;
 
 /// A tree that a small fleet fills in all its parts.
 const SMALL_PLAN: PlanSettings = PlanSettings {
-    readers: 1,
+    heads: 1,
     fan_out: 2,
+    reading_centres: usize::MAX,
 };
 
 pub type Check = fn(&str) -> Result<(), String>;
@@ -83,6 +85,7 @@
     pub in_force_at: Vec<(ClockTime, u64)>,
     centres: usize,
     plan: PlanSettings,
+    follow: FollowSettings,
     starts: usize,
 }
 
@@ -114,6 +117,16 @@
     }
 
     pub fn with_plan(seed: u64, count: usize, centres: usize, plan: PlanSettings) -> Self {
+        Self::with_follow(seed, (count, centres), plan, FollowSettings::default())
+    }
+
+    /// Creates a fleet of some nodes in some data centres.
+    pub fn with_follow(
+        seed: u64,
+        (count, centres): (usize, usize),
+        plan: PlanSettings,
+        follow: FollowSettings,
+    ) -> Self {
         let mut fleet = Self {
             rng: SmallRng::seed_from_u64(seed),
             now: ClockTime::from_ms(1_000),
@@ -127,6 +140,7 @@
             in_force_at: Vec::new(),
             centres,
             plan,
+            follow,
             starts: 0,
         };
         for index in 0..count {
@@ -145,6 +159,7 @@
         };
         let settings = FeedSettings {
             snapshot,
+            follow: self.follow,
             ..FeedSettings::default()
         };
         let centre = CentreName::new(format!("dc-{}", index % self.centres));
@@ -172,24 +187,32 @@
         self.set_plans();
     }
 
-    fn set_plans(&mut self) {
+    fn names_by_centre(&self) -> BTreeMap<CentreName, Vec<VmName>> {
         let mut centres: BTreeMap<CentreName, Vec<VmName>> = BTreeMap::new();
         for node in &self.nodes {
             let names = centres.entry(node.centre.clone()).or_default();
             names.push(node.name.clone());
         }
-        let readers = |names: &Vec<VmName>| RelayPlan::readers(names, &self.plan).len();
+        centres
+    }
+
+    /// Returns whom a node asks.
+    #[allow(dead_code, reason = "not every test file looks at plans")]
+    pub fn plan_of(&self, node: &SimNode) -> RelayPlan {
+        let centres = self.names_by_centre();
+        RelayPlan::new(&node.name, &node.centre, &centres, &self.plan)
+    }
+
+    fn set_plans(&mut self) {
+        let centres = self.names_by_centre();
+        let readers = |names: &Vec<VmName>| RelayPlan::heads(names, &self.plan).len();
         let all: BTreeMap<CentreName, usize> = centres
             .iter()
             .map(|(centre, names)| (centre.clone(), readers(names)))
             .collect();
         let has_peers = self.nodes.len() > 1;
         for node in &mut self.nodes {
-            let others = centres.iter().filter(|(centre, _)| **centre != node.centre);
-            let remote: Vec<VmName> = others
-                .flat_map(|(_, names)| RelayPlan::readers(names, &self.plan))
-                .collect();
-            let plan = RelayPlan::new(&node.name, &centres[&node.centre], &remote, &self.plan);
+            let plan = RelayPlan::new(&node.name, &node.centre, &centres, &self.plan);
             node.feed.set_members(plan, all.clone(), has_peers);
         }
     }
@@ -298,7 +321,7 @@
             }
             node.feed.on_read(now, asked, pending.result, &mut self.rng);
         }
-        let follow = FollowSettings::default();
+        let follow = self.follow;
         let newest = node.reading.last().map(|pending| pending.asked);
         let is_early = newest.is_some_and(|time| now.since_ms(time) < follow.hedge_after_ms);
         if is_early || node.reading.len() >= follow.max_reads {
@@ -358,7 +381,7 @@
         let Some(other) = other.filter(|_| !node.is_cut_from_peers && waited > 0) else {
             return;
         };
-        if other.feed.has_news(&pending.pull) || waited >= pending.pull.wait_ms {
+        if other.feed.has_news(now, &pending.pull, waited) || waited >= pending.pull.wait_ms {
             let held = waited.saturating_sub(TICK_MS);
             let answer = other.feed.answer(now, &pending.pull).held_ms(held);
             let naive_version = other.naive_version;
@@ -378,7 +401,9 @@
                 node.naive_version = naive_version;
                 node.feed.on_batch(now, pending.asked, batch);
             }
-            None if waited >= PULL_TIMEOUT_MS => node.feed.on_pull_failure(now, &mut self.rng),
+            None if waited >= pending.pull.wait_ms + PULL_SLACK_MS => {
+                node.feed.on_pull_failure(now, &mut self.rng);
+            }
             _ => node.pulling = Some(pending),
         }
     }
--- a/crates/streams/tests/fleet_cases.rs
+++ b/crates/streams/tests/fleet_cases.rs
@@ -4,8 +4,8 @@
 
 use fleet::{SimFleet, TICK_MS};
 use lentilshift_streams::{
-    ConfigRecord, ConfigVersion, KeyAnswer, KeyDigest, NewRecord, PlanSettings, RecordBody,
-    TrustState,
+    ConfigRecord, ConfigVersion, FollowSettings, KeyAnswer, KeyDigest, NewRecord, PlanSettings,
+    RecordBody, TrustState,
 };
 use model::{RecordId, TeamName};
 use rstest::{fixture, rstest};
@@ -174,6 +174,100 @@
     }
 }
 
+/// The time in which a change must be in force everywhere, as operators of a large fleet set it.
+const CONFIG_MS: u64 = 3_000;
+/// The age of news from which a node of that fleet asks elsewhere.
+const LATE_MS: u64 = 2_250;
+
+/// A fleet in which two nodes read for all.
+fn few_readers(seed: u64, nodes: usize, centres: usize) -> SimFleet {
+    let plan = PlanSettings {
+        heads: 1,
+        reading_centres: 2,
+        ..PlanSettings::default()
+    };
+    let follow = FollowSettings {
+        read_wait_ms: 975,
+        hedge_after_ms: 1_275,
+        pull_wait_ms: 1_125,
+        pull_after_ms: LATE_MS,
+        direct_after_ms: LATE_MS,
+        direct_spread_ms: 300,
+        ..FollowSettings::default()
+    };
+    let mut fleet = SimFleet::with_follow(seed, (nodes, centres), plan, follow);
+    run(&mut fleet, 6_000);
+    fleet
+}
+
+fn readers(fleet: &SimFleet) -> Vec<usize> {
+    let nodes = fleet.nodes.iter().enumerate();
+    let readers = nodes.filter(|(_, node)| fleet.plan_of(node).is_reader());
+    readers.map(|(index, _)| index).collect()
+}
+
+/// What happens to the nodes that read for all, just before a change.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum ReaderFault {
+    Nothing,
+    CutFromLog,
+    CutFromPeers,
+    Paused,
+}
+
+#[rstest]
+fn change_is_in_force_in_time_when_readers_fail(
+    #[values(
+        ReaderFault::Nothing,
+        ReaderFault::CutFromLog,
+        ReaderFault::CutFromPeers,
+        ReaderFault::Paused
+    )]
+    fault: ReaderFault,
+    #[values(1, 2)] faulty: usize,
+    #[values((15, 3), (95, 5), (300, 7))] (nodes, centres): (usize, usize),
+    #[values(1, 2, 3)] seed: u64,
+) {
+    let mut fleet = few_readers(seed, nodes, centres);
+    let readers = readers(&fleet);
+    assert_eq!(readers.len(), 2, "the fleet's size adds no reader");
+    for index in &readers[..faulty] {
+        let node = &mut fleet.nodes[*index];
+        match fault {
+            ReaderFault::Nothing => {}
+            ReaderFault::CutFromLog => node.is_cut_from_log = true,
+            ReaderFault::CutFromPeers => node.is_cut_from_peers = true,
+            ReaderFault::Paused => node.paused_until = fleet.now.plus_ms(10_000),
+        }
+    }
+    let publish = ConfigRecord::publish(ConfigVersion::NONE, "", "a text");
+    fleet.append(RecordId::from_random(1), &publish).unwrap();
+    let start = fleet.now;
+    while fleet.now.since_ms(start) < CONFIG_MS {
+        run(&mut fleet, TICK_MS);
+    }
+    let is_late = |(index, node): &(usize, &fleet::SimNode)| {
+        let is_faulty = readers[..faulty].contains(index) && fault != ReaderFault::Nothing;
+        !is_faulty && node.feed.fold().in_force().version.get() == 0
+    };
+    let late = fleet.nodes.iter().enumerate().filter(is_late).count();
+    assert_eq!(late, 0);
+}
+
+#[rstest]
+fn news_stays_young_with_two_readers(
+    #[values((95, 5), (300, 7))] (nodes, centres): (usize, usize),
+) {
+    let mut fleet = few_readers(1, nodes, centres);
+    for _ in 0..80 {
+        run(&mut fleet, 100);
+        for node in &fleet.nodes {
+            let age = node.feed.follower().fresh_at().unwrap().age_ms(fleet.now);
+            assert!(age < LATE_MS, "{} is {age} ms behind", node.name);
+        }
+    }
+}
+
 fn spread_ms(nodes: usize, centres: usize) -> u64 {
     let mut fleet = SimFleet::with_plan(1, nodes, centres, PlanSettings::default());
     run(&mut fleet, 6_000);
--- /dev/null
+++ b/crates/wire/src/buffered_stream.rs
@@ -0,0 +1,71 @@
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+
+use compio::io::compat::AsyncStream;
+use compio::net::TcpStream;
+use futures_util::io::{AsyncBufRead, AsyncWrite};
+use hyper::rt::{Read, ReadBufCursor, Write};
+
+/// The bytes that each of a connection's two buffers starts with, and shrinks back to: a call with
+/// its head fits in.
+const BUFFER_BYTES: usize = 2 * 1024;
+
+/// A TCP connection as `hyper` and `h2` read and write it, with small buffers.
+///
+/// Load pattern: a node holds hundreds of connections, most of them idle. What an idle one keeps is
+/// a few kilobytes, and a read touches no more of the reader's buffer than it fills.
+#[derive(Debug)]
+pub struct BufferedStream(Pin<Box<AsyncStream<TcpStream>>>);
+
+impl BufferedStream {
+    /// Wraps a connection.
+    #[must_use]
+    pub fn new(stream: TcpStream) -> Self {
+        Self(Box::pin(AsyncStream::with_capacity(BUFFER_BYTES, stream)))
+    }
+}
+
+impl Read for BufferedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        mut buffer: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        let bytes = ready!(self.0.as_mut().poll_fill_buf(context))?;
+        let count = bytes.len().min(buffer.remaining());
+        buffer.put_slice(&bytes[..count]);
+        self.0.as_mut().consume(count);
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl Write for BufferedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.0.as_mut().poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        pieces: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.0.as_mut().poll_write_vectored(context, pieces)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.0.as_mut().poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.0.as_mut().poll_close(context)
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod answer_head;
 mod body_pump;
+mod buffered_stream;
 mod call_head;
 mod codec;
 mod field_reader;
@@ -23,6 +24,7 @@
 mod peer_server;
 
 pub use answer_head::AnswerHead;
+pub use buffered_stream::BufferedStream;
 pub use call_head::CallHead;
 pub use codec::{CodecError, decode, encode};
 pub use fleet_secret::{FleetSecret, SecretError};
--- a/crates/wire/src/peer_link.rs
+++ b/crates/wire/src/peer_link.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use compio::net::TcpStream;
 use compio::time::{sleep, timeout};
-use cyper_core::HyperStream;
+
 use futures_channel::oneshot;
 use futures_util::future::{Either, FutureExt, Shared, select};
 use h2::client::{ResponseFuture, SendRequest};
@@ -17,6 +17,7 @@
 use model::VmName;
 
 use crate::body_pump::{pump_body, send_all};
+use crate::buffered_stream::BufferedStream;
 use crate::codec::MAX_MESSAGE_BYTES;
 use crate::head_reader::{frame_head, read_head, read_message};
 use crate::hello_message::{HelloAnswer, HelloMessage};
@@ -68,7 +69,7 @@
     ) -> Result<Self, LinkError> {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
-        let stream = TokioIo::new(HyperStream::new_plain(stream));
+        let stream = TokioIo::new(BufferedStream::new(stream));
         let (sender, mut connection) = h2::client::Builder::new()
             .initial_window_size(settings.stream_window_bytes)
             .initial_connection_window_size(settings.link_window_bytes)
--- a/crates/wire/src/peer_server.rs
+++ b/crates/wire/src/peer_server.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use compio::net::TcpStream;
 use compio::time::timeout;
-use cyper_core::HyperStream;
+
 use futures_util::future::{Either, select};
 use h2::server::{Connection, SendResponse};
 use h2::{Reason, RecvStream};
@@ -15,6 +15,7 @@
 use model::VmName;
 
 use crate::body_pump::{pump_body, send_all};
+use crate::buffered_stream::BufferedStream;
 use crate::codec::MAX_MESSAGE_BYTES;
 use crate::head_reader::{frame_head, read_head, read_message};
 use crate::peer_link::MAX_STREAMS;
@@ -25,7 +26,7 @@
 const MAX_HEADER_LIST_BYTES: u32 = 1024;
 
 /// The bytes of a connection.
-type PeerStream = TokioIo<HyperStream<TcpStream>>;
+type PeerStream = TokioIo<BufferedStream>;
 /// A connection from another node.
 type PeerConnection = Connection<PeerStream, Bytes>;
 /// The node at the other end, and the connection.
@@ -74,7 +75,7 @@
     pub async fn serve(&self, stream: TcpStream) -> Result<(), LinkError> {
         stream.set_nodelay(true)?;
         let limit_ms = self.settings.prove_timeout_ms;
-        let proving = self.prove(TokioIo::new(HyperStream::new_plain(stream)));
+        let proving = self.prove(TokioIo::new(BufferedStream::new(stream)));
         let proven = timeout(Duration::from_millis(limit_ms), proving).await;
         match proven.map_err(|_| LinkError::ProofTimeout(limit_ms))?? {
             Some((vm, connection)) => self.serve_proven(Rc::new(vm), connection).await,
