feat(node): metrics and a line of log for what a node spends on its calls

Now: calls arrived and sent, rounds of the loop, processor seconds; 'event=node-usage' every 5 s with the same and the running, queued and allowed calls. No decision changes: the loop is the library's, its rounds are counted.

--- a/crates/lentilshift/src/app.rs
+++ b/crates/lentilshift/src/app.rs
@@ -1,3 +1,4 @@
+use ::node::run_loop;
 use compio::runtime::Runtime;
 use gumdrop::Options;
 
@@ -19,7 +20,7 @@
     }
     let command = args.command.ok_or(CommandError::NoCommand(""))?;
     let runtime = Runtime::new().map_err(CommandError::Runtime)?;
-    runtime.block_on(run_named(&command))
+    run_loop(&runtime, run_named(&command))
 }
 
 async fn run_named(command: &AppCommand) -> Result<(), CommandError> {
--- a/crates/lentilshift/tests/processes/main.rs
+++ b/crates/lentilshift/tests/processes/main.rs
@@ -3,6 +3,7 @@
 mod claim_shards;
 mod config_changes;
 mod kills;
+mod loop_rounds;
 mod parted_centres;
 mod pauses;
 mod stop_orders;
--- a/crates/lentilshift/tests/processes/support/mod.rs
+++ b/crates/lentilshift/tests/processes/support/mod.rs
@@ -267,6 +267,17 @@
         serde_json::from_str(&answer.text().await.ok()?).ok()
     }
 
+    /// Returns the value of a metric without labels of a node.
+    pub async fn metric(&self, node: &ProcessNode, name: &str) -> f64 {
+        let client = cyper::Client::new().unwrap();
+        let url = format!("http://{}/metrics", node.admin);
+        let answer = client.get(url).unwrap().send().await.unwrap();
+        let text = answer.text().await.unwrap();
+        let mut lines = text.lines().filter_map(|line| line.split_once(' '));
+        let found = lines.find(|(metric, _)| *metric == name);
+        found.expect("the metric").1.parse().expect("a number")
+    }
+
     /// Returns the names of all VMs.
     pub async fn vms(&self) -> Vec<String> {
         let mut vms = Vec::new();
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -36,6 +36,7 @@
     body: CallBody,
     deadline: ClockTime,
 ) -> CallAnswer {
+    core.metrics.sent.inc();
     let allowance = RetryAllowance::new(AllowanceShare::new(head.allowance));
     let sending = CallSending {
         core,
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -38,6 +38,7 @@
 /// Runs a call on the local backend server, when its turn comes and while it is of use.
 pub(crate) async fn run_call(core: &Rc<NodeCore>, head: CallHead, body: CallBody) -> CallAnswer {
     core.activity.notify();
+    core.metrics.arrived.inc();
     let arrival = CountGuard::new(&core.arrived);
     let answer = match AttemptGuard::arrive(core, &head) {
         Ok(guard) => {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -67,9 +67,12 @@
 mod stop_signal;
 mod stream_host;
 mod suspect_watch;
+mod task_loop;
+mod usage_report;
 
 pub use edge_settings::EdgeSettings;
 pub use fleet_bounds::FleetBounds;
 pub use node_process::{NodeError, NodeProcess};
 pub use node_settings::{NodeSettings, ReportSettings};
 pub use report_port::{NoticeError, NoticeReader};
+pub use task_loop::{loop_rounds, run_loop};
--- a/crates/node/src/node_metrics.rs
+++ b/crates/node/src/node_metrics.rs
@@ -1,11 +1,17 @@
+use std::time::Duration;
+
 use clock::ClockTime;
 use model::{RefusalReason, ServiceName};
 use prometheus::{
-    HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    Counter, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
 };
 use streams::ConfigVersion;
 use wire::AnswerHead;
 
+use crate::task_loop::loop_rounds;
+use crate::usage_report::processor_ms;
+
 /// The bounds of the latency buckets, in seconds.
 const LATENCY_BUCKETS: [f64; 13] = [
     0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0,
@@ -20,6 +26,12 @@
     refusals: IntCounterVec,
     latency: HistogramVec,
     retries: IntCounter,
+    /// The calls that arrived for the local backend server.
+    pub(crate) arrived: IntCounter,
+    /// The calls that this node sent on their way.
+    pub(crate) sent: IntCounter,
+    loop_rounds: IntCounter,
+    processor: Counter,
     backend_failures: IntCounter,
     contract_version: IntGauge,
     refused_version: IntGauge,
@@ -55,6 +67,23 @@
                 "lentilshift_retries_total",
                 "Calls sent again to another VM.",
             ),
+            arrived: counter(
+                "lentilshift_arrived_calls_total",
+                "Calls that arrived for the local backend server.",
+            ),
+            sent: counter(
+                "lentilshift_sent_calls_total",
+                "Calls of callers and of the backend server that the node sent on their way.",
+            ),
+            loop_rounds: counter(
+                "lentilshift_loop_rounds_total",
+                "Times that the node has asked the system for events.",
+            ),
+            processor: Counter::new(
+                "lentilshift_processor_seconds_total",
+                "Processor time of the process, in seconds.",
+            )
+            .expect("the counter's name is valid"),
             backend_failures: counter(
                 "lentilshift_backend_failures_total",
                 "Calls that the backend server failed while they ran.",
@@ -87,6 +116,12 @@
 
     /// Returns all metrics in the text format of Prometheus.
     pub(crate) fn to_text(&self) -> String {
+        let rounds = loop_rounds();
+        self.loop_rounds
+            .inc_by(rounds.saturating_sub(self.loop_rounds.get()));
+        let spent = Duration::from_millis(processor_ms()).as_secs_f64();
+        self.processor
+            .inc_by((spent - self.processor.get()).max(0.0));
         let families = self.registry.gather();
         TextEncoder::new()
             .encode_to_string(&families)
@@ -134,11 +169,15 @@
     }
 
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 10] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 14] = [
             Box::new(self.calls.clone()),
             Box::new(self.refusals.clone()),
             Box::new(self.latency.clone()),
             Box::new(self.retries.clone()),
+            Box::new(self.arrived.clone()),
+            Box::new(self.sent.clone()),
+            Box::new(self.loop_rounds.clone()),
+            Box::new(self.processor.clone()),
             Box::new(self.backend_failures.clone()),
             Box::new(self.contract_version.clone()),
             Box::new(self.refused_version.clone()),
--- a/crates/node/src/node_process.rs
+++ b/crates/node/src/node_process.rs
@@ -29,6 +29,7 @@
 use crate::rate_watch::{RateWatch, poll_rates};
 use crate::report_port::answer_report;
 use crate::suspect_watch::{greet_siblings, poll_suspects};
+use crate::usage_report::UsageReport;
 
 /// The time between two looks at what has become due, in milliseconds.
 const TICK_MS: u64 = 10;
@@ -353,6 +354,7 @@
 
 /// Lets time pass for what depends on the size of the fleet.
 async fn keep_members(core: Rc<NodeCore>) {
+    let mut report = UsageReport::default();
     loop {
         sleep(Duration::from_millis(MEMBER_TICK_MS)).await;
         let now = core.now();
@@ -365,5 +367,6 @@
         for router in core.routers.borrow_mut().values_mut() {
             router.tick(now);
         }
+        report.tell(&core);
     }
 }
