perf(wire): the head of a call leaves in one piece with its stream

A call's head waited for flow control, which the connection grants only once it has sent the stream's own head: two writes, and two wake-ups at the far node, for each call. It is queued at once now; its size is bounded. What a body can send at once goes along, so that a call without one needs no task of its own. Trace of system calls on our own load tool, a call over two nodes: the far node reads one piece where it read two.

--- a/crates/wire/src/link_body.rs
+++ b/crates/wire/src/link_body.rs
@@ -37,8 +37,8 @@
 
 /// What the calling end holds until the answer has come to its end.
 pub(crate) struct CallSender {
-    /// The task that sends the call's own body.
-    pub(crate) _task: JoinHandle<()>,
+    /// The task that sends what is left of the call's own body.
+    pub(crate) _sender: Option<JoinHandle<()>>,
     pub(crate) _guard: WaitGuard,
 }
 
--- a/crates/wire/src/peer_link.rs
+++ b/crates/wire/src/peer_link.rs
@@ -1,10 +1,12 @@
 use std::cell::{Cell, RefCell};
 use std::future::poll_fn;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::time::Duration;
 
 use bytes::Bytes;
 use compio::net::TcpStream;
+use compio::runtime::JoinHandle;
 use compio::time::{sleep, timeout};
 
 use futures_channel::oneshot;
@@ -16,7 +18,7 @@
 use hyper_util::rt::TokioIo;
 use model::VmName;
 
-use crate::body_pump::{pump_body, send_all};
+use crate::body_pump::pump_body;
 use crate::buffered_stream::BufferedStream;
 use crate::codec::MAX_MESSAGE_BYTES;
 use crate::head_reader::{frame_head, read_head, read_message};
@@ -134,11 +136,11 @@
         let guard = self.activity.begin();
         let frame = frame_head(head)?;
         let (response, mut stream) = self.send("/call").await?;
-        let sender = compio::runtime::spawn(async move {
-            if send_all(&mut stream, frame).await.is_ok() {
-                let _ = pump_body(body, &mut stream).await;
-            }
-        });
+        stream.send_data(frame, false).map_err(LinkError::Broken)?;
+        let sending = async move {
+            let _ = pump_body(body, &mut stream).await;
+        };
+        let sender = begin_sending(Box::pin(sending));
         let mut answer = self.wait(response).await?;
         let (answer_head, first) = self
             .until_down(read_head::<AnswerHead>(&mut answer))
@@ -151,7 +153,7 @@
         }
         let told = answer_head.body_bytes;
         let call = CallSender {
-            _task: sender,
+            _sender: sender,
             _guard: guard,
         };
         let body = LinkBody::new(answer, first, told, Some(call));
@@ -194,14 +196,9 @@
     async fn send_message(&self, path: &str, message: Bytes) -> Result<Bytes, LinkError> {
         let _guard = self.activity.begin();
         let (response, mut stream) = self.send(path).await?;
-        let sending = async move {
-            if send_all(&mut stream, message).await.is_ok() {
-                let _ = stream.send_data(Bytes::new(), true);
-            }
-            stream
-        };
-        let (_stream, answer) = futures_util::join!(sending, self.wait(response));
-        self.until_down(read_message(&mut answer?, MAX_MESSAGE_BYTES))
+        stream.send_data(message, true).map_err(LinkError::Broken)?;
+        let mut answer = self.wait(response).await?;
+        self.until_down(read_message(&mut answer, MAX_MESSAGE_BYTES))
             .await
     }
 
@@ -254,6 +251,18 @@
     }
 }
 
+/// Sends what can be sent at once, so that it leaves in one piece with the head of its call, and
+/// lets a task send the rest.
+fn begin_sending<F>(mut sending: Pin<Box<F>>) -> Option<JoinHandle<()>>
+where
+    F: Future<Output = ()> + 'static,
+{
+    match sending.as_mut().now_or_never() {
+        Some(()) => None,
+        None => Some(compio::runtime::spawn(sending)),
+    }
+}
+
 /// Probes the link, and returns when it doesn't answer in time or nothing uses it for long.
 async fn keep_alive(pings: Option<PingPong>, activity: LinkActivity, settings: LinkSettings) {
     let Some(mut pings) = pings else {
