--- a/crates/lentilshift/tests/processes/support/mod.rs
+++ b/crates/lentilshift/tests/processes/support/mod.rs
@@ -40,6 +40,9 @@
 /// The path of a request that runs on both services of a chain.
 pub const LOOK_UP: &str = "/filings/records/7";
 
+/// The path of a request that is open to all, so that it needs no tokens, and runs on both services.
+pub const OPEN_LOOK_UP: &str = "/filings/open/7";
+
 /// The contract of the tests: `filings` calls `registry`.
 pub const CONTRACT: &str = r#"
 [services.registry]
@@ -54,6 +57,10 @@
 [services.filings.calls.read]
 path = "/records"
 method = "GET"
+[services.filings.calls.browse]
+path = "/open"
+method = "GET"
+open = true
 [services.filings.calls.file]
 path = "/records"
 method = "POST"
