fix(limit): slots work while ends of runs wait to be seen

Cause: a node that is short of processor time handles the ends of runs in batches, some 40 a round of 10 ms where a run takes 35 ms. Their slots count as taken until then and stand idle; its queue grows, calls run out of time. Change: as many requests are sent beyond the limit as ends are found at once in the mean, up to a quarter of the limit; what is too much waits at the backend server, whose own queue is for that.

--- a/crates/limit/src/admission_queue.rs
+++ b/crates/limit/src/admission_queue.rs
@@ -13,6 +13,8 @@
     QueueTicket, RunOutcome, ShedControl,
 };
 
+/// The limit over this is the most that is sent beyond it.
+const LEAD_DIVISOR: u32 = 4;
 /// The slots assumed until the backend server announces its own.
 const DEFAULT_SLOTS: u32 = 16;
 /// The weight of one run in the mean of measured over expected run times.
@@ -60,6 +62,8 @@
 pub struct AdmissionQueue {
     settings: QueueSettings,
     limit: ConcurrencyLimit,
+    /// The requests that are sent beyond the limit, as so many runs have ended unseen.
+    lead: u32,
     shed: ShedControl,
     line: WaitLine,
     times: RunTimes,
@@ -78,6 +82,7 @@
         Self {
             settings,
             limit: ConcurrencyLimit::new(settings.limit, DEFAULT_SLOTS),
+            lead: 0,
             shed: ShedControl::new(settings.shed),
             line: WaitLine::default(),
             times: RunTimes::default(),
@@ -94,6 +99,15 @@
         self.limit.set_slots(slots);
     }
 
+    /// Sets how many runs have ended, in the mean, that the node hasn't seen yet: as many requests
+    /// more are sent, up to a quarter of the limit.
+    ///
+    /// Load pattern: the node handles the ends of runs in batches, and the slots of the backend
+    /// server stand idle until then. What is sent too much waits there for a slot.
+    pub const fn set_lead(&mut self, unseen_ends: u32) {
+        self.lead = unseen_ends;
+    }
+
     /// Forgets what was measured, for a backend server that has restarted.
     ///
     /// Requests that wait stay; runs that are still to finish stay counted.
@@ -251,7 +265,8 @@
     }
 
     fn has_slot(&self) -> bool {
-        self.in_flight() < self.limit.current()
+        let limit = self.limit.current();
+        self.in_flight() < limit + self.lead.min(limit / LEAD_DIVISOR)
     }
 
     fn is_late(&self, now: ClockTime) -> bool {
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod admission_queue;
 mod concurrency_limit;
+mod end_batches;
 mod entry_window;
 mod entry_windows;
 mod line_budget;
@@ -22,6 +23,7 @@
 
 pub use admission_queue::AdmissionQueue;
 pub use concurrency_limit::{ConcurrencyLimit, LimitSettings};
+pub use end_batches::EndBatches;
 pub use entry_window::WindowSettings;
 pub use entry_windows::EntryWindows;
 pub use line_budget::LineBudget;
--- a/crates/node/src/ingress_gate.rs
+++ b/crates/node/src/ingress_gate.rs
@@ -1,17 +1,19 @@
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 
 use clock::ClockTime;
 use limit::{
-    AdmissionQueue, LoadReport, QueueAction, QueueDecision, QueueRefusal, QueueSettings,
-    QueueTicket, RunOutcome,
+    AdmissionQueue, EndBatches, LoadReport, QueueAction, QueueDecision, QueueRefusal,
+    QueueSettings, QueueTicket, RunOutcome,
 };
 use model::AttemptId;
 
 use crate::decision_waiters::DecisionWaiters;
+use crate::task_loop::loop_rounds;
 
 /// The queue in front of the backend server, with the calls that wait in it.
 pub(crate) struct IngressGate {
     queue: RefCell<AdmissionQueue>,
+    batches: Cell<EndBatches>,
     waiting: DecisionWaiters<Result<(), QueueRefusal>>,
 }
 
@@ -19,6 +21,7 @@
     pub(crate) fn new(settings: QueueSettings, seed: u64) -> Self {
         Self {
             queue: RefCell::new(AdmissionQueue::new(settings, seed)),
+            batches: Cell::default(),
             waiting: DecisionWaiters::default(),
         }
     }
@@ -63,10 +66,14 @@
 
     /// Frees the place of a call that ran.
     pub(crate) fn finish(&self, now: ClockTime, id: AttemptId, outcome: RunOutcome) {
+        let mut batches = self.batches.get();
+        batches.note_end(loop_rounds());
+        self.batches.set(batches);
         let mut actions = Vec::new();
-        self.queue
-            .borrow_mut()
-            .finish(now, id, outcome, &mut actions);
+        let mut queue = self.queue.borrow_mut();
+        queue.set_lead(batches.mean_beyond_one());
+        queue.finish(now, id, outcome, &mut actions);
+        drop(queue);
         self.act(actions);
     }
 
