feat(node): log and count the request rate that a backend server states

The header names join the adapter's settings. A node logs a changed, an ended and an unreadable rate and the statement of leaving, and counts the requests that it sends to the backend server beside the stated rate. No decision reads them yet. The stand-in for backend servers can state both.

--- a/crates/limit/src/admission_queue.rs
+++ b/crates/limit/src/admission_queue.rs
@@ -5,12 +5,13 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
+use crate::rate_pacer::RatePacer;
 use crate::run_times::RunTimes;
 use crate::shed_control::QueueState;
 use crate::wait_queue::WaitQueue;
 use crate::{
-    ConcurrencyLimit, LoadReport, QueueAction, QueueDecision, QueueRefusal, QueueSettings,
-    QueueTicket, RunOutcome, ShedControl,
+    ConcurrencyLimit, LoadReport, PaceChange, QueueAction, QueueDecision, QueueRefusal,
+    QueueSettings, QueueTicket, RateStatement, RunOutcome, ShedControl,
 };
 
 /// The limit divided by this is the most requests sent beyond the limit.
@@ -61,6 +62,7 @@
 pub struct AdmissionQueue {
     settings: QueueSettings,
     limit: ConcurrencyLimit,
+    pacer: RatePacer,
     /// The requests sent beyond the limit, because about as many runs have ended unnoticed.
     overcommit: u32,
     shed: ShedControl,
@@ -81,6 +83,7 @@
         Self {
             settings,
             limit: ConcurrencyLimit::new(settings.limit, DEFAULT_SLOTS),
+            pacer: RatePacer::default(),
             overcommit: 0,
             shed: ShedControl::new(settings.shed),
             waiting: WaitQueue::default(),
@@ -117,6 +120,18 @@
         self.times = RunTimes::default();
         self.run_ms = 1.0;
         self.work_ms = 1.0;
+        self.pacer = RatePacer::default();
+    }
+
+    /// Records what an answer of the backend server says about the request rate that it accepts.
+    pub fn record_statement(&mut self, now: ClockTime, statement: RateStatement) -> PaceChange {
+        self.pacer.record(now, statement)
+    }
+
+    /// Returns the request rate that the backend server states, in requests per second.
+    #[must_use]
+    pub const fn stated_rate_per_s(&self) -> Option<f64> {
+        self.pacer.rate_per_s()
     }
 
     /// Starts, queues or refuses a request.
--- a/crates/node/src/backend_pool.rs
+++ b/crates/node/src/backend_pool.rs
@@ -18,6 +18,7 @@
 use wire::BufferedStream;
 
 use crate::answer_check::{AnswerError, AnswerKind, classify_answer};
+use crate::backend_statement::BackendStatement;
 use crate::call_body::CallBody;
 use crate::edge_settings::EdgeSettings;
 use crate::node_clock::NodeClock;
@@ -71,8 +72,14 @@
     }
 }
 
-/// The answer of the backend server to a request.
-pub(crate) enum BackendAnswer {
+/// The answer of the backend server to a request, with what it says about itself.
+pub(crate) struct BackendAnswer {
+    pub(crate) outcome: BackendOutcome,
+    pub(crate) statement: BackendStatement,
+}
+
+/// How the backend server has answered a request.
+pub(crate) enum BackendOutcome {
     /// The request ran.
     Ran(Response<Incoming>),
     /// The backend server rejected the request without running it.
@@ -232,17 +239,20 @@
                 self.answered_at.set(self.clock.now());
                 let kind = classify_answer(edge, sent_id.as_ref(), &response);
                 let kind = kind.map_err(|error| SendFailure::Failed(error.into()))?;
+                let statement = BackendStatement::read(edge, response.headers());
                 let pool = Rc::clone(self);
                 let keep_alive_ms = keep_alive_ms(&response);
                 compio::runtime::spawn(
                     async move { pool.return_idle(sender, keep_alive_ms).await },
                 )
                 .detach();
-                if kind == AnswerKind::Ran {
-                    return Ok(BackendAnswer::Ran(response));
-                }
-                drain_answer(response.into_body());
-                Ok(BackendAnswer::NotRun(kind))
+                let outcome = if kind == AnswerKind::Ran {
+                    BackendOutcome::Ran(response)
+                } else {
+                    drain_answer(response.into_body());
+                    BackendOutcome::NotRun(kind)
+                };
+                Ok(BackendAnswer { outcome, statement })
             }
             Err(mut error) => Err(match error.take_message() {
                 Some(request) => SendFailure::Unsent(Box::new(request)),
--- /dev/null
+++ b/crates/node/src/backend_statement.rs
@@ -0,0 +1,70 @@
+use http::{HeaderMap, HeaderName};
+use limit::{PaceChange, RateStatement};
+use member::BackendName;
+
+use crate::edge_settings::EdgeSettings;
+use crate::node_core::NodeCore;
+
+/// The value by which a backend server says that it is leaving.
+const LEAVING: &str = "1";
+
+/// What a backend server says about itself in an answer.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct BackendStatement {
+    /// The request rate that it accepts from the whole fleet.
+    pub(crate) rate: RateStatement,
+    /// Whether it is leaving and accepts no new requests.
+    pub(crate) is_leaving: bool,
+}
+
+impl BackendStatement {
+    /// Reads the statement from the headers of an answer.
+    pub(crate) fn read(edge: &EdgeSettings, headers: &HeaderMap) -> Self {
+        Self {
+            rate: RateStatement::parse(values(headers, edge.rate_header.as_ref())),
+            is_leaving: values(headers, edge.leaving_header.as_ref())
+                .any(|value| value.trim() == LEAVING),
+        }
+    }
+}
+
+/// Returns the values of a header; those that aren't text are empty.
+fn values<'h>(headers: &'h HeaderMap, name: Option<&HeaderName>) -> impl Iterator<Item = &'h str> {
+    let found = name.map(|name| headers.get_all(name));
+    found
+        .into_iter()
+        .flatten()
+        .map(|value| value.to_str().unwrap_or(""))
+}
+
+/// Records and logs what an answer of `backend` says, unless another backend server has replaced it.
+pub(crate) fn apply_statement(
+    core: &NodeCore,
+    backend: Option<&BackendName>,
+    statement: BackendStatement,
+) {
+    if core.backend_name().as_ref() != backend {
+        return;
+    }
+    let now = core.now();
+    let name = backend.map_or("", BackendName::as_str);
+    match core.gate.record_statement(now, statement.rate) {
+        PaceChange::Unchanged => {}
+        PaceChange::Limited(rate_per_s) => {
+            if core.may_log() {
+                log::warn!("event=backend-rate backend={name} rate_per_s={rate_per_s}");
+            }
+        }
+        PaceChange::Ended => {
+            log::info!("event=backend-rate-ended backend={name}");
+        }
+        PaceChange::Unreadable => {
+            if core.may_log() {
+                log::warn!("event=backend-rate-unreadable backend={name}");
+            }
+        }
+    }
+    if statement.is_leaving && core.is_backend_accepting() && core.may_log() {
+        log::info!("event=backend-leaving backend={name} by=answer");
+    }
+}
--- a/crates/node/src/edge_settings.rs
+++ b/crates/node/src/edge_settings.rs
@@ -24,6 +24,11 @@
     pub not_run_header: Option<HeaderName>,
     /// The header that every successful answer of the backend server must have.
     pub signature_header: Option<HeaderName>,
+    /// The header in which the backend server states the requests per second that it accepts from
+    /// the whole fleet.
+    pub rate_header: Option<HeaderName>,
+    /// The header by which the backend server says that it is leaving.
+    pub leaving_header: Option<HeaderName>,
     /// Whether the headers that this project defines are sent to callers and to the backend server.
     pub sends_project_headers: bool,
     /// Whether a key is also accepted in `Authorization` and refused in a path, instead of being
@@ -44,6 +49,8 @@
             backend_header: None,
             not_run_header: None,
             signature_header: None,
+            rate_header: None,
+            leaving_header: None,
             sends_project_headers: true,
             checks_all_key_locations: true,
             has_verdict_status: false,
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -15,7 +15,8 @@
 use crate::answer_check::AnswerKind;
 use crate::answer_replay::{replay_answer, store_answer};
 use crate::attempt_guard::AttemptGuard;
-use crate::backend_pool::{BackendAnswer, BackendError};
+use crate::backend_pool::{BackendAnswer, BackendError, BackendOutcome};
+use crate::backend_statement::apply_statement;
 use crate::call_answer::{CallAnswer, CallRefusal};
 use crate::call_body::CallBody;
 use crate::call_headers::{add_attempt_headers, set_header, strip_hop_by_hop};
@@ -157,8 +158,8 @@
     guards.suspect.mark_sent();
     let left = Duration::from_millis(core.now().until_ms(deadline));
     match timeout(left, send_call(core, head, body, deadline)).await {
-        Ok(Ok(BackendAnswer::NotRun(kind))) => refuse_not_run(core, head, kind, guards),
-        Ok(Ok(BackendAnswer::Ran(response))) => {
+        Ok(Ok(BackendOutcome::NotRun(kind))) => refuse_not_run(core, head, kind, guards),
+        Ok(Ok(BackendOutcome::Ran(response))) => {
             guards.suspect.mark_answered();
             wrap_answer(core, head, response, guards).await
         }
@@ -175,7 +176,7 @@
     head: &CallHead,
     body: CallBody,
     deadline: ClockTime,
-) -> Result<BackendAnswer, BackendError> {
+) -> Result<BackendOutcome, BackendError> {
     let edge = &core.settings.edge;
     let mut request = Request::new(body);
     *request.method_mut() = head.method.parse().unwrap_or_default();
@@ -183,7 +184,8 @@
     let mut headers = head.headers.to_map();
     let left_ms = core.now().until_ms(deadline);
     add_attempt_headers(&mut headers, edge, head.attempt, left_ms);
-    if let Some(backend) = core.backend_name() {
+    let backend = core.backend_name();
+    if let Some(backend) = &backend {
         set_header(&mut headers, edge.backend_header.as_ref(), backend.as_str());
     }
     if !headers.contains_key(http::header::HOST)
@@ -192,7 +194,13 @@
         headers.insert(http::header::HOST, host);
     }
     *request.headers_mut() = headers;
-    core.backend.send(request, edge).await
+    core.metrics.backend_requests.inc();
+    let BackendAnswer { outcome, statement } = core.backend.send(request, edge).await?;
+    // Another backend server at the same address speaks for itself only.
+    if !matches!(outcome, BackendOutcome::NotRun(AnswerKind::OtherBackend)) {
+        apply_statement(core, backend.as_ref(), statement);
+    }
+    Ok(outcome)
 }
 
 /// Refuses a call that the backend server rejected without running it.
--- a/crates/node/src/ingress_gate.rs
+++ b/crates/node/src/ingress_gate.rs
@@ -2,8 +2,8 @@
 
 use clock::ClockTime;
 use limit::{
-    AdmissionQueue, CompletionBatches, LoadReport, QueueAction, QueueDecision, QueueRefusal,
-    QueueSettings, QueueTicket, RunOutcome,
+    AdmissionQueue, CompletionBatches, LoadReport, PaceChange, QueueAction, QueueDecision,
+    QueueRefusal, QueueSettings, QueueTicket, RateStatement, RunOutcome,
 };
 use model::AttemptId;
 
@@ -79,6 +79,16 @@
         self.execute(actions);
     }
 
+    /// Returns the request rate that the backend server states, in requests per second.
+    pub(crate) fn stated_rate_per_s(&self) -> Option<f64> {
+        self.queue.borrow().stated_rate_per_s()
+    }
+
+    /// Records what an answer says about the request rate that the backend server accepts.
+    pub(crate) fn record_statement(&self, now: ClockTime, statement: RateStatement) -> PaceChange {
+        self.queue.borrow_mut().record_statement(now, statement)
+    }
+
     /// Removes an abandoned call from the queue.
     pub(crate) fn cancel(&self, now: ClockTime, id: AttemptId) {
         self.waiting.remove(id);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -16,6 +16,7 @@
 mod attempt_guard;
 mod attempt_query;
 mod backend_pool;
+mod backend_statement;
 mod call_answer;
 mod call_body;
 mod call_headers;
--- a/crates/node/src/node_metrics.rs
+++ b/crates/node/src/node_metrics.rs
@@ -3,8 +3,8 @@
 use clock::ClockTime;
 use model::{RefusalReason, ServiceName};
 use prometheus::{
-    Counter, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Counter, Gauge, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
+    Registry, TextEncoder,
 };
 use streams::ConfigVersion;
 use wire::AnswerHead;
@@ -30,6 +30,9 @@
     pub(crate) arrived: IntCounter,
     /// The calls that this node sent on behalf of callers and the backend server.
     pub(crate) sent: IntCounter,
+    /// The requests sent to the local backend server.
+    pub(crate) backend_requests: IntCounter,
+    pub(crate) stated_rate: Gauge,
     loop_rounds: IntCounter,
     processor: Counter,
     backend_failures: IntCounter,
@@ -75,6 +78,15 @@
                 "lentilshift_sent_calls_total",
                 "Calls of callers and of the backend server that the node sent on their way.",
             ),
+            backend_requests: counter(
+                "lentilshift_backend_requests_total",
+                "Requests sent to the backend server.",
+            ),
+            stated_rate: Gauge::new(
+                "lentilshift_stated_rate_per_second",
+                "Requests per second that the backend server accepts; 0 if it states no rate.",
+            )
+            .expect("the gauge's name is valid"),
             loop_rounds: counter(
                 "lentilshift_loop_rounds_total",
                 "Times that the node has asked the system for events.",
@@ -170,13 +182,15 @@
     }
 
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 14] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 16] = [
             Box::new(self.calls.clone()),
             Box::new(self.refusals.clone()),
             Box::new(self.latency.clone()),
             Box::new(self.retries.clone()),
             Box::new(self.arrived.clone()),
             Box::new(self.sent.clone()),
+            Box::new(self.backend_requests.clone()),
+            Box::new(self.stated_rate.clone()),
             Box::new(self.loop_rounds.clone()),
             Box::new(self.processor.clone()),
             Box::new(self.backend_failures.clone()),
--- a/crates/standin/src/instance_server.rs
+++ b/crates/standin/src/instance_server.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Instant;
 
 use bytes::Bytes;
 use compio::net::{TcpListener, TcpStream};
@@ -21,6 +22,10 @@
 const EXPECT_INSTANCE: &str = "expect-instance";
 /// The header with the caller's request id, which the answer repeats.
 const REQUEST_ID: &str = "request-id";
+/// The header with the requests per second that the instance accepts from all VMs together.
+const SERVER_LIMIT: &str = "server-limit";
+/// The header by which an instance says that it is leaving.
+const SERVER_LEAVING: &str = "server-leaving";
 
 /// A request that an instance has run.
 #[derive(Clone, Debug)]
@@ -29,6 +34,8 @@
     pub path: String,
     /// The headers of the request.
     pub headers: HeaderMap,
+    /// When the request arrived.
+    pub arrived: Instant,
 }
 
 /// A stand-in for a backend server of the users' platform.
@@ -43,6 +50,8 @@
     runs: RefCell<Vec<InstanceRun>>,
     sequence: Cell<u64>,
     run_ms: Cell<u64>,
+    stated_limit: RefCell<Option<String>>,
+    states_leaving: Cell<bool>,
     client: cyper::Client,
 }
 
@@ -61,6 +70,8 @@
             runs: RefCell::default(),
             sequence: Cell::new(0),
             run_ms: Cell::new(0),
+            stated_limit: RefCell::default(),
+            states_leaving: Cell::new(false),
             client: cyper::Client::new().map_err(io::Error::other)?,
         });
         let accepting = Rc::clone(&server);
@@ -90,6 +101,16 @@
         self.run_ms.set(run_ms);
     }
 
+    /// Sets the value of the limit that the instance states in its answers, or `None` to state none.
+    pub fn set_stated_limit(&self, limit: Option<&str>) {
+        self.stated_limit.replace(limit.map(str::to_owned));
+    }
+
+    /// Makes the instance say in its answers that it is leaving.
+    pub fn state_leaving(&self) {
+        self.states_leaving.set(true);
+    }
+
     /// Reports `state` to a node, and returns whether the node acknowledged the report.
     pub async fn report(&self, node: SocketAddr, state: &str) -> bool {
         self.sequence.set(self.sequence.get() + 1);
@@ -137,11 +158,18 @@
         self.runs.borrow_mut().push(InstanceRun {
             path: request.uri().to_string(),
             headers: headers.clone(),
+            arrived: Instant::now(),
         });
         let mut response = Response::builder().header("response-signature", &self.id);
         if let Some(id) = headers.get(REQUEST_ID) {
             response = response.header(REQUEST_ID, id);
         }
+        if let Some(limit) = &*self.stated_limit.borrow() {
+            response = response.header(SERVER_LIMIT, limit);
+        }
+        if self.states_leaving.get() {
+            response = response.header(SERVER_LEAVING, "1");
+        }
         let body = Full::from(Bytes::from(format!("{} answers", self.id)));
         response.body(body).expect("a fixed answer is valid")
     }
