test(lentilshift): show that stated rates and statements of leaving are ignored

A back end got 221 requests in 4 s from machines that it had told to send 17.3 a second. The stand-in platform now plays it over three nodes: a backend server states a rate or that it leaves, callers of all nodes keep on, a node is killed and started again.

--- a/crates/lentilshift/tests/platform_path/platform_fleet.rs
+++ b/crates/lentilshift/tests/platform_path/platform_fleet.rs
@@ -71,6 +71,8 @@
     number: u8,
     vm_addresses: Vec<IpAddr>,
     nodes: Vec<Child>,
+    /// The command of each node.
+    commands: Vec<Command>,
     client: cyper::Client,
 }
 
@@ -94,6 +96,7 @@
             number: FLEET_COUNT.fetch_add(1, Ordering::Relaxed),
             vm_addresses: Vec::new(),
             nodes: Vec::new(),
+            commands: Vec::new(),
             client: cyper::Client::new().unwrap(),
         };
         fleet.publish(4, KEY, "/records/");
@@ -146,6 +149,14 @@
         assert!(status.expect("the signal is sent").success());
     }
 
+    /// Kills a node and starts it again, and waits until all nodes know that it is ready.
+    pub async fn restart(&mut self, node: usize) {
+        self.nodes[node].kill().expect("the node runs");
+        self.nodes[node].wait().expect("the node has ended");
+        self.nodes[node] = self.commands[node].spawn().expect("the node starts");
+        self.wait_until_ready().await;
+    }
+
     /// Sends a request once; returns `None` when the node refuses the connection or doesn't answer.
     pub async fn try_send(&self, node: usize, request: &CallerRequest) -> Option<CallerResponse> {
         self.request(node, request).await.ok()
@@ -216,6 +227,7 @@
         command.arg("node").env_clear().stdout(Stdio::null());
         command.env("LENTILSHIFT_SETTINGS", &path);
         self.nodes.push(command.spawn().expect("the node starts"));
+        self.commands.push(command);
         let node = SocketAddr::new(vm, REPORTS);
         let reporting = Rc::clone(&instance);
         compio::runtime::spawn(async move {
