fix(limit): pace requests at the rate that a backend server states

What callers saw: nothing yet, but a back end in need that had named a limit of 16.2 requests a second got 207 in 4 s from machines that it had told (102 are allowed), so that what it needed relief from went on.

Cause: no decision took the rate as input.

Every request to a backend server passes the queue of its own node, so the rate is kept there, for all nodes, retries and nested calls together, without any exchange. The admission queue paces starts by a token bucket. What the rate keeps back for more than 150 ms is refused as not run (backend-limited); the sender tries a VM that isn't known to be at its rate, and prefers others for 200 ms. If there is none, the caller gets 503 with a delay. Important requests start first, as in any queue. A node that has just started, or whose backend server has, runs four requests at once until the first answer tells whether there is a rate. A rate ends with an answer without one, a second or more after the last answer with one. A rate of 0 lets one request through in 4 s, so that its end is noticed; one that is no number changes nothing.

--- a/crates/limit/src/admission_queue.rs
+++ b/crates/limit/src/admission_queue.rs
@@ -11,7 +11,7 @@
 use crate::wait_queue::WaitQueue;
 use crate::{
     ConcurrencyLimit, LoadReport, PaceChange, QueueAction, QueueDecision, QueueRefusal,
-    QueueSettings, QueueTicket, RateStatement, RunOutcome, ShedControl,
+    QueueSettings, QueueTicket, RateStatement, RunOutcome, ShedControl, ShedThresholds,
 };
 
 /// The limit divided by this is the most requests sent beyond the limit.
@@ -24,6 +24,9 @@
 const MIN_RETRY_MS: f64 = 100.0;
 /// The longest retry delay given to a refused caller, in milliseconds.
 const MAX_RETRY_MS: f64 = 10_000.0;
+/// The longest that a request waits for a stated rate, in milliseconds. Another VM of the service may
+/// have room for it at once.
+const MAX_PACED_WAIT_MS: u64 = 150;
 /// The retry delay per unit of overload (demand over capacity), in milliseconds.
 const OVERLOAD_RETRY_MS: f64 = 500.0;
 
@@ -80,7 +83,7 @@
     /// Creates an empty queue.
     #[must_use]
     pub fn new(settings: QueueSettings, seed: u64) -> Self {
-        Self {
+        let mut queue = Self {
             settings,
             limit: ConcurrencyLimit::new(settings.limit, DEFAULT_SLOTS),
             pacer: RatePacer::default(),
@@ -93,7 +96,9 @@
             work_ms: 1.0,
             nested_losses: 0,
             random: SmallRng::seed_from_u64(seed),
-        }
+        };
+        queue.reset();
+        queue
     }
 
     /// Sets the slots that the backend server announces.
@@ -121,11 +126,25 @@
         self.run_ms = 1.0;
         self.work_ms = 1.0;
         self.pacer = RatePacer::default();
+        if self.settings.awaits_first_answer {
+            self.pacer.await_answer();
+        }
     }
 
-    /// Records what an answer of the backend server says about the request rate that it accepts.
-    pub fn record_statement(&mut self, now: ClockTime, statement: RateStatement) -> PaceChange {
-        self.pacer.record(now, statement)
+    /// Records what an answer of the backend server says about the request rate that it accepts,
+    /// and starts the requests that may run now.
+    pub fn record_statement(
+        &mut self,
+        now: ClockTime,
+        statement: RateStatement,
+        actions: &mut Vec<QueueAction>,
+    ) -> PaceChange {
+        let was_pacing = self.pacer.is_pacing();
+        let change = self.pacer.record(now, statement);
+        if was_pacing && !self.pacer.is_pacing() {
+            self.advance(now, actions);
+        }
+        change
     }
 
     /// Returns the request rate that the backend server states, in requests per second.
@@ -139,21 +158,25 @@
         let ticket = self.times.estimate(now, ticket);
         let is_admitted = self.shed.record_arrival(&ticket);
         let is_exempt = self.settings.prioritizes_nested && ticket.is_nested();
-        if !is_admitted && !is_exempt {
+        if !is_admitted && !is_exempt && !self.pacer.is_pacing() {
             return QueueDecision::Refuse(self.refuse_shed(&ticket));
         }
         if self.settings.checks_deadlines && !ticket.meets_deadline(now) {
             self.record_loss(&ticket);
             return QueueDecision::Refuse(self.refusal(RefusalReason::TooLate));
         }
-        if self.has_slot() && self.waiting.len() == 0 {
+        if self.can_start(now) && self.waiting.len() == 0 {
             self.start(now, &ticket);
             self.shed.charge(&ticket);
             self.waiting.charge(&ticket);
             return QueueDecision::Start;
         }
-        let wait =
-            self.wait_behind(self.waiting.work_before(&ticket, &self.settings) + ticket.work_ms());
+        let (ahead, work_ms) = self.waiting.before(&ticket, &self.settings);
+        if self.exceeds_pace(&ticket, now, ahead) {
+            self.record_loss(&ticket);
+            return QueueDecision::Refuse(self.refusal(RefusalReason::BackendLimited));
+        }
+        let wait = self.wait_behind(work_ms + ticket.work_ms());
         if self.settings.checks_deadlines && !ticket.meets_deadline(now.plus_ms(wait)) {
             self.record_loss(&ticket);
             return QueueDecision::Refuse(self.refusal(RefusalReason::TooLate));
@@ -209,6 +232,11 @@
     /// Returns the time by which [`tick`](Self::tick) must be called, if any.
     #[must_use]
     pub fn next_tick(&self) -> Option<ClockTime> {
+        if self.pacer.is_pacing() {
+            let expiry = self.waiting.oldest()?.plus_ms(self.max_wait_ms() + 1);
+            let start = self.pacer.next_start().filter(|_| self.has_slot());
+            return Some(start.map_or(expiry, |start| expiry.min(start)));
+        }
         let is_idle = self.running.is_empty() && self.waiting.len() == 0;
         let is_open = self.shed.thresholds().is_open();
         (!is_idle || !is_open).then(|| self.shed.next_update())
@@ -219,23 +247,37 @@
     pub fn load(&self, _now: ClockTime) -> LoadReport {
         LoadReport {
             in_flight: self.in_flight(),
-            limit: self.limit.current(),
+            limit: self.usable_slots(),
             queued: u32::try_from(self.waiting.len()).unwrap_or(u32::MAX),
             wait_ms: u32::try_from(self.wait_now()).unwrap_or(u32::MAX),
-            thresholds: self.shed.thresholds().clone(),
+            thresholds: self.reported_thresholds(),
+        }
+    }
+
+    /// Returns the thresholds for entry nodes, which refuse requests by the mean of a service's VMs.
+    ///
+    /// A VM whose requests are paced has none: it stands for less capacity than the others, and what
+    /// it refuses is sent to them.
+    fn reported_thresholds(&self) -> ShedThresholds {
+        if self.pacer.is_pacing() {
+            return ShedThresholds::default();
         }
+        self.shed.thresholds().clone()
     }
 
     fn advance(&mut self, now: ClockTime, actions: &mut Vec<QueueAction>) {
         self.refuse_expired(now, actions);
         let is_late = self.is_late(now);
-        while self.has_slot() {
+        while self.can_start(now) {
             let Some(entry) = self.waiting.pop(&self.settings, is_late) else {
                 break;
             };
             self.start(now, &entry.ticket);
             actions.push(QueueAction::Start(entry.ticket.id));
         }
+        if self.pacer.is_pacing() {
+            return;
+        }
         let state = self.queue_state();
         if self.shed.update(now, state) {
             self.nested_losses = 0;
@@ -244,15 +286,19 @@
 
     fn refuse_expired(&mut self, now: ClockTime, actions: &mut Vec<QueueAction>) {
         let settings = self.settings;
+        let has_rate = self.pacer.rate_per_s().is_some();
+        let max_wait_ms = self.max_wait_ms();
         let late = self.waiting.drain_late(|entry| {
-            let is_exempt = settings.prioritizes_nested && entry.ticket.is_nested();
-            let has_waited = now.since_ms(entry.arrived) > settings.max_wait_ms;
+            let is_exempt = settings.prioritizes_nested && entry.ticket.is_nested() && !has_rate;
+            let has_waited = now.since_ms(entry.arrived) > max_wait_ms;
             let misses_deadline = settings.checks_deadlines && !entry.ticket.meets_deadline(now);
             misses_deadline || (has_waited && !is_exempt)
         });
         for entry in late {
             self.record_loss(&entry.ticket);
-            let reason = if entry.ticket.meets_deadline(now) {
+            let reason = if self.pacer.is_pacing() {
+                RefusalReason::BackendLimited
+            } else if entry.ticket.meets_deadline(now) {
                 RefusalReason::Overloaded
             } else {
                 RefusalReason::TooLate
@@ -262,6 +308,15 @@
         }
     }
 
+    /// Returns the longest that a new request waits, in milliseconds.
+    fn max_wait_ms(&self) -> u64 {
+        if self.pacer.rate_per_s().is_some() {
+            MAX_PACED_WAIT_MS
+        } else {
+            self.settings.max_wait_ms
+        }
+    }
+
     /// Counts a dropped call if it is nested.
     fn record_loss(&mut self, ticket: &QueueTicket) {
         self.nested_losses += u32::from(ticket.is_nested());
@@ -274,6 +329,20 @@
             call: ticket.call.clone(),
         };
         self.running.insert(ticket.id, run);
+        self.pacer.charge();
+    }
+
+    /// Returns whether there is a slot and the pace allows another request.
+    fn can_start(&mut self, now: ClockTime) -> bool {
+        self.has_slot() && self.pacer.may_start(now, self.in_flight())
+    }
+
+    /// Returns whether the stated rate would keep a request waiting for too long.
+    ///
+    /// This holds for nested calls too: another VM of the service may have room for them.
+    fn exceeds_pace(&self, ticket: &QueueTicket, now: ClockTime, ahead: usize) -> bool {
+        let wait_ms = self.pacer.wait_ms(ahead);
+        wait_ms > MAX_PACED_WAIT_MS || (wait_ms > 0 && !ticket.meets_deadline(now.plus_ms(wait_ms)))
     }
 
     fn in_flight(&self) -> u32 {
@@ -298,6 +367,21 @@
         f64::from(self.limit.current()) * 1_000.0 * self.work_ms / self.run_ms
     }
 
+    /// Returns the requests that can run at once, at the stated rate if there is one.
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the result is at most the limit"
+    )]
+    fn usable_slots(&self) -> u32 {
+        let limit = self.limit.current();
+        let at_rate = self
+            .pacer
+            .rate_per_s()
+            .map(|rate_per_s| (rate_per_s * self.run_ms / 1_000.0).ceil());
+        at_rate.map_or(limit, |slots| slots.clamp(1.0, f64::from(limit)) as u32)
+    }
+
     fn queue_state(&self) -> QueueState {
         let capacity = self.capacity();
         QueueState {
@@ -313,10 +397,11 @@
     }
 
     fn wait_now(&self) -> u64 {
+        let paced = self.pacer.wait_ms(self.waiting.len());
         if self.has_slot() {
-            return 0;
+            return paced;
         }
-        self.wait_behind(self.waiting.work_ms())
+        self.wait_behind(self.waiting.work_ms()).max(paced)
     }
 
     #[expect(
--- a/crates/limit/src/queue_settings.rs
+++ b/crates/limit/src/queue_settings.rs
@@ -24,6 +24,9 @@
     /// Whether requests start in shedding order instead of arrival order once the oldest one has
     /// waited longer than the target.
     pub orders_by_rank: bool,
+    /// Whether only a few requests run until the first answer of the backend server, which may
+    /// state the rate that it accepts.
+    pub awaits_first_answer: bool,
 }
 
 impl Default for QueueSettings {
@@ -37,6 +40,7 @@
             shares_by_team: true,
             prioritizes_nested: true,
             orders_by_rank: true,
+            awaits_first_answer: false,
         }
     }
 }
--- a/crates/limit/src/wait_queue.rs
+++ b/crates/limit/src/wait_queue.rs
@@ -76,17 +76,18 @@
         work_ms
     }
 
-    /// Returns the work that would start before a new request, in milliseconds.
-    pub(crate) fn work_before(&self, ticket: &QueueTicket, settings: &QueueSettings) -> f64 {
-        if !settings.orders_by_class {
-            return self.work_ms();
-        }
+    /// Returns the number of requests that would start before a new one, and their work in
+    /// milliseconds.
+    pub(crate) fn before(&self, ticket: &QueueTicket, settings: &QueueSettings) -> (usize, f64) {
         let class = ticket.order.class();
+        let ahead =
+            |entry: &&WaitEntry| !settings.orders_by_class || entry.ticket.order.class() >= class;
         self.entries
             .iter()
-            .filter(|entry| entry.ticket.order.class() >= class)
-            .map(|entry| entry.ticket.work_ms())
-            .sum()
+            .filter(ahead)
+            .fold((0, 0.0), |(count, work_ms), entry| {
+                (count + 1, work_ms + entry.ticket.work_ms())
+            })
     }
 
     /// Removes and returns every request for which `is_late` holds.
--- a/crates/model/src/refusal_reason.rs
+++ b/crates/model/src/refusal_reason.rs
@@ -41,11 +41,13 @@
     NotReady,
     /// The request is malformed.
     BadRequest,
+    /// The backend server accepts fewer requests at present than it is sent.
+    BackendLimited,
 }
 
 impl RefusalReason {
     /// All reasons: the values of the metric label, and the rows of the documentation.
-    pub const ALL: [Self; 19] = [
+    pub const ALL: [Self; 20] = [
         Self::KeyMissing,
         Self::KeyUnknown,
         Self::KeysStale,
@@ -65,6 +67,7 @@
         Self::IdempotencyKeyMissing,
         Self::NotReady,
         Self::BadRequest,
+        Self::BackendLimited,
     ];
 
     /// Returns whether the request was refused for lack of capacity or time.
@@ -77,6 +80,7 @@
                 | Self::TooLate
                 | Self::DeadlinePassed
                 | Self::BackendBusy
+                | Self::BackendLimited
         )
     }
 
@@ -103,6 +107,7 @@
             Self::IdempotencyKeyMissing => "idempotency-key-missing",
             Self::NotReady => "not-ready",
             Self::BadRequest => "bad-request",
+            Self::BackendLimited => "backend-limited",
         }
     }
 
@@ -121,6 +126,7 @@
             | Self::Overloaded
             | Self::NoBackend
             | Self::BackendBusy
+            | Self::BackendLimited
             | Self::ClaimUnavailable
             | Self::NotReady => 503,
             Self::TooLate | Self::DeadlinePassed => 504,
--- a/crates/node/src/chain_admission.rs
+++ b/crates/node/src/chain_admission.rs
@@ -118,7 +118,10 @@
 const fn is_capacity_refusal(reason: RefusalReason) -> bool {
     matches!(
         reason,
-        RefusalReason::Overloaded | RefusalReason::OverShare | RefusalReason::TooLate
+        RefusalReason::Overloaded
+            | RefusalReason::OverShare
+            | RefusalReason::TooLate
+            | RefusalReason::BackendLimited
     )
 }
 
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -175,7 +175,12 @@
     fn try_reroute(&mut self, answer: &AnswerHead) -> bool {
         let is_unreached = matches!(
             answer.refusal,
-            Some(RefusalReason::NotReady | RefusalReason::LinkBroken | RefusalReason::NoBackend)
+            Some(
+                RefusalReason::NotReady
+                    | RefusalReason::LinkBroken
+                    | RefusalReason::NoBackend
+                    | RefusalReason::BackendLimited
+            )
         );
         let has_time = self.core.now() < self.deadline;
         let is_reroutable = answer.verdict == RunVerdict::NotRun && is_unreached;
@@ -186,7 +191,13 @@
         {
             return false;
         }
-        if !self.has_untried_vm() {
+        let has_vm = if answer.refusal == Some(RefusalReason::BackendLimited) {
+            let service = &self.head.service;
+            self.core.has_unlimited_vm(service, &self.tried)
+        } else {
+            self.has_untried_vm()
+        };
+        if !has_vm {
             return false;
         }
         self.reroutes += 1;
--- a/crates/node/src/ingress_gate.rs
+++ b/crates/node/src/ingress_gate.rs
@@ -86,7 +86,12 @@
 
     /// Records what an answer says about the request rate that the backend server accepts.
     pub(crate) fn record_statement(&self, now: ClockTime, statement: RateStatement) -> PaceChange {
-        self.queue.borrow_mut().record_statement(now, statement)
+        let mut actions = Vec::new();
+        let mut queue = self.queue.borrow_mut();
+        let change = queue.record_statement(now, statement, &mut actions);
+        drop(queue);
+        self.execute(actions);
+        change
     }
 
     /// Removes an abandoned call from the queue.
--- a/crates/node/src/node_core.rs
+++ b/crates/node/src/node_core.rs
@@ -5,7 +5,7 @@
 use clock::ClockTime;
 use contract::{FleetContract, RouteIndex};
 use graph::{AdmissionSettings, CallTarget, ChainAdmission};
-use limit::{EntryWindows, LogLineBudget, WindowSettings};
+use limit::{EntryWindows, LogLineBudget, QueueSettings, WindowSettings};
 use member::{BackendName, BackendWatch, MemberFold};
 use model::{AttemptId, RecordId, RequestId, ServiceName, VmName};
 use once::{AttemptSettings, AttemptTable, ClaimTable, OnceSettings};
@@ -122,7 +122,11 @@
     /// Creates the state of a node that has read nothing from the log yet.
     pub(crate) fn new(settings: NodeSettings, log: LogHandle) -> Self {
         let mut random = StdRng::from_os_rng();
-        let gate = IngressGate::new(settings.queue, random.random());
+        let queue = QueueSettings {
+            awaits_first_answer: settings.edge.rate_header.is_some(),
+            ..settings.queue
+        };
+        let gate = IngressGate::new(queue, random.random());
         gate.set_slots(settings.backend_slots);
         let clock = NodeClock::start();
         let fleet = MemberFold::new(settings.members);
@@ -243,6 +247,14 @@
         router.choose(self.now(), &mut *self.random.borrow_mut(), tried)
     }
 
+    /// Returns whether a service has a VM that isn't in `tried` and isn't known to be at the rate
+    /// that its backend server states.
+    pub(crate) fn has_unlimited_vm(&self, service: &ServiceName, tried: &[VmName]) -> bool {
+        let routers = self.routers.borrow();
+        let router = routers.get(service);
+        router.is_some_and(|router| router.has_unlimited(self.now(), tried))
+    }
+
     /// Returns the VMs of a service that accept calls.
     pub(crate) fn ready_vms(&self, service: &ServiceName) -> Vec<VmName> {
         self.fleet.with(|feed| {
--- a/crates/node/src/route_guard.rs
+++ b/crates/node/src/route_guard.rs
@@ -36,6 +36,7 @@
             (RunVerdict::Ran, _) => RouteOutcome::Succeeded { latency_ms },
             (_, Some(RefusalReason::LinkBroken | RefusalReason::BackendFailed))
             | (RunVerdict::NotRun, Some(RefusalReason::NoBackend)) => RouteOutcome::Failed,
+            (RunVerdict::NotRun, Some(RefusalReason::BackendLimited)) => RouteOutcome::Limited,
             (RunVerdict::NotRun, _) => RouteOutcome::Refused,
             _ => RouteOutcome::Abandoned,
         };
--- a/crates/route/src/route_target.rs
+++ b/crates/route/src/route_target.rs
@@ -31,6 +31,9 @@
     },
     /// The node of the VM refused the request before it ran.
     Refused,
+    /// The node of the VM refused the request because its backend server accepts fewer requests at
+    /// present.
+    Limited,
     /// The link or the backend server failed.
     Failed,
     /// The caller gave up; this doesn't count as a failure of the VM.
--- a/crates/route/src/vm_health.rs
+++ b/crates/route/src/vm_health.rs
@@ -26,7 +26,7 @@
     /// Records an outcome and returns whether the VM is to be ejected.
     pub(crate) fn record(&mut self, outcome: RouteOutcome, settings: &RouteSettings) -> bool {
         match outcome {
-            RouteOutcome::Succeeded { .. } | RouteOutcome::Refused => {
+            RouteOutcome::Succeeded { .. } | RouteOutcome::Refused | RouteOutcome::Limited => {
                 self.failures = 0;
                 if self.ejected_until.is_none() {
                     self.ejections = 0;
--- a/crates/route/src/vm_router.rs
+++ b/crates/route/src/vm_router.rs
@@ -93,18 +93,32 @@
             .count()
     }
 
+    /// Returns whether there is a VM that isn't in `tried` and whose backend server isn't known to
+    /// accept fewer requests at present.
+    #[must_use]
+    pub fn has_unlimited(&self, now: ClockTime, tried: &[VmName]) -> bool {
+        let mut untried = self.states.iter().filter(|(vm, _)| !tried.contains(vm));
+        untried.any(|(_, state)| is_available(state) && !state.is_limited(now))
+    }
+
     /// Chooses a VM that isn't in `tried`, or returns `None` when there is none.
+    ///
+    /// A VM that has just refused a request at the rate that its backend server states is chosen
+    /// only if there is no other one.
     pub fn choose(
         &mut self,
         now: ClockTime,
         random: &mut impl Rng,
         tried: &[VmName],
     ) -> Option<VmName> {
-        let available: Vec<(&VmName, &VmState)> = self
+        let mut available: Vec<(&VmName, &VmState)> = self
             .states
             .iter()
             .filter(|(vm, state)| is_available(state) && !tried.contains(vm))
             .collect();
+        if available.iter().any(|(_, state)| !state.is_limited(now)) {
+            available.retain(|(_, state)| !state.is_limited(now));
+        }
         if self.settings.prefers_local {
             let local: Vec<(&VmName, &VmState)> = available
                 .iter()
@@ -148,6 +162,9 @@
         if let RouteOutcome::Succeeded { latency_ms } = outcome {
             state.record_latency(latency_ms);
         }
+        if outcome == RouteOutcome::Limited {
+            state.limited_until = now.plus_ms(settings.limited_ms);
+        }
         if state.health.record(outcome, &settings) && settings.ejects {
             state.health.eject(now, !can_eject, &settings);
         }
--- a/crates/route/src/vm_state.rs
+++ b/crates/route/src/vm_state.rs
@@ -21,6 +21,8 @@
     pub(crate) is_leaving: bool,
     pub(crate) health: VmHealth,
     pub(crate) in_flight: u32,
+    /// The time until which other VMs are preferred, as the backend server accepts fewer requests.
+    pub(crate) limited_until: ClockTime,
     latency_ms: Option<f64>,
     sample: Option<(ClockTime, LoadSample)>,
 }
@@ -32,6 +34,7 @@
             is_leaving: false,
             health: VmHealth::new(),
             in_flight: 0,
+            limited_until: ClockTime::ZERO,
             latency_ms: None,
             sample: None,
         }
@@ -41,6 +44,11 @@
         self.latency_ms
     }
 
+    /// Returns whether other VMs are preferred because the backend server accepts fewer requests.
+    pub(crate) fn is_limited(&self, now: ClockTime) -> bool {
+        now < self.limited_until
+    }
+
     pub(crate) const fn record_sample(&mut self, now: ClockTime, sample: LoadSample) {
         self.sample = Some((now, sample));
     }
--- a/crates/route/tests/vm_router.rs
+++ b/crates/route/tests/vm_router.rs
@@ -216,3 +216,26 @@
         }
     }
 }
+
+/// Every request for a VM at the rate that its backend server states was refused there once before
+/// it went to another VM.
+#[rstest]
+fn vm_at_a_stated_rate_is_chosen_only_for_lack_of_others() {
+    let settings = RouteSettings::default();
+    let mut router = router(settings, &["north", "south"]);
+    let mut random = SmallRng::seed_from_u64(1);
+    let start = ClockTime::from_ms(10_000);
+    router.begin(&vm(0));
+    router.finish(start, &vm(0), RouteOutcome::Limited, None);
+    let mut choose = |at_ms, tried: &[VmName]| {
+        let now = ClockTime::from_ms(at_ms);
+        let has_unlimited = router.has_unlimited(now, tried);
+        (router.choose(now, &mut random, tried), has_unlimited)
+    };
+    for _ in 0..100 {
+        assert_eq!(choose(10_100, &[]), (Some(vm(1)), true));
+        assert_eq!(choose(10_100, &[vm(1)]), (Some(vm(0)), false));
+    }
+    let later_ms = 10_000 + settings.limited_ms;
+    assert_eq!(choose(later_ms, &[]), (Some(vm(0)), true), "the local one");
+}
