fix(node): stop sending to a backend server that says it is leaving

What callers saw: nothing yet; a back end that said in its answers that it leaves went on getting requests until its report came, and those late ones may be lost when it ends.

Cause: the header was passed on and not read, as with the stated rate. The statement now counts as a report of leaving: the node accepts no new calls for that start of the backend server, tells the other nodes, and sends what it admitted before for the grace time at most. Said again, it gets no more time. A later start under the same name is in use again.

--- a/crates/member/src/backend_watch.rs
+++ b/crates/member/src/backend_watch.rs
@@ -195,6 +195,18 @@
         }
     }
 
+    /// Marks a backend server as leaving because it has said so in an answer, and returns whether
+    /// that is new.
+    pub fn mark_leaving(&mut self, now: ClockTime, backend: &BackendName) -> bool {
+        let current = self.current.as_mut();
+        let Some(current) = current.filter(|current| current.backend == *backend) else {
+            return false;
+        };
+        let is_new = current.left_at.is_none();
+        current.left_at.get_or_insert(now);
+        is_new
+    }
+
     /// Returns the backend server that accepts new calls, if there is one.
     #[must_use]
     pub fn accepting(&self) -> Option<&BackendName> {
--- a/crates/member/tests/backend_watch.rs
+++ b/crates/member/tests/backend_watch.rs
@@ -134,3 +134,38 @@
     watch.forget("i-1");
     assert_eq!(accepting(&watch), None);
 }
+
+/// A backend server said in its answers that it left, and a report from before that kept it in use.
+#[test]
+fn statement_of_leaving_holds_until_another_start() {
+    let mut watch = watch();
+    let now = ClockTime::from_ms(1_000);
+    assert!(
+        !watch.mark_leaving(now, &BackendName::new("i-1")),
+        "unknown"
+    );
+    report_to(&mut watch, report("i-1", 5, 3, false));
+    assert!(
+        !watch.mark_leaving(now, &BackendName::new("i-0")),
+        "another one"
+    );
+    assert_eq!(accepting(&watch), Some("i-1"));
+    assert!(watch.mark_leaving(now, &BackendName::new("i-1")));
+    assert!(!watch.mark_leaving(now, &BackendName::new("i-1")), "known");
+    report_to(&mut watch, report("i-1", 5, 4, false));
+    assert_eq!(accepting(&watch), None);
+    assert!(watch.reachable(now, 100).is_some());
+    let later = now.plus_ms(100);
+    assert!(!watch.mark_leaving(later, &BackendName::new("i-1")));
+    assert_eq!(
+        watch.reachable(later, 100),
+        None,
+        "said again, it gets no more time"
+    );
+    report_to(&mut watch, report("i-1", 6, 1, false));
+    assert_eq!(
+        accepting(&watch),
+        Some("i-1"),
+        "the same name after a restart"
+    );
+}
--- a/crates/node/src/backend_statement.rs
+++ b/crates/node/src/backend_statement.rs
@@ -37,7 +37,8 @@
         .map(|value| value.to_str().unwrap_or(""))
 }
 
-/// Records and logs what an answer of `backend` says, unless another backend server has replaced it.
+/// Applies what an answer of `backend` says to the state of the backend server and to its queue,
+/// unless another backend server has replaced it.
 pub(crate) fn apply_statement(
     core: &NodeCore,
     backend: Option<&BackendName>,
@@ -64,7 +65,11 @@
             }
         }
     }
-    if statement.is_leaving && core.is_backend_accepting() && core.may_log() {
-        log::info!("event=backend-leaving backend={name} by=answer");
+    let Some(backend) = backend.filter(|_| statement.is_leaving) else {
+        return;
+    };
+    if core.backend_watch.borrow_mut().mark_leaving(now, backend) {
+        log::info!("event=backend-leaving backend={backend} by=answer");
+        core.activity.notify();
     }
 }
