fix(node): take a repeated refusal for no answer to another request

Another operator's report: a faulty instance wrote an earlier refusal once more on a kept connection; clients were told 'not run' for requests that ran, or such a request ran at a second instance.

It can happen here. A refusal without a request id was believed on any connection, and a misdirected answer (421) whatever id it bore.

Every refusal now has to name the request. One without an id counts only as the first answer on its connection, where there is nothing to repeat. A request isn't sent again on a connection on which it was refused, and a connection closes after 32 refusals.

--- a/crates/node/src/answer_check.rs
+++ b/crates/node/src/answer_check.rs
@@ -31,7 +31,8 @@
 /// Classifies a response to a request.
 ///
 /// A backend server may answer a request twice; the second answer then arrives in place of the
-/// answer to the next request.
+/// answer to the next request. So a response without an id answers the request only if it is the
+/// first one on its connection and a refusal.
 ///
 /// # Errors
 ///
@@ -39,6 +40,7 @@
 pub(crate) fn classify_answer<B>(
     edge: &EdgeSettings,
     sent_id: Option<&HeaderValue>,
+    is_first: bool,
     response: &Response<B>,
 ) -> Result<AnswerKind, AnswerError> {
     let headers = response.headers();
@@ -49,16 +51,23 @@
     };
     let named = edge.request_id_header.as_ref();
     let answered_id = named.and_then(|name| headers.get(name));
-    if edge.backend_header.is_some() && status == StatusCode::MISDIRECTED_REQUEST {
+    let is_misdirected = edge.backend_header.is_some() && status == StatusCode::MISDIRECTED_REQUEST;
+    let is_refusal = is_misdirected || has(&edge.not_run_header);
+    let is_own = match (named, answered_id) {
+        (None, _) => true,
+        (Some(_), Some(id)) => Some(id) == sent_id,
+        (Some(_), None) if is_refusal => is_first,
+        (Some(_), None) => sent_id.is_none(),
+    };
+    if !is_own {
+        return Err(AnswerError::OtherRequest);
+    }
+    if is_misdirected {
         return Ok(AnswerKind::OtherBackend);
     }
-    let is_refusal = has(&edge.not_run_header);
-    if is_refusal && (answered_id.is_none() || answered_id == sent_id) {
+    if is_refusal {
         return Ok(AnswerKind::NotRun);
     }
-    if named.is_some() && answered_id != sent_id {
-        return Err(AnswerError::OtherRequest);
-    }
     if named.is_some() && headers.contains_key(CONTENT_ENCODING) {
         return Err(AnswerError::Encoded);
     }
--- a/crates/node/src/backend_pool.rs
+++ b/crates/node/src/backend_pool.rs
@@ -8,7 +8,7 @@
 use clock::ClockTime;
 use compio::net::TcpStream;
 use compio::time::timeout;
-use http::{Request, Response};
+use http::{HeaderValue, Request, Response};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{SendRequest, handshake};
@@ -40,6 +40,8 @@
 /// A backend server in use answers several requests in that time.
 const SILENCE_LIMIT_MS: u64 = 250;
 const SECOND_MS: u64 = 1_000;
+/// The most requests refused on one connection before it is closed.
+const MAX_REFUSED: usize = 32;
 /// The largest refusal body that is read so that its connection can be reused, in bytes.
 const MAX_DRAINED_BYTES: usize = 64 * 1024;
 /// The longest time spent reading a refusal body.
@@ -86,9 +88,19 @@
     NotRun(AnswerKind),
 }
 
+/// A connection to the backend server.
+struct BackendConnection {
+    sender: SendRequest<CallBody>,
+    /// Whether no request was sent on it yet.
+    is_new: bool,
+    /// The ids of the requests that were refused on it. The backend server may repeat a refusal, so
+    /// none of these requests is sent on it again.
+    refused: Vec<HeaderValue>,
+}
+
 /// A connection that currently carries no request.
 struct IdleConnection {
-    sender: SendRequest<CallBody>,
+    connection: BackendConnection,
     since: ClockTime,
     /// The time for which the backend server keeps it open, in milliseconds.
     keep_alive_ms: u64,
@@ -131,15 +143,21 @@
         mut request: Request<CallBody>,
         edge: &EdgeSettings,
     ) -> Result<BackendAnswer, BackendError> {
-        while let Some(sender) = self.take_idle() {
-            match self.send_on(sender, request, edge).await {
+        let named = edge.request_id_header.as_ref();
+        let id = named.and_then(|name| request.headers().get(name).cloned());
+        while let Some(connection) = self.take_idle(id.as_ref()) {
+            match self.send_on(connection, request, id.as_ref(), edge).await {
                 Ok(response) => return Ok(response),
                 Err(SendFailure::Unsent(unsent)) => request = *unsent,
                 Err(SendFailure::Failed(error)) => return Err(error),
             }
         }
-        let sender = self.connect().await?;
-        self.send_on(sender, request, edge)
+        let connection = BackendConnection {
+            sender: self.connect().await?,
+            is_new: true,
+            refused: Vec::new(),
+        };
+        self.send_on(connection, request, id.as_ref(), edge)
             .await
             .map_err(|failure| match failure {
                 SendFailure::Unsent(_) => BackendError::NotSent,
@@ -211,41 +229,54 @@
         Ok(sender)
     }
 
-    fn take_idle(&self) -> Option<SendRequest<CallBody>> {
+    /// Takes the connection used last that is still open and on which the request with this id
+    /// wasn't refused.
+    fn take_idle(&self, id: Option<&HeaderValue>) -> Option<BackendConnection> {
+        let now = self.clock.now();
         let mut idle = self.idle.borrow_mut();
-        while let Some(connection) = idle.pop_back() {
-            let idle_ms = self.clock.now().since_ms(connection.since);
-            let is_fresh = idle_ms < connection.keep_alive_ms;
-            if is_fresh && connection.sender.is_ready() {
-                return Some(connection.sender);
+        for position in (0..idle.len()).rev() {
+            let candidate = &idle[position];
+            let is_fresh = now.since_ms(candidate.since) < candidate.keep_alive_ms;
+            if is_fresh && candidate.connection.sender.is_ready() {
+                let refused = &candidate.connection.refused;
+                if id.is_some_and(|id| refused.contains(id)) {
+                    continue;
+                }
+                return idle.remove(position).map(|idle| idle.connection);
             }
+            idle.remove(position);
         }
         None
     }
 
     async fn send_on(
         self: &Rc<Self>,
-        mut sender: SendRequest<CallBody>,
+        mut connection: BackendConnection,
         request: Request<CallBody>,
+        id: Option<&HeaderValue>,
         edge: &EdgeSettings,
     ) -> Result<BackendAnswer, SendFailure> {
-        let named = edge.request_id_header.as_ref();
-        let sent_id = named.and_then(|name| request.headers().get(name).cloned());
+        let is_first = std::mem::take(&mut connection.is_new);
         let wait = AnswerWaitGuard::start(self);
-        let sent = sender.try_send_request(request).await;
+        let sent = connection.sender.try_send_request(request).await;
         wait.finish();
         match sent {
             Ok(response) => {
                 self.answered_at.set(self.clock.now());
-                let kind = classify_answer(edge, sent_id.as_ref(), &response);
+                let kind = classify_answer(edge, id, is_first, &response);
                 let kind = kind.map_err(|error| SendFailure::Failed(error.into()))?;
                 let statement = BackendStatement::read(edge, response.headers());
-                let pool = Rc::clone(self);
-                let keep_alive_ms = keep_alive_ms(&response);
-                compio::runtime::spawn(
-                    async move { pool.return_idle(sender, keep_alive_ms).await },
-                )
-                .detach();
+                if kind != AnswerKind::Ran {
+                    connection.refused.extend(id.cloned());
+                }
+                if connection.refused.len() < MAX_REFUSED {
+                    let pool = Rc::clone(self);
+                    let keep_alive_ms = keep_alive_ms(&response);
+                    compio::runtime::spawn(async move {
+                        pool.return_idle(connection, keep_alive_ms).await;
+                    })
+                    .detach();
+                }
                 let outcome = if kind == AnswerKind::Ran {
                     BackendOutcome::Ran(response)
                 } else {
@@ -262,15 +293,15 @@
     }
 
     /// Returns a connection to the pool once its answer has been read.
-    async fn return_idle(&self, mut sender: SendRequest<CallBody>, keep_alive_ms: u64) {
-        if sender.ready().await.is_err() {
+    async fn return_idle(&self, mut connection: BackendConnection, keep_alive_ms: u64) {
+        if connection.sender.ready().await.is_err() {
             return;
         }
         let mut idle = self.idle.borrow_mut();
         if idle.len() < MAX_IDLE_CONNECTIONS {
             let since = self.clock.now();
             idle.push_back(IdleConnection {
-                sender,
+                connection,
                 since,
                 keep_alive_ms,
             });
