test(node): guard against answers that break off in their head

Another operator's report: an instance stopped in the middle of its answer's head and closed; clients got a 200 with an empty or short body, framed as whole. It can't happen here: the HTTP client takes a head only with its empty line, in all 14 cases, and callers get 502 or 504. The cases pass on the code as it was; they guard the choice of client.

--- a/crates/node/tests/faulty_answers.rs
+++ b/crates/node/tests/faulty_answers.rs
@@ -1,4 +1,4 @@
-//! Backend servers that write an earlier refusal once more.
+//! Backend servers that write an earlier refusal once more, or only a part of an answer's head.
 
 mod fleet;
 mod scripted;
@@ -147,6 +147,35 @@
     }
 }
 
+/// Guards against a head that breaks off and is taken for a whole answer with an empty body.
+#[rstest]
+#[case::status_line("HTTP/1.1 200")]
+#[case::no_header("HTTP/1.1 200 OK\r\n")]
+#[case::in_a_name("HTTP/1.1 200 OK\r\nrequest-id: ID\r\ncontent-le")]
+#[case::in_the_length("HTTP/1.1 200 OK\r\nrequest-id: ID\r\ncontent-length: 1")]
+#[case::after_a_line("HTTP/1.1 200 OK\r\nrequest-id: ID\r\n")]
+#[case::in_the_last_line("HTTP/1.1 200 OK\r\nrequest-id: ID\r\n\r")]
+#[case::after_an_interim_answer(
+    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nrequest-id: ID\r\n"
+)]
+#[compio::test]
+async fn answer_that_breaks_off_in_its_head_is_no_success(
+    #[case] head: &'static str,
+    #[values("POST", "GET")] method: &str,
+) {
+    let backend = ScriptedBackend::start(move |request| ScriptedAnswer {
+        runs: true,
+        bytes: head.replace("ID", &request.id),
+        closes: true,
+        ..ScriptedAnswer::default()
+    })
+    .await;
+    let fleet = start_fleet(&backend).await;
+    let (status, body) = send(&fleet, method, "first").await;
+    assert!(status == 502 || status == 504, "{status} {body:?}");
+    assert!(method == "GET" || backend.runs("first") == 1);
+}
+
 /// The scripted backend server answers properly when it is told to.
 #[rstest]
 #[compio::test]
