fix(member): ignore announcements that no node can have made

Another operator's report: another writer left one odd entry among those of the instances, and the machines that read the list ended again and again or stopped following it.

No reader ends here: entries that are nested 100,000 levels deep, or with numbers or ports out of range, can't be decoded, are counted and skipped (8 cases, which pass on the code before). Four others were believed: an incarnation or sequence number of 2^64 - 1, an endless validity and port 0. After the first two a node couldn't announce itself any more under the name in the entry: its own later numbers are never higher, so it got no calls until the entry expired. Announcements with numbers from 2^53 on, a validity of over an hour or port 0 are now ignored and counted.

--- a/crates/member/src/member_announcement.rs
+++ b/crates/member/src/member_announcement.rs
@@ -3,6 +3,12 @@
 use model::{CentreName, ServiceName, VmName};
 use serde::{Deserialize, Serialize};
 
+/// The exclusive upper bound of incarnations and sequence numbers. Above it, a node couldn't exceed
+/// the numbers of a false entry with its name.
+const MAX_COUNTER: u64 = 1 << 53;
+/// The longest validity of an announcement, in milliseconds; that of the largest fleet is 40 minutes.
+const MAX_VALID_MS: u64 = 3_600_000;
+
 /// Whether a member accepts work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
@@ -41,6 +47,17 @@
 }
 
 impl MemberAnnouncement {
+    /// Returns whether a node can have made this announcement.
+    ///
+    /// Other programs may write to the stream too.
+    #[must_use]
+    pub const fn is_plausible(&self) -> bool {
+        self.incarnation < MAX_COUNTER
+            && self.sequence < MAX_COUNTER
+            && self.valid_ms <= MAX_VALID_MS
+            && self.peer_addr.port() != 0
+    }
+
     /// Returns whether this replaces another announcement of the same VM.
     ///
     /// Within one start, a member that leaves never becomes ready again.
--- a/crates/member/src/member_fold.rs
+++ b/crates/member/src/member_fold.rs
@@ -96,8 +96,10 @@
     fn apply(&mut self, _now: ClockTime, record: &LogRecord) {
         self.next = record.offset.next();
         match record.body.decode::<MemberAnnouncement>() {
-            Ok(announcement) => self.apply_announcement(&announcement),
-            Err(_) => self.unreadable += 1,
+            Ok(announcement) if announcement.is_plausible() => {
+                self.apply_announcement(&announcement);
+            }
+            Ok(_) | Err(_) => self.unreadable += 1,
         }
     }
 
--- a/crates/member/src/member_view.rs
+++ b/crates/member/src/member_view.rs
@@ -51,7 +51,12 @@
     }
 
     /// Applies an announcement from the log or from a peer, and returns whether it was new.
+    ///
+    /// An announcement that no node can have made is ignored.
     pub fn apply(&mut self, announcement: &MemberAnnouncement) -> bool {
+        if !announcement.is_plausible() {
+            return false;
+        }
         let known = self.members.get(&announcement.vm);
         if known.is_some_and(|known| !announcement.is_after(&known.announcement)) {
             return false;
--- a/crates/member/tests/member_fold.rs
+++ b/crates/member/tests/member_fold.rs
@@ -69,3 +69,44 @@
     assert_eq!(feed.fold().unreadable(), 1);
     assert_eq!(feed.fold().view().members().count(), 1);
 }
+
+/// The announcement of another writer, with the value of one field replaced.
+fn odd_announcement(field: &str, value: &str) -> RecordBody {
+    let body = RecordBody::encode(&announcement(9, MemberState::Ready));
+    let text = body.as_str();
+    let name = format!("\"{field}\":");
+    let start = text.find(&name).expect("the field exists") + name.len();
+    let rest = &text[start..];
+    let end = rest.find([',', '}']).expect("the value ends");
+    RecordBody::new(format!("{}{value}{}", &text[..start], &rest[end..]))
+}
+
+/// Another writer's entry, deeply nested or with a number out of range, ended the reader, or kept
+/// the entry of the VM that it names out of the view.
+#[rstest]
+#[case::nested_lists("slots", &"[".repeat(100_000))]
+#[case::nested_objects("service", &"{\"a\":".repeat(100_000))]
+#[case::nested_and_closed("vm", &format!("{}{}", "[".repeat(100_000), "]".repeat(100_000)))]
+#[case::port_too_large("peer_addr", "\"127.0.0.1:70000\"")]
+#[case::port_zero("peer_addr", "\"127.0.0.1:0\"")]
+#[case::slots_too_large("slots", "4294967296")]
+#[case::infinite("sequence", "1e999")]
+#[case::sequence_too_large("sequence", "18446744073709551616")]
+#[case::largest_sequence("sequence", "18446744073709551615")]
+#[case::largest_incarnation("incarnation", "18446744073709551615")]
+#[case::endless("valid_ms", "18446744073709551615")]
+#[case::negative("valid_ms", "-1")]
+fn odd_entry_of_another_writer_changes_nothing(#[case] field: &str, #[case] value: &str) {
+    let fold = MemberFold::new(MemberSettings::default());
+    let mut feed = FoldFeed::new(LogStream::Members, FollowSettings::default(), fold);
+    let ready = |sequence| RecordBody::encode(&announcement(sequence, MemberState::Ready));
+    let odd = odd_announcement(field, value);
+    read(
+        &mut feed,
+        vec![record(0, ready(1)), record(1, odd), record(2, ready(2))],
+    );
+    let fold = feed.fold();
+    let known = fold.view().get(&VmName::new("registry-1")).unwrap();
+    assert_eq!(*known, announcement(2, MemberState::Ready));
+    assert_eq!(fold.unreadable(), 1);
+}
