test(limit): guard the stated rate against pauses, freezes and a rate of 0

Found by mutation: a burst of 8 s of requests after a pause, and no lowest rate, passed all tests of the stated rate. A node of the simulated platform is frozen three times under load.

--- a/crates/lentilshift/tests/platform_path/platform_fleet.rs
+++ b/crates/lentilshift/tests/platform_path/platform_fleet.rs
@@ -144,8 +144,13 @@
 
     /// Signals a node to stop.
     pub fn terminate(&self, node: usize) {
+        self.signal(node, "-TERM");
+    }
+
+    /// Sends a signal, such as `-STOP`, to a node.
+    pub fn signal(&self, node: usize, signal: &str) {
         let id = self.nodes[node].id().to_string();
-        let status = Command::new("kill").args(["-TERM", &id]).status();
+        let status = Command::new("kill").args([signal, &id]).status();
         assert!(status.expect("the signal is sent").success());
     }
 
--- a/crates/lentilshift/tests/stated_limits.rs
+++ b/crates/lentilshift/tests/stated_limits.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant};
 
 use compio::time::sleep;
-use futures_util::future::{join_all, select};
+use futures_util::future::{join, join_all, select};
 use platform_fleet::{CallerRequest, PlatformFleet};
 use rstest::rstest;
 use standin::InstanceRun;
@@ -24,6 +24,8 @@
 const LOAD_TIME: Duration = Duration::from_secs(9);
 /// The time after a statement of leaving from which no request may arrive.
 const DRAIN_TIME: Duration = Duration::from_secs(2);
+/// The time for which a node is frozen, and the pause after it.
+const FREEZE_TIME: Duration = Duration::from_millis(1_200);
 /// The callers of each node, each with one request at a time.
 const CALLERS_PER_NODE: usize = 3;
 /// The run time of a request, in milliseconds.
@@ -165,6 +167,28 @@
     assert!(runs.iter().any(|run| run.arrived > restarted));
 }
 
+/// Requests pile up for a node that is frozen, and reach it together when it wakes.
+#[rstest]
+#[compio::test]
+async fn frozen_node_keeps_the_stated_limit_when_it_wakes() {
+    let fleet = start_fleet().await;
+    fleet.instances[0].set_stated_limit(Some("15"));
+    let started = Instant::now();
+    send_load(&fleet, STABLE_WINDOW).await;
+    let load = send_load(&fleet, LOAD_TIME);
+    let freezing = async {
+        for _ in 0..3 {
+            fleet.signal(0, "-STOP");
+            sleep(FREEZE_TIME).await;
+            fleet.signal(0, "-CONT");
+            sleep(FREEZE_TIME).await;
+        }
+    };
+    join(load, freezing).await;
+    let most = most_in_window(&fleet.instances[0].runs(), started + STABLE_WINDOW);
+    assert!(most <= allowed(15.0), "{most} requests in 4 s");
+}
+
 /// Limits that end, or that can't be read, keep no request back.
 #[rstest]
 #[case::ended(None)]
--- a/crates/limit/tests/stated_rate.rs
+++ b/crates/limit/tests/stated_rate.rs
@@ -239,6 +239,29 @@
     assert_eq!(starts_in_last_second(&mut backend, 3_000), 100);
 }
 
+/// Callers came back at once after a pause, as when a node wakes from a freeze.
+#[test]
+fn pause_saves_up_no_more_than_the_rule_allows() {
+    for rate_per_s in [0.0, 2.0, 17.3] {
+        let mut backend = LimitedBackend::new(cautious(), RateStatement::Limited(rate_per_s));
+        starts_in_last_second(&mut backend, 5_000);
+        for _ in 0..20_000 {
+            backend.advance();
+        }
+        starts_in_last_second(&mut backend, 5_000);
+        let most = backend.most_in_window(0);
+        assert!(most <= allowed(rate_per_s), "{most} at {rate_per_s}");
+    }
+}
+
+#[test]
+fn end_of_a_rate_of_zero_is_noticed() {
+    let mut backend = LimitedBackend::new(cautious(), RateStatement::Limited(0.0));
+    starts_in_last_second(&mut backend, 5_000);
+    backend.statement = RateStatement::Unlimited;
+    assert_eq!(starts_in_last_second(&mut backend, 10_000), 100);
+}
+
 /// A single answer without the rate, such as a refusal, was taken for the end of the limit.
 #[test]
 fn answer_without_the_rate_beside_others_with_it_ends_nothing() {
