--- a/crates/route/src/route_settings.rs
+++ b/crates/route/src/route_settings.rs
@@ -17,9 +17,6 @@
     pub spill_load: f64,
     /// The time in which the weight of a reported load falls to zero, in milliseconds.
     pub report_decay_ms: u64,
-    /// How long other VMs are preferred after a VM has refused a request because its backend server
-    /// accepts fewer requests at present, in milliseconds.
-    pub limited_ms: u64,
     /// The number of consecutive failures after which a VM is ejected.
     pub eject_failures: u32,
     /// The length of a first ejection, in milliseconds; each further one is twice as long.
@@ -39,7 +36,6 @@
             ejects: true,
             spill_load: 0.7,
             report_decay_ms: 500,
-            limited_ms: 200,
             eject_failures: 3,
             base_eject_ms: 1_000,
             max_eject_ms: 30_000,
--- a/crates/route/src/vm_router.rs
+++ b/crates/route/src/vm_router.rs
@@ -9,6 +9,9 @@
 
 /// The factor over the service's median latency from which a VM counts as slow.
 const SLOW_FACTOR: f64 = 1.3;
+/// How long other VMs are preferred after a VM has refused a request because its backend server
+/// accepts fewer requests at present, in milliseconds.
+const LIMITED_MS: u64 = 200;
 
 /// Chooses a VM of one service for each request.
 ///
@@ -163,7 +166,7 @@
             state.record_latency(latency_ms);
         }
         if outcome == RouteOutcome::Limited {
-            state.limited_until = now.plus_ms(settings.limited_ms);
+            state.limited_until = now.plus_ms(LIMITED_MS);
         }
         if state.health.record(outcome, &settings) && settings.ejects {
             state.health.eject(now, !can_eject, &settings);
