fix(limit): shed as usual at a stated rate that the slots can't reach

Found while the change was read: while a rate was stated, however high, the queue shed nothing by importance and entry nodes learned of no overload. A backend server in need whose slots are full, and that states a rate above what they can run, would have let important requests wait beside the others and time out. Now the pace replaces shedding only where it holds back more than the slots do. rate_above_the_capacity_of_the_slots_leaves_shedding_as_it_is fails before and passes now.

--- a/crates/limit/src/admission_queue.rs
+++ b/crates/limit/src/admission_queue.rs
@@ -158,7 +158,7 @@
         let ticket = self.times.estimate(now, ticket);
         let is_admitted = self.shed.record_arrival(&ticket);
         let is_exempt = self.settings.prioritizes_nested && ticket.is_nested();
-        if !is_admitted && !is_exempt && !self.pacer.is_pacing() {
+        if !is_admitted && !is_exempt && !self.is_rate_bound() {
             return QueueDecision::Refuse(self.refuse_shed(&ticket));
         }
         if self.settings.checks_deadlines && !ticket.meets_deadline(now) {
@@ -232,7 +232,7 @@
     /// Returns the time by which [`tick`](Self::tick) must be called, if any.
     #[must_use]
     pub fn next_tick(&self) -> Option<ClockTime> {
-        if self.pacer.is_pacing() {
+        if self.is_rate_bound() {
             let expiry = self.waiting.oldest()?.plus_ms(self.max_wait_ms() + 1);
             let start = self.pacer.next_start().filter(|_| self.has_slot());
             return Some(start.map_or(expiry, |start| expiry.min(start)));
@@ -256,10 +256,10 @@
 
     /// Returns the thresholds for entry nodes, which refuse requests by the mean of a service's VMs.
     ///
-    /// A VM whose requests are paced has none: it stands for less capacity than the others, and what
+    /// A VM that a stated rate binds has none: it stands for less capacity than the others, and what
     /// it refuses is sent to them.
     fn reported_thresholds(&self) -> ShedThresholds {
-        if self.pacer.is_pacing() {
+        if self.is_rate_bound() {
             return ShedThresholds::default();
         }
         self.shed.thresholds().clone()
@@ -275,7 +275,7 @@
             self.start(now, &entry.ticket);
             actions.push(QueueAction::Start(entry.ticket.id));
         }
-        if self.pacer.is_pacing() {
+        if self.is_rate_bound() {
             return;
         }
         let state = self.queue_state();
@@ -286,17 +286,18 @@
 
     fn refuse_expired(&mut self, now: ClockTime, actions: &mut Vec<QueueAction>) {
         let settings = self.settings;
-        let has_rate = self.pacer.rate_per_s().is_some();
+        let is_rate_bound = self.is_rate_bound();
         let max_wait_ms = self.max_wait_ms();
         let late = self.waiting.drain_late(|entry| {
-            let is_exempt = settings.prioritizes_nested && entry.ticket.is_nested() && !has_rate;
+            let is_exempt =
+                settings.prioritizes_nested && entry.ticket.is_nested() && !is_rate_bound;
             let has_waited = now.since_ms(entry.arrived) > max_wait_ms;
             let misses_deadline = settings.checks_deadlines && !entry.ticket.meets_deadline(now);
             misses_deadline || (has_waited && !is_exempt)
         });
         for entry in late {
             self.record_loss(&entry.ticket);
-            let reason = if self.pacer.is_pacing() {
+            let reason = if is_rate_bound {
                 RefusalReason::BackendLimited
             } else if entry.ticket.meets_deadline(now) {
                 RefusalReason::Overloaded
@@ -310,7 +311,7 @@
 
     /// Returns the longest that a new request waits, in milliseconds.
     fn max_wait_ms(&self) -> u64 {
-        if self.pacer.rate_per_s().is_some() {
+        if self.is_rate_bound() && self.pacer.rate_per_s().is_some() {
             MAX_PACED_WAIT_MS
         } else {
             self.settings.max_wait_ms
@@ -332,6 +333,17 @@
         self.pacer.charge();
     }
 
+    /// Returns whether the pace holds back more than the slots do.
+    ///
+    /// If it doesn't, requests are shed as without a stated rate.
+    fn is_rate_bound(&self) -> bool {
+        let slot_rate_per_s = f64::from(self.limit.current()) * 1_000.0 / self.run_ms;
+        match self.pacer.rate_per_s() {
+            Some(rate_per_s) => rate_per_s < slot_rate_per_s,
+            None => self.pacer.is_pacing(),
+        }
+    }
+
     /// Returns whether there is a slot and the pace allows another request.
     fn can_start(&mut self, now: ClockTime) -> bool {
         self.has_slot() && self.pacer.may_start(now, self.in_flight())
--- a/crates/limit/tests/stated_rate.rs
+++ b/crates/limit/tests/stated_rate.rs
@@ -212,6 +212,22 @@
     assert!(!backend.refusals.is_empty());
 }
 
+/// A backend server without free slots states a rate far above what it can run: requests are shed
+/// by importance, and entry nodes learn of it, as without a rate.
+#[test]
+fn rate_above_the_capacity_of_the_slots_leaves_shedding_as_it_is() {
+    let mut backend = LimitedBackend::new(cautious(), RateStatement::Limited(10_000.0));
+    backend.queue.set_slots(2);
+    for id in 0..4_000 {
+        let ticket = ticket(id, backend.now_ms, CallImportance::Normal, 0);
+        backend.offer(ticket);
+        backend.advance();
+    }
+    assert!(!backend.queue.load(backend.now()).thresholds.is_open());
+    let last = backend.refusals.last().map(|(_, reason)| *reason);
+    assert_ne!(last, Some(RefusalReason::BackendLimited));
+}
+
 /// Sends a request every 10 ms, and returns how many started in the last second.
 fn starts_in_last_second(backend: &mut LimitedBackend, time_ms: u64) -> usize {
     let until_ms = backend.now_ms + time_ms;
--- a/crates/member/src/member_announcement.rs
+++ b/crates/member/src/member_announcement.rs
@@ -6,8 +6,9 @@
 /// The exclusive upper bound of incarnations and sequence numbers. Above it, a node couldn't exceed
 /// the numbers of a false entry with its name.
 const MAX_COUNTER: u64 = 1 << 53;
-/// The longest validity of an announcement, in milliseconds; that of the largest fleet is 40 minutes.
-const MAX_VALID_MS: u64 = 3_600_000;
+/// The longest validity of an announcement, in milliseconds. In a fleet of 4,000 nodes it is 40
+/// minutes, and it grows with the fleet.
+const MAX_VALID_MS: u64 = 24 * 3_600_000;
 
 /// Whether a member accepts work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
