test: round the requests that a stated rate allows down

Found on the last read: both tests rounded one and a half times the rate, + 5, to the nearest whole number, so that a rate of 0.3 (6.8 in 4 s) let seven requests pass.

--- a/crates/lentilshift/tests/stated_limits.rs
+++ b/crates/lentilshift/tests/stated_limits.rs
@@ -94,7 +94,7 @@
 /// Returns the most requests that a backend server may get in one [`COUNT_WINDOW`].
 fn allowed(rate_per_s: f64) -> usize {
     let requests = 1.5 * rate_per_s * COUNT_WINDOW.as_secs_f64() + 5.0;
-    format!("{requests:.0}").parse().unwrap()
+    format!("{:.0}", requests.floor()).parse().unwrap()
 }
 
 async fn start_fleet() -> PlatformFleet {
--- a/crates/limit/tests/stated_rate.rs
+++ b/crates/limit/tests/stated_rate.rs
@@ -126,7 +126,7 @@
 /// Returns the most requests that the backend server may get in one window.
 fn allowed(rate_per_s: f64) -> usize {
     let requests = 1.5 * rate_per_s * 4.0 + 5.0;
-    format!("{requests:.0}").parse().unwrap()
+    format!("{:.0}", requests.floor()).parse().unwrap()
 }
 
 fn cautious() -> QueueSettings {
