fix(node): keep the signal handlers until the process ends

Cause: each wait for a signal installed a handler and removed it when it ended. With the last one gone, the default action of the signal was in force, which ends the process: from the first signal to stop until the exit, and between two waits for SIGHUP.

The handlers now come from signal-hook, are installed as the first step of the command and stay until the process ends. A handler writes a byte to a socket pair, so a signal between two waits, or before the start has finished, is kept. A repeated signal to stop is logged. The demo uses the same.

Regression tests: platform_path signals.

--- a/crates/lentilshift/src/command_error.rs
+++ b/crates/lentilshift/src/command_error.rs
@@ -34,6 +34,9 @@
     /// The event loop can't be created.
     #[error("the event loop can't be started: {0}")]
     Runtime(std::io::Error),
+    /// The handlers of signals can't be installed.
+    #[error("signals can't be handled: {0}")]
+    Signals(std::io::Error),
     /// The node can't run.
     #[error(transparent)]
     Node(#[from] node::NodeError),
@@ -78,6 +81,7 @@
             Self::ReadFile { .. }
             | Self::Demo(_)
             | Self::Runtime(_)
+            | Self::Signals(_)
             | Self::Node(_)
             | Self::Logging(_)
             | Self::Client(_)
--- a/crates/lentilshift/src/commands/demo.rs
+++ b/crates/lentilshift/src/commands/demo.rs
@@ -1,10 +1,10 @@
 use crate::args::DemoArgs;
 use crate::command_error::CommandError;
-use crate::commands::node::wait_for_stop;
 use crate::demo::{
     DemoError, DemoFleet, DemoRow, OVER_RATE_TEAM, STEADY_TEAM, print_addresses,
     print_instructions, print_rows, run_steps, stop_node,
 };
+use crate::process_signals::SignalListener;
 use crate::setting_reader::SettingReader;
 
 /// Runs a small fleet in this process and shows how it handles requests.
@@ -29,8 +29,9 @@
     );
     check_results(&rows, requests.with_key)?;
     if stay {
+        let signals = SignalListener::install().map_err(CommandError::Signals)?;
         print_instructions(&fleet, &steady_key, &over_rate_key);
-        wait_for_stop().await;
+        signals.stop.wait().await;
         fleet.stop().await;
     } else {
         println!("Run it with --stay to try it yourself.");
--- a/crates/lentilshift/src/commands/node.rs
+++ b/crates/lentilshift/src/commands/node.rs
@@ -1,9 +1,9 @@
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::time::Duration;
 
-use compio::signal::unix::signal;
 use compio::time::timeout;
-use futures_util::FutureExt;
+use futures_util::future::select;
 use log::LevelFilter;
 use model::{RecordId, VmName};
 use node::{NodeProcess, NodeSettings};
@@ -13,39 +13,40 @@
 use crate::command_error::CommandError;
 use crate::commands::file_settings::{node_settings, open_log, read_file};
 use crate::process_log::start_log;
+use crate::process_signals::{SignalListener, SignalSource};
 use crate::setting_error::SettingErrors;
 use crate::setting_reader::SettingReader;
 
-/// The signal to read the settings file again.
-const SIGHUP: i32 = 1;
-/// The signals to stop.
-const SIGINT: i32 = 2;
-const SIGTERM: i32 = 15;
-
 /// The interval of checks whether the settings file has changed.
 const FILE_CHECK_INTERVAL: Duration = Duration::from_secs(10);
 
 /// Runs the sidecar node of a backend server until the process is signalled to stop.
 pub(crate) async fn run_node(args: &NodeArgs) -> Result<(), CommandError> {
+    // The process may be signalled as soon as it exists.
+    let signals = SignalListener::install().map_err(CommandError::Signals)?;
     let mut reader = SettingReader::default();
     let file: Option<String> = reader.optional("settings", args.settings.as_deref());
     match file {
-        Some(path) => run_with_file(args, &path).await,
-        None => run_with_options(args).await,
+        Some(path) => run_with_file(args, &path, signals).await,
+        None => run_with_options(args, signals).await,
     }
 }
 
 /// Runs a node that is configured by options and environment variables.
-async fn run_with_options(args: &NodeArgs) -> Result<(), CommandError> {
+async fn run_with_options(args: &NodeArgs, signals: SignalListener) -> Result<(), CommandError> {
     let settings = read_settings(args)?;
     start_log(settings.log_level)?;
     let node = NodeProcess::start(settings.node).await?;
-    run_until_stopped(node).await;
+    run_until_stopped(node, &signals.stop).await;
     Ok(())
 }
 
 /// Runs a node that is configured by the platform's file.
-async fn run_with_file(args: &NodeArgs, path: &str) -> Result<(), CommandError> {
+async fn run_with_file(
+    args: &NodeArgs,
+    path: &str,
+    signals: SignalListener,
+) -> Result<(), CommandError> {
     let mut reader = SettingReader::default();
     let level = reader.optional("log-level", args.log_level.as_deref());
     let level = reader.finish(Some(level.unwrap_or(LevelFilter::Info)))?;
@@ -55,8 +56,9 @@
     let vm = vm_name_of_start(&file.machine);
     let log = open_log(&file)?;
     let node = NodeProcess::start_on(node_settings(&file, vm), log).await?;
-    compio::runtime::spawn(watch_file(path.to_owned(), file)).detach();
-    run_until_stopped(node).await;
+    let SignalListener { stop, reload } = signals;
+    compio::runtime::spawn(watch_file(path.to_owned(), file, reload)).detach();
+    run_until_stopped(node, &stop).await;
     Ok(())
 }
 
@@ -64,9 +66,9 @@
 ///
 /// A running node keeps the addresses and bounds that it was started with; changes take effect at the
 /// next start.
-async fn watch_file(path: String, mut last: FileSettings) {
+async fn watch_file(path: String, mut last: FileSettings, reload: SignalSource) {
     loop {
-        let _ = timeout(FILE_CHECK_INTERVAL, signal(SIGHUP)).await;
+        let _ = timeout(FILE_CHECK_INTERVAL, reload.wait()).await;
         match read_file(&path) {
             Ok(file) if file == last => {}
             Ok(file) => {
@@ -78,7 +80,7 @@
     }
 }
 
-async fn run_until_stopped(node: NodeProcess) {
+async fn run_until_stopped(node: NodeProcess, stop: &SignalSource) {
     log::info!(
         "event=node-started callers={} egress={} ingress={} admin={}",
         node.caller_address(),
@@ -86,20 +88,17 @@
         node.peer_address(),
         node.admin_address()
     );
-    wait_for_stop().await;
+    stop.wait().await;
     log::info!("event=node-stopping");
-    node.stop().await;
+    select(pin!(node.stop()), pin!(log_repeated_stops(stop))).await;
     log::info!("event=node-stopped");
 }
 
-/// Waits until the process is signalled to stop.
-pub(crate) async fn wait_for_stop() {
-    let interrupt = signal(SIGINT).fuse();
-    let terminate = signal(SIGTERM).fuse();
-    futures_util::pin_mut!(interrupt, terminate);
-    futures_util::select! {
-        _ = interrupt => (),
-        _ = terminate => (),
+/// Logs the signals that ask a stopping node to stop.
+async fn log_repeated_stops(stop: &SignalSource) {
+    loop {
+        stop.wait().await;
+        log::info!("event=stop-signal-ignored reason=stopping");
     }
 }
 
--- a/crates/lentilshift/src/main.rs
+++ b/crates/lentilshift/src/main.rs
@@ -9,6 +9,7 @@
 mod demo;
 mod exit_status;
 mod process_log;
+mod process_signals;
 mod setting_error;
 mod setting_reader;
 mod setting_value;
--- a/crates/lentilshift/tests/platform_path/platform_fleet.rs
+++ b/crates/lentilshift/tests/platform_path/platform_fleet.rs
@@ -1,5 +1,5 @@
 use std::net::{IpAddr, SocketAddr};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
@@ -154,13 +154,59 @@
         assert!(status.expect("the signal is sent").success());
     }
 
+    /// Sends a signal to a node twice, the second time after a pause.
+    pub fn signal_twice(&self, node: usize, signal: &str, pause: Duration) {
+        let id = self.nodes[node].id().to_string();
+        let send = || Command::new("kill").args([signal, &id]).spawn();
+        let first = send().expect("the signal is sent");
+        std::thread::sleep(pause);
+        let second = send().expect("the signal is sent");
+        for mut sender in [first, second] {
+            assert!(sender.wait().expect("the signal is sent").success());
+        }
+    }
+
+    /// Returns whether a node handles the signals to read its settings again and to stop.
+    pub fn handles_signals(&self, node: usize) -> bool {
+        const HANGUP_AND_TERM: u64 = 1 << 0 | 1 << 14;
+        let path = format!("/proc/{}/status", self.nodes[node].id());
+        let text = std::fs::read_to_string(path).unwrap_or_default();
+        let caught = text.lines().find_map(|line| line.strip_prefix("SigCgt:"));
+        let caught = caught.and_then(|caught| u64::from_str_radix(caught.trim(), 16).ok());
+        caught.is_some_and(|caught| caught & HANGUP_AND_TERM == HANGUP_AND_TERM)
+    }
+
+    /// Waits until a node has ended by itself, and returns its exit status.
+    pub async fn end_of(&mut self, node: usize, limit: Duration) -> ExitStatus {
+        let until = Instant::now() + limit;
+        loop {
+            if let Some(status) = self.nodes[node].try_wait().expect("the node is a child") {
+                return status;
+            }
+            assert!(Instant::now() < until, "the node hasn't ended");
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+
     /// Kills a node and starts it again, and waits until all nodes know that it is ready.
     #[allow(dead_code, reason = "not every test file restarts nodes")]
     pub async fn restart(&mut self, node: usize) {
+        self.kill(node);
+        self.spawn(node);
+        self.wait_until_ready().await;
+    }
+
+    /// Kills a node.
+    #[allow(dead_code, reason = "not every test file restarts nodes")]
+    pub fn kill(&mut self, node: usize) {
         self.nodes[node].kill().expect("the node runs");
         self.nodes[node].wait().expect("the node has ended");
+    }
+
+    /// Starts a node that has ended.
+    #[allow(dead_code, reason = "not every test file restarts nodes")]
+    pub fn spawn(&mut self, node: usize) {
         self.nodes[node] = self.commands[node].spawn().expect("the node starts");
-        self.wait_until_ready().await;
     }
 
     /// Sends a request once; returns `None` when the node refuses the connection or doesn't answer.
--- a/crates/lentilshift/tests/stated_limits.rs
+++ b/crates/lentilshift/tests/stated_limits.rs
@@ -3,7 +3,7 @@
 #[path = "platform_path/platform_fleet.rs"]
 #[allow(
     dead_code,
-    reason = "these tests publish no configuration and stop no node"
+    reason = "these tests publish no configuration, and stop and signal no node"
 )]
 mod platform_fleet;
 
