fix(node): record a departure on the log before it is confirmed

Cause: a confirmed departure was held in the memory of the process only, and a process that knows of no backend server takes any report for a start. Ruled out: the order of reports within one process (the same late report is ignored there), and other nodes, which send on only what the node beside the instance accepts.

A departure, by call, by report or stated in an answer, is now a record of the members stream with the name and start time of the instance; a notice of leaving is answered 200 once the record is on the log, and 503 if that takes over 0.8 s, while it holds in the process at once. A starting process reads the stream up to its own start before it believes a report that says ready; without the log, it believes those that arrive 10 s after its start, when no report from before can be on the way. Only the start that has left, and earlier ones under its name, are refused: one that starts anew is served as before.

A report of a backend server that left before its first report is now ignored for 10 s instead of being taken for that of a leaving one for good.

Decision tests: backend_watch, member_fold.

--- a/crates/lentilshift/tests/platform_path/main.rs
+++ b/crates/lentilshift/tests/platform_path/main.rs
@@ -1,5 +1,6 @@
 //! Tests on the simulated platform: its store, its instances and nodes that run as processes.
 
+mod departures;
 mod platform_fleet;
 mod signals;
 
--- a/crates/lentilshift/tests/platform_path/platform_fleet.rs
+++ b/crates/lentilshift/tests/platform_path/platform_fleet.rs
@@ -209,6 +209,20 @@
         self.nodes[node] = self.commands[node].spawn().expect("the node starts");
     }
 
+    /// Waits until a node is ready for callers.
+    pub async fn wait_until_serving(&self, node: usize, limit: Duration) {
+        let until = Instant::now() + limit;
+        let url = format!("http://{}:{READY}/ready", self.vm_addresses[node]);
+        loop {
+            let answer = self.client.get(&url).unwrap().send().await;
+            if answer.is_ok_and(|answer| answer.status().is_success()) {
+                return;
+            }
+            assert!(Instant::now() < until, "the node isn't ready in time");
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+
     /// Sends a request once; returns `None` when the node refuses the connection or doesn't answer.
     pub async fn try_send(&self, node: usize, request: &CallerRequest) -> Option<CallerResponse> {
         self.request(node, request).await.ok()
--- a/crates/member/src/backend_watch.rs
+++ b/crates/member/src/backend_watch.rs
@@ -4,13 +4,17 @@
 
 use clock::ClockTime;
 use model::ServiceName;
+use serde::{Deserialize, Serialize};
+
+use crate::DepartedBackend;
 
 /// The longest delay assumed for a report, in milliseconds: several times the interval between two
 /// reports.
-const MAX_REPORT_DELAY_MS: u64 = 10_000;
+pub const MAX_REPORT_DELAY_MS: u64 = 10_000;
 
 /// The name that a backend server gives itself; usually a new one for each start.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
 pub struct BackendName(Arc<str>);
 
 impl BackendName {
@@ -163,6 +167,8 @@
     current: Option<CurrentBackend>,
     /// A backend server that announced its departure before its first report, and when.
     departed: Option<(BackendName, ClockTime)>,
+    /// The starts of backend servers that left while an earlier process of the node was running.
+    former: Vec<DepartedBackend>,
 }
 
 /// The backend server of the latest start.
@@ -184,7 +190,37 @@
             address,
             current: None,
             departed: None,
+            former: Vec::new(),
+        }
+    }
+
+    /// Adds a departure that an earlier process of the node has confirmed.
+    pub fn recall(&mut self, now: ClockTime, departure: DepartedBackend) {
+        if departure.started_at_ms.is_none() {
+            self.departed = Some((departure.backend, now));
+        } else if !self.former.contains(&departure) {
+            self.former.push(departure);
+        }
+    }
+
+    /// Returns the departure of a backend server that has left during this process of the node.
+    #[must_use]
+    pub fn departure_of(&self, backend: &BackendName) -> Option<DepartedBackend> {
+        let current = self.current.as_ref();
+        if let Some(current) = current.filter(|current| current.backend == *backend) {
+            let started_at_ms = Some(current.started_at_ms).filter(|started| *started > 0);
+            return current.left_at.map(|_| DepartedBackend {
+                backend: backend.clone(),
+                started_at_ms,
+            });
         }
+        let departed = self.departed.as_ref();
+        departed
+            .filter(|(name, _)| name == backend)
+            .map(|(name, _)| DepartedBackend {
+                backend: name.clone(),
+                started_at_ms: None,
+            })
     }
 
     /// Applies a notice.
@@ -245,6 +281,9 @@
         if report.service != self.service || report.address != self.address {
             return NoticeOutcome::Foreign;
         }
+        if self.has_departed(now, report) {
+            return NoticeOutcome::Late;
+        }
         let Some(current) = &mut self.current else {
             return self.set_current(now, report);
         };
@@ -279,23 +318,32 @@
             started_at_ms: report.started_at_ms,
             sequence: report.sequence,
             slots: report.slots,
-            left_at: (report.is_leaving || self.has_departed(now, &report.backend)).then_some(now),
+            left_at: report.is_leaving.then_some(now),
         });
         NoticeOutcome::Started
     }
 
-    /// Returns whether a backend server has recently announced its departure, so that a report of
-    /// it is a delayed one.
-    fn has_departed(&self, now: ClockTime, backend: &BackendName) -> bool {
-        let departed = self.departed.as_ref();
-        departed
-            .is_some_and(|(name, at)| name == backend && now.since_ms(*at) < MAX_REPORT_DELAY_MS)
+    /// Returns whether the backend server has left before this report of it arrived, so that the
+    /// report is a delayed one.
+    fn has_departed(&self, now: ClockTime, report: &BackendReport) -> bool {
+        let is_recent = |(name, at): &(BackendName, ClockTime)| {
+            *name == report.backend && now.since_ms(*at) < MAX_REPORT_DELAY_MS
+        };
+        let mut former = self.former.iter();
+        self.departed.as_ref().is_some_and(is_recent)
+            || former.any(|departure| departure.covers(&report.backend, report.started_at_ms))
     }
 
     fn apply_gone(&mut self, now: ClockTime, backend: &BackendName) -> NoticeOutcome {
         let current = self.current.as_mut();
         let Some(current) = current.filter(|current| current.backend == *backend) else {
-            self.departed = Some((backend.clone(), now));
+            if !self
+                .former
+                .iter()
+                .any(|departure| departure.backend == *backend)
+            {
+                self.departed = Some((backend.clone(), now));
+            }
             return NoticeOutcome::Late;
         };
         if current.left_at.is_some() {
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -5,10 +5,12 @@
 //! [`MemberFold`] keeps it up to date from the log and from other nodes. [`AnnounceTimer`]
 //! schedules the announcements of one node, [`AnnounceBatch`] collects those of many nodes into one
 //! append, and [`MemberSubset`] selects the VMs that a node keeps links to. [`BackendWatch`] tracks
-//! the backend server beside a node.
+//! the backend server beside a node, and a [`BackendDeparture`] tells the node's next process that it
+//! has left.
 
 mod announce_batch;
 mod announce_timer;
+mod backend_departure;
 mod backend_watch;
 mod member_announcement;
 mod member_fold;
@@ -18,7 +20,10 @@
 
 pub use announce_batch::{AnnounceBatch, BatchSettings};
 pub use announce_timer::AnnounceTimer;
-pub use backend_watch::{BackendName, BackendNotice, BackendReport, BackendWatch, NoticeOutcome};
+pub use backend_departure::{BackendDeparture, DepartedBackend};
+pub use backend_watch::{
+    BackendName, BackendNotice, BackendReport, BackendWatch, MAX_REPORT_DELAY_MS, NoticeOutcome,
+};
 pub use member_announcement::{MemberAnnouncement, MemberState};
 pub use member_fold::MemberFold;
 pub use member_settings::MemberSettings;
--- a/crates/member/src/member_fold.rs
+++ b/crates/member/src/member_fold.rs
@@ -1,7 +1,7 @@
 use clock::ClockTime;
 use streams::{LogOffset, LogRecord, RecordBody, RelaySnapshot, StreamFold};
 
-use crate::{MemberAnnouncement, MemberSettings, MemberSnapshot, MemberView};
+use crate::{BackendDeparture, MemberAnnouncement, MemberSettings, MemberSnapshot, MemberView};
 
 /// The members of the fleet, as a fold over the members stream.
 ///
@@ -59,6 +59,14 @@
         self.is_changed |= is_update && !is_repeated;
     }
 
+    /// Applies a record that holds no announcement.
+    fn apply_departure(&mut self, record: &LogRecord) {
+        match record.body.decode::<BackendDeparture>() {
+            Ok(departure) if departure.is_plausible() => self.view.apply_departure(&departure),
+            Ok(_) | Err(_) => self.unreadable += 1,
+        }
+    }
+
     /// Advances the time up to which the stream was read, and removes announcements that have
     /// expired.
     pub fn expire(&mut self, read_until: ClockTime) {
@@ -99,7 +107,8 @@
             Ok(announcement) if announcement.is_plausible() => {
                 self.apply_announcement(&announcement);
             }
-            Ok(_) | Err(_) => self.unreadable += 1,
+            Ok(_) => self.unreadable += 1,
+            Err(_) => self.apply_departure(record),
         }
     }
 
--- a/crates/member/src/member_view.rs
+++ b/crates/member/src/member_view.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use streams::LogOffset;
 
-use crate::{MemberAnnouncement, MemberSettings, MemberState};
+use crate::{BackendDeparture, MemberAnnouncement, MemberSettings, MemberState};
 
 /// The announcements up to an offset of the members stream.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -14,8 +14,15 @@
     pub covers: LogOffset,
     /// The announcements.
     pub members: Vec<MemberAnnouncement>,
+    /// The departures of backend servers.
+    #[serde(default)]
+    pub departures: Vec<BackendDeparture>,
 }
 
+/// The time for which a departure is kept, in milliseconds: several times the longest delay of a
+/// report of the backend server.
+const DEPARTURE_VALID_MS: u64 = 60_000;
+
 /// The members of the fleet, as known to one node.
 ///
 /// An announcement expires only by time during which the stream was read: an outage of the log,
@@ -26,6 +33,7 @@
     members: BTreeMap<VmName, KnownMember>,
     by_service: BTreeMap<ServiceName, Vec<VmName>>,
     suspects: BTreeMap<VmName, ClockTime>,
+    departures: Vec<KnownDeparture>,
     followed_ms: u64,
     read_until: Option<ClockTime>,
 }
@@ -36,6 +44,12 @@
     expires_at_ms: u64,
 }
 
+#[derive(Clone, Debug)]
+struct KnownDeparture {
+    departure: BackendDeparture,
+    expires_at_ms: u64,
+}
+
 impl MemberView {
     /// Creates a view without members.
     #[must_use]
@@ -45,6 +59,7 @@
             members: BTreeMap::new(),
             by_service: BTreeMap::new(),
             suspects: BTreeMap::new(),
+            departures: Vec::new(),
             followed_ms: 0,
             read_until: None,
         }
@@ -93,8 +108,29 @@
         }
     }
 
-    /// Applies a snapshot from a peer, and returns whether it contained anything new.
+    /// Applies the departure of a backend server, unless no node can have written it.
+    pub fn apply_departure(&mut self, departure: &BackendDeparture) {
+        let mut known = self.departures.iter();
+        if !departure.is_plausible() || known.any(|known| known.departure == *departure) {
+            return;
+        }
+        self.departures.push(KnownDeparture {
+            departure: departure.clone(),
+            expires_at_ms: self.followed_ms.saturating_add(DEPARTURE_VALID_MS),
+        });
+    }
+
+    /// Returns the departures of the backend servers beside all processes of a node on a VM.
+    pub fn departures_on(&self, vm: &VmName) -> impl Iterator<Item = &BackendDeparture> {
+        let all = self.departures.iter().map(|known| &known.departure);
+        all.filter(|departure| departure.vm.without_start() == vm.without_start())
+    }
+
+    /// Applies a snapshot from a peer, and returns whether it contained any new member.
     pub fn apply_snapshot(&mut self, snapshot: &MemberSnapshot) -> bool {
+        for departure in &snapshot.departures {
+            self.apply_departure(departure);
+        }
         let updates = snapshot.members.iter().filter(|member| self.apply(member));
         updates.count() > 0
     }
@@ -103,7 +139,13 @@
     #[must_use]
     pub fn snapshot(&self, covers: LogOffset) -> MemberSnapshot {
         let members = self.members().cloned().collect();
-        MemberSnapshot { covers, members }
+        let departures = self.departures.iter();
+        let departures = departures.map(|known| known.departure.clone()).collect();
+        MemberSnapshot {
+            covers,
+            members,
+            departures,
+        }
     }
 
     /// Advances the time up to which the stream was read, and removes announcements that have
@@ -113,6 +155,8 @@
         self.read_until = self.read_until.max(Some(read_until));
         self.followed_ms += step.min(self.settings.max_step_ms);
         let followed = self.followed_ms;
+        self.departures
+            .retain(|known| known.expires_at_ms > followed);
         let expired = self
             .members
             .values()
--- a/crates/member/tests/backend_watch.rs
+++ b/crates/member/tests/backend_watch.rs
@@ -1,7 +1,9 @@
 //! Tracking of the backend server beside a node from its reports, including late ones.
 
 use clock::ClockTime;
-use lentilshift_member::{BackendName, BackendNotice, BackendReport, BackendWatch, NoticeOutcome};
+use lentilshift_member::{
+    BackendName, BackendNotice, BackendReport, BackendWatch, DepartedBackend, NoticeOutcome,
+};
 use rstest::rstest;
 
 const ADDRESS: &str = "10.0.0.1:80";
@@ -169,3 +171,57 @@
         "the same name after a restart"
     );
 }
+
+/// A restarted node took a delayed report of a backend server that had left for a new start.
+#[rstest]
+#[case::delayed_report("i-1", 5, None)]
+#[case::report_of_an_earlier_start("i-1", 4, None)]
+#[case::start_anew("i-1", 6, Some("i-1"))]
+#[case::another_backend_server("i-2", 5, Some("i-2"))]
+#[case::another_whose_clock_is_behind("i-2", 4, Some("i-2"))]
+fn departure_of_an_earlier_process_holds_until_another_start(
+    #[case] backend: &str,
+    #[case] started_at_ms: u64,
+    #[case] current: Option<&str>,
+) {
+    let mut watch = watch();
+    let departed = DepartedBackend {
+        backend: BackendName::new("i-1"),
+        started_at_ms: Some(5),
+    };
+    watch.recall(ClockTime::from_ms(900), departed);
+    report_to(&mut watch, report(backend, started_at_ms, 9, false));
+    assert_eq!(accepting(&watch), current);
+}
+
+/// A backend server that leaves before its first report tells no start time, so that one that starts
+/// anew under its name is served once no report can be a delayed one any more.
+#[test]
+fn departure_without_a_start_time_holds_while_reports_may_be_delayed() {
+    let mut watch = watch();
+    let departed = DepartedBackend {
+        backend: BackendName::new("i-1"),
+        started_at_ms: None,
+    };
+    watch.recall(ClockTime::from_ms(900), departed);
+    report_to(&mut watch, report("i-1", 5, 1, false));
+    assert_eq!(accepting(&watch), None);
+    let later = ClockTime::from_ms(900 + lentilshift_member::MAX_REPORT_DELAY_MS);
+    watch.apply(later, &BackendNotice::Report(report("i-1", 5, 2, false)));
+    assert_eq!(accepting(&watch), Some("i-1"));
+}
+
+/// The departure that is recorded names the start that has left.
+#[test]
+fn departure_names_the_start() {
+    let mut watch = watch();
+    let name = BackendName::new("i-1");
+    assert_eq!(watch.departure_of(&name), None);
+    report_to(&mut watch, report("i-1", 5, 1, false));
+    assert_eq!(watch.departure_of(&name), None);
+    report_to(&mut watch, report("i-1", 5, 2, true));
+    let departed = watch.departure_of(&name).unwrap();
+    assert_eq!(departed.started_at_ms, Some(5));
+    assert!(departed.covers(&name, 5));
+    assert!(!departed.covers(&name, 6));
+}
--- a/crates/member/tests/member_fold.rs
+++ b/crates/member/tests/member_fold.rs
@@ -2,12 +2,16 @@
 
 use std::net::{Ipv4Addr, SocketAddr};
 
-use lentilshift_member::{MemberAnnouncement, MemberFold, MemberSettings, MemberState};
+use lentilshift_member::{
+    BackendDeparture, BackendName, DepartedBackend, MemberAnnouncement, MemberFold, MemberSettings,
+    MemberState,
+};
 use model::{RecordId, VmName};
 use rand::SeedableRng;
 use rstest::rstest;
 use streams::{
     FoldFeed, FollowSettings, LogOffset, LogRecord, LogStream, ReadBatch, RecordBody, StreamFeed,
+    StreamFold,
 };
 
 fn announcement(sequence: u64, state: MemberState) -> MemberAnnouncement {
@@ -110,3 +114,30 @@
     assert_eq!(*known, announcement(2, MemberState::Ready));
     assert_eq!(fold.unreadable(), 1);
 }
+
+/// A departure reaches the next process of the node, whether it reads the stream or pulls a snapshot.
+#[rstest]
+fn departure_is_known_to_the_next_process_of_the_node() {
+    let departure = BackendDeparture {
+        vm: VmName::new("machine-1.a"),
+        departed: DepartedBackend {
+            backend: BackendName::new("i-1"),
+            started_at_ms: Some(5),
+        },
+    };
+    let fold = MemberFold::new(MemberSettings::default());
+    let mut feed = FoldFeed::new(LogStream::Members, FollowSettings::default(), fold);
+    let body = RecordBody::encode(&departure);
+    read(&mut feed, vec![record(0, body.clone()), record(1, body)]);
+    assert_eq!(feed.fold().unreadable(), 0);
+    let snapshot = feed.fold().snapshot().unwrap();
+    let mut other = MemberFold::new(MemberSettings::default());
+    other.apply_snapshot(clock::ClockTime::ZERO, &snapshot);
+    for fold in [feed.fold(), &mut other] {
+        let next = VmName::new("machine-1.b");
+        let known: Vec<_> = fold.view().departures_on(&next).cloned().collect();
+        assert_eq!(known, std::slice::from_ref(&departure));
+        let neighbour = VmName::new("machine-2.a");
+        assert_eq!(fold.view().departures_on(&neighbour).count(), 0);
+    }
+}
--- a/crates/node/src/backend_statement.rs
+++ b/crates/node/src/backend_statement.rs
@@ -1,7 +1,10 @@
+use std::rc::Rc;
+
 use http::{HeaderMap, HeaderName};
 use limit::{PaceChange, RateStatement};
 use member::BackendName;
 
+use crate::departure_log::record_departure;
 use crate::edge_settings::EdgeSettings;
 use crate::node_core::NodeCore;
 
@@ -40,7 +43,7 @@
 /// Applies what an answer of `backend` says to the state of the backend server and to its queue,
 /// unless another backend server has replaced it.
 pub(crate) fn apply_statement(
-    core: &NodeCore,
+    core: &Rc<NodeCore>,
     backend: Option<&BackendName>,
     statement: BackendStatement,
 ) {
@@ -71,5 +74,6 @@
     if core.backend_watch.borrow_mut().mark_leaving(now, backend) {
         log::info!("event=backend-leaving backend={backend} by=answer");
         core.activity.notify();
+        record_departure(core, backend);
     }
 }
--- /dev/null
+++ b/crates/node/src/departure_log.rs
@@ -0,0 +1,148 @@
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use compio::time::{sleep, timeout};
+use member::{BackendDeparture, BackendName, MAX_REPORT_DELAY_MS};
+use streams::{LogStream, NewRecord, PlatformLog, RecordBody, StreamFeed};
+
+use crate::change_notifier::ChangeNotifier;
+use crate::node_core::NodeCore;
+
+/// The time between two checks whether the members stream has been read up to the start of the
+/// process, in milliseconds.
+const RECALL_CHECK_MS: u64 = 10;
+/// The time after which a failed append of a departure is retried, in milliseconds.
+const RETRY_MS: u64 = 500;
+
+/// The departures of backend servers on the log: those that the earlier processes of the node have
+/// confirmed, and those of this process.
+#[derive(Default)]
+pub(crate) struct DepartureLog {
+    /// Whether the departures of the earlier processes are known, or no longer matter.
+    is_recalled: Cell<bool>,
+    recalled: ChangeNotifier,
+    /// The last departure of this process, and whether its record is on the log.
+    last: RefCell<Option<(BackendDeparture, bool)>>,
+    recorded: ChangeNotifier,
+}
+
+impl DepartureLog {
+    /// Waits until a report can be told from a delayed one of a backend server that left while an
+    /// earlier process was running; returns `false` if that takes longer than `limit`.
+    pub(crate) async fn is_recalled_within(&self, limit: Duration) -> bool {
+        self.is_recalled.get() || timeout(limit, self.recalled.wait()).await.is_ok()
+    }
+
+    /// Waits until the record of a departure is on the log; returns `false` if that takes longer
+    /// than `limit`.
+    pub(crate) async fn is_recorded_within(
+        &self,
+        departure: &BackendDeparture,
+        limit: Duration,
+    ) -> bool {
+        self.has(departure)
+            || (timeout(limit, self.recorded.wait()).await.is_ok() && self.has(departure))
+    }
+
+    fn has(&self, departure: &BackendDeparture) -> bool {
+        let last = self.last.borrow();
+        last.as_ref()
+            .is_some_and(|(last, is_recorded)| last == departure && *is_recorded)
+    }
+
+    /// Makes a departure the last one, and returns whether it was another one before.
+    fn start(&self, departure: &BackendDeparture) -> bool {
+        let mut last = self.last.borrow_mut();
+        let is_new = last.as_ref().is_none_or(|(last, _)| last != departure);
+        if is_new {
+            *last = Some((departure.clone(), false));
+        }
+        is_new
+    }
+
+    fn finish(&self, departure: &BackendDeparture) {
+        if let Some((last, is_recorded)) = &mut *self.last.borrow_mut()
+            && last == departure
+        {
+            *is_recorded = true;
+        }
+        self.recorded.notify();
+    }
+}
+
+/// Learns from the members stream which backend servers left while earlier processes of the node
+/// were running.
+///
+/// Until the stream has been read up to the start of this process, a report may be a delayed one of
+/// such a backend server. A report sent before the start has arrived by the time that the longest
+/// delay has passed, so nothing is waited for after that.
+pub(crate) async fn recall_departures(core: Rc<NodeCore>) {
+    let is_read = |core: &NodeCore| {
+        let now = core.now();
+        let fresh_at = core.fleet.with(|feed| feed.fresh_at());
+        fresh_at.is_some_and(|fresh_at| fresh_at.age_ms(now) <= now.as_ms())
+    };
+    while !is_read(&core) {
+        if core.now().as_ms() >= MAX_REPORT_DELAY_MS {
+            log::warn!("event=departures-unknown waited_ms={MAX_REPORT_DELAY_MS}");
+            break;
+        }
+        sleep(Duration::from_millis(RECALL_CHECK_MS)).await;
+    }
+    let now = core.now();
+    let departures: Vec<BackendDeparture> = core.fleet.with(|feed| {
+        let view = feed.fold().view();
+        view.departures_on(&core.settings.vm).cloned().collect()
+    });
+    for departure in departures {
+        log::info!(
+            "event=departure-recalled backend={} by={}",
+            departure.departed.backend,
+            departure.vm
+        );
+        core.backend_watch
+            .borrow_mut()
+            .recall(now, departure.departed);
+    }
+    core.departures.is_recalled.set(true);
+    core.departures.recalled.notify();
+}
+
+/// Returns the record of the departure of a backend server that has left during this process, and
+/// appends it to the log unless that is already being done.
+pub(crate) fn record_departure(
+    core: &Rc<NodeCore>,
+    backend: &BackendName,
+) -> Option<BackendDeparture> {
+    let departed = core.backend_watch.borrow().departure_of(backend)?;
+    let departure = BackendDeparture {
+        vm: core.settings.vm.clone(),
+        departed,
+    };
+    if core.departures.start(&departure) {
+        let core = Rc::clone(core);
+        let appended = departure.clone();
+        compio::runtime::spawn(async move { append_departure(&core, &appended).await }).detach();
+    }
+    Some(departure)
+}
+
+async fn append_departure(core: &NodeCore, departure: &BackendDeparture) {
+    loop {
+        let record = NewRecord {
+            id: core.new_record_id(),
+            body: RecordBody::encode(departure),
+        };
+        match core.log.append(LogStream::Members, vec![record]).await {
+            Ok(_) => break,
+            Err(error) => log::warn!(
+                "event=departure-not-recorded backend={} error={:?}",
+                departure.departed.backend,
+                error.to_string()
+            ),
+        }
+        sleep(Duration::from_millis(RETRY_MS)).await;
+    }
+    core.departures.finish(departure);
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -29,6 +29,7 @@
 mod config_watch;
 mod count_guard;
 mod decision_waiters;
+mod departure_log;
 mod dispatch;
 mod edge_settings;
 mod egress;
--- a/crates/node/src/node_core.rs
+++ b/crates/node/src/node_core.rs
@@ -25,6 +25,7 @@
 use crate::claim_watch::ClaimDecision;
 use crate::config_state::ConfigState;
 use crate::decision_waiters::DecisionWaiters;
+use crate::departure_log::DepartureLog;
 use crate::held_answer::HeldAnswers;
 use crate::ingress_gate::IngressGate;
 use crate::node_clock::NodeClock;
@@ -63,6 +64,8 @@
     pub(crate) appender_vm: RefCell<Option<VmName>>,
     /// The state of the local backend server as last reported, if it sends reports.
     pub(crate) backend_watch: RefCell<BackendWatch>,
+    /// The departures of backend servers that are on the log.
+    pub(crate) departures: DepartureLog,
     /// The members of the fleet.
     pub(crate) fleet: StreamHost<FoldFeed<MemberFold>>,
     pub(crate) rates: StreamHost<FoldFeed<RateState>>,
@@ -160,6 +163,7 @@
             contract: RefCell::default(),
             routes: RefCell::default(),
             backend_watch: RefCell::new(watch),
+            departures: DepartureLog::default(),
             log,
             config: StreamHost::new(clock, ConfigState::new(&settings)),
             fleet: StreamHost::new(clock, FoldFeed::new(LogStream::Members, follow, fleet)),
--- a/crates/node/src/node_process.rs
+++ b/crates/node/src/node_process.rs
@@ -19,6 +19,7 @@
 use crate::announce::announce_node;
 use crate::claim_watch::{ClaimWatch, poll_claims};
 use crate::config_watch::{ConfigWatch, repeat_config};
+use crate::departure_log::recall_departures;
 use crate::egress::answer_backend;
 use crate::entry::answer_caller;
 use crate::fleet_watch::{FleetWatch, StreamPlans, apply_members, seed_plan, set_relay_plans};
@@ -150,6 +151,7 @@
         set_relay_plans(core, &plans, BTreeMap::new(), has_peers);
         spawn(follow_config(Rc::clone(core))).detach();
         spawn(follow_fleet(Rc::clone(core))).detach();
+        spawn(recall_departures(Rc::clone(core))).detach();
         spawn(follow_rates(Rc::clone(core))).detach();
         spawn(follow_claims(Rc::clone(core))).detach();
         spawn(repeat_config(Rc::clone(core))).detach();
--- a/crates/node/src/report_port.rs
+++ b/crates/node/src/report_port.rs
@@ -1,4 +1,5 @@
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode};
@@ -9,11 +10,16 @@
 
 use crate::answer_body::AnswerBody;
 use crate::call_body::CallBody;
+use crate::departure_log::record_departure;
 use crate::node_core::NodeCore;
 
 /// The maximum size of a notice from a backend server, in bytes; typical ones have a few hundred.
 const MAX_NOTICE_BYTES: usize = 16 * 1024;
 
+/// The maximum time until a notice is answered. The backend server takes one that isn't answered
+/// within a second as lost.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(800);
+
 /// An error in a notice from a backend server.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum NoticeError {
@@ -31,7 +37,8 @@
 /// Handles a request by which the backend server reports its state.
 ///
 /// The notice is applied before the request is answered, so a leaving backend server receives no
-/// new calls after the answer.
+/// new calls after the answer. A departure is also recorded on the log before, so that it binds the
+/// next process of the node.
 pub(crate) async fn answer_report(
     core: Rc<NodeCore>,
     request: Request<Incoming>,
@@ -48,10 +55,7 @@
         }
     };
     match (reports.read_notice)(&parts.method, parts.uri.path(), &body) {
-        Ok(notice) => {
-            apply_notice(&core, &notice);
-            status_response(StatusCode::OK)
-        }
+        Ok(notice) => status_response(handle_notice(&core, &notice).await),
         Err(NoticeError::UnknownCall) => status_response(StatusCode::NOT_FOUND),
         Err(error) => {
             log::warn!("event=notice-refused error={:?}", error.to_string());
@@ -60,6 +64,33 @@
     }
 }
 
+/// Applies a notice and returns the status of its answer.
+async fn handle_notice(core: &Rc<NodeCore>, notice: &BackendNotice) -> StatusCode {
+    if !notice.is_leaving() && !core.departures.is_recalled_within(ANSWER_TIMEOUT).await {
+        log::info!(
+            "event=notice-refused backend={} error=\"earlier departures aren't known yet\"",
+            notice.backend()
+        );
+        return StatusCode::SERVICE_UNAVAILABLE;
+    }
+    apply_notice(core, notice);
+    if !notice.is_leaving() {
+        return StatusCode::OK;
+    }
+    let Some(departure) = record_departure(core, notice.backend()) else {
+        return StatusCode::OK;
+    };
+    let recording = core
+        .departures
+        .is_recorded_within(&departure, ANSWER_TIMEOUT);
+    if recording.await {
+        StatusCode::OK
+    } else {
+        log::warn!("event=departure-unconfirmed backend={}", notice.backend());
+        StatusCode::SERVICE_UNAVAILABLE
+    }
+}
+
 /// Applies a notice to the state of the backend server and to its queue.
 fn apply_notice(core: &NodeCore, notice: &BackendNotice) {
     let now = core.now();
--- a/crates/standin/src/instance_server.rs
+++ b/crates/standin/src/instance_server.rs
@@ -49,6 +49,8 @@
     address: SocketAddr,
     runs: RefCell<Vec<InstanceRun>>,
     sequence: Cell<u64>,
+    /// When the instance started, in milliseconds since 1970.
+    started_at_ms: Cell<u64>,
     run_ms: Cell<u64>,
     stated_limit: RefCell<Option<String>>,
     states_leaving: Cell<bool>,
@@ -69,6 +71,7 @@
             address: listener.local_addr()?,
             runs: RefCell::default(),
             sequence: Cell::new(0),
+            started_at_ms: Cell::new(1),
             run_ms: Cell::new(0),
             stated_limit: RefCell::default(),
             states_leaving: Cell::new(false),
@@ -123,7 +126,7 @@
             "state": state,
             "warmup-left-ms": 0,
             "sequence": self.sequence.get(),
-            "born": 1,
+            "born": self.started_at_ms.get(),
         });
         let url = format!("http://{node}/instances/{}", self.id);
         let Ok(request) = self.client.put(url) else {
@@ -133,6 +136,22 @@
         sent.is_ok_and(|answer| answer.status().is_success())
     }
 
+    /// Tells a node that the instance is gone, and returns whether the node acknowledged it.
+    pub async fn depart(&self, node: SocketAddr) -> bool {
+        let url = format!("http://{node}/instances/{}", self.id);
+        let Ok(request) = self.client.delete(url) else {
+            return false;
+        };
+        let sent = request.send().await;
+        sent.is_ok_and(|answer| answer.status().is_success())
+    }
+
+    /// Starts the instance anew under its id: its reports tell of another start from now on.
+    pub fn start_anew(&self) {
+        self.started_at_ms.set(self.started_at_ms.get() + 1);
+        self.sequence.set(0);
+    }
+
     async fn serve(self: Rc<Self>, stream: TcpStream) {
         let service = service_fn(|request| {
             let answer = self.answer(&request);
