fix(node): bound the interim answers of a backend server

Nine kinds of endless answers were tried against the running program, 12 callers at once. Memory stayed at 16 to 17 MB a process for all of them: hyper bounds heads, trailers and chunk extensions, and bodies are passed on as they are read.

Cause: interim answers are skipped without a bound, and the connection of a request that was given up goes on reading them, on the only thread of the node.

A connection now fails once the bytes before the end of an answer's head exceed a bound.

The bounds themselves: faulty_answers.

--- a/crates/lentilshift/src/args.rs
+++ b/crates/lentilshift/src/args.rs
@@ -100,6 +100,20 @@
         help = "longest time that a stop waits for running calls"
     )]
     pub(crate) stop_limit_ms: Option<String>,
+    #[options(
+        no_short,
+        meta = "BYTES",
+        help = "longest head, and longest trailers, of an answer"
+    )]
+    pub(crate) answer_head_bytes: Option<String>,
+    #[options(
+        no_short,
+        meta = "BYTES",
+        help = "most bytes of interim answers before an answer"
+    )]
+    pub(crate) answer_interim_bytes: Option<String>,
+    #[options(no_short, meta = "BYTES", help = "longest body of an answer")]
+    pub(crate) answer_body_bytes: Option<String>,
     #[options(
         no_short,
         meta = "LEVEL",
--- a/crates/lentilshift/src/commands/node.rs
+++ b/crates/lentilshift/src/commands/node.rs
@@ -6,7 +6,7 @@
 use futures_util::future::select;
 use log::LevelFilter;
 use model::{RecordId, VmName};
-use node::{NodeProcess, NodeSettings};
+use node::{AnswerLimits, NodeProcess, NodeSettings};
 use platform::FileSettings;
 
 use crate::args::NodeArgs;
@@ -129,8 +129,17 @@
     let peers = reader.list("peer", &args.peer);
     let secret = reader.required("fleet-secret", args.fleet_secret.as_deref());
     let stop_limit_ms = reader.optional("stop-limit-ms", args.stop_limit_ms.as_deref());
+    let head = reader.optional("answer-head-bytes", args.answer_head_bytes.as_deref());
+    let interim = args.answer_interim_bytes.as_deref();
+    let interim = reader.optional("answer-interim-bytes", interim);
+    let body = reader.optional("answer-body-bytes", args.answer_body_bytes.as_deref());
     let log_level = reader.optional("log-level", args.log_level.as_deref());
     let base = NodeSettings::loopback(random_vm_name(), service?, secret?);
+    let answers = AnswerLimits {
+        head_bytes: head.unwrap_or(base.answers.head_bytes),
+        interim_bytes: interim.unwrap_or(base.answers.interim_bytes),
+        body_bytes: body.unwrap_or(base.answers.body_bytes),
+    };
     let node = NodeSettings {
         centre: centre?,
         caller_address: callers?,
@@ -143,6 +152,7 @@
         platform_address: platform?,
         peers,
         stop_limit_ms: stop_limit_ms.unwrap_or(base.stop_limit_ms),
+        answers,
         ..base
     };
     let log_level = log_level.unwrap_or(LevelFilter::Info);
--- a/crates/lentilshift/tests/platform_path/main.rs
+++ b/crates/lentilshift/tests/platform_path/main.rs
@@ -1,6 +1,7 @@
 //! Tests on the simulated platform: its store, its instances and nodes that run as processes.
 
 mod departures;
+mod endless_answers;
 mod platform_fleet;
 mod signals;
 
--- a/crates/lentilshift/tests/platform_path/platform_fleet.rs
+++ b/crates/lentilshift/tests/platform_path/platform_fleet.rs
@@ -4,6 +4,8 @@
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
 
+use compio::io::AsyncWriteExt;
+use compio::net::TcpStream;
 use compio::time::sleep;
 use http::HeaderMap;
 use serde_json::json;
@@ -22,6 +24,7 @@
     pub host: &'static str,
     pub path: &'static str,
     pub key: Option<&'static str>,
+    pub deadline_ms: u64,
 }
 
 impl CallerRequest {
@@ -30,6 +33,7 @@
             host: "cairns.example",
             path,
             key: Some(KEY),
+            deadline_ms: 3_000,
         }
     }
 }
@@ -209,6 +213,29 @@
         self.nodes[node] = self.commands[node].spawn().expect("the node starts");
     }
 
+    /// Opens a connection to a node, sends a request and returns the connection.
+    pub async fn open(&self, node: usize, method: &str, request: &CallerRequest) -> TcpStream {
+        let address = SocketAddr::new(self.vm_addresses[node], CALLERS);
+        let mut stream = TcpStream::connect(address).await.expect("the node listens");
+        let text = format!(
+            "{method} {} HTTP/1.1\r\nHost: {}\r\nRequest-Id: 9c41d07be2a35f68\r\n\
+             Deadline-Ms: {}\r\nContent-Length: 0\r\n\r\n",
+            request.path, request.host, request.deadline_ms
+        );
+        let sent = stream.write_all(text).await.0;
+        sent.expect("the request is sent");
+        stream
+    }
+
+    /// Returns the memory that a node has resident, in bytes, or `None` if it has ended.
+    pub fn memory_bytes(&self, node: usize) -> Option<u64> {
+        let path = format!("/proc/{}/status", self.nodes[node].id());
+        let text = std::fs::read_to_string(path).ok()?;
+        let resident = text.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
+        let kilobytes: u64 = resident.split_whitespace().next()?.parse().ok()?;
+        Some(kilobytes * 1_024)
+    }
+
     /// Waits until a node is ready for callers.
     pub async fn wait_until_serving(&self, node: usize, limit: Duration) {
         let until = Instant::now() + limit;
@@ -253,10 +280,11 @@
             "http://{}:{CALLERS}{}",
             self.vm_addresses[node], request.path
         );
+        let deadline_ms = request.deadline_ms.to_string();
         let mut headers = vec![
             ("host", request.host),
             ("request-id", "9c41d07be2a35f68"),
-            ("deadline-ms", "3000"),
+            ("deadline-ms", &deadline_ms),
         ];
         headers.extend(request.key.map(|key| ("api-key", key)));
         let request = self.client.get(url).unwrap();
--- a/crates/node/src/backend_pool.rs
+++ b/crates/node/src/backend_pool.rs
@@ -11,13 +11,15 @@
 use http::{HeaderValue, Request, Response};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::client::conn::http1::{self, SendRequest};
 use model::RunVerdict;
 use rustix::net::sockopt::set_tcp_user_timeout;
 use thiserror::Error;
 use wire::BufferedStream;
 
 use crate::answer_check::{AnswerError, AnswerKind, classify_answer};
+use crate::answer_limits::AnswerLimits;
+use crate::answer_stream::{AnswerStream, HeadBudget};
 use crate::backend_statement::BackendStatement;
 use crate::call_body::CallBody;
 use crate::edge_settings::EdgeSettings;
@@ -91,6 +93,7 @@
 /// A connection to the backend server.
 struct BackendConnection {
     sender: SendRequest<CallBody>,
+    budget: HeadBudget,
     /// Whether no request was sent on it yet.
     is_new: bool,
     /// The ids of the requests that were refused on it. The backend server may repeat a refusal, so
@@ -113,6 +116,7 @@
 pub(crate) struct BackendPool {
     address: SocketAddr,
     clock: NodeClock,
+    limits: AnswerLimits,
     idle: RefCell<VecDeque<IdleConnection>>,
     /// A connection that never carries a request; its close shows a crash of the backend server.
     monitor: RefCell<Option<SendRequest<CallBody>>>,
@@ -122,10 +126,11 @@
 }
 
 impl BackendPool {
-    pub(crate) const fn new(address: SocketAddr, clock: NodeClock) -> Self {
+    pub(crate) const fn new(address: SocketAddr, clock: NodeClock, limits: AnswerLimits) -> Self {
         Self {
             address,
             clock,
+            limits,
             idle: RefCell::new(VecDeque::new()),
             monitor: RefCell::new(None),
             is_down: Cell::new(false),
@@ -152,8 +157,10 @@
                 Err(SendFailure::Failed(error)) => return Err(error),
             }
         }
+        let budget = HeadBudget::default();
         let connection = BackendConnection {
-            sender: self.connect().await?,
+            sender: self.connect(Rc::clone(&budget)).await?,
+            budget,
             is_new: true,
             refused: Vec::new(),
         };
@@ -175,7 +182,7 @@
         if is_open {
             return true;
         }
-        let opened = self.connect().await.ok();
+        let opened = self.connect(HeadBudget::default()).await.ok();
         let is_up = opened.is_some();
         self.is_down.set(!is_up);
         self.monitor.replace(opened);
@@ -190,7 +197,7 @@
             .borrow()
             .as_ref()
             .is_some_and(SendRequest::is_closed);
-        is_monitor_closed || self.connect().await.is_err()
+        is_monitor_closed || self.connect(HeadBudget::default()).await.is_err()
     }
 
     /// Marks the backend server as down, and returns whether it wasn't before.
@@ -218,12 +225,16 @@
         }
     }
 
-    async fn connect(&self) -> Result<SendRequest<CallBody>, BackendError> {
+    async fn connect(&self, budget: HeadBudget) -> Result<SendRequest<CallBody>, BackendError> {
         let stream = TcpStream::connect(self.address).await?;
         stream.set_nodelay(true)?;
         set_tcp_user_timeout(&stream, TCP_USER_TIMEOUT_MS).map_err(io::Error::from)?;
-        let stream = BufferedStream::new(stream);
-        let opened = handshake(stream).await;
+        let stream = AnswerStream::new(BufferedStream::new(stream), budget);
+        let head_bytes = self.limits.head_bytes.max(AnswerLimits::MIN_HEAD_BYTES);
+        let head_bytes = usize::try_from(head_bytes).unwrap_or(usize::MAX);
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(head_bytes).max_header_size(head_bytes);
+        let opened = builder.handshake(stream).await;
         let (sender, connection) = opened.map_err(BackendError::Failed)?;
         compio::runtime::spawn(connection).detach();
         Ok(sender)
@@ -258,7 +269,11 @@
     ) -> Result<BackendAnswer, SendFailure> {
         let is_first = std::mem::take(&mut connection.is_new);
         let wait = AnswerWaitGuard::start(self);
+        let limits = &self.limits;
+        let budget = limits.head_bytes.saturating_add(limits.interim_bytes);
+        connection.budget.set(Some(budget));
         let sent = connection.sender.try_send_request(request).await;
+        connection.budget.set(None);
         wait.finish();
         match sent {
             Ok(response) => {
--- a/crates/node/src/http_body.rs
+++ b/crates/node/src/http_body.rs
@@ -8,9 +8,11 @@
 use crate::call_body::CallBodyError;
 use crate::stall_timer::StallTimer;
 
-/// A body that arrives over HTTP and fails if its sender stalls.
+/// A body that arrives over HTTP and fails if its sender stalls or if it is too long.
 pub(crate) struct HttpBody {
     body: Incoming,
+    /// The number of bytes that may still arrive.
+    left_bytes: u64,
     timer: StallTimer,
 }
 
@@ -19,9 +21,24 @@
     pub(crate) fn new(body: Incoming, stall_limit_ms: u64) -> Self {
         Self {
             body,
+            left_bytes: u64::MAX,
             timer: StallTimer::new(stall_limit_ms),
         }
     }
+
+    /// Makes the body fail after `max_bytes` bytes.
+    pub(crate) const fn limited_to(mut self, max_bytes: u64) -> Self {
+        self.left_bytes = max_bytes;
+        self
+    }
+
+    /// Counts the bytes of a frame, and fails if the body is too long.
+    fn count(&mut self, frame: Frame<Bytes>) -> Result<Frame<Bytes>, CallBodyError> {
+        let bytes = frame.data_ref().map_or(0, |data| data.len() as u64);
+        let left_bytes = self.left_bytes.checked_sub(bytes);
+        self.left_bytes = left_bytes.ok_or(CallBodyError::TooLong)?;
+        Ok(frame)
+    }
 }
 
 impl Body for HttpBody {
@@ -34,7 +51,7 @@
     ) -> Poll<Option<Result<Frame<Bytes>, CallBodyError>>> {
         if let Poll::Ready(frame) = Pin::new(&mut self.body).poll_frame(context) {
             self.timer.record_progress();
-            return Poll::Ready(frame.map(|result| result.map_err(CallBodyError::from)));
+            return Poll::Ready(frame.map(|frame| self.count(frame?)));
         }
         let stalled = self.timer.poll_stalled(context);
         stalled.map(|()| Some(Err(CallBodyError::Stalled)))
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -299,8 +299,17 @@
     if parts.status.is_success() {
         record_downstream_calls(core, head, &run.call.downstream_calls.borrow());
     }
-    let body = HttpBody::new(body, core.settings.stall_limit_ms);
+    let max_bytes = core.settings.answers.body_bytes;
+    let body = HttpBody::new(body, core.settings.stall_limit_ms).limited_to(max_bytes);
     let mut body = CallBody::Http(body);
+    if body.known_len().is_some_and(|bytes| bytes > max_bytes) {
+        let refusal = CallRefusal::may_have_run(RefusalReason::BackendFailed);
+        return CallAnswer::refused(
+            head,
+            &refusal.with_service(&head.service),
+            run.take_allowance(),
+        );
+    }
     let mut answer = AnswerHead {
         request: head.request,
         attempt: head.attempt,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,7 +12,9 @@
 mod announcement_appender;
 mod answer_body;
 mod answer_check;
+mod answer_limits;
 mod answer_replay;
+mod answer_stream;
 mod attempt_guard;
 mod attempt_query;
 mod backend_pool;
@@ -73,6 +75,7 @@
 mod task_loop;
 mod usage_report;
 
+pub use answer_limits::AnswerLimits;
 pub use edge_settings::EdgeSettings;
 pub use fleet_bounds::FleetBounds;
 pub use node_process::{NodeError, NodeProcess};
--- a/crates/node/src/node_core.rs
+++ b/crates/node/src/node_core.rs
@@ -190,7 +190,11 @@
             routers: RefCell::default(),
             ready_members: Cell::new(0),
             links: PeerLinks::default(),
-            backend: Rc::new(BackendPool::new(settings.backend_address, clock)),
+            backend: Rc::new(BackendPool::new(
+                settings.backend_address,
+                clock,
+                settings.answers,
+            )),
             gate,
             running: RunningCalls::default(),
             held: HeldAnswers::default(),
--- a/crates/node/src/node_settings.rs
+++ b/crates/node/src/node_settings.rs
@@ -8,6 +8,7 @@
 use streams::{FollowSettings, PlanSettings, TrustSettings};
 use wire::{FleetSecret, LinkSettings};
 
+use crate::answer_limits::AnswerLimits;
 use crate::edge_settings::EdgeSettings;
 use crate::report_port::NoticeReader;
 
@@ -64,6 +65,8 @@
     pub stall_limit_ms: u64,
     /// The time in which the complete head of a request must arrive, in milliseconds.
     pub head_limit_ms: u64,
+    /// The bounds on the answers of the backend server.
+    pub answers: AnswerLimits,
     /// The settings of links to other nodes.
     pub link: LinkSettings,
     /// How calls are queued for the backend server and shed.
@@ -124,6 +127,7 @@
             stop_limit_ms: 60_000,
             stall_limit_ms: 30_000,
             head_limit_ms: 10_000,
+            answers: AnswerLimits::default(),
             link: LinkSettings::default(),
             queue: QueueSettings::default(),
             edge: EdgeSettings::default(),
--- a/crates/node/tests/faulty_answers.rs
+++ b/crates/node/tests/faulty_answers.rs
@@ -1,9 +1,11 @@
-//! Backend servers that write an earlier refusal once more, or only a part of an answer's head.
+//! Backend servers that write an earlier refusal once more, only a part of an answer's head, or more
+//! than an answer may have.
 
 mod fleet;
 mod scripted;
 
 use fleet::Fleet;
+use lentilshift_node::{AnswerLimits, NodeSettings};
 use rstest::rstest;
 use scripted::{NOT_RUN, REQUEST_ID, ScriptedAnswer, ScriptedBackend, answer_text};
 use standin::BackendSettings;
@@ -13,11 +15,19 @@
 
 /// Starts the node of a scripted backend server of `filings`, and another node.
 async fn start_fleet(backend: &ScriptedBackend) -> Fleet {
+    start_limited_fleet(backend, AnswerLimits::default()).await
+}
+
+/// Starts the same fleet with bounds on answers.
+async fn start_limited_fleet(backend: &ScriptedBackend, answers: AnswerLimits) -> Fleet {
     let mut fleet = Fleet::start().await;
     let settings = BackendSettings::default();
     fleet
         .add_with_settings("filings-1", "filings", settings.clone(), |settings| {
-            backend.settings(settings)
+            backend.settings(NodeSettings {
+                answers,
+                ..settings
+            })
         })
         .await;
     fleet
@@ -176,6 +186,72 @@
     assert!(method == "GET" || backend.runs("first") == 1);
 }
 
+/// The bounds on answers in the tests of these bounds.
+const LIMITS: AnswerLimits = AnswerLimits {
+    head_bytes: AnswerLimits::MIN_HEAD_BYTES,
+    interim_bytes: 1_000,
+    body_bytes: 1_000,
+};
+
+/// Guards against an answer beyond a bound being passed on, or being taken for a success.
+#[rstest]
+#[case::head("HTTP/1.1 200 OK\r\nrequest-id: ID\r\nx-filler: ", 10_000, "\r\n\r\n")]
+#[case::interim("HTTP/1.1 103 Early Hints\r\nx-filler: ", 7_000, "\r\n\r\n")]
+#[case::body(
+    "HTTP/1.1 200 OK\r\nrequest-id: ID\r\ncontent-length: 2000\r\n\r\n",
+    2_000,
+    ""
+)]
+#[case::chunks(
+    "HTTP/1.1 200 OK\r\nrequest-id: ID\r\ntransfer-encoding: chunked\r\n\r\n1f4\r\n",
+    500,
+    "\r\n"
+)]
+#[compio::test]
+async fn answer_beyond_a_bound_is_no_success(
+    #[case] start: &'static str,
+    #[case] fill: usize,
+    #[case] end: &'static str,
+) {
+    let backend = ScriptedBackend::start(move |request| {
+        let bytes = start.replace("ID", &request.id) + &"x".repeat(fill) + end;
+        let later = match (start.contains("103"), start.contains("chunked")) {
+            (true, _) => bytes.clone() + &answer_text("200 OK", &request.id, ""),
+            (_, true) => format!("3e8\r\n{}\r\n0\r\n\r\n", "x".repeat(1_000)),
+            _ => String::new(),
+        };
+        ScriptedAnswer {
+            runs: true,
+            bytes,
+            later,
+            ..ScriptedAnswer::default()
+        }
+    })
+    .await;
+    let fleet = start_limited_fleet(&backend, LIMITS).await;
+    let (status, body) = send(&fleet, "POST", "first").await;
+    assert!(status == 502 || body == "cut", "{status} {body:?}");
+    assert_eq!(backend.runs("first"), 1);
+}
+
+/// An answer within the bounds is passed on whole.
+#[rstest]
+#[compio::test]
+async fn answer_within_the_bounds_is_whole() {
+    let backend = ScriptedBackend::start(|request| {
+        let interim = "HTTP/1.1 103 Early Hints\r\n\r\n".repeat(30);
+        let head = format!("x-filler: {}\r\n", "x".repeat(6_000));
+        ScriptedAnswer {
+            runs: true,
+            bytes: interim + &answer_text("200 OK", &request.id, &head),
+            ..ScriptedAnswer::default()
+        }
+    })
+    .await;
+    let fleet = start_limited_fleet(&backend, LIMITS).await;
+    assert_eq!(send(&fleet, "POST", "first").await, (200, "ok".to_owned()));
+}
+
 /// The scripted backend server answers properly when it is told to.
 #[rstest]
 #[compio::test]
--- a/crates/standin/src/instance_server.rs
+++ b/crates/standin/src/instance_server.rs
@@ -16,6 +16,7 @@
 use hyper::service::service_fn;
 use serde_json::json;
 
+use crate::endless_answer::{EndlessPart, serve_endless};
 use crate::http_parts::{TextResponse, text, wait_ms};
 
 /// The header that names the only instance that may run the request.
@@ -54,6 +55,7 @@
     run_ms: Cell<u64>,
     stated_limit: RefCell<Option<String>>,
     states_leaving: Cell<bool>,
+    endless_part: Cell<Option<EndlessPart>>,
     client: cyper::Client,
 }
 
@@ -75,6 +77,7 @@
             run_ms: Cell::new(0),
             stated_limit: RefCell::default(),
             states_leaving: Cell::new(false),
+            endless_part: Cell::new(None),
             client: cyper::Client::new().map_err(io::Error::other)?,
         });
         let accepting = Rc::clone(&server);
@@ -114,6 +117,12 @@
         self.states_leaving.set(true);
     }
 
+    /// Sets the part that the answers on new connections have without end, or `None` for proper
+    /// answers.
+    pub fn set_endless(&self, part: Option<EndlessPart>) {
+        self.endless_part.set(part);
+    }
+
     /// Reports `state` to a node, and returns whether the node acknowledged the report.
     pub async fn report(&self, node: SocketAddr, state: &str) -> bool {
         self.sequence.set(self.sequence.get() + 1);
@@ -152,7 +161,12 @@
         self.sequence.set(0);
     }
 
-    async fn serve(self: Rc<Self>, stream: TcpStream) {
+    async fn serve(self: Rc<Self>, mut stream: TcpStream) {
+        if let Some(part) = self.endless_part.get() {
+            // The caller closes the connection at some point, so errors are expected.
+            let _ = serve_endless(&mut stream, part).await;
+            return;
+        }
         let service = service_fn(|request| {
             let answer = self.answer(&request);
             let run_ms = self.run_ms.get();
--- a/crates/wire/src/buffered_stream.rs
+++ b/crates/wire/src/buffered_stream.rs
@@ -16,13 +16,25 @@
 /// A node holds hundreds of connections, most of them idle. An idle connection uses a few kilobytes,
 /// and a read only touches the part of the reader's buffer that it fills.
 #[derive(Debug)]
-pub struct BufferedStream(Pin<Box<AsyncStream<TcpStream>>>);
+pub struct BufferedStream {
+    stream: Pin<Box<AsyncStream<TcpStream>>>,
+    received: u64,
+}
 
 impl BufferedStream {
     /// Wraps a connection.
     #[must_use]
     pub fn new(stream: TcpStream) -> Self {
-        Self(Box::pin(AsyncStream::with_capacity(BUFFER_BYTES, stream)))
+        Self {
+            stream: Box::pin(AsyncStream::with_capacity(BUFFER_BYTES, stream)),
+            received: 0,
+        }
+    }
+
+    /// Returns the number of bytes that have been read.
+    #[must_use]
+    pub const fn received(&self) -> u64 {
+        self.received
     }
 }
 
@@ -32,10 +44,11 @@
         context: &mut Context<'_>,
         mut buffer: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        let bytes = ready!(self.0.as_mut().poll_fill_buf(context))?;
+        let bytes = ready!(self.stream.as_mut().poll_fill_buf(context))?;
         let count = bytes.len().min(buffer.remaining());
         buffer.put_slice(&bytes[..count]);
-        self.0.as_mut().consume(count);
+        self.stream.as_mut().consume(count);
+        self.received += count as u64;
         Poll::Ready(Ok(()))
     }
 }
@@ -46,7 +59,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.0.as_mut().poll_write(context, bytes)
+        self.stream.as_mut().poll_write(context, bytes)
     }
 
     fn poll_write_vectored(
@@ -54,7 +67,7 @@
         context: &mut Context<'_>,
         pieces: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.0.as_mut().poll_write_vectored(context, pieces)
+        self.stream.as_mut().poll_write_vectored(context, pieces)
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -62,10 +75,10 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.0.as_mut().poll_flush(context)
+        self.stream.as_mut().poll_flush(context)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.0.as_mut().poll_close(context)
+        self.stream.as_mut().poll_close(context)
     }
 }
