fix(node): refuse calls late in a stop that the process may cut

It can happen here: of requests without a key sent over new connections from 3.3 s after SIGTERM, while the instance ran calls, some reached an instance and their connections were closed at the end of the process.

Cause: a stopping node refuses requests of callers after 3 s, but a request without a key on an open route counts as a call of the backend server while that runs calls, and such calls were taken until the process ended. The backend server's own port had no limit either.

Ruled out: requests with a key, which get 503; connections opened before the signal, which are closed after 3 s when they are idle.

From 3 s on, a call of the backend server is refused as not run if its deadline is later than the end of the stop. Shorter deadlines for late calls were weighed: an instance that is still at work at its shortened deadline has its request broken off all the same. Requests of callers are refused by the time since the signal, not by a task that may wake up late.

--- a/crates/lentilshift/tests/platform_path/platform_fleet.rs
+++ b/crates/lentilshift/tests/platform_path/platform_fleet.rs
@@ -1,3 +1,4 @@
+use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::rc::Rc;
@@ -80,6 +81,15 @@
     client: cyper::Client,
 }
 
+/// Returns the bytes of a request.
+pub fn request_text(method: &str, request: &CallerRequest) -> String {
+    format!(
+        "{method} {} HTTP/1.1\r\nHost: {}\r\nRequest-Id: 9c41d07be2a35f68\r\n\
+         Deadline-Ms: {}\r\nContent-Length: 0\r\n\r\n",
+        request.path, request.host, request.deadline_ms
+    )
+}
+
 impl Drop for PlatformFleet {
     fn drop(&mut self) {
         for node in &mut self.nodes {
@@ -122,12 +132,15 @@
                    "target-latency-ms": 200, "priority": 1, "service": "archive",
                    "max-attempts": 2, "allow-anonymous": is_open})
         };
+        let slow = json!({"name": "r-slow", "path-prefix": "/slow/", "kind": "unsafe",
+                          "timeout-ms": 6_000, "target-latency-ms": 500, "priority": 1,
+                          "service": "archive", "max-attempts": 2, "allow-anonymous": true});
         let body = json!({
             "version": format!("{version:08x}"),
             "services": [{"name": "archive"}, {"name": "registry"}],
             "tenants": [{"name": "clubs", "api-keys": [key], "rate-per-s": 5000, "burst": 5000}],
             "virtual-hosts": [{"host": "cairns.example",
-                "paths": [route("r-keyed", path, false), route("r-open", "/open/", true)]}],
+                "paths": [route("r-keyed", path, false), route("r-open", "/open/", true), slow]}],
         });
         self.store
             .put("keyed.op", "config", body.to_string().as_bytes());
@@ -213,16 +226,15 @@
         self.nodes[node] = self.commands[node].spawn().expect("the node starts");
     }
 
+    /// Opens a connection to a node.
+    pub async fn connect(&self, node: usize) -> io::Result<TcpStream> {
+        TcpStream::connect(SocketAddr::new(self.vm_addresses[node], CALLERS)).await
+    }
+
     /// Opens a connection to a node, sends a request and returns the connection.
     pub async fn open(&self, node: usize, method: &str, request: &CallerRequest) -> TcpStream {
-        let address = SocketAddr::new(self.vm_addresses[node], CALLERS);
-        let mut stream = TcpStream::connect(address).await.expect("the node listens");
-        let text = format!(
-            "{method} {} HTTP/1.1\r\nHost: {}\r\nRequest-Id: 9c41d07be2a35f68\r\n\
-             Deadline-Ms: {}\r\nContent-Length: 0\r\n\r\n",
-            request.path, request.host, request.deadline_ms
-        );
-        let sent = stream.write_all(text).await.0;
+        let mut stream = self.connect(node).await.expect("the node listens");
+        let sent = stream.write_all(request_text(method, request)).await.0;
         sent.expect("the request is sent");
         stream
     }
--- a/crates/node/src/egress.rs
+++ b/crates/node/src/egress.rs
@@ -17,10 +17,10 @@
 use crate::call_headers::{CALL_ID, find_deadline_ms};
 use crate::chain_admission::check_chain;
 use crate::dispatch::dispatch_call;
-use crate::entry::{EntryCall, call_headers, find_entry};
+use crate::entry::{EntryCall, call_headers, find_entry, not_ready};
 use crate::http_answer::{build_response, refusal_response};
 use crate::node_core::NodeCore;
-use crate::request_body::buffer_small_body;
+use crate::request_body::{buffer_small_body, discard_body};
 use crate::running_calls::RunningCall;
 
 /// The retry allowance of a request that the backend server sends outside any running call.
@@ -72,6 +72,10 @@
 ) -> Result<CallAnswer, CallRefusal> {
     let started = core.now();
     let deadline = find_deadline(core, &parts.headers, &entry, None);
+    if core.may_cut(deadline) {
+        discard_body(&parts, body);
+        return Err(not_ready());
+    }
     let allowance = entry.contract.attempts.saturating_sub(1);
     let parent = core
         .running
@@ -124,6 +128,10 @@
     let entry = find_entry(core, &parts, None);
     let entry = entry.ok_or_else(|| CallRefusal::not_run(RefusalReason::NoSuchCall))?;
     let deadline = find_deadline(core, &parts.headers, &entry, parent.as_deref());
+    if core.may_cut(deadline) {
+        discard_body(&parts, body);
+        return Err(not_ready());
+    }
     let head = build_head(core, request_id, entry, &parts, parent.as_deref());
     check_chain(core, &head, deadline)?;
     let body = buffer_small_body(core, body, deadline).await?;
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -30,8 +30,8 @@
 /// The retry delay for callers of a node whose keys are too old to be trusted, in milliseconds.
 const KEYS_STALE_RETRY_AFTER_MS: u64 = 2_000;
 
-/// The retry delay for callers of a node without a contract, in milliseconds. A starting node has
-/// read the log by then.
+/// The retry delay for callers of a node that is starting or stopping, in milliseconds. A starting
+/// node has read the log by then.
 const NOT_READY_RETRY_AFTER_MS: u64 = 500;
 
 /// The call that an entering request makes, with its contract.
@@ -121,9 +121,8 @@
     request_id: RequestId,
     parts: &Parts,
 ) -> Result<(CallHead, ClockTime, EntryPermit), CallRefusal> {
-    if !core.has_contract() || core.drain.is_triggered() {
-        let refusal = CallRefusal::not_run(RefusalReason::NotReady);
-        return Err(refusal.with_retry_after_ms(NOT_READY_RETRY_AFTER_MS));
+    if !core.has_contract() || core.has_left() {
+        return Err(not_ready());
     }
     let edge = &core.settings.edge;
     let key = find_key(&parts.headers, edge);
@@ -148,6 +147,11 @@
     Ok((head, deadline, permit))
 }
 
+/// Returns the refusal of a node that is starting or stopping.
+pub(crate) fn not_ready() -> CallRefusal {
+    CallRefusal::not_run(RefusalReason::NotReady).with_retry_after_ms(NOT_READY_RETRY_AFTER_MS)
+}
+
 fn build_head(
     core: &NodeCore,
     request_id: RequestId,
--- a/crates/node/src/node_core.rs
+++ b/crates/node/src/node_core.rs
@@ -41,6 +41,10 @@
 
 /// The maximum rate of appends to the platform's log for the claims of the whole fleet.
 const CLAIM_APPENDS_PER_S: u64 = 200;
+/// How long a stop waits for callers and other nodes to move to other nodes, in milliseconds.
+pub(crate) const LEAVE_DELAY_MS: u64 = 3_000;
+/// How long before the end of a stop the last answer is complete, in milliseconds.
+const LAST_ANSWER_MARGIN_MS: u64 = 100;
 /// How long a leaving backend server still accepts calls from other nodes, which may not have
 /// learned of the leave yet, in milliseconds.
 const LEAVE_ACCEPT_MS: u64 = 2_000;
@@ -393,6 +397,23 @@
         watch.reachable(self.now(), reports.leave_grace_ms).cloned()
     }
 
+    /// Returns whether callers have had the time to move to other nodes, so that their requests are
+    /// refused.
+    pub(crate) fn has_left(&self) -> bool {
+        let left_at = self.leave_started_at.get();
+        left_at.is_some_and(|left_at| self.now().since_ms(left_at) >= LEAVE_DELAY_MS)
+    }
+
+    /// Returns whether the process may end before a call of the backend server does, which is then
+    /// refused rather than cut.
+    pub(crate) fn may_cut(&self, deadline: ClockTime) -> bool {
+        let stop_ms = self.settings.stop_limit_ms;
+        let span_ms = stop_ms.saturating_sub(LAST_ANSWER_MARGIN_MS);
+        let left_at = self.leave_started_at.get();
+        let is_late = |left_at: ClockTime| deadline > left_at.plus_ms(span_ms);
+        self.has_left() && left_at.is_some_and(is_late)
+    }
+
     /// Returns whether calls from other nodes are accepted.
     ///
     /// Shortly after a leave they still are, as other nodes may not have learned of it.
--- a/crates/node/src/node_process.rs
+++ b/crates/node/src/node_process.rs
@@ -24,7 +24,7 @@
 use crate::entry::answer_caller;
 use crate::fleet_watch::{FleetWatch, StreamPlans, apply_members, seed_plan, set_relay_plans};
 use crate::http_port::{PortUser, serve_port};
-use crate::node_core::NodeCore;
+use crate::node_core::{LEAVE_DELAY_MS, NodeCore};
 use crate::node_settings::NodeSettings;
 use crate::peer_port::PeerPort;
 use crate::rate_watch::{RateWatch, poll_rates};
@@ -40,8 +40,6 @@
 const MEMBER_TICK_MS: u64 = 250;
 /// The exclusive upper bound of the random incarnation under which a start first announces itself.
 const MAX_FIRST_INCARNATION: u64 = 1 << 32;
-/// How long a stop waits for callers and other nodes to move to other nodes, in milliseconds.
-const LEAVE_DELAY_MS: u64 = 3_000;
 /// How long a stop waits for the last bytes to be sent over the links, in milliseconds.
 const FLUSH_DELAY_MS: u64 = 250;
 
