test: soak of overlapping signals, restarts, departures and configurations

Three nodes as processes, nine callers that keep using their connections until the process is gone. Stops come with repeated signals and overlap with SIGHUP pairs, departures followed by delayed reports, configurations and, in the second kind, kills. Checked: no request runs twice, none that is refused has run, no answer is foreign, none that was passed on is cut around planned work, none reaches an instance later than 2 s after its confirmed departure, and every stop ends with success.

--- a/crates/lentilshift/tests/platform_path/main.rs
+++ b/crates/lentilshift/tests/platform_path/main.rs
@@ -5,6 +5,8 @@
 mod late_requests;
 mod platform_fleet;
 mod signals;
+mod soak;
+mod soak_caller;
 
 use std::time::Duration;
 
--- a/crates/lentilshift/tests/platform_path/platform_fleet.rs
+++ b/crates/lentilshift/tests/platform_path/platform_fleet.rs
@@ -193,11 +193,16 @@
         caught.is_some_and(|caught| caught & HANGUP_AND_TERM == HANGUP_AND_TERM)
     }
 
+    /// Returns the exit status of a node if it has ended.
+    pub fn ended(&mut self, node: usize) -> Option<ExitStatus> {
+        self.nodes[node].try_wait().expect("the node is a child")
+    }
+
     /// Waits until a node has ended by itself, and returns its exit status.
     pub async fn end_of(&mut self, node: usize, limit: Duration) -> ExitStatus {
         let until = Instant::now() + limit;
         loop {
-            if let Some(status) = self.nodes[node].try_wait().expect("the node is a child") {
+            if let Some(status) = self.ended(node) {
                 return status;
             }
             assert!(Instant::now() < until, "the node hasn't ended");
@@ -226,9 +231,14 @@
         self.nodes[node] = self.commands[node].spawn().expect("the node starts");
     }
 
+    /// Returns the address of a node for callers.
+    pub fn caller_address(&self, node: usize) -> SocketAddr {
+        SocketAddr::new(self.vm_addresses[node], CALLERS)
+    }
+
     /// Opens a connection to a node.
     pub async fn connect(&self, node: usize) -> io::Result<TcpStream> {
-        TcpStream::connect(SocketAddr::new(self.vm_addresses[node], CALLERS)).await
+        TcpStream::connect(self.caller_address(node)).await
     }
 
     /// Opens a connection to a node, sends a request and returns the connection.
