fix(node): hold reports instead of refusing them until departures are known

A starting node answered 503 to reports that say ready until it had read the departures before its start, so an instance could wait for its next report, up to a heartbeat interval longer.

--- a/crates/node/src/departure_log.rs
+++ b/crates/node/src/departure_log.rs
@@ -1,17 +1,22 @@
 use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Duration;
 
 use compio::time::{sleep, timeout};
-use member::{BackendDeparture, BackendName, MAX_REPORT_DELAY_MS};
+use member::{BackendDeparture, BackendName, BackendNotice, MAX_REPORT_DELAY_MS};
 use streams::{LogStream, NewRecord, PlatformLog, RecordBody, StreamFeed};
 
 use crate::change_notifier::ChangeNotifier;
 use crate::node_core::NodeCore;
+use crate::report_port::apply_notice;
 
 /// The time between two checks whether the members stream has been read up to the start of the
 /// process, in milliseconds.
 const RECALL_CHECK_MS: u64 = 10;
+/// The most reports that are held: more than a backend server sends in the longest time for which
+/// they are.
+const MAX_HELD_REPORTS: usize = 16;
 /// The time after which a failed append of a departure is retried, in milliseconds.
 const RETRY_MS: u64 = 500;
 
@@ -21,17 +26,27 @@
 pub(crate) struct DepartureLog {
     /// Whether the departures of the earlier processes are known, or no longer matter.
     is_recalled: Cell<bool>,
-    recalled: ChangeNotifier,
+    /// The reports that have arrived before, which may be delayed ones of a backend server that has
+    /// left.
+    held: RefCell<VecDeque<BackendNotice>>,
     /// The last departure of this process, and whether its record is on the log.
     last: RefCell<Option<(BackendDeparture, bool)>>,
     recorded: ChangeNotifier,
 }
 
 impl DepartureLog {
-    /// Waits until a report can be told from a delayed one of a backend server that left while an
-    /// earlier process was running; returns `false` if that takes longer than `limit`.
-    pub(crate) async fn is_recalled_within(&self, limit: Duration) -> bool {
-        self.is_recalled.get() || timeout(limit, self.recalled.wait()).await.is_ok()
+    /// Holds a report until the departures of the earlier processes are known, and returns whether
+    /// they aren't yet.
+    pub(crate) fn holds(&self, notice: &BackendNotice) -> bool {
+        if self.is_recalled.get() || notice.is_leaving() {
+            return false;
+        }
+        let mut held = self.held.borrow_mut();
+        if held.len() == MAX_HELD_REPORTS {
+            held.pop_front();
+        }
+        held.push_back(notice.clone());
+        true
     }
 
     /// Waits until the record of a departure is on the log; returns `false` if that takes longer
@@ -75,8 +90,9 @@
 /// were running.
 ///
 /// Until the stream has been read up to the start of this process, a report may be a delayed one of
-/// such a backend server. A report sent before the start has arrived by the time that the longest
-/// delay has passed, so nothing is waited for after that.
+/// such a backend server, and is held. A report sent before the start has arrived by the time that the
+/// longest delay has passed, so nothing is waited for after that; those that arrived until then are
+/// dropped, and the next ones are believed.
 pub(crate) async fn recall_departures(core: Rc<NodeCore>) {
     let is_read = |core: &NodeCore| {
         let now = core.now();
@@ -86,6 +102,7 @@
     while !is_read(&core) {
         if core.now().as_ms() >= MAX_REPORT_DELAY_MS {
             log::warn!("event=departures-unknown waited_ms={MAX_REPORT_DELAY_MS}");
+            core.departures.held.take();
             break;
         }
         sleep(Duration::from_millis(RECALL_CHECK_MS)).await;
@@ -106,7 +123,9 @@
             .recall(now, departure.departed);
     }
     core.departures.is_recalled.set(true);
-    core.departures.recalled.notify();
+    for notice in core.departures.held.take() {
+        apply_notice(&core, &notice);
+    }
 }
 
 /// Returns the record of the departure of a backend server that has left during this process, and
--- a/crates/node/src/report_port.rs
+++ b/crates/node/src/report_port.rs
@@ -16,8 +16,8 @@
 /// The maximum size of a notice from a backend server, in bytes; typical ones have a few hundred.
 const MAX_NOTICE_BYTES: usize = 16 * 1024;
 
-/// The maximum time until a notice is answered. The backend server takes one that isn't answered
-/// within a second as lost.
+/// The maximum time until a notice of leaving is answered. The backend server takes one that isn't
+/// answered within a second as lost.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// An error in a notice from a backend server.
@@ -66,12 +66,8 @@
 
 /// Applies a notice and returns the status of its answer.
 async fn handle_notice(core: &Rc<NodeCore>, notice: &BackendNotice) -> StatusCode {
-    if !notice.is_leaving() && !core.departures.is_recalled_within(ANSWER_TIMEOUT).await {
-        log::info!(
-            "event=notice-refused backend={} error=\"earlier departures aren't known yet\"",
-            notice.backend()
-        );
-        return StatusCode::SERVICE_UNAVAILABLE;
+    if core.departures.holds(notice) {
+        return StatusCode::OK;
     }
     apply_notice(core, notice);
     if !notice.is_leaving() {
@@ -92,7 +88,7 @@
 }
 
 /// Applies a notice to the state of the backend server and to its queue.
-fn apply_notice(core: &NodeCore, notice: &BackendNotice) {
+pub(crate) fn apply_notice(core: &NodeCore, notice: &BackendNotice) {
     let now = core.now();
     let outcome = core.backend_watch.borrow_mut().apply(now, notice);
     let slots = core.backend_watch.borrow().slots();
