test: send the last request after the whole switch time of a stop

A trace shows that the test is wrong: its five requests of 0.8 s keep the node busy for less than 3.3 s when some of them are told 429 at once; then the last request was sent 2.996 s after the signal, when the node still takes requests.

--- a/crates/lentilshift/tests/platform_path/main.rs
+++ b/crates/lentilshift/tests/platform_path/main.rs
@@ -142,11 +142,12 @@
     fleet.terminate(0);
     let stopping = compio::time::sleep(SWITCH_TIME);
     let keeping_busy = async {
-        for _ in 0..5 {
+        loop {
             let request = CallerRequest::new("/records/7");
             let _ = fleet.try_send(0, &request).await;
         }
     };
+    // The second future never ends, so that the last request is sent after the whole time.
     futures_util::future::select(Box::pin(stopping), Box::pin(keeping_busy)).await;
     if let Some(response) = fleet.try_send(0, &CallerRequest::new("/records/7")).await {
         assert_eq!(response.status, 503, "{response:?}");
