--- a/crates/rate/tests/support/mod.rs
+++ b/crates/rate/tests/support/mod.rs
@@ -2,6 +2,7 @@
 //! checked against.
 #![allow(dead_code, reason = "each test file uses only some items")]
 
+pub mod lease_model;
 pub mod naive;
 pub mod simulation;
 
