test(rate): refuse nobody later than a second after VMs are lost for good

Guards against refusals of teams within their rates (429) after the loss of machines, for fleets of 2 to 95 nodes that read the log every 1 to 1.5 s, as nodes do on the users' platform: one node (the allocator, a successor, another), a third, all but one, a data centre. The simulation gains the interval between reads, and losses at once that are published once.

The loss of one successor of a pair or of three refuses the team for all of the 30 s observed, the others for 2.5 to 13.6 s. In no case was more admitted than rate and burst allow.

Ruled out: a first version killed VMs one by one and published the members after each, in an order that delays could change; a node could then keep a list with lost VMs, and all but one of 9 and 15 seemed refused without end. That was the simulation's fault.

--- a/crates/rate/tests/support/simulation.rs
+++ b/crates/rate/tests/support/simulation.rs
@@ -139,6 +139,8 @@
     pub traffic_from: u64,
     /// The log's retention time, in milliseconds.
     pub retain_ms: u64,
+    /// The bounds of the time between two reads of the log by a node, in milliseconds.
+    pub read_interval_ms: (u64, u64),
 }
 
 impl<N: SimNode> Simulation<N> {
@@ -194,6 +196,7 @@
             poll_every_ms: 1,
             traffic_from: WARM_UP_MS,
             retain_ms: u64::MAX,
+            read_interval_ms: (5, 80),
         };
         for index in 0..vms {
             simulation.start(CentreName::new(format!("dc-{}", index % centres)));
@@ -322,13 +325,7 @@
 
     /// Kills all VMs of a data centre, which restart after `away_ms` at the earliest.
     pub fn kill_centre(&mut self, centre: &str, away_ms: u64) {
-        let is_in_centre = |(_, host): &(&VmName, &Host<N>)| host.centre.as_str() == centre;
-        let vms: Vec<_> = self
-            .hosts
-            .iter()
-            .filter(is_in_centre)
-            .map(|(vm, _)| vm.clone())
-            .collect();
+        let vms = self.vms_of(centre);
         if vms.len() < self.hosts.len() {
             for vm in &vms {
                 self.kill(vm, away_ms);
@@ -337,11 +334,18 @@
     }
 
     pub fn kill(&mut self, vm: &VmName, away_ms: u64) {
-        let host = self.hosts.remove(vm).unwrap();
-        self.event_count += 1;
-        let restart_at = self.now + away_ms + self.random.random_range(100..6_000);
-        self.starts
-            .insert((restart_at, self.event_count), host.centre);
+        self.kill_at_once(std::slice::from_ref(vm), away_ms);
+    }
+
+    /// Kills VMs, which restart after `away_ms` at the earliest, and publishes their loss once.
+    pub fn kill_at_once(&mut self, vms: &[VmName], away_ms: u64) {
+        for vm in vms {
+            let host = self.hosts.remove(vm).unwrap();
+            self.event_count += 1;
+            let restart_at = self.now + away_ms + self.random.random_range(100..6_000);
+            self.starts
+                .insert((restart_at, self.event_count), host.centre);
+        }
         self.publish_members();
     }
 
@@ -452,7 +456,8 @@
             }
             host.read = self.log.len();
             host.node.log_caught_up(now);
-            host.next_read = self.now + self.random.random_range(5..80);
+            let (shortest_ms, longest_ms) = self.read_interval_ms;
+            host.next_read = self.now + self.random.random_range(shortest_ms..longest_ms);
         }
         if host.next_poll <= self.now {
             host.next_poll = self.now + self.poll_every_ms;
@@ -614,6 +619,13 @@
         }
     }
 
+    /// Returns all VMs of a data centre.
+    pub fn vms_of(&self, centre: &str) -> Vec<VmName> {
+        let is_in_centre = |(_, host): &(&VmName, &Host<N>)| host.centre.as_str() == centre;
+        let hosts = self.hosts.iter().filter(is_in_centre);
+        hosts.map(|(vm, _)| vm.clone()).collect()
+    }
+
     /// Returns the first VM in a data centre.
     pub fn vm_in(&self, centre: &str) -> VmName {
         self.vm_in_where(centre, |_, _| true)
