fix(search): report a search that ends in its first state as not exhausted

A violation of the initial state left `is_exhausted` at true, so the report said that all states had been visited. Any other violation sets it to false.

--- a/crates/search/src/state_search.rs
+++ b/crates/search/src/state_search.rs
@@ -71,12 +71,15 @@
         states: 1,
         depth: 0,
         is_exhausted: true,
-        violation: model
-            .violation(&first)
-            .map(|property| violation(property, &visited, 0)),
+        violation: None,
     };
+    if let Some(property) = model.violation(&first) {
+        report.is_exhausted = false;
+        report.violation = Some(violation(property, &visited, 0));
+        return report;
+    }
     let mut layer = vec![(0, first)];
-    while report.violation.is_none() && !layer.is_empty() && report.depth < limits.max_depth {
+    while !layer.is_empty() && report.depth < limits.max_depth {
         let mut next = Vec::new();
         for (index, state) in &layer {
             for event in model.events(state) {
--- a/crates/search/tests/state_search.rs
+++ b/crates/search/tests/state_search.rs
@@ -78,6 +78,13 @@
     assert_eq!(report.depth, 6);
 }
 
+#[test]
+fn initial_state_is_checked() {
+    let report = search_states(&WaterJugs { target: 0 }, SearchLimits::default());
+    assert_eq!((report.states, report.is_exhausted), (1, false));
+    assert!(report.violation.unwrap().events.is_empty());
+}
+
 #[test]
 fn all_states_are_visited_once() {
     let report = search_states(&WaterJugs { target: 6 }, SearchLimits::default());
