refactor(rate): one place for a platform node's settings in the tests

`vm_loss` and the lease model had the same settings each, and `lease_search` read its number from the environment as `seeds` does.

--- a/crates/rate/tests/lease_search.rs
+++ b/crates/rate/tests/lease_search.rs
@@ -1,4 +1,4 @@
-//! Searches all orders of faults, up to a number of them, for two allocators of one share, for
+//! Searches all orders of faults, up to `LENTILSHIFT_FAULTS` or else one of them, for two allocators of one share, for
 //! excess over a team's rate, and for a loss after which nobody grants tokens any more.
 
 mod support;
@@ -7,12 +7,6 @@
 use search::{SearchLimits, SearchReport, SearchViolation, search_states};
 use support::lease_model::{LeaseEvent, LeaseModel, LeaseProperty};
 
-/// Returns the number of faults in a sequence: `LENTILSHIFT_FAULTS` or else 1.
-fn faults() -> usize {
-    let raised = std::env::var("LENTILSHIFT_FAULTS").ok();
-    raised.and_then(|text| text.parse().ok()).unwrap_or(1)
-}
-
 fn search(model: &LeaseModel) -> SearchReport<LeaseEvent> {
     let limits = SearchLimits {
         max_states: usize::MAX,
@@ -26,7 +20,7 @@
 fn violation(nodes: usize, property: LeaseProperty) -> Option<SearchViolation<LeaseEvent>> {
     let model = LeaseModel {
         nodes,
-        faults: faults(),
+        faults: support::number_from_env("LENTILSHIFT_FAULTS", 1),
         property,
         ..LeaseModel::default()
     };
--- a/crates/rate/tests/support/lease_model.rs
+++ b/crates/rate/tests/support/lease_model.rs
@@ -10,7 +10,7 @@
 use model::{CentreName, TeamName, VmName};
 use search::SearchModel;
 
-use super::ExactBucket;
+use super::{ExactBucket, platform_settings};
 
 /// The length of a step, in milliseconds.
 const STEP_MS: u64 = 250;
@@ -84,7 +84,7 @@
     /// The number of nodes.
     pub nodes: usize,
     /// The largest number of faults in a sequence.
-    pub faults: usize,
+    pub faults: u64,
     /// The property that is checked.
     pub property: LeaseProperty,
     /// The drift of the clocks from the start of the search on, in parts per million; every other
@@ -144,7 +144,7 @@
     members_at_ms: Option<u64>,
     bucket: ExactBucket,
     is_exceeded: bool,
-    faults: usize,
+    faults: u64,
     fault_at_ms: u64,
     starts: u64,
 }
@@ -153,13 +153,7 @@
     fn start(&mut self, name: &str, drift_ppm: u64) {
         self.starts += 1;
         let vm = VmName::new(format!("{name}.{}", self.starts));
-        let settings = RateSettings {
-            abandon_ms: 4_500,
-            snapshot_ms: 5_000,
-            wait_ms: 250,
-            ..RateSettings::default()
-        };
-        let mut limiter = TeamLimiter::new(vm.clone(), centre(), settings);
+        let mut limiter = TeamLimiter::new(vm.clone(), centre(), platform_settings());
         limiter.set_contract([(team(), RATE)], 1);
         let node = LeaseNode {
             limiter,
--- a/crates/rate/tests/support/mod.rs
+++ b/crates/rate/tests/support/mod.rs
@@ -9,7 +9,9 @@
 use std::collections::BTreeMap;
 
 use clock::ClockTime;
-use lentilshift_rate::{RateAction, RateDecision, RateMessage, RateRecord, TeamLimiter, TeamRate};
+use lentilshift_rate::{
+    RateAction, RateDecision, RateMessage, RateRecord, RateSettings, TeamLimiter, TeamRate,
+};
 use model::{CentreName, TeamName, VmName};
 
 pub type Contract = BTreeMap<TeamName, TeamRate>;
@@ -145,8 +147,23 @@
     times_ms.iter().filter(|time| !bucket.take(**time)).count()
 }
 
+/// Returns the settings of a node on the users' platform, whose log retains records for 20 s.
+pub fn platform_settings() -> RateSettings {
+    RateSettings {
+        abandon_ms: 4_500,
+        snapshot_ms: 5_000,
+        wait_ms: 250,
+        ..RateSettings::default()
+    }
+}
+
 /// Returns the number of seeds to run: `LENTILSHIFT_SEEDS` or else `default`.
 pub fn seeds(default: u64) -> u64 {
-    let raised = std::env::var("LENTILSHIFT_SEEDS").ok();
+    number_from_env("LENTILSHIFT_SEEDS", default)
+}
+
+/// Returns the number in an environment variable, or else `default`.
+pub fn number_from_env(name: &str, default: u64) -> u64 {
+    let raised = std::env::var(name).ok();
     raised.and_then(|text| text.parse().ok()).unwrap_or(default)
 }
--- a/crates/rate/tests/vm_loss.rs
+++ b/crates/rate/tests/vm_loss.rs
@@ -3,7 +3,7 @@
 
 mod support;
 
-use lentilshift_rate::{LeaseRecord, RateRecord, RateSettings, TeamLimiter};
+use lentilshift_rate::{LeaseRecord, RateRecord, TeamLimiter};
 use model::{CentreName, VmName};
 use rstest::rstest;
 use support::simulation::{Faults, Simulation, TeamLoad, WARM_UP_MS};
@@ -32,15 +32,8 @@
     Centre,
 }
 
-/// The settings that a node derives from the bounds of its fleet.
 fn limiter(vm: VmName, centre: CentreName) -> TeamLimiter {
-    let settings = RateSettings {
-        abandon_ms: 4_500,
-        snapshot_ms: 5_000,
-        wait_ms: 250,
-        ..RateSettings::default()
-    };
-    TeamLimiter::new(vm, centre, settings)
+    TeamLimiter::new(vm, centre, support::platform_settings())
 }
 
 /// Returns the newest lease of the first data centre.
