feat(node): evacuate a data centre at the operators' request

Cause: operators ask that the backend servers of a data centre get nothing more until they take it back; no part of the node knew of it.

Senders leave its VMs out at once; the node beside a backend server there refuses what arrives from 1 s after it has learned of it, so the whole fleet keeps to it. Ruled out: announcing each VM there as leaving (slower, and a departure binds), routers alone (a sender that is out of touch goes on), a key of the contract text (races with changes). New command: lentilshift evacuate.

--- a/crates/lentilshift/src/app.rs
+++ b/crates/lentilshift/src/app.rs
@@ -4,7 +4,7 @@
 
 use crate::args::{AppArgs, AppCommand};
 use crate::command_error::CommandError;
-use crate::commands::{check, demo, dump, key, node, publish, show};
+use crate::commands::{check, demo, dump, evacuate, key, node, publish, show};
 use crate::exit_status::ExitStatus;
 
 /// Parses the command line and runs the selected command.
@@ -30,6 +30,7 @@
         AppCommand::Publish(args) => publish::run_publish(args).await,
         AppCommand::Show(args) => show::run_show(args).await,
         AppCommand::Key(args) => key::run_key(args).await,
+        AppCommand::Evacuate(args) => evacuate::run_evacuate(args).await,
         AppCommand::Dump(args) => dump::run_dump(args).await,
         AppCommand::Demo(args) => demo::run_demo(args).await,
     }
--- a/crates/lentilshift/src/args.rs
+++ b/crates/lentilshift/src/args.rs
@@ -25,6 +25,8 @@
     Show(ShowArgs),
     #[options(help = "grant and withdraw keys")]
     Key(KeyArgs),
+    #[options(help = "send no more requests to the backend servers of a data centre")]
+    Evacuate(EvacuateArgs),
     #[options(help = "show the state of a node")]
     Dump(DumpArgs),
     #[options(help = "run a small fleet in this process and show how it handles requests")]
@@ -193,6 +195,19 @@
     pub(crate) platform: Option<String>,
 }
 
+/// Begins or ends the evacuation of a data centre.
+#[derive(Debug, Options)]
+pub(crate) struct EvacuateArgs {
+    #[options(help = "print this help")]
+    pub(crate) help: bool,
+    #[options(free, help = "CENTRE to evacuate")]
+    pub(crate) centre: Option<String>,
+    #[options(no_short, help = "end the evacuation")]
+    pub(crate) end: bool,
+    #[options(no_short, meta = "ADDRESS", help = "the platform's log")]
+    pub(crate) platform: Option<String>,
+}
+
 /// Shows the state of a node as JSON.
 #[derive(Debug, Options)]
 pub(crate) struct DumpArgs {
--- a/crates/lentilshift/src/commands/mod.rs
+++ b/crates/lentilshift/src/commands/mod.rs
@@ -3,6 +3,7 @@
 pub(crate) mod check;
 pub(crate) mod demo;
 pub(crate) mod dump;
+pub(crate) mod evacuate;
 pub(crate) mod key;
 pub(crate) mod node;
 pub(crate) mod publish;
--- a/crates/lentilshift/tests/platform_path/main.rs
+++ b/crates/lentilshift/tests/platform_path/main.rs
@@ -2,6 +2,7 @@
 
 mod departures;
 mod endless_answers;
+mod evacuation;
 mod late_requests;
 mod platform_fleet;
 mod signals;
--- a/crates/lentilshift/tests/platform_path/platform_fleet.rs
+++ b/crates/lentilshift/tests/platform_path/platform_fleet.rs
@@ -102,6 +102,11 @@
 impl PlatformFleet {
     /// Starts two instances of one service and one of another, and waits until all nodes are ready.
     pub async fn start() -> Self {
+        Self::start_in(["here"; 3]).await
+    }
+
+    /// Starts the same fleet with each instance in a zone of its own choice.
+    pub async fn start_in(zones: [&str; 3]) -> Self {
         let store = StoreServer::default();
         let address = store.start().await.unwrap();
         let mut fleet = Self {
@@ -114,8 +119,8 @@
             client: cyper::Client::new().unwrap(),
         };
         fleet.publish(4, KEY, "/records/");
-        for service in ["archive", "archive", "registry"] {
-            fleet.add(service, address).await;
+        for (service, zone) in ["archive", "archive", "registry"].into_iter().zip(zones) {
+            fleet.add(service, zone, address).await;
         }
         fleet.wait_until_ready().await;
         fleet
@@ -320,7 +325,7 @@
         })
     }
 
-    async fn add(&mut self, service: &str, store: SocketAddr) {
+    async fn add(&mut self, service: &str, zone: &str, store: SocketAddr) {
         let number = u8::try_from(self.vm_addresses.len()).expect("a fleet is small");
         let vm = vm_address(self.number, number);
         let instance = InstanceServer::start(service, &format!("i-{number}")).await;
@@ -328,7 +333,7 @@
         let listen = |port: u16| format!("{vm}:{port}");
         let settings = json!({
             "node": format!("machine-{number}"),
-            "zone": "here",
+            "zone": zone,
             "service": service,
             "listen": {"outbound": listen(CALLERS), "inbound": listen(PEERS),
                        "ready": listen(READY), "control": listen(REPORTS)},
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -6,12 +6,13 @@
 //! schedules the announcements of one node, [`AnnounceBatch`] collects those of many nodes into one
 //! append, and [`MemberSubset`] selects the VMs that a node keeps links to. [`BackendWatch`] tracks
 //! the backend server beside a node, and a [`BackendDeparture`] tells the node's next process that it
-//! has left.
+//! has left. [`CentreEvacuation`] holds the data centres whose backend servers get no requests.
 
 mod announce_batch;
 mod announce_timer;
 mod backend_departure;
 mod backend_watch;
+mod centre_evacuation;
 mod member_announcement;
 mod member_fold;
 mod member_settings;
@@ -24,6 +25,7 @@
 pub use backend_watch::{
     BackendName, BackendNotice, BackendReport, BackendWatch, MAX_REPORT_DELAY_MS, NoticeOutcome,
 };
+pub use centre_evacuation::{CentreEvacuation, EvacuationChange};
 pub use member_announcement::{MemberAnnouncement, MemberState};
 pub use member_fold::MemberFold;
 pub use member_settings::MemberSettings;
--- a/crates/node/src/config_watch.rs
+++ b/crates/node/src/config_watch.rs
@@ -34,6 +34,7 @@
             log::debug!("event=route-in-force route={name} terms={route:?}");
         }
         core.apply_contract(contract);
+        apply_evacuation(core);
         core.fleet.with(|feed| feed.fold().mark_changed());
     }
 
@@ -42,6 +43,24 @@
     }
 }
 
+/// Applies the set of evacuated data centres to the choice of VMs and to the gate of the local
+/// backend server.
+fn apply_evacuation(core: &NodeCore) {
+    let evacuated = core
+        .config
+        .with(|state| state.feed.fold().evacuated().clone());
+    let changes = core.evacuation.borrow_mut().update(core.now(), &evacuated);
+    for change in changes {
+        let centre = &change.centre;
+        if change.is_evacuated {
+            log::warn!("event=centre-evacuated centre={centre}");
+        } else {
+            log::info!("event=centre-in-use-again centre={centre}");
+        }
+    }
+    core.metrics.set_evacuated_centres(evacuated.len());
+}
+
 /// Pulls the next records of a stream from another node.
 pub(crate) async fn pull_from(
     core: &NodeCore,
--- a/crates/node/src/fleet_watch.rs
+++ b/crates/node/src/fleet_watch.rs
@@ -56,9 +56,11 @@
 
 fn update_router(core: &NodeCore, service: &ServiceName) {
     let settings = &core.settings;
+    let evacuation = core.evacuation.borrow();
     let picked = core.fleet.with(|feed| {
         let ready = feed.fold().view().ready(service);
-        let picked = MemberSubset::default().pick(&settings.vm, &settings.centre, ready);
+        let open = ready.filter(|member| evacuation.is_open(&member.centre));
+        let picked = MemberSubset::default().pick(&settings.vm, &settings.centre, open);
         picked.into_iter().cloned().collect::<Vec<_>>()
     });
     core.with_router(service, |router| {
--- a/crates/node/src/node_core.rs
+++ b/crates/node/src/node_core.rs
@@ -6,7 +6,7 @@
 use contract::{FleetContract, RouteIndex};
 use graph::{AdmissionSettings, CallTarget, ChainAdmission};
 use limit::{EntryWindows, LogLineBudget, QueueSettings, WindowSettings};
-use member::{BackendName, BackendWatch, MemberFold};
+use member::{BackendName, BackendWatch, CentreEvacuation, MemberFold};
 use model::{AttemptId, RecordId, RequestId, ServiceName, VmName};
 use once::{AttemptSettings, AttemptTable, ClaimTable, OnceSettings};
 use quarantine::{RequestFingerprint, SuspectSettings, SuspectTable, designated_vm};
@@ -70,6 +70,8 @@
     pub(crate) backend_watch: RefCell<BackendWatch>,
     /// The departures of backend servers that are on the log.
     pub(crate) departures: DepartureLog,
+    /// The data centres whose backend servers get no requests.
+    pub(crate) evacuation: RefCell<CentreEvacuation>,
     /// The members of the fleet.
     pub(crate) fleet: StreamHost<FoldFeed<MemberFold>>,
     pub(crate) rates: StreamHost<FoldFeed<RateState>>,
@@ -168,6 +170,7 @@
             routes: RefCell::default(),
             backend_watch: RefCell::new(watch),
             departures: DepartureLog::default(),
+            evacuation: RefCell::new(CentreEvacuation::new(settings.centre.clone())),
             log,
             config: StreamHost::new(clock, ConfigState::new(&settings)),
             fleet: StreamHost::new(clock, FoldFeed::new(LogStream::Members, follow, fleet)),
@@ -267,11 +270,13 @@
         router.is_some_and(|router| router.has_unlimited(self.now(), tried))
     }
 
-    /// Returns the VMs of a service that accept calls.
+    /// Returns the VMs of a service that accept calls, without those in evacuated data centres.
     pub(crate) fn ready_vms(&self, service: &ServiceName) -> Vec<VmName> {
+        let evacuation = self.evacuation.borrow();
         self.fleet.with(|feed| {
             let ready = feed.fold().view().ready(service);
-            ready.map(|member| member.vm.clone()).collect()
+            let open = ready.filter(|member| evacuation.is_open(&member.centre));
+            open.map(|member| member.vm.clone()).collect()
         })
     }
 
@@ -381,6 +386,9 @@
 
     /// Returns whether an admitted call may be sent to the backend server now.
     pub(crate) fn may_send(&self) -> bool {
+        if !self.evacuation.borrow().may_send(self.now()) {
+            return false;
+        }
         let Some(reports) = &self.settings.reports else {
             return true;
         };
@@ -420,6 +428,7 @@
     pub(crate) fn accepts_calls(&self) -> bool {
         let left_at = self.leave_started_at.get();
         self.is_backend_accepting()
+            && self.evacuation.borrow().accepts_calls(self.now())
             && left_at.is_none_or(|left_at| self.now().since_ms(left_at) < LEAVE_ACCEPT_MS)
     }
 }
--- a/crates/node/src/node_metrics.rs
+++ b/crates/node/src/node_metrics.rs
@@ -37,6 +37,7 @@
     processor: Counter,
     backend_failures: IntCounter,
     contract_version: IntGauge,
+    evacuated_centres: IntGauge,
     refused_version: IntGauge,
     pub(crate) running: IntGauge,
     pub(crate) queued: IntGauge,
@@ -100,6 +101,10 @@
                 "lentilshift_backend_failures_total",
                 "Calls that the backend server failed while they ran.",
             ),
+            evacuated_centres: gauge(
+                "lentilshift_evacuated_centres",
+                "Data centres whose backend servers get no requests.",
+            ),
             contract_version: gauge(
                 "lentilshift_contract_version",
                 "Version of the contract in force; 0 for none.",
@@ -162,6 +167,12 @@
         self.refused_version.set(refused.map_or(0, number));
     }
 
+    /// Sets the number of evacuated data centres.
+    pub(crate) fn set_evacuated_centres(&self, count: usize) {
+        self.evacuated_centres
+            .set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     /// Counts an answered call, its refusal if it has one, and the time it took.
     pub(crate) fn observe_call(
         &self,
@@ -182,7 +193,7 @@
     }
 
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 16] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 17] = [
             Box::new(self.calls.clone()),
             Box::new(self.refusals.clone()),
             Box::new(self.latency.clone()),
@@ -196,6 +207,7 @@
             Box::new(self.backend_failures.clone()),
             Box::new(self.contract_version.clone()),
             Box::new(self.refused_version.clone()),
+            Box::new(self.evacuated_centres.clone()),
             Box::new(self.running.clone()),
             Box::new(self.queued.clone()),
             Box::new(self.limit.clone()),
--- a/crates/streams/src/config_fold.rs
+++ b/crates/streams/src/config_fold.rs
@@ -1,5 +1,8 @@
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
+use model::CentreName;
+
 use crate::{
     ChangeError, ConfigRecord, ConfigReplacement, ConfigSnapshot, ConfigVersion, KeyFold,
     LogOffset, LogRecord, RecordOutcome, TextChange, TextDigest,
@@ -66,6 +69,7 @@
     in_force: VersionedText,
     fault: Option<TextFault>,
     keys: KeyFold,
+    evacuated: BTreeSet<CentreName>,
     next: LogOffset,
     buffered: Option<BufferedRecords>,
     /// Whether each record replaces the complete state, so that no snapshot is needed.
@@ -102,6 +106,7 @@
             in_force: VersionedText::default(),
             fault: None,
             keys: KeyFold::default(),
+            evacuated: BTreeSet::new(),
             next: LogOffset::ZERO,
             buffered: None,
             is_replaced: false,
@@ -132,6 +137,12 @@
         &self.keys
     }
 
+    /// Returns the data centres that are evacuated.
+    #[must_use]
+    pub const fn evacuated(&self) -> &BTreeSet<CentreName> {
+        &self.evacuated
+    }
+
     /// Returns the offset of the first record not yet applied.
     #[must_use]
     pub const fn next(&self) -> LogOffset {
@@ -163,6 +174,7 @@
             valid_text,
             keys: self.keys.clone(),
             is_replaced: self.is_replaced,
+            evacuated: self.evacuated.clone(),
         })
     }
 
@@ -216,6 +228,10 @@
             ConfigRecord::Grant { digest, team } => self.keys.grant(*digest, team),
             ConfigRecord::Withdraw { digest } => self.keys.withdraw(*digest),
             ConfigRecord::Replace(state) => self.replace(state),
+            ConfigRecord::Evacuate {
+                centre,
+                is_evacuated,
+            } => self.evacuate(centre, *is_evacuated),
             ConfigRecord::Superseded => RecordOutcome::Superseded,
             ConfigRecord::Snapshot(snapshot) => {
                 self.apply_snapshot(snapshot);
@@ -240,6 +256,7 @@
             return;
         }
         self.keys.merge(&snapshot.keys);
+        self.evacuated.clone_from(&snapshot.evacuated);
         if snapshot.version > self.newest.version {
             self.apply_snapshot_text(snapshot);
         }
@@ -259,12 +276,16 @@
         if snapshot.covers >= self.next {
             self.next = snapshot.covers;
             self.buffered = None;
+            self.evacuated.clone_from(&snapshot.evacuated);
         }
     }
 
     /// Replaces the current text and keys, unless they are newer.
     fn replace(&mut self, state: &ConfigReplacement) -> RecordOutcome {
         self.is_replaced = true;
+        if let Some(evacuated) = &state.evacuated {
+            self.evacuated.clone_from(evacuated);
+        }
         let now = self.newest.version;
         if state.version <= now {
             let base = state.version;
@@ -274,6 +295,16 @@
         self.set_newest(state.version, &state.text)
     }
 
+    fn evacuate(&mut self, centre: &CentreName, is_evacuated: bool) -> RecordOutcome {
+        if is_evacuated {
+            self.evacuated.insert(centre.clone());
+            RecordOutcome::CentreEvacuated
+        } else {
+            self.evacuated.remove(centre);
+            RecordOutcome::CentreReturned
+        }
+    }
+
     fn replay(&mut self, buffered: &BufferedRecords, from: LogOffset) {
         let later = buffered
             .records
--- a/crates/streams/src/config_record.rs
+++ b/crates/streams/src/config_record.rs
@@ -1,7 +1,7 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 
-use model::TeamName;
+use model::{CentreName, TeamName};
 use serde::{Deserialize, Serialize};
 
 use crate::{ChangeError, ConfigSnapshot, KeyDigest, LogOffset, TextChange, TextDigest};
@@ -70,6 +70,13 @@
     /// Replaces the text and all keys together, on a platform whose operators always publish both
     /// in full.
     Replace(ConfigReplacement),
+    /// Begins or ends the evacuation of a data centre, whose backend servers get no requests.
+    Evacuate {
+        /// The data centre.
+        centre: CentreName,
+        /// Whether it is evacuated from now on.
+        is_evacuated: bool,
+    },
     /// Takes the position of a record that was replaced by a later one before it was read.
     Superseded,
     /// Holds the complete state, so that it outlives the records it was built from.
@@ -85,6 +92,9 @@
     pub text: String,
     /// The team of each key, by key digest.
     pub keys: BTreeMap<KeyDigest, TeamName>,
+    /// All data centres that are evacuated, or `None` if the record doesn't say.
+    #[serde(default)]
+    pub evacuated: Option<BTreeSet<CentreName>>,
 }
 
 impl ConfigRecord {
@@ -139,6 +149,10 @@
     KeyWithdrawn,
     /// The key was withdrawn earlier, so it can't be granted.
     KeyWithdrawnBefore,
+    /// The data centre is evacuated.
+    CentreEvacuated,
+    /// The evacuation of the data centre has ended.
+    CentreReturned,
     /// The record was a snapshot of the state.
     Repeated {
         /// The offset up to which the snapshot covers the stream.
@@ -159,7 +173,12 @@
     pub const fn is_success(&self) -> bool {
         matches!(
             self,
-            Self::Accepted { .. } | Self::KeyGranted | Self::KeyWithdrawn | Self::Repeated { .. }
+            Self::Accepted { .. }
+                | Self::KeyGranted
+                | Self::KeyWithdrawn
+                | Self::CentreEvacuated
+                | Self::CentreReturned
+                | Self::Repeated { .. }
         )
     }
 }
@@ -183,6 +202,8 @@
             Self::KeyWithdrawnBefore => {
                 formatter.write_str("rejected: the key was withdrawn permanently; grant a new key")
             }
+            Self::CentreEvacuated => formatter.write_str("data centre evacuated"),
+            Self::CentreReturned => formatter.write_str("data centre in use again"),
             Self::Repeated { .. } => formatter.write_str("state snapshot recorded"),
             Self::Superseded => {
                 formatter.write_str("replaced by a later record before it was read")
--- a/crates/streams/src/config_snapshot.rs
+++ b/crates/streams/src/config_snapshot.rs
@@ -1,3 +1,6 @@
+use std::collections::BTreeSet;
+
+use model::CentreName;
 use serde::{Deserialize, Serialize};
 
 use crate::{ConfigVersion, KeyFold, LogOffset};
@@ -20,4 +23,7 @@
     /// Whether each record of the stream replaces the complete state.
     #[serde(default)]
     pub is_replaced: bool,
+    /// The data centres that are evacuated.
+    #[serde(default)]
+    pub evacuated: BTreeSet<CentreName>,
 }
--- a/crates/streams/tests/replaced_config.rs
+++ b/crates/streams/tests/replaced_config.rs
@@ -27,6 +27,7 @@
         version: ConfigVersion::new(version),
         text: text.to_owned(),
         keys: keys.collect::<BTreeMap<_, _>>(),
+        evacuated: None,
     })
 }
 
@@ -99,3 +100,59 @@
     assert_eq!(&*fold.in_force().text, "one");
     assert!(!knows(&fold, "a") && knows(&fold, "b"));
 }
+
+fn evacuation(centre: &str, is_evacuated: bool) -> ConfigRecord {
+    ConfigRecord::Evacuate {
+        centre: centre.into(),
+        is_evacuated,
+    }
+}
+
+fn evacuated(fold: &ConfigFold<impl TextCheck>) -> Vec<&str> {
+    fold.evacuated()
+        .iter()
+        .map(model::CentreName::as_str)
+        .collect()
+}
+
+#[test]
+fn evacuation_outlasts_new_versions_until_it_ends() {
+    let mut fold = fold();
+    fold.apply(&record(0, &replacement(4, "one", &["a"])));
+    fold.apply(&record(1, &evacuation("north", true)));
+    fold.apply(&record(2, &evacuation("south", true)));
+    fold.apply(&record(3, &replacement(5, "two", &["a"])));
+    assert_eq!(evacuated(&fold), ["north", "south"]);
+    fold.apply(&record(4, &evacuation("north", false)));
+    assert_eq!(evacuated(&fold), ["south"]);
+}
+
+/// The newest record of each key replaces removed records, among them the end of an evacuation.
+#[test]
+fn complete_set_replaces_missed_records_even_with_a_known_version() {
+    let mut fold = fold();
+    fold.apply(&record(0, &replacement(4, "one", &["a"])));
+    fold.apply(&record(1, &evacuation("north", true)));
+    fold.lose_before(LogOffset::new(7));
+    let ConfigRecord::Replace(state) = replacement(4, "one", &["a"]) else {
+        unreachable!("a replacement");
+    };
+    let complete = ConfigRecord::Replace(ConfigReplacement {
+        evacuated: Some(["south".into()].into()),
+        ..state
+    });
+    fold.apply(&record(7, &complete));
+    assert_eq!(evacuated(&fold), ["south"]);
+}
+
+/// A node that learns the state from another one must not send to an evacuated data centre.
+#[test]
+fn snapshot_carries_evacuations() {
+    let mut ahead = fold();
+    ahead.apply(&record(0, &replacement(4, "one", &["a"])));
+    ahead.apply(&record(1, &evacuation("north", true)));
+    let mut behind = fold();
+    behind.apply(&record(0, &replacement(4, "one", &["a"])));
+    behind.apply_snapshot(&ahead.snapshot().expect("the state is complete"));
+    assert_eq!(evacuated(&behind), ["north"]);
+}
