feat(contract): warn of what a valid contract doesn't mean, and show differences

Cause: a configuration could only be checked for errors before it is sent. An entry that matches no request, or limits that contradict each other, showed in service only.

review_contract finds services, calls, routes and backends that get no request, targets beyond their deadline, bursts below the rate and dependencies that outlast every caller; compare_contracts names what differs by entry and field. The command check prints both, and takes a configuration of the users' platform too.

--- a/crates/contract/src/lib.rs
+++ b/crates/contract/src/lib.rs
@@ -5,15 +5,21 @@
 //! line and column. [`FleetContract::find_call`] returns the call of the contract that a request
 //! matches.
 //!
+//! [`review_contract`] finds what a valid contract probably doesn't mean, and [`compare_contracts`]
+//! what differs between two contracts.
+//!
 //! API keys aren't part of the text; they are granted and withdrawn by separate log records.
 
 mod call_contract;
 mod call_match;
 mod call_reader;
+mod contract_difference;
 mod contract_error;
 mod contract_fault;
 mod contract_parser;
 mod contract_reader;
+mod contract_review;
+mod contract_warning;
 mod dependency_check;
 mod dependency_order;
 mod fault_kind;
@@ -32,9 +38,12 @@
 
 pub use call_contract::CallContract;
 pub use call_match::CallMatch;
+pub use contract_difference::{ContractDifference, EntryChange, compare_contracts};
 pub use contract_error::ContractError;
 pub use contract_fault::ContractFault;
 pub use contract_parser::ContractParser;
+pub use contract_review::review_contract;
+pub use contract_warning::ContractWarning;
 pub use dependency_order::{DependencyCycle, DependencyOrder};
 pub use fault_kind::FaultKind;
 pub use fleet_contract::FleetContract;
--- a/crates/lentilshift/src/app.rs
+++ b/crates/lentilshift/src/app.rs
@@ -26,7 +26,7 @@
 async fn dispatch(command: &AppCommand) -> Result<(), CommandError> {
     match command {
         AppCommand::Node(args) => node::run_node(args).await,
-        AppCommand::Check(args) => check::run_check(args),
+        AppCommand::Check(args) => check::run_check(args).await,
         AppCommand::Publish(args) => publish::run_publish(args).await,
         AppCommand::Show(args) => show::run_show(args).await,
         AppCommand::Key(args) => key::run_key(args).await,
--- a/crates/lentilshift/src/args.rs
+++ b/crates/lentilshift/src/args.rs
@@ -124,13 +124,22 @@
     pub(crate) log_level: Option<String>,
 }
 
-/// Validates a contract text and reports all errors, without connecting to the fleet.
+/// Validates a contract text and reports all errors, what it probably doesn't mean, and what differs
+/// from another one.
 #[derive(Debug, Options)]
 pub(crate) struct CheckArgs {
     #[options(help = "print this help")]
     pub(crate) help: bool,
     #[options(free, help = "FILE with the text, or - for standard input")]
     pub(crate) file: Option<String>,
+    #[options(no_short, meta = "FILE", help = "show what differs from this text")]
+    pub(crate) against: Option<String>,
+    #[options(
+        no_short,
+        meta = "ADDRESS",
+        help = "the platform's log, to show what differs from the text in force"
+    )]
+    pub(crate) platform: Option<String>,
 }
 
 /// Publishes a contract text that is based on a given version.
--- a/crates/lentilshift/src/command_error.rs
+++ b/crates/lentilshift/src/command_error.rs
@@ -25,6 +25,12 @@
     /// A file can't be read.
     #[error("can't read file \"{file}\": {error}")]
     ReadFile { file: String, error: std::io::Error },
+    /// The file holds an invalid configuration of the users' platform.
+    #[error("\"{file}\": {error}")]
+    InvalidConfig {
+        file: String,
+        error: platform::ConfigError,
+    },
     /// The contract text is invalid.
     #[error(transparent)]
     InvalidContract(#[from] ContractError),
@@ -74,7 +80,7 @@
     pub(crate) const fn exit_status(&self) -> ExitStatus {
         match self {
             Self::Usage(_) | Self::NoCommand(_) | Self::Settings(_) => ExitStatus::BadUsage,
-            Self::InvalidContract(_) => ExitStatus::InvalidContract,
+            Self::InvalidContract(_) | Self::InvalidConfig { .. } => ExitStatus::InvalidContract,
             Self::Rejected(_) => ExitStatus::Rejected,
             Self::UnknownYet(_) => ExitStatus::UnknownYet,
             Self::ReadLog(_) | Self::NotWritten(_) | Self::NoDump { .. } => ExitStatus::Unreachable,
--- a/crates/lentilshift/tests/command_line.rs
+++ b/crates/lentilshift/tests/command_line.rs
@@ -74,6 +74,63 @@
     assert!(shown.contains("allowed: 1 to 1000000"), "{shown}");
 }
 
+/// A configuration of the users' platform, with a team's burst.
+fn configuration(burst: u32) -> String {
+    format!(
+        r#"{{"version":"00000007","services":[{{"name":"archive"}},{{"name":"spare"}}],
+        "tenants":[{{"name":"clubs","api-keys":["k"],"rate-per-s":301,"burst":{burst}}}],
+        "virtual-hosts":[{{"host":"cairns.example","paths":[{{"name":"r-1","path-prefix":"/a/",
+        "kind":"safe","timeout-ms":1000,"target-latency-ms":500,"priority":1,
+        "service":"archive","max-attempts":2,"allow-anonymous":false}}]}}]}}"#
+    )
+}
+
+#[test]
+fn check_warns_of_a_configuration_of_the_users_platform() {
+    let output = check_input(&configuration(30));
+    let shown = stdout(&output);
+    assert_eq!(output.status.code(), Some(0));
+    assert!(
+        shown.contains("warning: service \"spare\" gets no requests"),
+        "{shown}"
+    );
+    assert!(
+        shown.contains("warning: team \"clubs\" may send 301"),
+        "{shown}"
+    );
+    assert!(
+        shown.contains("standard input is valid: services=2"),
+        "{shown}"
+    );
+}
+
+#[test]
+fn check_shows_what_differs_from_another_text() {
+    let name = format!("lentilshift-check-{}.json", std::process::id());
+    let path = std::env::temp_dir().join(name);
+    std::fs::write(&path, configuration(30)).expect("the file can be written");
+    let file = path.to_string_lossy();
+    let same = run(&["check", &file, "--against", &file]);
+    assert!(stdout(&same).contains("no difference"), "{same:?}");
+    let example = example("zuma.toml");
+    let other = run(&["check", &example.to_string_lossy(), "--against", &file]);
+    std::fs::remove_file(&path).expect("the file exists");
+    assert!(
+        stdout(&other).contains("removed route \"r-1\""),
+        "{other:?}"
+    );
+}
+
+#[test]
+fn check_reports_a_malformed_configuration() {
+    let output = check_input("{\"version\":3}");
+    assert_eq!(output.status.code(), Some(3));
+    assert!(
+        stderr(&output).contains("malformed configuration"),
+        "{output:?}"
+    );
+}
+
 #[test]
 fn check_reports_a_missing_file() {
     let output = run(&["check", "/nowhere/fleet.toml"]);
