feat(limit): pace requests to cold backend servers

Cause: nothing read how long a backend server is cold, so a cold one was sent what a warm one bears, fell over, came back cold and was sent the same again.

Change: `limit::WarmUpPacer` in the queue of the node beside the backend server, which all requests to it pass. It paces from the start of the node, after a new start, a refused connection or a crash, and while the backend server states to be cold, until an answer to a question asked since says that it is warm. A warm one is asked after each three quarters of the bound, so that at any time no more than the bound has started since it was last known to be warm. Terms come with the contract (`warm_up`, `health_path`), bounds with the settings; without terms nothing changes.

Ruled out: waiting for reports (every 1.5 s), a jump of the run time (shows after two run times), a question every 250 ms (250 requests at 1,000 a second), pacing after each failed request (lost answers come one by one).

The expected list of the fields of a service in `faults.rs` has the two new fields.

--- a/crates/contract/src/lib.rs
+++ b/crates/contract/src/lib.rs
@@ -29,6 +29,7 @@
 mod team_contract;
 mod text_block;
 mod text_bounds;
+mod warm_up_terms;
 
 pub use call_contract::CallContract;
 pub use call_match::CallMatch;
@@ -47,3 +48,4 @@
     KNOWN_METHODS, MAX_BURST, MAX_CALLS_PER_SERVICE, MAX_CHAIN_DEPTH, MAX_DEADLINE_MS,
     MAX_PATH_LEN, MAX_RATE_PER_S, MAX_ROUTES, MAX_SERVICES, MAX_TEAMS, MAX_TEXT_LEN, MAX_WEIGHT,
 };
+pub use warm_up_terms::WarmUpTerms;
--- a/crates/contract/src/service_reader.rs
+++ b/crates/contract/src/service_reader.rs
@@ -1,5 +1,6 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::ops::Range;
+use std::sync::Arc;
 
 use model::{CallName, ServiceName};
 use toml::de::DeTable;
@@ -8,8 +9,8 @@
 use crate::contract_reader::read_entry;
 use crate::fault_list::{FaultList, shorten};
 use crate::field_reader::{FieldReader, FieldText};
-use crate::text_bounds::MAX_CALLS_PER_SERVICE;
-use crate::{CallContract, FaultKind, ServiceContract};
+use crate::text_bounds::{MAX_CALLS_PER_SERVICE, MAX_DEADLINE_MS, MAX_PATH_LEN, MAX_RATE_PER_S};
+use crate::{CallContract, FaultKind, ServiceContract, WarmUpTerms, is_plain_path};
 
 /// A parsed service and the spans of its dependencies in the text.
 pub(crate) struct ParsedService {
@@ -24,19 +25,52 @@
     span: Range<usize>,
     faults: &mut FaultList<'_>,
 ) -> ParsedService {
-    const FIELDS: &[&str] = &["depends_on", "calls"];
+    const FIELDS: &[&str] = &["health_path", "depends_on", "warm_up", "calls"];
     let location = format!("service \"{name}\"");
     let reader = FieldReader::new(table, location, span, FIELDS, faults);
     let texts = reader.texts("depends_on", faults);
     let dependencies = read_dependencies(name, texts, faults);
+    let health_path = read_health_path(&reader, faults);
+    let warm_up = read_warm_up(name, &reader, faults);
     let calls = read_calls(name, &reader, faults);
     let depends_on: BTreeSet<_> = dependencies.keys().cloned().collect();
     ParsedService {
-        contract: ServiceContract { depends_on, calls },
+        contract: ServiceContract {
+            health_path,
+            depends_on,
+            warm_up,
+            calls,
+        },
         dependencies,
     }
 }
 
+fn read_health_path(reader: &FieldReader<'_>, faults: &mut FaultList<'_>) -> Option<Arc<str>> {
+    let path = reader.text("health_path", faults)?;
+    if path.text.len() <= MAX_PATH_LEN && is_plain_path(path.text) {
+        return Some(path.text.into());
+    }
+    faults.push(FaultKind::BadPath(shorten(path.text)), path.span);
+    None
+}
+
+fn read_warm_up(
+    service: &ServiceName,
+    reader: &FieldReader<'_>,
+    faults: &mut FaultList<'_>,
+) -> Option<WarmUpTerms> {
+    const FIELDS: &[&str] = &["span_ms", "rate_per_s"];
+    let (table, span) = reader.table("warm_up", faults)?;
+    let location = format!("\"warm_up\" of service \"{service}\"");
+    let reader = FieldReader::new(table, location, span, FIELDS, faults);
+    let span_ms = reader.required_number("span_ms", 1..=MAX_DEADLINE_MS, faults);
+    let rate_per_s = reader.required_number("rate_per_s", 1..=u64::from(MAX_RATE_PER_S), faults);
+    Some(WarmUpTerms {
+        span_ms: span_ms?,
+        rate_per_s: u32::try_from(rate_per_s?).ok()?,
+    })
+}
+
 fn read_dependencies(
     service: &ServiceName,
     texts: Vec<FieldText<'_>>,
--- a/crates/contract/tests/faults.rs
+++ b/crates/contract/tests/faults.rs
@@ -34,6 +34,21 @@
     "line 3, column 20: service \"a\" lists its dependency \"b\" twice",
     "remove one of the two"
 )]
+#[case::warm_up_without_rate(
+    "[services.a]\nwarm_up = { span_ms = 10 }",
+    "line 2, column 11: \"warm_up\" of service \"a\" has no \"rate_per_s\"",
+    "add a line rate_per_s = …"
+)]
+#[case::warm_up_rate_of_zero(
+    "[services.a]\nwarm_up = { span_ms = 10, rate_per_s = 0 }",
+    "line 2, column 40: \"rate_per_s\" of \"warm_up\" of service \"a\" must be a whole number from 1 to 1000000, not 0",
+    "allowed: 1 to 1000000"
+)]
+#[case::health_path_without_slash(
+    "[services.a]\nhealth_path = \"healthz\"",
+    "line 2, column 15: bad path \"healthz\"",
+    "allowed: \"/\", or segments such as \"/records/recent\" of letters, digits and -._~!$&'()*+,=:@ with no slash at the end, 256 bytes at most"
+)]
 #[case::duplicate_service(
     "[services.a]\n[services.a]",
     "line 2, column 11: not valid TOML: duplicate key",
@@ -72,7 +87,7 @@
 #[case::unknown_field(
     "[services.a]\ndepend_on = []",
     "line 2, column 1: unknown field \"depend_on\" in service \"a\"",
-    "allowed: depends_on, calls"
+    "allowed: health_path, depends_on, warm_up, calls"
 )]
 #[case::unknown_field_at_top(
     "[service.a]\n[services.a]",
--- a/crates/contract/tests/round_trip.rs
+++ b/crates/contract/tests/round_trip.rs
@@ -2,7 +2,9 @@
 
 use std::path::Path;
 
-use lentilshift_contract::{CallContract, FleetContract, ServiceContract, TeamContract};
+use lentilshift_contract::{
+    CallContract, FleetContract, ServiceContract, TeamContract, WarmUpTerms,
+};
 use model::{CallImportance, CallName, ServiceName, TeamName};
 use proptest::prelude::*;
 use rstest::rstest;
@@ -38,6 +40,13 @@
         let mut fleet = FleetContract::default();
         for (index, (calls, dependency_bits)) in services.into_iter().enumerate() {
             let mut service = ServiceContract::default();
+            if dependency_bits > 127 {
+                service.health_path = Some("/healthz".into());
+                service.warm_up = Some(WarmUpTerms {
+                    span_ms: u64::from(dependency_bits),
+                    rate_per_s: 16,
+                });
+            }
             let dependencies = (0..index).filter(|bit| dependency_bits >> bit & 1 == 1);
             service.depends_on = dependencies
                 .map(|bit| ServiceName::new(format!("s{bit}")))
--- a/crates/lentilshift/tests/platform_path/platform_fleet.rs
+++ b/crates/lentilshift/tests/platform_path/platform_fleet.rs
@@ -127,6 +127,22 @@
 
     /// Publishes a configuration with one key and one route for it, as operators do.
     pub fn publish(&self, version: u64, key: &str, path: &str) {
+        let services = json!([{"name": "archive"}, {"name": "registry"}]);
+        self.publish_services(version, key, path, &services);
+    }
+
+    /// Publishes a configuration by which cold instances bear 16 requests per second.
+    #[allow(dead_code, reason = "not every test file has cold instances")]
+    pub fn publish_with_warm_up(&self, version: u64) {
+        let service = |name: &str| {
+            json!({"name": name, "health-path": "/healthz", "warmup-s": 3.0,
+                   "warmup-per-s": 16.0})
+        };
+        let services = json!([service("archive"), service("registry")]);
+        self.publish_services(version, KEY, "/records/", &services);
+    }
+
+    fn publish_services(&self, version: u64, key: &str, path: &str, services: &serde_json::Value) {
         let route = |name: &str, path: &str, is_open: bool| {
             json!({"name": name, "path-prefix": path, "kind": "safe", "timeout-ms": 900,
                    "target-latency-ms": 200, "priority": 1, "service": "archive",
@@ -137,7 +153,7 @@
                           "service": "archive", "max-attempts": 2, "allow-anonymous": true});
         let body = json!({
             "version": format!("{version:08x}"),
-            "services": [{"name": "archive"}, {"name": "registry"}],
+            "services": services,
             "tenants": [{"name": "clubs", "api-keys": [key], "rate-per-s": 5000, "burst": 5000}],
             "virtual-hosts": [{"host": "cairns.example",
                 "paths": [route("r-keyed", path, false), route("r-open", "/open/", true), slow]}],
@@ -335,7 +351,8 @@
             "internal-ports": INTERNAL,
             "app-addr": instance.address().to_string(),
             "platform": {"address": store.to_string(), "keep_s": 20},
-            "bounds": {"revoke-ms": 4000, "fail-closed": true},
+            "bounds": {"revoke-ms": 4000, "fail-closed": true, "cold-over": 1.5,
+                       "cold-slack": 8},
         });
         let path = std::env::temp_dir().join(format!("lentilshift-{vm}.json"));
         std::fs::write(&path, settings.to_string()).expect("the file can be written");
--- a/crates/limit/src/admission_queue.rs
+++ b/crates/limit/src/admission_queue.rs
@@ -9,9 +9,11 @@
 use crate::run_times::RunTimes;
 use crate::shed_control::QueueState;
 use crate::wait_queue::WaitQueue;
+use crate::warm_up_pacer::WarmUpPacer;
 use crate::{
     ConcurrencyLimit, LoadReport, PaceChange, QueueAction, QueueDecision, QueueRefusal,
     QueueSettings, QueueTicket, RateStatement, RunOutcome, ShedControl, ShedThresholds,
+    WarmUpChange, WarmUpLimits, WarmUpStatement,
 };
 
 /// The limit divided by this is the most requests sent beyond the limit.
@@ -66,6 +68,7 @@
     settings: QueueSettings,
     limit: ConcurrencyLimit,
     pacer: RatePacer,
+    warm_up: WarmUpPacer,
     /// The requests sent beyond the limit, because about as many runs have ended unnoticed.
     overcommit: u32,
     shed: ShedControl,
@@ -87,6 +90,7 @@
             settings,
             limit: ConcurrencyLimit::new(settings.limit, DEFAULT_SLOTS),
             pacer: RatePacer::default(),
+            warm_up: WarmUpPacer::new(settings.warm_up),
             overcommit: 0,
             shed: ShedControl::new(settings.shed),
             waiting: WaitQueue::default(),
@@ -126,6 +130,7 @@
         self.run_ms = 1.0;
         self.work_ms = 1.0;
         self.pacer = RatePacer::default();
+        self.warm_up.expect_answers();
         if self.settings.awaits_first_answer {
             self.pacer.await_answer();
         }
@@ -147,6 +152,70 @@
         change
     }
 
+    /// Sets what the operators state of cold backend servers of the service, if they do.
+    pub fn set_warm_up(
+        &mut self,
+        now: ClockTime,
+        limits: Option<WarmUpLimits>,
+        actions: &mut Vec<QueueAction>,
+    ) {
+        self.warm_up.set_limits(now, limits);
+        self.advance(now, actions);
+    }
+
+    /// Paces requests as on a cold backend server until a statement says that it is warm, since it
+    /// may have started anew.
+    pub fn doubt_warmth(&mut self, now: ClockTime) -> WarmUpChange {
+        self.warm_up.doubt(now)
+    }
+
+    /// Makes a question about the state of the backend server due.
+    pub const fn suspect_cold(&mut self) {
+        self.warm_up.suspect();
+    }
+
+    /// Records how long the backend server stays cold, and starts the requests that may run now.
+    pub fn record_warm_up(
+        &mut self,
+        now: ClockTime,
+        statement: WarmUpStatement,
+        actions: &mut Vec<QueueAction>,
+    ) -> WarmUpChange {
+        let change = self.warm_up.record(now, statement);
+        self.advance(now, actions);
+        change
+    }
+
+    /// Returns when the backend server has to be asked whether it is cold, if it has to be.
+    pub fn next_question(&mut self, now: ClockTime) -> Option<ClockTime> {
+        self.warm_up.next_question(now)
+    }
+
+    /// Records that the backend server is asked whether it is cold.
+    pub const fn begin_question(&mut self, now: ClockTime) {
+        self.warm_up.begin_question(now);
+    }
+
+    /// Records the answer to the question, how many milliseconds the backend server stays cold, or
+    /// `None` if there was none, and starts the requests that may run now.
+    pub fn finish_question(
+        &mut self,
+        now: ClockTime,
+        cold_ms: Option<u64>,
+        actions: &mut Vec<QueueAction>,
+    ) -> WarmUpChange {
+        let change = self.warm_up.finish_question(now, cold_ms);
+        self.advance(now, actions);
+        change
+    }
+
+    /// Returns the rate at which requests are sent to a backend server that is or may be cold, in
+    /// requests per second.
+    #[must_use]
+    pub fn warm_up_rate_per_s(&self) -> Option<f64> {
+        self.warm_up.rate_per_s()
+    }
+
     /// Returns the request rate that the backend server states, in requests per second.
     #[must_use]
     pub const fn stated_rate_per_s(&self) -> Option<f64> {
@@ -155,6 +224,7 @@
 
     /// Starts, queues or refuses a request.
     pub fn offer(&mut self, now: ClockTime, ticket: QueueTicket) -> QueueDecision {
+        self.warm_up.record_demand(now);
         let ticket = self.times.estimate(now, ticket);
         let is_admitted = self.shed.record_arrival(&ticket);
         let is_exempt = self.settings.prioritizes_nested && ticket.is_nested();
@@ -202,7 +272,10 @@
             return;
         };
         if let RunOutcome::Completed { own_ms } = outcome {
-            self.limit.record(own_ms, in_flight);
+            // A cold backend server is slow at any concurrency.
+            if !self.warm_up.is_pacing() {
+                self.limit.record(own_ms, in_flight);
+            }
             if let Some(call) = &run.call {
                 self.times.record(now, call, now.since_ms(run.started));
             }
@@ -234,9 +307,14 @@
     pub fn next_tick(&self) -> Option<ClockTime> {
         if self.is_rate_bound() {
             let expiry = self.waiting.oldest()?.plus_ms(self.max_wait_ms() + 1);
-            let start = self.pacer.next_start().filter(|_| self.has_slot());
+            let start = self.next_start().filter(|_| self.has_slot());
             return Some(start.map_or(expiry, |start| expiry.min(start)));
         }
+        if self.waiting.len() > 0
+            && let Some(start) = self.warm_up.next_start()
+        {
+            return Some(start.min(self.shed.next_update()));
+        }
         let is_idle = self.running.is_empty() && self.waiting.len() == 0;
         let is_open = self.shed.thresholds().is_open();
         (!is_idle || !is_open).then(|| self.shed.next_update())
@@ -311,7 +389,7 @@
 
     /// Returns the longest that a new request waits, in milliseconds.
     fn max_wait_ms(&self) -> u64 {
-        if self.is_rate_bound() && self.pacer.rate_per_s().is_some() {
+        if self.is_rate_bound() && self.paced_rate_per_s().is_some() {
             MAX_PACED_WAIT_MS
         } else {
             self.settings.max_wait_ms
@@ -331,6 +409,23 @@
         };
         self.running.insert(ticket.id, run);
         self.pacer.charge();
+        self.warm_up.charge(now);
+    }
+
+    /// Returns the rate that requests are paced at, if they are, in requests per second.
+    fn paced_rate_per_s(&self) -> Option<f64> {
+        let rates = [self.pacer.rate_per_s(), self.warm_up.rate_per_s()];
+        rates.into_iter().flatten().reduce(f64::min)
+    }
+
+    /// Returns the time until a request with `ahead` others before it may be sent, in milliseconds.
+    fn paced_wait_ms(&self, ahead: usize) -> u64 {
+        self.pacer.wait_ms(ahead).max(self.warm_up.wait_ms(ahead))
+    }
+
+    /// Returns when the next request may be sent, if it is kept back.
+    fn next_start(&self) -> Option<ClockTime> {
+        self.pacer.next_start().max(self.warm_up.next_start())
     }
 
     /// Returns whether the pace holds back more than the slots do.
@@ -338,7 +433,7 @@
     /// If it doesn't, requests are shed as without a stated rate.
     fn is_rate_bound(&self) -> bool {
         let slot_rate_per_s = f64::from(self.limit.current()) * 1_000.0 / self.run_ms;
-        match self.pacer.rate_per_s() {
+        match self.paced_rate_per_s() {
             Some(rate_per_s) => rate_per_s < slot_rate_per_s,
             None => self.pacer.is_pacing(),
         }
@@ -346,14 +441,16 @@
 
     /// Returns whether there is a slot and the pace allows another request.
     fn can_start(&mut self, now: ClockTime) -> bool {
-        self.has_slot() && self.pacer.may_start(now, self.in_flight())
+        self.has_slot()
+            && self.pacer.may_start(now, self.in_flight())
+            && self.warm_up.may_start(now)
     }
 
     /// Returns whether the stated rate would keep a request waiting for too long.
     ///
     /// This holds for nested calls too: another VM of the service may have room for them.
     fn exceeds_pace(&self, ticket: &QueueTicket, now: ClockTime, ahead: usize) -> bool {
-        let wait_ms = self.pacer.wait_ms(ahead);
+        let wait_ms = self.paced_wait_ms(ahead);
         wait_ms > MAX_PACED_WAIT_MS || (wait_ms > 0 && !ticket.meets_deadline(now.plus_ms(wait_ms)))
     }
 
@@ -388,8 +485,7 @@
     fn usable_slots(&self) -> u32 {
         let limit = self.limit.current();
         let at_rate = self
-            .pacer
-            .rate_per_s()
+            .paced_rate_per_s()
             .map(|rate_per_s| (rate_per_s * self.run_ms / 1_000.0).ceil());
         at_rate.map_or(limit, |slots| slots.clamp(1.0, f64::from(limit)) as u32)
     }
@@ -409,7 +505,7 @@
     }
 
     fn wait_now(&self) -> u64 {
-        let paced = self.pacer.wait_ms(self.waiting.len());
+        let paced = self.paced_wait_ms(self.waiting.len());
         if self.has_slot() {
             return paced;
         }
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -22,6 +22,8 @@
 mod team_credits;
 mod team_demand;
 mod wait_queue;
+mod warm_up_pacer;
+mod warm_up_settings;
 
 pub use admission_queue::AdmissionQueue;
 pub use completion_batches::CompletionBatches;
@@ -36,3 +38,6 @@
 pub use rate_pacer::PaceChange;
 pub use rate_statement::RateStatement;
 pub use shed_control::{QueueState, ShedControl, ShedSettings};
+pub use warm_up_settings::{
+    WarmUpChange, WarmUpLimits, WarmUpSettings, WarmUpSource, WarmUpStatement,
+};
--- a/crates/limit/src/queue_settings.rs
+++ b/crates/limit/src/queue_settings.rs
@@ -1,4 +1,4 @@
-use crate::{LimitSettings, ShedSettings};
+use crate::{LimitSettings, ShedSettings, WarmUpSettings};
 
 /// The settings of an [`AdmissionQueue`](crate::AdmissionQueue).
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -27,6 +27,8 @@
     /// Whether only a few requests run until the first answer of the backend server, which may
     /// state the rate that it accepts.
     pub awaits_first_answer: bool,
+    /// The bounds of the requests that a cold backend server gets.
+    pub warm_up: WarmUpSettings,
 }
 
 impl Default for QueueSettings {
@@ -41,6 +43,7 @@
             prioritizes_nested: true,
             orders_by_rank: true,
             awaits_first_answer: false,
+            warm_up: WarmUpSettings::default(),
         }
     }
 }
--- a/crates/member/src/backend_watch.rs
+++ b/crates/member/src/backend_watch.rs
@@ -54,6 +54,8 @@
     pub is_leaving: bool,
     /// The number of requests that it runs at once.
     pub slots: u32,
+    /// How much longer it is cold, in milliseconds, if it says so.
+    pub cold_ms: Option<u64>,
 }
 
 /// A message from a backend server.
@@ -94,6 +96,15 @@
         }
     }
 
+    /// Returns how much longer the sender is cold, in milliseconds, if it says so.
+    #[must_use]
+    pub const fn cold_ms(&self) -> Option<u64> {
+        match self {
+            Self::Report(report) => report.cold_ms,
+            Self::Gone(_) => None,
+        }
+    }
+
     /// Returns whether the sender accepts no new calls any more.
     #[must_use]
     pub const fn is_leaving(&self) -> bool {
@@ -154,6 +165,7 @@
 ///     sequence: 1,
 ///     is_leaving: false,
 ///     slots: 25,
+///     cold_ms: None,
 /// };
 /// watch.apply(ClockTime::ZERO, &BackendNotice::Report(report));
 /// assert_eq!(watch.accepting().map(BackendName::as_str), Some("i-1"));
--- a/crates/member/tests/backend_watch.rs
+++ b/crates/member/tests/backend_watch.rs
@@ -21,6 +21,7 @@
         sequence,
         is_leaving,
         slots: 31,
+        cold_ms: None,
     }
 }
 
--- a/crates/node/src/admin_port.rs
+++ b/crates/node/src/admin_port.rs
@@ -33,6 +33,8 @@
             core.metrics.limit.set(i64::from(load.limit));
             let stated_rate = core.gate.stated_rate_per_s().unwrap_or(0.0);
             core.metrics.stated_rate.set(stated_rate);
+            let warm_up_rate = core.gate.warm_up_rate_per_s().unwrap_or(0.0);
+            core.metrics.warm_up_rate.set(warm_up_rate);
             let (version, refused) = core.config.with(|state| {
                 let fold = state.feed.fold();
                 let refused = fold.fault().map(|fault| fault.version);
--- a/crates/node/src/backend_pool.rs
+++ b/crates/node/src/backend_pool.rs
@@ -5,9 +5,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use clock::ClockTime;
 use compio::net::TcpStream;
 use compio::time::timeout;
+use http::response::Parts;
 use http::{HeaderValue, Request, Response};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -101,6 +103,12 @@
     refused: Vec<HeaderValue>,
 }
 
+/// A connection that carries only questions.
+struct QuestionConnection {
+    sender: SendRequest<CallBody>,
+    budget: HeadBudget,
+}
+
 /// A connection that currently carries no request.
 struct IdleConnection {
     connection: BackendConnection,
@@ -120,6 +128,9 @@
     idle: RefCell<VecDeque<IdleConnection>>,
     /// A connection that never carries a request; its close shows a crash of the backend server.
     monitor: RefCell<Option<SendRequest<CallBody>>>,
+    /// A connection that carries only questions about the backend server's state, so that what goes
+    /// wrong with them affects no request.
+    questions: RefCell<Option<QuestionConnection>>,
     is_down: Cell<bool>,
     /// When the backend server last answered on any connection.
     answered_at: Cell<ClockTime>,
@@ -133,6 +144,7 @@
             limits,
             idle: RefCell::new(VecDeque::new()),
             monitor: RefCell::new(None),
+            questions: RefCell::new(None),
             is_down: Cell::new(false),
             answered_at: Cell::new(ClockTime::ZERO),
         }
@@ -172,6 +184,48 @@
             })
     }
 
+    /// Asks the backend server about its state, and returns the head of the answer.
+    pub(crate) async fn ask(
+        &self,
+        request: &Request<()>,
+        edge: &EdgeSettings,
+    ) -> Result<Parts, BackendError> {
+        let kept = self.questions.take();
+        let kept = kept.filter(|kept| kept.sender.is_ready());
+        let mut connection = if let Some(connection) = kept {
+            connection
+        } else {
+            let budget = HeadBudget::default();
+            let sender = self.connect(Rc::clone(&budget)).await?;
+            QuestionConnection { sender, budget }
+        };
+        let mut question = Request::new(CallBody::Buffered(Bytes::new()));
+        question.method_mut().clone_from(request.method());
+        question.uri_mut().clone_from(request.uri());
+        question.headers_mut().clone_from(request.headers());
+        let head_bytes = self.limits.head_bytes;
+        let budget = head_bytes.saturating_add(self.limits.interim_bytes);
+        connection.budget.set(Some(budget));
+        let answer = connection.sender.send_request(question).await;
+        connection.budget.set(None);
+        let (head, body) = answer.map_err(BackendError::Failed)?.into_parts();
+        let request_id = edge.request_id_header.as_ref();
+        if request_id.is_some_and(|name| head.headers.contains_key(name)) {
+            return Err(BackendError::InvalidAnswer(AnswerError::OtherRequest));
+        }
+        let body = Limited::new(body, MAX_DRAINED_BYTES).collect().await;
+        if body.is_ok() && connection.sender.ready().await.is_ok() {
+            self.questions.replace(Some(connection));
+        }
+        Ok(head)
+    }
+
+    /// Returns whether the monitor connection has been closed, as by a crash.
+    pub(crate) fn is_monitor_closed(&self) -> bool {
+        let monitor = self.monitor.borrow();
+        monitor.as_ref().is_some_and(SendRequest::is_closed)
+    }
+
     /// Ensures that the monitor connection is open, and returns whether it is.
     pub(crate) async fn ensure_monitor(&self) -> bool {
         let is_open = self
@@ -192,12 +246,7 @@
     /// Returns whether the backend server has crashed: its monitor connection is closed, or it
     /// accepts no new connection.
     pub(crate) async fn has_crashed(&self) -> bool {
-        let is_monitor_closed = self
-            .monitor
-            .borrow()
-            .as_ref()
-            .is_some_and(SendRequest::is_closed);
-        is_monitor_closed || self.connect(HeadBudget::default()).await.is_err()
+        self.is_monitor_closed() || self.connect(HeadBudget::default()).await.is_err()
     }
 
     /// Marks the backend server as down, and returns whether it wasn't before.
--- a/crates/node/src/fleet_bounds.rs
+++ b/crates/node/src/fleet_bounds.rs
@@ -1,4 +1,4 @@
-use limit::{QueueSettings, ShedSettings};
+use limit::{QueueSettings, ShedSettings, WarmUpSettings};
 use member::MemberSettings;
 use rate::RateSettings;
 use retry::BudgetSettings;
@@ -29,6 +29,11 @@
     pub retry_slack: u64,
     /// The length of the window in which calls and retries are counted, in milliseconds.
     pub retry_window_ms: u64,
+    /// The factor on the rate that a cold backend server bears which gives the maximum rate of its
+    /// requests in any second, or `None` if the fleet has no such bound.
+    pub cold_over: Option<f64>,
+    /// The requests that a cold backend server may get in a second beyond that.
+    pub cold_slack: f64,
     /// The time for which the log retains records, in milliseconds.
     pub retention_ms: u64,
 }
@@ -44,6 +49,8 @@
             retry_ratio: 0.2,
             retry_slack: 49,
             retry_window_ms: 10_000,
+            cold_over: None,
+            cold_slack: 0.0,
             retention_ms: 20_000,
         }
     }
@@ -159,6 +166,7 @@
                     target_wait_ms: TARGET_QUEUE_WAIT_MS,
                     ..ShedSettings::default()
                 },
+                warm_up: warm_up_settings(bounds),
                 ..QueueSettings::default()
             },
             link: LinkSettings {
@@ -181,6 +189,15 @@
     }
 }
 
+fn warm_up_settings(bounds: &FleetBounds) -> WarmUpSettings {
+    let default = WarmUpSettings::default();
+    WarmUpSettings {
+        over: bounds.cold_over.unwrap_or(default.over),
+        slack: bounds.cold_slack,
+        awaits_terms: bounds.cold_over.is_some(),
+    }
+}
+
 /// Returns the settings for following the configuration, chosen so that a change is in force in
 /// time even on a node whose source of updates stops responding just before it.
 ///
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -30,6 +30,7 @@
 use crate::resend_allowance::{ResendCount, resends_exhausted};
 use crate::run_guard::RunGuard;
 use crate::suspect_watch::{SuspectGuard, SuspectRefusal, quarantine_refusal, wait_to_run};
+use crate::warm_up_watch::doubt_warmth;
 
 /// The expected run time of a call before the first measurement, in milliseconds.
 const INITIAL_RUN_MS: u64 = 1;
@@ -195,10 +196,11 @@
     }
     *request.headers_mut() = headers;
     core.metrics.backend_requests.inc();
+    let sent_at = core.now();
     let BackendAnswer { outcome, statement } = core.backend.send(request, edge).await?;
     // Another backend server at the same address speaks for itself only.
     if !matches!(outcome, BackendOutcome::NotRun(AnswerKind::OtherBackend)) {
-        apply_statement(core, backend.as_ref(), statement);
+        apply_statement(core, backend.as_ref(), sent_at, statement);
     }
     Ok(outcome)
 }
@@ -225,6 +227,7 @@
         && let Some(backend) = core.backend_name()
     {
         core.backend_watch.borrow_mut().forget(backend.as_str());
+        doubt_warmth(core, "other-backend");
     }
     let refusal = CallRefusal::not_run(RefusalReason::BackendBusy).with_service(&head.service);
     CallAnswer::refused(head, &refusal, head.allowance)
@@ -267,6 +270,7 @@
         error.to_string(),
     );
     core.metrics.count_backend_failure();
+    note_failure(core, error);
     if verdict == RunVerdict::NotRun {
         core.is_backend_up.set(false);
         if let Some(claim) = guards.claim {
@@ -285,6 +289,16 @@
     answer
 }
 
+/// Notes that the backend server may have started anew, or may be cold, since a request failed.
+fn note_failure(core: &NodeCore, error: &BackendError) {
+    match error {
+        BackendError::Connect(_) => doubt_warmth(core, "connect"),
+        BackendError::Failed(_) if core.backend.is_monitor_closed() => doubt_warmth(core, "close"),
+        BackendError::Failed(_) | BackendError::NotSent => core.gate.suspect_cold(core.now()),
+        BackendError::InvalidAnswer(_) => {}
+    }
+}
+
 /// Turns the backend server's response into an answer.
 ///
 /// A small answer of a claimed call is read whole and stored for duplicates of the call.
--- a/crates/node/src/ingress_gate.rs
+++ b/crates/node/src/ingress_gate.rs
@@ -3,10 +3,12 @@
 use clock::ClockTime;
 use limit::{
     AdmissionQueue, CompletionBatches, LoadReport, PaceChange, QueueAction, QueueDecision,
-    QueueRefusal, QueueSettings, QueueTicket, RateStatement, RunOutcome,
+    QueueRefusal, QueueSettings, QueueTicket, RateStatement, RunOutcome, WarmUpChange,
+    WarmUpLimits, WarmUpStatement,
 };
 use model::AttemptId;
 
+use crate::change_notifier::ChangeNotifier;
 use crate::decision_waiters::DecisionWaiters;
 use crate::task_loop::loop_rounds;
 
@@ -15,6 +17,8 @@
     queue: RefCell<AdmissionQueue>,
     batches: Cell<CompletionBatches>,
     waiting: DecisionWaiters<Result<(), QueueRefusal>>,
+    /// Notified when the backend server has to be asked whether it is cold.
+    pub(crate) question_due: ChangeNotifier,
 }
 
 impl IngressGate {
@@ -23,6 +27,7 @@
             queue: RefCell::new(AdmissionQueue::new(settings, seed)),
             batches: Cell::default(),
             waiting: DecisionWaiters::default(),
+            question_due: ChangeNotifier::default(),
         }
     }
 
@@ -35,6 +40,74 @@
         self.queue.borrow_mut().reset();
     }
 
+    /// Sets what the contract states of cold backend servers.
+    pub(crate) fn set_warm_up(&self, now: ClockTime, limits: Option<WarmUpLimits>) {
+        let mut actions = Vec::new();
+        let mut queue = self.queue.borrow_mut();
+        queue.set_warm_up(now, limits, &mut actions);
+        drop(queue);
+        self.execute(actions);
+    }
+
+    /// Paces requests until a statement says that the backend server is warm.
+    pub(crate) fn doubt_warmth(&self, now: ClockTime) -> WarmUpChange {
+        let change = self.queue.borrow_mut().doubt_warmth(now);
+        self.notify_question(now);
+        change
+    }
+
+    /// Asks the backend server soon whether it is cold, without pacing requests.
+    pub(crate) fn suspect_cold(&self, now: ClockTime) {
+        self.queue.borrow_mut().suspect_cold();
+        self.notify_question(now);
+    }
+
+    /// Records how long the backend server stays cold.
+    pub(crate) fn record_warm_up(
+        &self,
+        now: ClockTime,
+        statement: WarmUpStatement,
+    ) -> WarmUpChange {
+        let mut actions = Vec::new();
+        let mut queue = self.queue.borrow_mut();
+        let change = queue.record_warm_up(now, statement, &mut actions);
+        drop(queue);
+        self.execute(actions);
+        change
+    }
+
+    /// Returns the rate at which requests are sent to a backend server that is or may be cold.
+    pub(crate) fn warm_up_rate_per_s(&self) -> Option<f64> {
+        self.queue.borrow().warm_up_rate_per_s()
+    }
+
+    /// Returns when the backend server has to be asked whether it is cold, if it has to be.
+    pub(crate) fn next_question(&self, now: ClockTime) -> Option<ClockTime> {
+        self.queue.borrow_mut().next_question(now)
+    }
+
+    /// Records that the backend server is asked.
+    pub(crate) fn begin_question(&self, now: ClockTime) {
+        self.queue.borrow_mut().begin_question(now);
+    }
+
+    /// Records the answer to the question, how many milliseconds the backend server stays cold.
+    pub(crate) fn finish_question(&self, now: ClockTime, cold_ms: Option<u64>) -> WarmUpChange {
+        let mut actions = Vec::new();
+        let mut queue = self.queue.borrow_mut();
+        let change = queue.finish_question(now, cold_ms, &mut actions);
+        drop(queue);
+        self.execute(actions);
+        change
+    }
+
+    /// Wakes the task that asks the backend server, if a question is due.
+    fn notify_question(&self, now: ClockTime) {
+        if self.next_question(now).is_some_and(|due| due <= now) {
+            self.question_due.notify();
+        }
+    }
+
     pub(crate) fn load(&self, now: ClockTime) -> LoadReport {
         self.queue.borrow().load(now)
     }
@@ -48,7 +121,9 @@
         ticket: QueueTicket,
     ) -> Result<(), QueueRefusal> {
         let id = ticket.id;
-        let decision = self.queue.borrow_mut().offer(clock(), ticket);
+        let now = clock();
+        let decision = self.queue.borrow_mut().offer(now, ticket);
+        self.notify_question(now);
         match decision {
             QueueDecision::Start => Ok(()),
             QueueDecision::Refuse(refusal) => Err(refusal),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -74,6 +74,7 @@
 mod suspect_watch;
 mod task_loop;
 mod usage_report;
+mod warm_up_watch;
 
 pub use answer_limits::AnswerLimits;
 pub use edge_settings::EdgeSettings;
--- a/crates/node/src/node_core.rs
+++ b/crates/node/src/node_core.rs
@@ -38,6 +38,7 @@
 use crate::stop_signal::StopSignal;
 use crate::stream_host::StreamHost;
 use crate::suspect_watch::RunDecision;
+use crate::warm_up_watch::warm_up_limits;
 
 /// The maximum rate of appends to the platform's log for the claims of the whole fleet.
 const CLAIM_APPENDS_PER_S: u64 = 200;
@@ -337,6 +338,11 @@
         let budget = claim_budget(&contract);
         let set_budget = |state: &mut ClaimState| state.table.set_appends_per_s(budget);
         self.claims.with(|feed| set_budget(feed.fold()));
+        if !contract.services.is_empty() {
+            let service = contract.services.get(&self.settings.service);
+            let limits = service.and_then(warm_up_limits);
+            self.gate.set_warm_up(self.now(), limits);
+        }
         self.routes.replace(Rc::new(RouteIndex::new(&contract)));
         self.contract.replace(contract);
         set_rates(self);
--- a/crates/node/src/node_metrics.rs
+++ b/crates/node/src/node_metrics.rs
@@ -33,6 +33,9 @@
     /// The requests sent to the local backend server.
     pub(crate) backend_requests: IntCounter,
     pub(crate) stated_rate: Gauge,
+    pub(crate) warm_up_rate: Gauge,
+    /// The questions to the backend server about its state.
+    pub(crate) questions: IntCounter,
     loop_rounds: IntCounter,
     processor: Counter,
     backend_failures: IntCounter,
@@ -87,6 +90,15 @@
                 "Requests per second that the backend server accepts; 0 if it states no rate.",
             )
             .expect("the gauge's name is valid"),
+            warm_up_rate: Gauge::new(
+                "lentilshift_warm_up_rate_per_second",
+                "Requests per second sent to a backend server that may be cold; 0 if it is warm.",
+            )
+            .expect("the gauge's name is valid"),
+            questions: counter(
+                "lentilshift_backend_questions_total",
+                "Questions to the backend server about its state.",
+            ),
             loop_rounds: counter(
                 "lentilshift_loop_rounds_total",
                 "Times that the node has asked the system for events.",
@@ -182,7 +194,7 @@
     }
 
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 16] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 18] = [
             Box::new(self.calls.clone()),
             Box::new(self.refusals.clone()),
             Box::new(self.latency.clone()),
@@ -191,6 +203,8 @@
             Box::new(self.sent.clone()),
             Box::new(self.backend_requests.clone()),
             Box::new(self.stated_rate.clone()),
+            Box::new(self.warm_up_rate.clone()),
+            Box::new(self.questions.clone()),
             Box::new(self.loop_rounds.clone()),
             Box::new(self.processor.clone()),
             Box::new(self.backend_failures.clone()),
--- a/crates/node/src/node_process.rs
+++ b/crates/node/src/node_process.rs
@@ -31,6 +31,7 @@
 use crate::report_port::answer_report;
 use crate::suspect_watch::{poll_suspects, sync_opened_peers};
 use crate::usage_report::UsageReport;
+use crate::warm_up_watch::watch_warm_up;
 
 /// The time between two checks of what is due, in milliseconds.
 const TICK_MS: u64 = 10;
@@ -134,6 +135,7 @@
         }
         spawn(serve_peers(Rc::clone(core), peers)).detach();
         spawn(run_timers(Rc::clone(core))).detach();
+        spawn(watch_warm_up(Rc::clone(core))).detach();
         spawn(maintain_members(Rc::clone(core))).detach();
         node.follow_log();
         Ok(node)
--- a/crates/node/src/report_port.rs
+++ b/crates/node/src/report_port.rs
@@ -5,6 +5,7 @@
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
+use limit::{WarmUpSource, WarmUpStatement};
 use member::{BackendNotice, NoticeOutcome};
 use thiserror::Error;
 
@@ -12,6 +13,7 @@
 use crate::call_body::CallBody;
 use crate::departure_log::record_departure;
 use crate::node_core::NodeCore;
+use crate::warm_up_watch::{doubt_warmth, log_change};
 
 /// The maximum size of a notice from a backend server, in bytes; typical ones have a few hundred.
 const MAX_NOTICE_BYTES: usize = 16 * 1024;
@@ -93,25 +95,46 @@
     let outcome = core.backend_watch.borrow_mut().apply(now, notice);
     let slots = core.backend_watch.borrow().slots();
     match outcome {
-        NoticeOutcome::Known => return,
-        NoticeOutcome::Started => core.gate.reset(),
-        NoticeOutcome::Changed | NoticeOutcome::Late | NoticeOutcome::Foreign => {}
+        NoticeOutcome::Known => {
+            record_cold_time(core, notice);
+            return;
+        }
+        NoticeOutcome::Started => {
+            core.gate.reset();
+            doubt_warmth(core, "start");
+            record_cold_time(core, notice);
+        }
+        NoticeOutcome::Changed => record_cold_time(core, notice),
+        NoticeOutcome::Late | NoticeOutcome::Foreign => {}
     }
     if let Some(slots) = slots {
         core.gate.set_slots(slots);
     }
     core.activity.notify();
     log::info!(
-        "event=backend-notice backend={} outcome={} slots={} sequence={} born_ms={} leaving={}",
+        "event=backend-notice backend={} outcome={} slots={} sequence={} born_ms={} leaving={} \
+         cold_ms={}",
         notice.backend(),
         outcome.as_str(),
         slots.unwrap_or(0),
         notice.sequence(),
         notice.started_at_ms(),
         notice.is_leaving(),
+        notice.cold_ms().unwrap_or(0),
     );
 }
 
+/// Applies how long the backend server stays cold by its report.
+fn record_cold_time(core: &NodeCore, notice: &BackendNotice) {
+    let Some(cold_ms) = notice.cold_ms() else {
+        return;
+    };
+    let source = WarmUpSource::Report;
+    let statement = WarmUpStatement { cold_ms, source };
+    let change = core.gate.record_warm_up(core.now(), statement);
+    log_change(core, change, "report");
+}
+
 fn status_response(status: StatusCode) -> Response<AnswerBody> {
     let body = if status.is_success() { "{}" } else { "" };
     let body = CallBody::Buffered(Bytes::from_static(body.as_bytes()));
--- a/crates/node/src/suspect_watch.rs
+++ b/crates/node/src/suspect_watch.rs
@@ -15,6 +15,7 @@
 use crate::node_core::NodeCore;
 use crate::node_message::NodeMessage;
 use crate::peer_exchange::exchange_message;
+use crate::warm_up_watch::doubt_warmth;
 
 /// The delay between the failure of a call and the check for a crash of its backend server, in
 /// milliseconds.
@@ -231,6 +232,7 @@
         log::error!("event=backend-crashed running={}", core.running.len());
         core.is_backend_up.set(false);
         core.gate.reset();
+        doubt_warmth(core, "crash");
     }
     update_suspects(core, SuspectTable::crash);
 }
--- a/crates/standin/src/instance_server.rs
+++ b/crates/standin/src/instance_server.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use compio::net::{TcpListener, TcpStream};
@@ -27,6 +27,12 @@
 const SERVER_LIMIT: &str = "server-limit";
 /// The header by which an instance says that it is leaving.
 const SERVER_LEAVING: &str = "server-leaving";
+/// The header of a health answer with the milliseconds that the instance stays cold.
+const WARM_UP: &str = "warmup-ms";
+/// The header of a health answer that names the instance.
+const INSTANCE_ID: &str = "instance-id";
+/// The path of questions about the state of the instance.
+const HEALTH_PATH: &str = "/healthz";
 
 /// A request that an instance has run.
 #[derive(Clone, Debug)]
@@ -37,6 +43,8 @@
     pub headers: HeaderMap,
     /// When the request arrived.
     pub arrived: Instant,
+    /// Whether the instance was cold then.
+    pub is_cold: bool,
 }
 
 /// A stand-in for a backend server of the users' platform.
@@ -56,6 +64,10 @@
     stated_limit: RefCell<Option<String>>,
     states_leaving: Cell<bool>,
     endless_part: Cell<Option<EndlessPart>>,
+    /// Until when the instance is cold.
+    cold_until: Cell<Option<Instant>>,
+    /// The questions about its state that the instance has answered.
+    questions: Cell<usize>,
     client: cyper::Client,
 }
 
@@ -78,6 +90,8 @@
             stated_limit: RefCell::default(),
             states_leaving: Cell::new(false),
             endless_part: Cell::new(None),
+            cold_until: Cell::new(None),
+            questions: Cell::new(0),
             client: cyper::Client::new().map_err(io::Error::other)?,
         });
         let accepting = Rc::clone(&server);
@@ -123,6 +137,26 @@
         self.endless_part.set(part);
     }
 
+    /// Makes the instance cold for a time, as after a start.
+    pub fn turn_cold(&self, time: Duration) {
+        self.cold_until.set(Some(Instant::now() + time));
+    }
+
+    /// Returns the number of questions about its state that the instance has answered.
+    #[must_use]
+    pub const fn questions(&self) -> usize {
+        self.questions.get()
+    }
+
+    /// Returns how many milliseconds the instance stays cold.
+    fn cold_ms(&self) -> u128 {
+        let until = self.cold_until.get();
+        until.map_or(0, |until| {
+            let left = until.saturating_duration_since(Instant::now());
+            left.as_millis()
+        })
+    }
+
     /// Reports `state` to a node, and returns whether the node acknowledged the report.
     pub async fn report(&self, node: SocketAddr, state: &str) -> bool {
         self.sequence.set(self.sequence.get() + 1);
@@ -133,7 +167,7 @@
             "version": "v1",
             "max-concurrency": 25,
             "state": state,
-            "warmup-left-ms": 0,
+            "warmup-left-ms": u64::try_from(self.cold_ms()).unwrap_or(u64::MAX),
             "sequence": self.sequence.get(),
             "born": self.started_at_ms.get(),
         });
@@ -168,8 +202,9 @@
             return;
         }
         let service = service_fn(|request| {
+            let is_question = request.uri().path() == HEALTH_PATH;
             let answer = self.answer(&request);
-            let run_ms = self.run_ms.get();
+            let run_ms = if is_question { 0 } else { self.run_ms.get() };
             async move {
                 wait_ms(run_ms).await;
                 Ok::<_, Infallible>(answer)
@@ -184,6 +219,15 @@
 
     fn answer(&self, request: &Request<Incoming>) -> TextResponse {
         let headers = request.headers();
+        if request.uri().path() == HEALTH_PATH {
+            self.questions.set(self.questions.get() + 1);
+            let answer = Response::builder()
+                .header(INSTANCE_ID, &self.id)
+                .header(WARM_UP, self.cold_ms().to_string());
+            return answer
+                .body(Full::default())
+                .expect("a fixed answer is valid");
+        }
         let expected = headers.get(EXPECT_INSTANCE).map(HeaderValue::as_bytes);
         if expected.is_some_and(|expected| expected != self.id.as_bytes()) {
             return text(StatusCode::MISDIRECTED_REQUEST, "");
@@ -192,6 +236,7 @@
             path: request.uri().to_string(),
             headers: headers.clone(),
             arrived: Instant::now(),
+            is_cold: self.cold_ms() > 0,
         });
         let mut response = Response::builder().header("response-signature", &self.id);
         if let Some(id) = headers.get(REQUEST_ID) {
