fix(node): tell "not run" where no byte was sent

Cause: opening a connection to the backend server had no time limit. One that accepts no connection and refuses none, as after a loss of power, kept each request until its deadline, and the caller was told 504, may have run. The monitor connection stayed open meanwhile, so the node went on to announce that it was ready.

Change: a connection that isn't open after 500 ms counts as refused, so that the request goes to another VM at no charge to the retry budget, and the monitor connection has to be opened anew. A request whose time ends before a byte of it was sent is answered as not run, with a time to come back. The sender waits 20 ms beyond the deadline for the answer of the VM that has the call, as only that VM knows whether it has run.

Ruled out: 502 for a request written to a connection that breaks. It may have run, so it stays 502.

--- a/crates/node/src/backend_pool.rs
+++ b/crates/node/src/backend_pool.rs
@@ -46,6 +46,8 @@
 const SECOND_MS: u64 = 1_000;
 /// The most requests refused on one connection before it is closed.
 const MAX_REFUSED: usize = 32;
+/// The time that the backend server has to accept a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// The largest refusal body that is read so that its connection can be reused, in bytes.
 const MAX_DRAINED_BYTES: usize = 64 * 1024;
 /// The longest time spent reading a refusal body.
@@ -155,27 +157,36 @@
     }
 
     /// Sends a request, over an idle connection if one is open.
+    ///
+    /// Sets `is_sent` while a byte of the request may have been sent, so that the caller knows it
+    /// when it stops waiting.
     pub(crate) async fn send(
         self: &Rc<Self>,
         mut request: Request<CallBody>,
         edge: &EdgeSettings,
+        is_sent: &Cell<bool>,
     ) -> Result<BackendAnswer, BackendError> {
         let named = edge.request_id_header.as_ref();
         let id = named.and_then(|name| request.headers().get(name).cloned());
         while let Some(connection) = self.take_idle(id.as_ref()) {
+            is_sent.set(true);
             match self.send_on(connection, request, id.as_ref(), edge).await {
                 Ok(response) => return Ok(response),
-                Err(SendFailure::Unsent(unsent)) => request = *unsent,
+                Err(SendFailure::Unsent(unsent)) => {
+                    is_sent.set(false);
+                    request = *unsent;
+                }
                 Err(SendFailure::Failed(error)) => return Err(error),
             }
         }
         let budget = HeadBudget::default();
         let connection = BackendConnection {
-            sender: self.connect(Rc::clone(&budget)).await?,
+            sender: self.connect_for_request(Rc::clone(&budget)).await?,
             budget,
             is_new: true,
             refused: Vec::new(),
         };
+        is_sent.set(true);
         self.send_on(connection, request, id.as_ref(), edge)
             .await
             .map_err(|failure| match failure {
@@ -274,8 +285,23 @@
         }
     }
 
+    /// Opens a connection for a request. If that fails, the monitor connection has to be opened
+    /// anew before the backend server counts as up again.
+    async fn connect_for_request(
+        &self,
+        budget: HeadBudget,
+    ) -> Result<SendRequest<CallBody>, BackendError> {
+        let opened = self.connect(budget).await;
+        if opened.is_err() {
+            self.monitor.take();
+        }
+        opened
+    }
+
     async fn connect(&self, budget: HeadBudget) -> Result<SendRequest<CallBody>, BackendError> {
-        let stream = TcpStream::connect(self.address).await?;
+        let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address));
+        let connected = connecting.await;
+        let stream = connected.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))?;
         stream.set_nodelay(true)?;
         set_tcp_user_timeout(&stream, TCP_USER_TIMEOUT_MS).map_err(io::Error::from)?;
         let stream = AnswerStream::new(BufferedStream::new(stream), budget);
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -24,6 +24,9 @@
 const MAX_REDIRECTS: u32 = 2;
 /// The maximum number of reroutes of a call whose attempts didn't reach a backend server.
 const MAX_REROUTES: u32 = 4;
+/// How long after the deadline the answer to an attempt is waited for, in milliseconds. The VM that
+/// has the call answers at the deadline, and only it knows whether the call has run.
+const ANSWER_MARGIN_MS: u64 = 20;
 /// The retry delay for callers when no backend server of the service is known, in milliseconds.
 const NO_BACKEND_RETRY_AFTER_MS: u64 = 1_000;
 
@@ -145,7 +148,8 @@
         self.head.mark = None;
         let body = self.body.take();
         let attempt = send_attempt(self.core, &vm, &mut self.head, body, self.deadline);
-        let result = Box::pin(timeout(Duration::from_millis(left_ms), attempt)).await;
+        let wait = Duration::from_millis(left_ms.saturating_add(ANSWER_MARGIN_MS));
+        let result = Box::pin(timeout(wait, attempt)).await;
         let answer = result.unwrap_or_else(|_| {
             let refusal = CallRefusal::may_have_run(RefusalReason::DeadlinePassed);
             CallAnswer::refused(&self.head, &refusal, 0)
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -1,3 +1,4 @@
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -158,13 +159,23 @@
 ) -> CallAnswer {
     guards.suspect.mark_sent();
     let left = Duration::from_millis(core.now().until_ms(deadline));
-    match timeout(left, send_call(core, head, body, deadline)).await {
+    let is_sent = Cell::new(false);
+    match timeout(left, send_call(core, head, body, deadline, &is_sent)).await {
         Ok(Ok(BackendOutcome::NotRun(kind))) => refuse_not_run(core, head, kind, guards),
         Ok(Ok(BackendOutcome::Ran(response))) => {
             guards.suspect.mark_answered();
             wrap_answer(core, head, response, guards).await
         }
         Ok(Err(error)) => answer_failed(core, head, &error, guards).await,
+        Err(_) if !is_sent.get() => {
+            guards.suspect.mark_unsent();
+            if let Some(claim) = guards.claim {
+                claim.finish(ClaimOutcome::NotRun);
+            }
+            let refusal = CallRefusal::not_run(RefusalReason::TooLate)
+                .with_retry_after_ms(BACKEND_DOWN_RETRY_MS);
+            CallAnswer::refused(head, &refusal.with_service(&head.service), head.allowance)
+        }
         Err(_) => {
             let refusal = CallRefusal::may_have_run(RefusalReason::DeadlinePassed);
             CallAnswer::refused(head, &refusal.with_service(&head.service), 0)
@@ -177,6 +188,7 @@
     head: &CallHead,
     body: CallBody,
     deadline: ClockTime,
+    is_sent: &Cell<bool>,
 ) -> Result<BackendOutcome, BackendError> {
     let edge = &core.settings.edge;
     let mut request = Request::new(body);
@@ -197,7 +209,7 @@
     *request.headers_mut() = headers;
     core.metrics.backend_requests.inc();
     let sent_at = core.now();
-    let BackendAnswer { outcome, statement } = core.backend.send(request, edge).await?;
+    let BackendAnswer { outcome, statement } = core.backend.send(request, edge, is_sent).await?;
     // Another backend server at the same address speaks for itself only.
     if !matches!(outcome, BackendOutcome::NotRun(AnswerKind::OtherBackend)) {
         apply_statement(core, backend.as_ref(), sent_at, statement);
--- a/crates/node/src/suspect_watch.rs
+++ b/crates/node/src/suspect_watch.rs
@@ -74,6 +74,11 @@
         self.stage = RunStage::Sent;
     }
 
+    /// Records that no byte of the call was sent after all.
+    pub(crate) const fn mark_unsent(&mut self) {
+        self.stage = RunStage::Unsent;
+    }
+
     /// Records that the backend server answered.
     pub(crate) const fn mark_answered(&mut self) {
         self.stage = RunStage::Answered;
