fix(limit): bound the questions that failed requests cause

Cause: each failed request made a question due, 5 ms apart at least, so that answers lost one by one could cost 200 questions a second.

Change: such questions are 100 ms apart; those while requests are paced 20 ms.

--- a/crates/limit/src/warm_up_pacer.rs
+++ b/crates/limit/src/warm_up_pacer.rs
@@ -13,6 +13,10 @@
 const QUESTION_SHARE: f64 = 0.75;
 /// The minimum time between two questions, in milliseconds.
 const MIN_QUESTION_GAP_MS: u64 = 5;
+/// The same for questions that a failed request makes due, in milliseconds.
+const URGENT_QUESTION_GAP_MS: u64 = 100;
+/// The same while requests are paced, in milliseconds.
+const PACED_QUESTION_GAP_MS: u64 = 20;
 /// The time that each question without an answer adds to the gap before the next one, in
 /// milliseconds.
 const FAILURE_GAP_MS: u64 = 100;
@@ -244,21 +248,36 @@
                 ..
             } => return has_demand.then_some(until),
             WarmthBelief::Doubtful { .. } | WarmthBelief::Cold { .. } => has_demand,
-            WarmthBelief::Warm { .. } => {
-                let asks_from = self.allowed() * QUESTION_SHARE;
-                questions.is_urgent || to_float(self.count(now)) >= asks_from.max(1.0)
-            }
-        };
-        let gap_ms = match questions.failures {
-            0 => MIN_QUESTION_GAP_MS,
-            failures => (u64::from(failures) * FAILURE_GAP_MS).min(MAX_QUESTION_GAP_MS),
+            WarmthBelief::Warm { .. } => questions.is_urgent || self.needs_statement(now),
         };
+        let gap_ms = self.question_gap_ms(now);
         let earliest = questions
             .asked_at
             .map_or(now, |asked_at| asked_at.plus_ms(gap_ms));
         is_due.then(|| earliest.max(now))
     }
 
+    /// Returns whether so many requests have started since the backend server was last known to be
+    /// warm that it has to be asked.
+    fn needs_statement(&self, now: ClockTime) -> bool {
+        let asks_from = (self.allowed() * QUESTION_SHARE).max(1.0);
+        to_float(self.count(now)) >= asks_from
+    }
+
+    /// Returns the minimum time between the last question and the next one, in milliseconds.
+    fn question_gap_ms(&self, now: ClockTime) -> u64 {
+        let failures = u64::from(self.questions.failures);
+        if failures > 0 {
+            (failures * FAILURE_GAP_MS).min(MAX_QUESTION_GAP_MS)
+        } else if self.is_pacing() {
+            PACED_QUESTION_GAP_MS
+        } else if self.needs_statement(now) {
+            MIN_QUESTION_GAP_MS
+        } else {
+            URGENT_QUESTION_GAP_MS
+        }
+    }
+
     /// Records that the backend server is asked about its state.
     pub(crate) const fn begin_question(&mut self, now: ClockTime) {
         self.questions.asked_at = Some(now);
--- a/crates/limit/tests/warm_up.rs
+++ b/crates/limit/tests/warm_up.rs
@@ -466,6 +466,24 @@
     backend.load(240, 1_000);
     let asked = backend.questions - at_first;
     assert!((8..=12).contains(&asked), "{asked}");
+    backend.load(1_200, 1_000);
+    let asked_fast = backend.questions - at_first - asked;
+    assert!(asked_fast <= 1_200 / 24 + 2, "{asked_fast}");
+}
+
+/// Requests that fail one by one, as when answers are lost, cost neither capacity nor many
+/// questions.
+#[test]
+fn failed_requests_cost_no_capacity_and_few_questions() {
+    let mut backend = ColdBackend::new(true, 0);
+    backend.load(15, 1_000);
+    let before = backend.questions;
+    for _ in 0..2_000 {
+        backend.queue.suspect_cold();
+        backend.advance();
+    }
+    assert!(backend.queue.warm_up_rate_per_s().is_none());
+    assert!(backend.questions - before <= 21, "{}", backend.questions);
 }
 
 /// A service without terms gets every request at once, as before.
