--- a/crates/node/src/backend_pool.rs
+++ b/crates/node/src/backend_pool.rs
@@ -5,10 +5,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use clock::ClockTime;
 use compio::net::TcpStream;
 use compio::time::timeout;
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use http::response::Parts;
 use http::{HeaderValue, Request, Response};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -46,6 +48,8 @@
 const SECOND_MS: u64 = 1_000;
 /// The most requests refused on one connection before it is closed.
 const MAX_REFUSED: usize = 32;
+/// The time that the backend server has to accept a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// The largest refusal body that is read so that its connection can be reused, in bytes.
 const MAX_DRAINED_BYTES: usize = 64 * 1024;
 /// The longest time spent reading a refusal body.
@@ -104,6 +108,12 @@
     refused: Vec<HeaderValue>,
 }
 
+/// A connection that carries only questions.
+struct QuestionConnection {
+    sender: SendRequest<SentBody>,
+    budget: HeadBudget,
+}
+
 /// A connection that currently carries no request.
 struct IdleConnection {
     connection: BackendConnection,
@@ -123,6 +133,9 @@
     idle: RefCell<VecDeque<IdleConnection>>,
     /// A connection that never carries a request; its close shows a crash of the backend server.
     monitor: RefCell<Option<SendRequest<SentBody>>>,
+    /// A connection that carries only questions about the backend server's state, so that what goes
+    /// wrong with them affects no request.
+    questions: RefCell<Option<QuestionConnection>>,
     is_down: Cell<bool>,
     /// When the backend server last answered on any connection.
     answered_at: Cell<ClockTime>,
@@ -136,6 +149,7 @@
             limits,
             idle: RefCell::new(VecDeque::new()),
             monitor: RefCell::new(None),
+            questions: RefCell::new(None),
             is_down: Cell::new(false),
             answered_at: Cell::new(ClockTime::ZERO),
         }
@@ -146,29 +160,40 @@
     }
 
     /// Sends a request, over an idle connection if one is open.
+    ///
+    /// Sets `is_sent` while a byte of the request may have been sent, so that the caller knows it
+    /// when it stops waiting.
     pub(crate) async fn send(
         self: &Rc<Self>,
         mut request: Request<CallBody>,
         edge: &EdgeSettings,
+        is_sent: &Cell<bool>,
     ) -> Result<BackendAnswer, BackendError> {
         let named = edge.request_id_header.as_ref();
         let id = named.and_then(|name| request.headers().get(name).cloned());
         while let Some(connection) = self.take_idle(id.as_ref()) {
+            is_sent.set(true);
             match self.send_on(connection, request, id.as_ref(), edge).await {
                 Ok(response) => return Ok(response),
-                Err(SendFailure::Unsent(unsent)) => request = *unsent,
+                Err(SendFailure::Unsent(unsent)) => {
+                    is_sent.set(false);
+                    request = *unsent;
+                }
                 Err(SendFailure::Failed(error)) => return Err(error),
             }
         }
         let budget = HeadBudget::default();
         let progress = SendProgress::default();
         let connection = BackendConnection {
-            sender: self.connect(Rc::clone(&budget), progress.clone()).await?,
+            sender: self
+                .connect_for_request(Rc::clone(&budget), progress.clone())
+                .await?,
             budget,
             progress,
             is_new: true,
             refused: Vec::new(),
         };
+        is_sent.set(true);
         self.send_on(connection, request, id.as_ref(), edge)
             .await
             .map_err(|failure| match failure {
@@ -177,6 +202,66 @@
             })
     }
 
+    /// Asks the backend server about its state, and returns the head of the answer.
+    pub(crate) async fn ask(
+        &self,
+        request: &Request<()>,
+        edge: &EdgeSettings,
+    ) -> Result<Parts, BackendError> {
+        let kept = self.questions.take();
+        let mut kept = kept.filter(|kept| kept.sender.is_ready());
+        let (mut connection, answer) = loop {
+            let is_kept = kept.is_some();
+            let mut connection = if let Some(connection) = kept.take() {
+                connection
+            } else {
+                let budget = HeadBudget::default();
+                let progress = SendProgress::default();
+                let sender = self.connect(Rc::clone(&budget), progress).await?;
+                QuestionConnection { sender, budget }
+            };
+            let answer = self.ask_on(&mut connection, request).await;
+            // The backend server may have closed a kept connection, or lost it with a restart.
+            if answer.is_ok() || !is_kept {
+                break (connection, answer);
+            }
+        };
+        let (head, body) = answer.map_err(BackendError::Failed)?.into_parts();
+        let request_id = edge.request_id_header.as_ref();
+        if request_id.is_some_and(|name| head.headers.contains_key(name)) {
+            return Err(BackendError::InvalidAnswer(AnswerError::OtherRequest));
+        }
+        let body = Limited::new(body, MAX_DRAINED_BYTES).collect().await;
+        if body.is_ok() && connection.sender.ready().await.is_ok() {
+            self.questions.replace(Some(connection));
+        }
+        Ok(head)
+    }
+
+    async fn ask_on(
+        &self,
+        connection: &mut QuestionConnection,
+        request: &Request<()>,
+    ) -> Result<Response<Incoming>, hyper::Error> {
+        let body = SentBody::new(CallBody::Buffered(Bytes::new()), SendProgress::default());
+        let mut question = Request::new(body);
+        question.method_mut().clone_from(request.method());
+        question.uri_mut().clone_from(request.uri());
+        question.headers_mut().clone_from(request.headers());
+        let head_bytes = self.limits.head_bytes;
+        let budget = head_bytes.saturating_add(self.limits.interim_bytes);
+        connection.budget.set(Some(budget));
+        let answer = connection.sender.send_request(question).await;
+        connection.budget.set(None);
+        answer
+    }
+
+    /// Returns whether the monitor connection has been closed, as by a crash.
+    pub(crate) fn is_monitor_closed(&self) -> bool {
+        let monitor = self.monitor.borrow();
+        monitor.as_ref().is_some_and(SendRequest::is_closed)
+    }
+
     /// Ensures that the monitor connection is open, and returns whether it is.
     pub(crate) async fn ensure_monitor(&self) -> bool {
         let is_open = self
@@ -197,12 +282,7 @@
     /// Returns whether the backend server has crashed: its monitor connection is closed, or it
     /// accepts no new connection.
     pub(crate) async fn has_crashed(&self) -> bool {
-        let is_monitor_closed = self
-            .monitor
-            .borrow()
-            .as_ref()
-            .is_some_and(SendRequest::is_closed);
-        is_monitor_closed || self.connect_unused().await.is_err()
+        self.is_monitor_closed() || self.connect_unused().await.is_err()
     }
 
     /// Marks the backend server as down, and returns whether it wasn't before.
@@ -236,12 +316,28 @@
             .await
     }
 
+    /// Opens a connection for a request. If that fails, the monitor connection has to be opened
+    /// anew before the backend server counts as up again.
+    async fn connect_for_request(
+        &self,
+        budget: HeadBudget,
+        progress: SendProgress,
+    ) -> Result<SendRequest<SentBody>, BackendError> {
+        let opened = self.connect(budget, progress).await;
+        if opened.is_err() {
+            self.monitor.take();
+        }
+        opened
+    }
+
     async fn connect(
         &self,
         budget: HeadBudget,
         progress: SendProgress,
     ) -> Result<SendRequest<SentBody>, BackendError> {
-        let stream = TcpStream::connect(self.address).await?;
+        let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address));
+        let connected = connecting.await;
+        let stream = connected.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))?;
         stream.set_nodelay(true)?;
         set_tcp_user_timeout(&stream, TCP_USER_TIMEOUT_MS).map_err(io::Error::from)?;
         let stream = AnswerStream::new(BufferedStream::new(stream), budget, progress);
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -1,3 +1,4 @@
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -31,6 +32,7 @@
 use crate::run_guard::RunGuard;
 use crate::sent_body::SendProgress;
 use crate::suspect_watch::{SuspectGuard, SuspectRefusal, quarantine_refusal, wait_to_run};
+use crate::warm_up_watch::doubt_warmth;
 
 /// The expected run time of a call before the first measurement, in milliseconds.
 const INITIAL_RUN_MS: u64 = 1;
@@ -158,13 +160,23 @@
 ) -> CallAnswer {
     guards.suspect.mark_sent();
     let left = Duration::from_millis(core.now().until_ms(deadline));
-    match timeout(left, send_call(core, head, body, deadline)).await {
+    let is_sent = Cell::new(false);
+    match timeout(left, send_call(core, head, body, deadline, &is_sent)).await {
         Ok(Ok(BackendOutcome::NotRun(kind))) => refuse_not_run(core, head, kind, guards),
         Ok(Ok(BackendOutcome::Ran(response, request))) => {
             guards.suspect.mark_answered();
             wrap_answer(core, head, response, request, guards).await
         }
         Ok(Err(error)) => answer_failed(core, head, &error, guards).await,
+        Err(_) if !is_sent.get() => {
+            guards.suspect.mark_unsent();
+            if let Some(claim) = guards.claim {
+                claim.finish(ClaimOutcome::NotRun);
+            }
+            let refusal = CallRefusal::not_run(RefusalReason::TooLate)
+                .with_retry_after_ms(BACKEND_DOWN_RETRY_MS);
+            CallAnswer::refused(head, &refusal.with_service(&head.service), head.allowance)
+        }
         Err(_) => {
             let refusal = CallRefusal::may_have_run(RefusalReason::DeadlinePassed);
             CallAnswer::refused(head, &refusal.with_service(&head.service), 0)
@@ -177,6 +189,7 @@
     head: &CallHead,
     body: CallBody,
     deadline: ClockTime,
+    is_sent: &Cell<bool>,
 ) -> Result<BackendOutcome, BackendError> {
     let edge = &core.settings.edge;
     let mut request = Request::new(body);
@@ -196,10 +209,11 @@
     }
     *request.headers_mut() = headers;
     core.metrics.backend_requests.inc();
-    let BackendAnswer { outcome, statement } = core.backend.send(request, edge).await?;
+    let sent_at = core.now();
+    let BackendAnswer { outcome, statement } = core.backend.send(request, edge, is_sent).await?;
     // Another backend server at the same address speaks for itself only.
     if !matches!(outcome, BackendOutcome::NotRun(AnswerKind::OtherBackend)) {
-        apply_statement(core, backend.as_ref(), statement);
+        apply_statement(core, backend.as_ref(), sent_at, statement);
     }
     Ok(outcome)
 }
@@ -226,6 +240,7 @@
         && let Some(backend) = core.backend_name()
     {
         core.backend_watch.borrow_mut().forget(backend.as_str());
+        doubt_warmth(core, "other-backend");
     }
     let refusal = CallRefusal::not_run(RefusalReason::BackendBusy).with_service(&head.service);
     CallAnswer::refused(head, &refusal, head.allowance)
@@ -268,6 +283,7 @@
         error.to_string(),
     );
     core.metrics.count_backend_failure();
+    note_failure(core, error);
     if verdict == RunVerdict::NotRun {
         core.is_backend_up.set(false);
         if let Some(claim) = guards.claim {
@@ -286,6 +302,16 @@
     answer
 }
 
+/// Notes that the backend server may have started anew, or may be cold, since a request failed.
+fn note_failure(core: &NodeCore, error: &BackendError) {
+    match error {
+        BackendError::Connect(_) => doubt_warmth(core, "connect"),
+        BackendError::Failed(_) if core.backend.is_monitor_closed() => doubt_warmth(core, "close"),
+        BackendError::Failed(_) | BackendError::NotSent => core.gate.suspect_cold(core.now()),
+        BackendError::InvalidAnswer(_) => {}
+    }
+}
+
 /// Turns the backend server's response into an answer.
 ///
 /// A small answer of a claimed call is read whole and stored for duplicates of the call.
--- a/crates/node/src/suspect_watch.rs
+++ b/crates/node/src/suspect_watch.rs
@@ -15,6 +15,7 @@
 use crate::node_core::NodeCore;
 use crate::node_message::NodeMessage;
 use crate::peer_exchange::exchange_message;
+use crate::warm_up_watch::doubt_warmth;
 
 /// The delay between the failure of a call and the check for a crash of its backend server, in
 /// milliseconds.
@@ -73,6 +74,11 @@
         self.stage = RunStage::Sent;
     }
 
+    /// Records that no byte of the call was sent after all.
+    pub(crate) const fn mark_unsent(&mut self) {
+        self.stage = RunStage::Unsent;
+    }
+
     /// Records that the backend server answered.
     pub(crate) const fn mark_answered(&mut self) {
         self.stage = RunStage::Answered;
@@ -231,6 +237,7 @@
         log::error!("event=backend-crashed running={}", core.running.len());
         core.is_backend_up.set(false);
         core.gate.reset();
+        doubt_warmth(core, "crash");
     }
     update_suspects(core, SuspectTable::crash);
 }
--- a/crates/trial/src/main.rs
+++ b/crates/trial/src/main.rs
@@ -53,14 +53,14 @@
         if !is_selected(&options.node, name) {
             continue;
         }
-        let scores = run_seeds(options.seeds, firm, workload, policy);
+        let scores = run_seeds(options.seeds, firm, workload, &policy);
         table.add(firm.name, workload.name(), name, scores);
     }
 }
 
-fn run_seeds(seeds: u64, firm: &Firm, workload: Workload, policy: NodePolicy) -> Vec<TrialScore> {
+fn run_seeds(seeds: u64, firm: &Firm, workload: Workload, policy: &NodePolicy) -> Vec<TrialScore> {
     (1..=seeds)
-        .map(|seed| Simulation::new(firm.clone(), workload, policy, seed).run())
+        .map(|seed| Simulation::new(firm.clone(), workload, *policy, seed).run())
         .collect()
 }
 
