--- /dev/null
+++ b/crates/node/tests/pipeline/mod.rs
@@ -0,0 +1,138 @@
+//! A client that sends several requests on a connection before it reads the answers.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use compio::BufResult;
+use compio::io::{AsyncRead, AsyncWriteExt};
+use compio::net::TcpStream;
+use compio::time::timeout;
+
+use crate::fleet::KEY;
+
+/// The timeout of each wait for an answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// A connection and the bytes that were read from it.
+pub struct PipelineClient {
+    pub stream: TcpStream,
+    buffer: Vec<u8>,
+}
+
+/// An answer as it arrived.
+#[derive(Debug)]
+pub struct PipelineAnswer {
+    pub status: u16,
+    pub head: String,
+    pub body: Vec<u8>,
+    pub arrived: Instant,
+}
+
+impl PipelineAnswer {
+    pub fn closes(&self) -> bool {
+        self.head
+            .to_ascii_lowercase()
+            .contains("\r\nconnection: close")
+    }
+}
+
+/// Returns the text of a request of the team with [`KEY`], without a body.
+pub fn request(method: &str, path: &str, trace: &str, headers: &str) -> String {
+    format!(
+        "{method} {path} HTTP/1.1\r\nhost: a\r\nauthorization: Bearer {KEY}\r\nx-trace: {trace}\r\n{headers}\r\n"
+    )
+}
+
+/// Returns the text of a read that runs for `ms` milliseconds and is answered with `bytes` bytes.
+pub fn read(ms: u64, bytes: usize) -> String {
+    let path = format!("/filings/filings/1?ms={ms}&bytes={bytes}");
+    request("GET", &path, &format!("read-{bytes}"), "")
+}
+
+/// Returns the text of a write with a body.
+pub fn write(ms: u64, trace: &str, body: &str) -> String {
+    let path = format!("/filings/filings/1?ms={ms}");
+    let length = format!("content-length: {}\r\n", body.len());
+    request("POST", &path, trace, &length) + body
+}
+
+impl PipelineClient {
+    pub async fn connect(address: SocketAddr) -> Self {
+        let stream = TcpStream::connect(address).await.unwrap();
+        stream.set_nodelay(true).unwrap();
+        Self {
+            stream,
+            buffer: Vec::new(),
+        }
+    }
+
+    pub async fn send(&mut self, text: &str) {
+        self.stream.write_all(text.to_owned()).await.0.unwrap();
+    }
+
+    /// Reads the next answer, or returns `None` if the connection ends before it begins.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the connection ends within an answer.
+    pub async fn next(&mut self) -> Option<PipelineAnswer> {
+        timeout(ANSWER_TIMEOUT, self.read_answer())
+            .await
+            .expect("an answer or the end of the connection arrives in time")
+    }
+
+    /// Reads the next answer, which must be there.
+    pub async fn answer(&mut self) -> PipelineAnswer {
+        self.next().await.expect("the connection has ended")
+    }
+
+    /// Reads answers until the connection ends, and returns their statuses.
+    pub async fn statuses(&mut self) -> Vec<u16> {
+        let mut statuses = Vec::new();
+        while let Some(answer) = self.next().await {
+            statuses.push(answer.status);
+        }
+        statuses
+    }
+
+    async fn read_answer(&mut self) -> Option<PipelineAnswer> {
+        let end = loop {
+            let end = self.buffer.windows(4).position(|four| four == b"\r\n\r\n");
+            if let Some(end) = end {
+                break end + 4;
+            }
+            if !self.fill().await {
+                assert!(self.buffer.is_empty(), "the answer's head is cut");
+                return None;
+            }
+        };
+        let head = String::from_utf8(self.buffer.drain(..end).collect()).unwrap();
+        let status = head[9..12].parse().unwrap();
+        let length = header(&head, "content-length").map_or(0, |text| text.parse().unwrap());
+        assert!(header(&head, "transfer-encoding").is_none(), "{head}");
+        while self.buffer.len() < length {
+            assert!(self.fill().await, "the answer's body is cut");
+        }
+        Some(PipelineAnswer {
+            status,
+            head,
+            body: self.buffer.drain(..length).collect(),
+            arrived: Instant::now(),
+        })
+    }
+
+    /// Reads more bytes, and returns whether there were any.
+    async fn fill(&mut self) -> bool {
+        let BufResult(read, bytes) = self.stream.read(vec![0; 64 * 1024]).await;
+        let count = read.unwrap_or(0);
+        self.buffer.extend_from_slice(&bytes[..count]);
+        count > 0
+    }
+}
+
+fn header<'h>(head: &'h str, name: &str) -> Option<&'h str> {
+    head.lines().find_map(|line| {
+        let (found, value) = line.split_once(':')?;
+        found.eq_ignore_ascii_case(name).then(|| value.trim())
+    })
+}
