feat(node): run reads that are sent ahead on a connection side by side

Cause: a connection of a caller read its next request only when the last one had been answered, so reads sent ahead on HTTP/1.1 were answered one after the other.

A request that is not idempotent or has a body runs alone; nothing behind an answer that closes is passed on; a stop of the node answers what was passed on, the last answer closes. Requests reach the handlers with a body of the type CallerBody.

The cost of parsing each head twice was not measured.

--- a/crates/node/src/admin_port.rs
+++ b/crates/node/src/admin_port.rs
@@ -3,10 +3,10 @@
 use bytes::Bytes;
 use http::header::{CONTENT_TYPE, HeaderValue};
 use http::{Method, Request, Response, StatusCode};
-use hyper::body::Incoming;
 
 use crate::answer_body::AnswerBody;
 use crate::call_body::CallBody;
+use crate::caller_body::CallerBody;
 use crate::node_core::NodeCore;
 use crate::state_dump::dump_state;
 
@@ -14,7 +14,7 @@
 /// or marks its backend server as leaving.
 pub(crate) async fn answer_admin(
     core: Rc<NodeCore>,
-    request: Request<Incoming>,
+    request: Request<CallerBody>,
 ) -> Response<AnswerBody> {
     match request.uri().path() {
         "/leave" if request.method() == Method::POST => {
@@ -31,6 +31,8 @@
             core.metrics.running.set(i64::from(load.in_flight));
             core.metrics.queued.set(i64::from(load.queued));
             core.metrics.limit.set(i64::from(load.limit));
+            let ahead_bytes = i64::try_from(core.ahead_bytes.get()).unwrap_or(i64::MAX);
+            core.metrics.ahead_bytes.set(ahead_bytes);
             let stated_rate = core.gate.stated_rate_per_s().unwrap_or(0.0);
             core.metrics.stated_rate.set(stated_rate);
             let (version, refused) = core.config.with(|state| {
--- a/crates/node/src/caller_stream.rs
+++ b/crates/node/src/caller_stream.rs
@@ -2,13 +2,14 @@
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 
 use compio::net::TcpStream;
 use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
 use wire::BufferedStream;
 
 use crate::node_settings::NodeSettings;
+use crate::request_ahead::RequestsAhead;
 use crate::stall_timer::StallTimer;
 
 /// The length of the HTTP/2 connection preface, in bytes. The server detects the protocol by these
@@ -18,9 +19,41 @@
 /// An accepted connection that fails if its peer stops reading, or if the peer is too slow to send
 /// the bytes that identify its protocol.
 pub(crate) struct CallerStream {
+    socket: CallerSocket,
+    write_timer: StallTimer,
+    /// Reads the requests that are sent ahead, on the ports that run them.
+    ahead: Option<Rc<RequestsAhead>>,
+}
+
+/// The connection with its limit on the time for the first bytes.
+pub(crate) struct CallerSocket {
     stream: BufferedStream,
     preface: Option<PrefaceReader>,
-    write_timer: StallTimer,
+}
+
+impl CallerSocket {
+    /// Returns the number of bytes that have been read.
+    pub(crate) const fn received(&self) -> u64 {
+        self.stream.received()
+    }
+
+    pub(crate) fn poll_read(
+        &mut self,
+        context: &mut Context<'_>,
+        buffer: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        if self
+            .preface
+            .as_ref()
+            .is_some_and(PrefaceReader::is_complete)
+        {
+            self.preface = None;
+        }
+        match &mut self.preface {
+            Some(preface) => preface.poll_read(&mut self.stream, context, buffer),
+            None => Pin::new(&mut self.stream).poll_read(context, buffer),
+        }
+    }
 }
 
 /// Reads the first bytes of a connection with a time limit.
@@ -67,6 +100,7 @@
         stream: TcpStream,
         has_request: Rc<Cell<bool>>,
         settings: &NodeSettings,
+        ahead: Option<Rc<RequestsAhead>>,
     ) -> Self {
         let preface = PrefaceReader {
             seen_bytes: 0,
@@ -74,9 +108,12 @@
             timer: StallTimer::new(settings.head_limit_ms),
         };
         Self {
-            stream: BufferedStream::new(stream),
-            preface: Some(preface),
+            socket: CallerSocket {
+                stream: BufferedStream::new(stream),
+                preface: Some(preface),
+            },
             write_timer: StallTimer::new(settings.stall_limit_ms),
+            ahead,
         }
     }
 
@@ -102,16 +139,9 @@
         buffer: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
         let connection = &mut *self;
-        if connection
-            .preface
-            .as_ref()
-            .is_some_and(PrefaceReader::is_complete)
-        {
-            connection.preface = None;
-        }
-        match &mut connection.preface {
-            Some(preface) => preface.poll_read(&mut connection.stream, context, buffer),
-            None => Pin::new(&mut connection.stream).poll_read(context, buffer),
+        match &connection.ahead {
+            Some(ahead) => ahead.poll_read(context, &mut connection.socket, buffer),
+            None => connection.socket.poll_read(context, buffer),
         }
     }
 }
@@ -122,7 +152,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let poll = Pin::new(&mut self.stream).poll_write(context, bytes);
+        let poll = Pin::new(&mut self.socket.stream).poll_write(context, bytes);
         self.limit_write(context, poll)
     }
 
@@ -131,21 +161,26 @@
         context: &mut Context<'_>,
         buffers: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let poll = Pin::new(&mut self.stream).poll_write_vectored(context, buffers);
+        let poll = Pin::new(&mut self.socket.stream).poll_write_vectored(context, buffers);
         self.limit_write(context, poll)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        self.socket.stream.is_write_vectored()
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let poll = Pin::new(&mut self.stream).poll_flush(context);
+        let poll = Pin::new(&mut self.socket.stream).poll_flush(context);
         self.limit_write(context, poll)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let poll = Pin::new(&mut self.stream).poll_shutdown(context);
-        self.limit_write(context, poll)
+        let poll = Pin::new(&mut self.socket.stream).poll_shutdown(context);
+        ready!(self.limit_write(context, poll))?;
+        let connection = &mut *self;
+        if let Some(ahead) = &connection.ahead {
+            ready!(ahead.poll_drop_unread(context, &mut connection.socket));
+        }
+        Poll::Ready(Ok(()))
     }
 }
--- a/crates/node/src/egress.rs
+++ b/crates/node/src/egress.rs
@@ -5,7 +5,6 @@
 use graph::CallTarget;
 use http::request::Parts;
 use http::{HeaderMap, Request, Response};
-use hyper::body::Incoming;
 use model::{AttemptId, RefusalReason, RequestId};
 use retry::{AllowanceShare, RepeatDecision};
 use wire::CallHead;
@@ -15,6 +14,7 @@
 use crate::call_answer::{CallAnswer, CallRefusal};
 use crate::call_body::CallBody;
 use crate::call_headers::{CALL_ID, find_deadline_ms};
+use crate::caller_body::CallerBody;
 use crate::chain_admission::check_chain;
 use crate::dispatch::dispatch_call;
 use crate::entry::{EntryCall, call_headers, find_entry, not_ready};
@@ -33,7 +33,7 @@
 /// Answers a call that the local backend server sends.
 pub(crate) async fn answer_backend(
     core: Rc<NodeCore>,
-    request: Request<Incoming>,
+    request: Request<CallerBody>,
 ) -> Response<AnswerBody> {
     let parent = find_parent(&core, request.headers());
     let request_id = match &parent {
@@ -57,7 +57,7 @@
     request_id: RequestId,
     entry: EntryCall,
     parts: Parts,
-    body: Incoming,
+    body: CallerBody,
 ) -> Response<AnswerBody> {
     let served = serve_with_inferred_parent(&core, request_id, entry, parts, body).await;
     respond(&core, request_id, served)
@@ -68,7 +68,7 @@
     request_id: RequestId,
     entry: EntryCall,
     parts: Parts,
-    body: Incoming,
+    body: CallerBody,
 ) -> Result<CallAnswer, CallRefusal> {
     let started = core.now();
     let deadline = find_deadline(core, &parts.headers, &entry, None);
@@ -120,7 +120,7 @@
 async fn serve_backend(
     core: &Rc<NodeCore>,
     request_id: RequestId,
-    request: Request<Incoming>,
+    request: Request<CallerBody>,
     parent: Option<Rc<RunningCall>>,
 ) -> Result<CallAnswer, CallRefusal> {
     let started = core.now();
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -5,7 +5,6 @@
 use http::header::HOST;
 use http::request::Parts;
 use http::{HeaderMap, Method, Request, Response, Uri};
-use hyper::body::Incoming;
 use model::{CallImportance, CallName, RefusalReason, RequestId, ServiceName, TeamName};
 use rand::Rng;
 use streams::KeyAnswer;
@@ -17,6 +16,7 @@
     find_deadline_ms, find_key, find_request_id, path_contains_key, set_header,
     strip_key_from_query, strip_request_headers,
 };
+use crate::caller_body::CallerBody;
 use crate::chain_admission::{EntryRequest, check_chain};
 use crate::dispatch::dispatch_call;
 use crate::egress::answer_with_inferred_parent;
@@ -47,7 +47,7 @@
 /// Answers a request of a caller.
 pub(crate) async fn answer_caller(
     core: Rc<NodeCore>,
-    request: Request<Incoming>,
+    request: Request<CallerBody>,
 ) -> Response<AnswerBody> {
     let caller_id = find_request_id(request.headers(), &core.settings.edge);
     let request_id = caller_id.unwrap_or_else(|| core.new_request_id());
@@ -85,7 +85,7 @@
     core: &Rc<NodeCore>,
     request_id: RequestId,
     parts: Parts,
-    body: Incoming,
+    body: CallerBody,
 ) -> Result<CallAnswer, CallRefusal> {
     let started = core.now();
     let (head, deadline, permit) = match admit_request(core, request_id, &parts).await {
@@ -220,6 +220,32 @@
     }
 }
 
+/// Returns whether a request may run more than once and has the same effect as one run.
+pub(crate) fn may_repeat<T>(core: &NodeCore, request: &Request<T>) -> bool {
+    let Some(path) = request.uri().path_and_query() else {
+        return false;
+    };
+    let contract = core.contract();
+    if contract.routes.is_empty() {
+        let (service, path) = split_service(path.as_str()).unwrap_or_default();
+        let found = contract.find_call(service, request.method().as_str(), path);
+        return found.is_some_and(|found| found.contract.may_retry());
+    }
+    let host = request.headers().get(HOST);
+    let host = host.and_then(|host| host.to_str().ok());
+    let index = core.routes.borrow();
+    let host = host.or_else(|| request.uri().host());
+    let found = host.and_then(|host| index.find(host, path.as_str()));
+    found.is_some_and(|(_, route)| route.idempotent)
+}
+
+/// Splits a path into the service that its first segment names and the rest.
+fn split_service(path: &str) -> Option<(&str, &str)> {
+    let rest = path.strip_prefix('/')?;
+    let split = rest.find(['/', '?']).unwrap_or(rest.len());
+    Some(rest.split_at(split))
+}
+
 /// Returns the call of the route that matches a request, to a service chosen at random by weight.
 fn find_route(core: &NodeCore, parts: &Parts) -> Option<EntryCall> {
     let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
@@ -244,10 +270,7 @@
     uri: &Uri,
     key: Option<&[u8]>,
 ) -> Option<EntryCall> {
-    let path = uri.path_and_query()?.as_str();
-    let rest = path.strip_prefix('/')?;
-    let split = rest.find(['/', '?']).unwrap_or(rest.len());
-    let (service, path) = rest.split_at(split);
+    let (service, path) = split_service(uri.path_and_query()?.as_str())?;
     let path = if path.starts_with('/') {
         strip_key_from_query(path, key)
     } else {
--- a/crates/node/src/http_port.rs
+++ b/crates/node/src/http_port.rs
@@ -1,12 +1,13 @@
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::future::poll_fn;
 use std::pin::pin;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 
 use compio::net::{TcpListener, TcpStream};
 use cyper_core::CompioTimer;
-use futures_util::future::{Either, select};
 use http::header::{CONNECTION, HeaderValue};
 use http::{Request, Response, Version};
 use hyper::body::Incoming;
@@ -14,13 +15,16 @@
 use hyper_util::server::conn::auto;
 
 use crate::answer_body::AnswerBody;
+use crate::caller_body::CallerBody;
 use crate::caller_stream::CallerStream;
 use crate::count_guard::CountGuard;
+use crate::early_answers::{EarlyAnswer, EarlyAnswers};
 use crate::local_executor::LocalExecutor;
 use crate::node_core::NodeCore;
+use crate::request_ahead::{AnswerEnd, RequestsAhead};
 
 /// The maximum size of the head of an HTTP/1.1 request, in bytes.
-const MAX_HEAD_BYTES: usize = 64 * 1024;
+pub(crate) const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// The maximum size of the header list of an HTTP/2 request, in bytes.
 const MAX_HEADER_LIST_BYTES: u32 = 64 * 1024;
 /// The interval of keep-alive pings on an HTTP/2 connection.
@@ -49,7 +53,7 @@
     listener: TcpListener,
     handler: A,
 ) where
-    A: Fn(Rc<NodeCore>, Request<Incoming>) -> F + Clone + 'static,
+    A: Fn(Rc<NodeCore>, Request<CallerBody>) -> F + Clone + 'static,
     F: Future<Output = Response<AnswerBody>> + 'static,
 {
     loop {
@@ -69,7 +73,7 @@
 
 async fn serve_connection<A, F>(core: Rc<NodeCore>, user: PortUser, stream: TcpStream, handler: A)
 where
-    A: Fn(Rc<NodeCore>, Request<Incoming>) -> F + 'static,
+    A: Fn(Rc<NodeCore>, Request<CallerBody>) -> F + Clone + 'static,
     F: Future<Output = Response<AnswerBody>> + 'static,
 {
     let _ = stream.set_nodelay(true);
@@ -82,16 +86,33 @@
     let service_core = Rc::clone(&core);
     let has_request = Rc::new(Cell::new(false));
     let request_seen = Rc::clone(&has_request);
-    let service = service_fn(move |request| {
+    let runs_ahead = user == PortUser::Caller && core.settings.ahead.max_requests > 1;
+    let ahead = runs_ahead.then(|| RequestsAhead::new(&core));
+    let early_answers = EarlyAnswers::new(&core);
+    let (service_ahead, service_early) = (ahead.clone(), Rc::clone(&early_answers));
+    let service_handler = handler.clone();
+    let service = service_fn(move |request: Request<Incoming>| {
         request_seen.set(true);
         let core = Rc::clone(&service_core);
         let is_http1 = request.version() < Version::HTTP_2;
-        let handling = Box::pin(handler(Rc::clone(&core), request));
+        let ahead = service_ahead.clone().filter(|_| is_http1);
+        let early_answers = Rc::clone(&service_early);
+        let (early, end) = take_early(&early_answers, ahead.as_ref(), &request);
+        let mut answer = early.unwrap_or_else(|| {
+            let request = request.map(CallerBody::Incoming);
+            EarlyAnswer::new(service_handler(Rc::clone(&core), request))
+        });
         async move {
-            let mut response = handling.await;
-            if is_http1 && user == PortUser::Caller && core.stop.is_triggered() {
+            let mut response = poll_fn(|context| answer.poll_answer(context)).await;
+            response.body_mut().hold_end(end);
+            // Requests that were passed on are still answered after this one.
+            let is_last = early_answers.is_empty();
+            if is_http1 && user == PortUser::Caller && core.stop.is_triggered() && is_last {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
+                if let Some(ahead) = ahead {
+                    ahead.close();
+                }
             }
             Ok::<_, Infallible>(response)
         }
@@ -110,20 +131,48 @@
         .keep_alive_timeout(KEEP_ALIVE_TIMEOUT)
         .max_concurrent_streams(MAX_CONCURRENT_STREAMS)
         .max_header_list_size(MAX_HEADER_LIST_BYTES);
-    let stream = CallerStream::new(stream, has_request, settings);
+    let stream = CallerStream::new(stream, has_request, settings, ahead.clone());
     let connection = builder.serve_connection(stream, service);
     let mut connection = pin!(connection);
-    let is_stopping = match select(connection.as_mut(), pin!(shutdown.wait())).await {
-        Either::Left((result, _)) => {
-            log_end(result);
-            false
+    let mut shutdown = pin!(shutdown.wait());
+    let (mut is_stopping, mut is_ending) = (false, false);
+    let result = poll_fn(|context| {
+        loop {
+            if let Poll::Ready(result) = connection.as_mut().poll(context) {
+                return Poll::Ready(result);
+            }
+            if let Some(ahead) = &ahead {
+                let handler = |request| handler(Rc::clone(&core), request);
+                early_answers.poll(context, ahead, handler);
+            }
+            is_stopping = is_stopping || shutdown.as_mut().poll(context).is_ready();
+            // The end of the connection waits for the requests that were passed on.
+            if !is_stopping || is_ending || !early_answers.is_empty() {
+                return Poll::Pending;
+            }
+            is_ending = true;
+            connection.as_mut().graceful_shutdown();
         }
-        Either::Right(_) => true,
+    });
+    log_end(result.await);
+}
+
+/// Begins the turn of a request, and returns its answer if it was started before.
+fn take_early<F: Future<Output = Response<AnswerBody>>>(
+    early_answers: &EarlyAnswers<F>,
+    ahead: Option<&Rc<RequestsAhead>>,
+    request: &Request<Incoming>,
+) -> (Option<EarlyAnswer<F>>, Option<AnswerEnd>) {
+    let Some(ahead) = ahead else {
+        return (None, None);
     };
-    if is_stopping {
-        connection.as_mut().graceful_shutdown();
-        log_end(connection.await);
-    }
+    let (number, end) = ahead.begin(request);
+    let early = early_answers.take(number, request).unwrap_or_else(|_| {
+        log::warn!("event=request-ahead-dropped number={number}");
+        ahead.give_up();
+        None
+    });
+    (early, Some(end))
 }
 
 fn log_end(result: Result<(), Box<dyn std::error::Error + Send + Sync>>) {
--- a/crates/node/src/node_core.rs
+++ b/crates/node/src/node_core.rs
@@ -118,6 +118,9 @@
     pub(crate) open_connections: Rc<Cell<usize>>,
     /// The number of open connections over which the backend server makes its own calls.
     pub(crate) egress_connections: Rc<Cell<usize>>,
+    /// The number of bytes held for requests that were sent ahead: of heads that weren't passed on
+    /// and of answers that wait for their turn.
+    pub(crate) ahead_bytes: Rc<Cell<usize>>,
     /// The number of calls that arrived for the backend server and aren't answered completely.
     pub(crate) arrived: Rc<Cell<usize>>,
     /// Limits the log lines caused by requests.
@@ -209,6 +212,7 @@
             leave_started_at: Cell::new(None),
             open_connections: Rc::default(),
             egress_connections: Rc::default(),
+            ahead_bytes: Rc::default(),
             arrived: Rc::default(),
             log_lines: RefCell::new(LogLineBudget::new(MAX_LOG_LINES_PER_S)),
             random: RefCell::new(random),
--- a/crates/node/src/node_metrics.rs
+++ b/crates/node/src/node_metrics.rs
@@ -41,6 +41,9 @@
     pub(crate) running: IntGauge,
     pub(crate) queued: IntGauge,
     pub(crate) limit: IntGauge,
+    /// The requests that were started before earlier ones of their connection were answered.
+    pub(crate) requests_ahead: IntCounter,
+    pub(crate) ahead_bytes: IntGauge,
 }
 
 impl NodeMetrics {
@@ -120,6 +123,14 @@
                 "lentilshift_concurrency_limit_calls",
                 "Calls that the backend server may run at once.",
             ),
+            requests_ahead: counter(
+                "lentilshift_requests_ahead_total",
+                "Requests started before earlier ones of their connection were answered.",
+            ),
+            ahead_bytes: gauge(
+                "lentilshift_ahead_bytes",
+                "Bytes held of requests sent ahead and of answers that wait for their turn.",
+            ),
             registry,
         };
         metrics.register();
@@ -182,7 +193,7 @@
     }
 
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 16] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 18] = [
             Box::new(self.calls.clone()),
             Box::new(self.refusals.clone()),
             Box::new(self.latency.clone()),
@@ -199,6 +210,8 @@
             Box::new(self.running.clone()),
             Box::new(self.queued.clone()),
             Box::new(self.limit.clone()),
+            Box::new(self.requests_ahead.clone()),
+            Box::new(self.ahead_bytes.clone()),
         ];
         for collector in collectors {
             self.registry
--- a/crates/node/src/node_settings.rs
+++ b/crates/node/src/node_settings.rs
@@ -8,6 +8,7 @@
 use streams::{FollowSettings, PlanSettings, TrustSettings};
 use wire::{FleetSecret, LinkSettings};
 
+use crate::ahead_settings::AheadSettings;
 use crate::answer_limits::AnswerLimits;
 use crate::edge_settings::EdgeSettings;
 use crate::report_port::NoticeReader;
@@ -65,6 +66,8 @@
     pub stall_limit_ms: u64,
     /// The time in which the complete head of a request must arrive, in milliseconds.
     pub head_limit_ms: u64,
+    /// The requests that callers send before earlier ones are answered.
+    pub ahead: AheadSettings,
     /// The bounds on the answers of the backend server.
     pub answers: AnswerLimits,
     /// The settings of links to other nodes.
@@ -127,6 +130,7 @@
             stop_limit_ms: 60_000,
             stall_limit_ms: 30_000,
             head_limit_ms: 10_000,
+            ahead: AheadSettings::default(),
             answers: AnswerLimits::default(),
             link: LinkSettings::default(),
             queue: QueueSettings::default(),
--- a/crates/node/src/report_port.rs
+++ b/crates/node/src/report_port.rs
@@ -4,12 +4,12 @@
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
 use member::{BackendNotice, NoticeOutcome};
 use thiserror::Error;
 
 use crate::answer_body::AnswerBody;
 use crate::call_body::CallBody;
+use crate::caller_body::CallerBody;
 use crate::departure_log::record_departure;
 use crate::node_core::NodeCore;
 
@@ -41,7 +41,7 @@
 /// next process of the node.
 pub(crate) async fn answer_report(
     core: Rc<NodeCore>,
-    request: Request<Incoming>,
+    request: Request<CallerBody>,
 ) -> Response<AnswerBody> {
     let (parts, body) = request.into_parts();
     let Some(reports) = core.settings.reports else {
--- a/crates/node/src/request_body.rs
+++ b/crates/node/src/request_body.rs
@@ -8,11 +8,11 @@
 use http::header::EXPECT;
 use http::request::Parts;
 use http_body::Body;
-use hyper::body::Incoming;
 use model::RefusalReason;
 
 use crate::call_answer::CallRefusal;
 use crate::call_body::CallBody;
+use crate::caller_body::CallerBody;
 use crate::http_body::HttpBody;
 use crate::node_core::NodeCore;
 
@@ -28,9 +28,12 @@
 /// Returns a refusal when the body is interrupted or doesn't arrive before the deadline.
 pub(crate) async fn buffer_small_body(
     core: &NodeCore,
-    body: Incoming,
+    body: CallerBody,
     deadline: ClockTime,
 ) -> Result<CallBody, CallRefusal> {
+    let CallerBody::Incoming(body) = body else {
+        return Ok(CallBody::Empty);
+    };
     let body = HttpBody::new(body, core.settings.stall_limit_ms);
     match body.size_hint().exact() {
         Some(0) => return Ok(CallBody::Empty),
@@ -50,7 +53,7 @@
 /// Otherwise the connection is closed with unread bytes: a caller that is still sending can lose
 /// the answer, and its next request on the connection fails. A caller that waits for
 /// `100 Continue` isn't asked for the body.
-pub(crate) fn discard_body(parts: &Parts, body: Incoming) {
+pub(crate) fn discard_body(parts: &Parts, body: CallerBody) {
     if body.is_end_stream() || parts.headers.contains_key(EXPECT) {
         return;
     }
@@ -64,7 +67,7 @@
     compio::runtime::spawn(discarding).detach();
 }
 
-async fn discard_frames(mut body: Incoming) {
+async fn discard_frames(mut body: CallerBody) {
     let mut left = MAX_DISCARDED_BYTES;
     while let Some(Ok(frame)) = poll_fn(|context| Pin::new(&mut body).poll_frame(context)).await {
         let bytes = frame.data_ref().map_or(0, Bytes::len);
