feat(node): follow bodies in chunks on a connection

Cause: callers send bodies with a length or in chunks. Behind a body in chunks, requests sent ahead on the connection waited for each other for the rest of the connection, as its end was not known.

Change: a reader without I/O finds the end of a body in chunks. Where it finds anything that is not strictly in form, the boundaries of requests are left to hyper as before; so too if hyper finds a request where none was expected.

Tests: the end is found in pieces of any size, 11 invalid bodies; on the network, two reads behind a body in chunks run side by side.

--- a/crates/node/src/ahead_buffer.rs
+++ b/crates/node/src/ahead_buffer.rs
@@ -70,6 +70,11 @@
         count
     }
 
+    /// Returns the bytes of a body that can be passed on at once.
+    pub(crate) fn body_bytes(&self, limit: usize) -> &[u8] {
+        &self.bytes[..limit.min(self.bytes.len())]
+    }
+
     /// Passes on bytes of the first head, up to a number of its bytes.
     pub(crate) fn pass_head(&mut self, bytes: usize, cursor: &mut ReadBufCursor<'_>) {
         let end = bytes.min(self.passed_bytes + cursor.remaining());
--- a/crates/node/src/ahead_parser.rs
+++ b/crates/node/src/ahead_parser.rs
@@ -9,8 +9,10 @@
 pub enum BodyFraming {
     /// The body has this number of bytes.
     Length(u64),
-    /// Only the HTTP implementation knows the end: the body is in chunks, the connection may change
-    /// its protocol, or the length is invalid.
+    /// The body is sent in chunks.
+    Chunks,
+    /// Only the HTTP implementation knows the end: the connection may change its protocol, or the
+    /// length is invalid.
     Unknown,
 }
 
@@ -90,6 +92,7 @@
         is_plain: request.version == Some(1),
     };
     let mut is_unknown = request.method == Some("CONNECT");
+    let mut is_chunked = false;
     for header in request.headers.iter() {
         let is = |name: &str| header.name.eq_ignore_ascii_case(name);
         if is("content-length") {
@@ -99,14 +102,20 @@
         } else if is("connection") {
             frame.is_last |= has_token(header.value, b"close");
             is_unknown |= has_token(header.value, b"upgrade");
-        } else if is("transfer-encoding") || is("upgrade") {
+        } else if is("transfer-encoding") {
+            let is_known = header.value.eq_ignore_ascii_case(b"chunked");
+            is_unknown |= is_chunked || !is_known || request.version != Some(1);
+            is_chunked = true;
+        } else if is("upgrade") {
             is_unknown = true;
         } else if is("expect") {
             frame.is_plain = false;
         }
     }
     frame.framing = match length {
+        Some(_) if is_chunked => BodyFraming::Unknown,
         _ if is_unknown => BodyFraming::Unknown,
+        None if is_chunked => BodyFraming::Chunks,
         length => BodyFraming::Length(length.unwrap_or(0)),
     };
     frame.is_plain &= frame.framing == BodyFraming::Length(0);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -31,6 +31,7 @@
 mod caller_stream;
 mod chain_admission;
 mod change_notifier;
+mod chunk_reader;
 mod claim_state;
 mod claim_watch;
 mod config_state;
@@ -89,6 +90,7 @@
 pub use ahead_plan::{AheadPlan, RequestTurn};
 pub use ahead_settings::AheadSettings;
 pub use answer_limits::AnswerLimits;
+pub use chunk_reader::{ChunkReader, ChunkStep};
 pub use edge_settings::EdgeSettings;
 pub use fleet_bounds::FleetBounds;
 pub use node_process::{NodeError, NodeProcess};
--- a/crates/node/src/request_ahead.rs
+++ b/crates/node/src/request_ahead.rs
@@ -11,6 +11,7 @@
 use crate::ahead_parser::{BodyFraming, HeadFrame, HeadParse, read_request};
 use crate::ahead_plan::{AheadPlan, RequestTurn};
 use crate::caller_stream::CallerSocket;
+use crate::chunk_reader::{ChunkReader, ChunkStep};
 use crate::entry::may_repeat;
 use crate::http_port::MAX_HEAD_BYTES;
 use crate::node_core::NodeCore;
@@ -56,8 +57,7 @@
     is_next_barred: bool,
     /// The last head that was passed on, unless its request was started before.
     current: Option<HeadFrame>,
-    /// The bytes of the current request's body that weren't passed on.
-    body_left: u64,
+    body: BodyProgress,
     /// The number of heads that were passed on.
     passed_heads: u64,
     /// The number of requests that the HTTP implementation has begun to handle.
@@ -72,6 +72,37 @@
     reader: Option<Waker>,
 }
 
+/// How much of the current request's body was passed on.
+enum BodyProgress {
+    /// All of it, or there is none.
+    Passed,
+    /// All but a number of bytes.
+    Left(u64),
+    /// A part of a body in chunks.
+    Chunks(ChunkReader),
+}
+
+impl BodyProgress {
+    /// Returns the number of bytes that surely belong to the body.
+    const fn known_left(&self) -> u64 {
+        match self {
+            Self::Passed => 0,
+            Self::Left(bytes) => *bytes,
+            Self::Chunks(reader) => reader.data_left(),
+        }
+    }
+
+    /// Records that some of these bytes were passed on.
+    fn skip(&mut self, bytes: u64) {
+        match self {
+            Self::Passed => {}
+            Self::Left(left) if *left == bytes => *self = Self::Passed,
+            Self::Left(left) => *left -= bytes,
+            Self::Chunks(reader) => reader.skip_data(bytes),
+        }
+    }
+}
+
 /// What a step of a read leads to.
 enum ReadStep {
     Again,
@@ -90,7 +121,7 @@
             started: VecDeque::new(),
             is_next_barred: false,
             current: None,
-            body_left: 0,
+            body: BodyProgress::Passed,
             passed_heads: 0,
             begun: 0,
             ended: 0,
@@ -127,8 +158,9 @@
                 }
                 state.buffer.pass_body(usize::MAX, &mut cursor);
                 READ
-            } else if state.body_left > 0 {
-                if state.buffer.is_empty() && state.body_left >= cursor.remaining() as u64 {
+            } else if !matches!(state.body, BodyProgress::Passed) {
+                let known_left = state.body.known_left();
+                if state.buffer.is_empty() && known_left >= cursor.remaining() as u64 {
                     return state.read_body(context, socket, cursor);
                 }
                 state.pass_body(context, socket, &mut cursor)
@@ -229,6 +261,10 @@
         let mut state = self.state.borrow_mut();
         let number = state.begun;
         state.begun += 1;
+        if state.begun > state.passed_heads {
+            // The HTTP implementation has found a request where none was expected.
+            state.give_up();
+        }
         // One that the handler doesn't have yet is handled in its turn.
         state.started.retain(|started| started.number != number);
         if let Some(frame) = state.current.take() {
@@ -319,7 +355,9 @@
         self.is_next_barred &= is_started;
         self.current = (!is_started).then_some(frame);
         match frame.framing {
-            BodyFraming::Length(bytes) => self.body_left = bytes,
+            BodyFraming::Length(0) => {}
+            BodyFraming::Length(bytes) => self.body = BodyProgress::Left(bytes),
+            BodyFraming::Chunks => self.body = BodyProgress::Chunks(ChunkReader::default()),
             BodyFraming::Unknown => self.give_up(),
         }
     }
@@ -331,13 +369,32 @@
         socket: &mut CallerSocket,
         cursor: &mut ReadBufCursor<'_>,
     ) -> ReadStep {
-        let left = usize::try_from(self.body_left).unwrap_or(usize::MAX);
-        let count = self.buffer.pass_body(left, cursor);
-        if count > 0 {
-            self.body_left -= count as u64;
-            return ReadStep::Again;
+        if self.buffer.is_empty() {
+            return self.read_step(context, socket, CHUNK_BYTES);
+        }
+        match &mut self.body {
+            BodyProgress::Chunks(reader) => {
+                let bytes = self.buffer.body_bytes(cursor.remaining());
+                let count = match reader.read(bytes) {
+                    ChunkStep::More => bytes.len(),
+                    ChunkStep::End(count) => {
+                        self.body = BodyProgress::Passed;
+                        count
+                    }
+                    ChunkStep::Invalid => {
+                        self.give_up();
+                        return ReadStep::Again;
+                    }
+                };
+                self.buffer.pass_body(count, cursor);
+            }
+            body => {
+                let left = usize::try_from(body.known_left()).unwrap_or(usize::MAX);
+                let count = self.buffer.pass_body(left, cursor);
+                body.skip(count as u64);
+            }
         }
-        self.read_step(context, socket, left.min(CHUNK_BYTES))
+        ReadStep::Again
     }
 
     /// Reads the current request's body without buffering it.
@@ -349,7 +406,7 @@
     ) -> Poll<io::Result<()>> {
         let before = socket.received();
         let polled = socket.poll_read(context, cursor);
-        self.body_left -= socket.received() - before;
+        self.body.skip(socket.received() - before);
         polled
     }
 
--- a/crates/node/tests/ahead_parser.rs
+++ b/crates/node/tests/ahead_parser.rs
@@ -1,6 +1,9 @@
 //! The boundaries of requests on a connection.
 
-use lentilshift_node::{BodyFraming, HeadFrame, HeadParse, has_head_end, parse_head, read_request};
+use lentilshift_node::{
+    BodyFraming, ChunkReader, ChunkStep, HeadFrame, HeadParse, has_head_end, parse_head,
+    read_request,
+};
 use rstest::rstest;
 
 const PLAIN: &str = "GET /a/b?c HTTP/1.1\r\nHost: a\r\nX-B: 1\r\n\r\n";
@@ -55,8 +58,8 @@
     false
 )]
 #[case::chunked(
-    "POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n",
-    BodyFraming::Unknown,
+    "POST / HTTP/1.1\r\nTransfer-Encoding: Chunked\r\n\r\n",
+    BodyFraming::Chunks,
     false,
     false
 )]
@@ -66,6 +69,24 @@
     false,
     false
 )]
+#[case::chunked_twice(
+    "POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\ntransfer-encoding: chunked\r\n\r\n",
+    BodyFraming::Unknown,
+    false,
+    false
+)]
+#[case::compressed_chunks(
+    "POST / HTTP/1.1\r\ntransfer-encoding: gzip, chunked\r\n\r\n",
+    BodyFraming::Unknown,
+    false,
+    false
+)]
+#[case::chunked_in_the_old_version(
+    "POST / HTTP/1.0\r\ntransfer-encoding: chunked\r\n\r\n",
+    BodyFraming::Unknown,
+    false,
+    false
+)]
 #[case::upgrade(
     "GET / HTTP/1.1\r\nconnection: upgrade\r\nupgrade: h2c\r\n\r\n",
     BodyFraming::Unknown,
@@ -156,3 +177,45 @@
     assert_eq!(request.headers()["x-b"], "1");
     assert!(read_request(&PLAIN.as_bytes()[..20]).is_none());
 }
+
+#[rstest]
+#[case::none("0\r\n\r\n")]
+#[case::one("3\r\nabc\r\n0\r\n\r\n")]
+#[case::hexadecimal("00000000000001A\r\nabcdefghijklmnopqrstuvwxyz\r\n0\r\n\r\n")]
+#[case::line_ends_in_data("6\r\n\r\n0\r\n\n\r\n0\r\n\r\n")]
+#[case::extensions("1;a=b\r\nx\r\n0 ;c\r\n\r\n")]
+#[case::trailers("0\r\nx-a: 1\r\nx-b: 2\r\n\r\n")]
+fn the_end_of_chunks_is_found_in_any_pieces(#[case] body: &str) {
+    let bytes = [body.as_bytes(), b"GET / HTTP/1.1\r\n"].concat();
+    for piece_bytes in 1..=bytes.len() {
+        let mut reader = ChunkReader::default();
+        let mut before = 0;
+        let end = bytes.chunks(piece_bytes).find_map(|piece| {
+            let step = reader.read(piece);
+            before += piece.len();
+            match step {
+                ChunkStep::More => None,
+                ChunkStep::End(count) => Some(before - piece.len() + count),
+                ChunkStep::Invalid => panic!("{body:?} is valid"),
+            }
+        });
+        assert_eq!(end, Some(body.len()), "pieces of {piece_bytes}");
+    }
+}
+
+#[rstest]
+#[case::no_size("\r\n")]
+#[case::no_number("x\r\n")]
+#[case::sign("+1\r\n")]
+#[case::space_first(" 1\r\n")]
+#[case::line_feed_alone("1\nx")]
+#[case::line_feed_in_an_extension("1;a\n")]
+#[case::return_alone("1\rx")]
+#[case::longer_data("1\r\nxy\r\n")]
+#[case::too_large("1000000000000000\r\n")]
+#[case::line_feed_in_a_trailer("0\r\na: 1\n\r\n")]
+#[case::no_line_behind_the_last("0\r\n\n")]
+fn other_chunks_are_invalid(#[case] body: &str) {
+    let mut reader = ChunkReader::default();
+    assert_eq!(reader.read(body.as_bytes()), ChunkStep::Invalid);
+}
--- a/crates/node/tests/requests_ahead.rs
+++ b/crates/node/tests/requests_ahead.rs
@@ -195,6 +195,8 @@
         lengths.push(answer.body.len());
     }
     assert_eq!([lengths[0], lengths[2], lengths[3]], [1, 3, 4]);
+    // The two reads behind the body ran side by side.
+    assert_eq!(fleet.vms[0].backend.record().max_running(), 2);
     assert_eq!(fleet.runs("inner"), 0);
     assert_eq!(fleet.runs("outer"), 1);
     assert_eq!(fleet.vms[0].backend.record().entries().len(), 4);
