--- a/crates/node/tests/pipeline/mod.rs
+++ b/crates/node/tests/pipeline/mod.rs
@@ -60,6 +60,10 @@
     pub async fn connect(address: SocketAddr) -> Self {
         let stream = TcpStream::connect(address).await.unwrap();
         stream.set_nodelay(true).unwrap();
+        Self::new(stream)
+    }
+
+    pub const fn new(stream: TcpStream) -> Self {
         Self {
             stream,
             buffer: Vec::new(),
--- a/crates/node/tests/requests_ahead.rs
+++ b/crates/node/tests/requests_ahead.rs
@@ -5,12 +5,17 @@
 
 use std::time::{Duration, Instant};
 
+use compio::io::AsyncWriteExt;
+use compio::net::TcpStream;
 use compio::time::{sleep, timeout};
-use fleet::Fleet;
+use fleet::{CONTRACT, Fleet};
 use lentilshift_node::{AheadSettings, NodeSettings};
 use pipeline::{PipelineClient, read, request, write};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use rstest::rstest;
 use standin::BackendSettings;
+use streams::{ConfigRecord, ConfigVersion};
 
 /// The timeout of every wait in these tests.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
@@ -18,6 +23,18 @@
 const SIDE_BY_SIDE_TIME: Duration = Duration::from_millis(300);
 /// The largest piece of an answer that is read at once, in bytes.
 const MAX_FRAME_BYTES: u64 = 64 * 1024;
+/// Routes whose requests may be repeated, and routes whose requests may not.
+const ROUTES: &str = r#"
+[routes.look-up]
+host = "a"
+path = "/look/"
+idempotent = true
+backends = { filings = 1 }
+[routes.file]
+host = "a"
+path = "/file/"
+backends = { filings = 1 }
+"#;
 
 async fn one_node() -> Fleet {
     one_node_with(AheadSettings::default(), 10_000).await
@@ -482,3 +499,163 @@
     assert!(client.next().await.is_none());
     assert_eq!(fleet.runs("write"), 0);
 }
+
+/// With routes, the route says whether a request may run beside others, whatever its method.
+#[rstest]
+#[case::read("GET", "/look/1?ms=50", 4)]
+#[case::write_without_a_body("GET", "/file/1?ms=50", 1)]
+#[case::read_by_post("POST", "/look/1?ms=50", 4)]
+#[compio::test]
+async fn routes_say_what_runs_side_by_side(
+    #[case] method: &str,
+    #[case] path: &str,
+    #[case] expected: usize,
+) {
+    let fleet = one_node().await;
+    let text = format!("{CONTRACT}{ROUTES}");
+    let record = ConfigRecord::publish(ConfigVersion::new(1), CONTRACT, &text);
+    fleet.append(&record, 3).await;
+    let waiting = async {
+        while fleet.dump(0).await["contract"]["version"] != 2 {
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    timeout(WAIT_TIMEOUT, waiting).await.unwrap();
+    let mut client = connect(&fleet).await;
+    client
+        .send(&request(method, path, "route", "").repeat(4))
+        .await;
+    for _ in 0..4 {
+        assert_eq!(client.answer().await.status, 200);
+    }
+    assert_eq!(fleet.runs("route"), 4);
+    assert_eq!(fleet.vms[0].backend.record().max_running(), expected);
+}
+
+/// A request of a random connection.
+struct RandomRequest {
+    text: String,
+    trace: String,
+    /// The number of bytes that the backend server receives, if the request is a write.
+    uploaded_bytes: Option<usize>,
+    /// The number of bytes of the answer to a read.
+    answer_bytes: usize,
+}
+
+fn random_request(random: &mut SmallRng, number: usize) -> RandomRequest {
+    let ms = random.random_range(0..20);
+    let answer_bytes = match random.random_range(0..8) {
+        0 => 200_000 + number,
+        _ => 1 + number,
+    };
+    let trace = format!("request-{number}");
+    let padding = format!(
+        "x-padding: {}\r\n",
+        "p".repeat(random.random_range(0..3_000))
+    );
+    if random.random_bool(0.7) {
+        let path = format!("/filings/filings/1?ms={ms}&bytes={answer_bytes}");
+        return RandomRequest {
+            text: request("GET", &path, &trace, &padding),
+            trace,
+            uploaded_bytes: None,
+            answer_bytes,
+        };
+    }
+    let length = match random.random_range(0..4) {
+        0 => 100_000 + number,
+        1 => 0,
+        _ => number,
+    };
+    let body = "GET / HTTP/1.1\r\n\r\n0\r\n\r\n".repeat(1 + length / 23);
+    let body = &body[..length];
+    let path = format!("/filings/filings/1?ms={ms}");
+    let text = if length > 0 && random.random_bool(0.5) {
+        let chunked = format!("transfer-encoding: chunked\r\n{padding}");
+        let (first, second) = body.split_at(length / 2);
+        let mut text = request("POST", &path, &trace, &chunked);
+        for piece in [first, second]
+            .into_iter()
+            .filter(|piece| !piece.is_empty())
+        {
+            text.push_str(&chunk(piece));
+        }
+        text + "0\r\nx-trailer: 1\r\n\r\n"
+    } else {
+        let headers = format!("content-length: {length}\r\n{padding}");
+        request("POST", &path, &trace, &headers) + body
+    };
+    RandomRequest {
+        text,
+        trace,
+        uploaded_bytes: Some(length),
+        answer_bytes,
+    }
+}
+
+/// Returns a chunk with an extension.
+fn chunk(data: &str) -> String {
+    format!("{:x};a=b\r\n{data}\r\n", data.len())
+}
+
+/// Random reads and writes, in pieces of random sizes, are answered in order; each runs once, and
+/// writes run alone.
+#[rstest]
+#[case(1)]
+#[case(2)]
+#[case(3)]
+#[case(4)]
+#[case(5)]
+#[case(6)]
+#[compio::test]
+async fn random_connections_keep_the_order(#[case] seed: u64) {
+    let fleet = one_node().await;
+    let address = fleet.vms[0].node.caller_address();
+    let mut random = SmallRng::seed_from_u64(seed);
+    let requests: Vec<RandomRequest> = (0..60)
+        .map(|number| random_request(&mut random, number))
+        .collect();
+    let text: String = requests
+        .iter()
+        .map(|request| request.text.as_str())
+        .collect();
+    let stream = TcpStream::connect(address).await.unwrap();
+    let mut writer = stream.clone();
+    let sending = async {
+        let mut rest = text.as_bytes();
+        while !rest.is_empty() {
+            let most = [10, 500, 5_000, 200_000][random.random_range(0..4)];
+            let piece = random.random_range(1..=most).min(rest.len());
+            writer.write_all(rest[..piece].to_vec()).await.0.unwrap();
+            rest = &rest[piece..];
+            if random.random_bool(0.2) {
+                sleep(Duration::from_millis(random.random_range(0..10))).await;
+            }
+        }
+    };
+    let mut client = PipelineClient::new(stream);
+    let reading = async {
+        for request in &requests {
+            let answer = client.answer().await;
+            assert_eq!(answer.status, 200, "{}", request.trace);
+            if let Some(bytes) = request.uploaded_bytes {
+                let text = String::from_utf8(answer.body).unwrap();
+                let uploaded = format!(r#""uploaded_bytes":{bytes}}}"#);
+                assert!(text.ends_with(&uploaded), "{}: {text}", request.trace);
+            } else {
+                assert_eq!(answer.body.len(), request.answer_bytes, "{}", request.trace);
+            }
+        }
+    };
+    futures_util::join!(sending, reading);
+    let entries = fleet.vms[0].backend.record().entries();
+    assert_eq!(entries.len(), requests.len());
+    for (position, request) in requests.iter().enumerate() {
+        assert_eq!(fleet.runs(&request.trace), 1, "{}", request.trace);
+        if request.uploaded_bytes.is_some() {
+            assert_eq!(entries[position].trace, request.trace);
+        }
+    }
+    assert!(fleet.vms[0].backend.record().max_running() > 1);
+    assert_eq!(metric(&fleet, "lentilshift_ahead_bytes").await, 0);
+}
