feat(node): refuse an early answer that broke off before its turn

Cause: an answer that breaks off ends its connection, and the requests behind it that were passed on lose their answers.

Change: if an answer broke off in the part that was read before its turn, it is refused in its place (backend-failed, 502) and the connection goes on. The line of log about a request that was dropped has the budget of such lines.

--- a/crates/node/src/early_answers.rs
+++ b/crates/node/src/early_answers.rs
@@ -6,10 +6,14 @@
 
 use http::response::Parts;
 use http::{Request, Response};
+use model::RefusalReason;
 
 use crate::answer_body::AnswerBody;
 use crate::byte_count::ByteCount;
+use crate::call_answer::CallRefusal;
+use crate::call_headers::find_request_id;
 use crate::caller_body::CallerBody;
+use crate::http_answer::refusal_response;
 use crate::node_core::NodeCore;
 use crate::request_ahead::{RequestsAhead, StartedRequest};
 use crate::waiting_body::WaitingBody;
@@ -128,11 +132,12 @@
         if requests.front().is_none_or(|early| early.number != number) {
             return Ok(None);
         }
-        let early = requests.pop_front().filter(|early| early.is(request));
-        if early.is_none() {
+        let Some(mut early) = requests.pop_front().filter(|early| early.is(request)) else {
             requests.clear();
-        }
-        early.map(|early| Some(early.answer)).ok_or(OtherRequest)
+            return Err(OtherRequest);
+        };
+        early.refuse_broken(&self.core);
+        Ok(Some(early.answer))
     }
 }
 
@@ -140,6 +145,22 @@
 pub(crate) struct OtherRequest;
 
 impl<F> EarlyRequest<F> {
+    /// Replaces an answer whose body has broken off already by a refusal, so that the connection
+    /// doesn't have to end with it.
+    fn refuse_broken(&mut self, core: &NodeCore) {
+        let EarlyAnswer::Answered(Some(answer)) = &self.answer else {
+            return;
+        };
+        if !answer.1.is_broken() {
+            return;
+        }
+        let caller_id = find_request_id(self.request.headers(), &core.settings.edge);
+        let request_id = caller_id.unwrap_or_else(|| core.new_request_id());
+        let refusal = CallRefusal::may_have_run(RefusalReason::BackendFailed);
+        let (parts, body) = refusal_response(core, request_id, "entry", &refusal).into_parts();
+        self.answer = EarlyAnswer::Answered(Some(Box::new((parts, WaitingBody::new(body)))));
+    }
+
     fn is<T>(&self, other: &Request<T>) -> bool {
         self.request.method() == other.method()
             && self.request.uri() == other.uri()
--- a/crates/node/src/http_port.rs
+++ b/crates/node/src/http_port.rs
@@ -97,7 +97,7 @@
         let is_http1 = request.version() < Version::HTTP_2;
         let ahead = service_ahead.clone().filter(|_| is_http1);
         let early_answers = Rc::clone(&service_early);
-        let (early, end) = take_early(&early_answers, ahead.as_ref(), &request);
+        let (early, end) = take_early(&core, &early_answers, ahead.as_ref(), &request);
         let mut answer = early.unwrap_or_else(|| {
             let request = request.map(CallerBody::Incoming);
             EarlyAnswer::new(service_handler(Rc::clone(&core), request))
@@ -159,6 +159,7 @@
 
 /// Begins the turn of a request, and returns its answer if it was started before.
 fn take_early<F: Future<Output = Response<AnswerBody>>>(
+    core: &NodeCore,
     early_answers: &EarlyAnswers<F>,
     ahead: Option<&Rc<RequestsAhead>>,
     request: &Request<Incoming>,
@@ -168,7 +169,9 @@
     };
     let (number, end) = ahead.begin(request);
     let early = early_answers.take(number, request).unwrap_or_else(|_| {
-        log::warn!("event=request-ahead-dropped number={number}");
+        if core.may_log() {
+            log::warn!("event=request-ahead-dropped number={number}");
+        }
         ahead.give_up();
         None
     });
--- a/crates/node/src/waiting_body.rs
+++ b/crates/node/src/waiting_body.rs
@@ -33,6 +33,11 @@
         }
     }
 
+    /// Returns whether the body broke off in the part that was read before its turn.
+    pub(crate) fn is_broken(&self) -> bool {
+        self.read.back().is_some_and(Result::is_err)
+    }
+
     /// Ends the turn of its request when it is dropped.
     pub(crate) fn hold_end(&mut self, end: Option<AnswerEnd>) {
         self.end = end;
--- a/crates/node/tests/requests_ahead.rs
+++ b/crates/node/tests/requests_ahead.rs
@@ -280,6 +280,23 @@
     assert_eq!(fleet.runs("write"), 0);
 }
 
+/// A short answer that breaks off before its turn doesn't end the connection.
+#[compio::test]
+async fn a_short_answer_that_breaks_off_is_refused_in_its_place() {
+    let fleet = one_node().await;
+    let mut client = connect(&fleet).await;
+    let path = "/filings/filings/1?ms=0&bytes=20000&cut=1";
+    let cut = request("GET", path, "cut", "");
+    let requests = [read(200, 1), cut, read(0, 3), write(0, "write", "")];
+    client.send(&requests.concat()).await;
+    let mut statuses = Vec::new();
+    for _ in 1..=4 {
+        statuses.push(client.answer().await.status);
+    }
+    assert_eq!(statuses, [200, 502, 200, 200]);
+    assert_eq!(fleet.runs("write"), 1);
+}
+
 #[compio::test]
 async fn a_deadline_in_the_middle_leaves_the_others_as_they_are() {
     let fleet = one_node().await;
