--- a/crates/node/tests/large_answers.rs
+++ b/crates/node/tests/large_answers.rs
@@ -1,7 +1,7 @@
 //! Large answers that their caller doesn't read are held back, not held in memory.
 
 mod fleet;
-#[allow(dead_code, reason = "these callers send one request each")]
+#[allow(dead_code, reason = "not every test file needs all of it")]
 mod pipeline;
 
 use std::time::Duration;
--- a/crates/node/tests/pipeline/mod.rs
+++ b/crates/node/tests/pipeline/mod.rs
@@ -6,12 +6,14 @@
 use compio::BufResult;
 use compio::io::{AsyncRead, AsyncWriteExt};
 use compio::net::TcpStream;
-use compio::time::timeout;
+use compio::time::{sleep, timeout};
+use lentilshift_node::{AheadSettings, NodeSettings};
+use standin::BackendSettings;
 
-use crate::fleet::KEY;
+use crate::fleet::{Fleet, KEY};
 
-/// The timeout of each wait for an answer.
-const ANSWER_TIMEOUT: Duration = Duration::from_secs(30);
+/// The timeout of every wait in these tests.
+pub const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// A connection and the bytes that were read from it.
 pub struct PipelineClient {
@@ -80,7 +82,7 @@
     ///
     /// Panics if the connection ends within an answer.
     pub async fn next(&mut self) -> Option<PipelineAnswer> {
-        timeout(ANSWER_TIMEOUT, self.read_answer())
+        timeout(WAIT_TIMEOUT, self.read_answer())
             .await
             .expect("an answer or the end of the connection arrives in time")
     }
@@ -140,3 +142,54 @@
         found.eq_ignore_ascii_case(name).then(|| value.trim())
     })
 }
+
+/// Starts a backend server of `filings` and its node.
+pub async fn one_node() -> Fleet {
+    one_node_with(AheadSettings::default(), 10_000).await
+}
+
+/// Starts the same with settings of the node.
+pub async fn one_node_with(ahead: AheadSettings, head_limit_ms: u64) -> Fleet {
+    let mut fleet = Fleet::start().await;
+    let backend = BackendSettings::default();
+    fleet
+        .add_with_settings("filings-1", "filings", backend, |settings| NodeSettings {
+            ahead,
+            head_limit_ms,
+            ..settings
+        })
+        .await;
+    fleet.wait_until_warm().await;
+    fleet
+}
+
+/// Connects to the first node.
+pub async fn connect(fleet: &Fleet) -> PipelineClient {
+    PipelineClient::connect(fleet.vms[0].node.caller_address()).await
+}
+
+/// Returns the number of requests that the first backend server runs.
+pub fn running(fleet: &Fleet) -> usize {
+    fleet.vms[0].backend.record().running()
+}
+
+/// Waits until the backend server runs `count` requests.
+pub async fn wait_until_running(fleet: &Fleet, count: usize) {
+    let waiting = async {
+        while running(fleet) != count {
+            sleep(Duration::from_millis(5)).await;
+        }
+    };
+    timeout(WAIT_TIMEOUT, waiting)
+        .await
+        .unwrap_or_else(|_| panic!("{} requests run, not {count}", running(fleet)));
+}
+
+/// Returns a metric of the first node, without a fraction.
+pub async fn metric(fleet: &Fleet, name: &str) -> u64 {
+    let url = format!("http://{}/metrics", fleet.vms[0].node.admin_address());
+    let answer = fleet.client.get(url).unwrap().send().await.unwrap();
+    let text = answer.text().await.unwrap();
+    let line = text.lines().find(|line| line.starts_with(name)).unwrap();
+    line.rsplit(' ').next().unwrap().parse().unwrap()
+}
