--- a/crates/node/src/report_port.rs
+++ b/crates/node/src/report_port.rs
@@ -4,13 +4,13 @@
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
 use limit::{WarmUpSource, WarmUpStatement};
 use member::{BackendNotice, NoticeOutcome};
 use thiserror::Error;
 
 use crate::answer_body::AnswerBody;
 use crate::call_body::CallBody;
+use crate::caller_body::CallerBody;
 use crate::departure_log::record_departure;
 use crate::node_core::NodeCore;
 use crate::warm_up_watch::{doubt_warmth, log_change};
@@ -43,7 +43,7 @@
 /// next process of the node.
 pub(crate) async fn answer_report(
     core: Rc<NodeCore>,
-    request: Request<Incoming>,
+    request: Request<CallerBody>,
 ) -> Response<AnswerBody> {
     let (parts, body) = request.into_parts();
     let Some(reports) = core.settings.reports else {
