--- a/crates/adapter/src/http_client.rs
+++ b/crates/adapter/src/http_client.rs
@@ -1,5 +1,5 @@
 use cyper::{Client, Response};
-use http::{HeaderValue, Method, StatusCode, header::CONTENT_TYPE};
+use http::{HeaderMap, HeaderValue, Method, StatusCode, header::CONTENT_TYPE};
 use serde::de::DeserializeOwned;
 use streams::{AppendError, ReadError};
 
@@ -52,8 +52,13 @@
             .map_err(SendError::not_sent)?;
         let response = request.body(body).send().await.map_err(SendError::new)?;
         let status = response.status();
+        let headers = response.headers().clone();
         let body = self.read_body(response).await?;
-        Ok(RawAnswer { status, body })
+        Ok(RawAnswer {
+            status,
+            headers,
+            body,
+        })
     }
 
     async fn read_body(&self, mut response: Response) -> Result<Vec<u8>, SendError> {
@@ -77,6 +82,8 @@
 pub struct RawAnswer {
     /// The HTTP status.
     pub status: StatusCode,
+    /// The headers.
+    pub headers: HeaderMap,
     /// The whole body.
     pub body: Vec<u8>,
 }
--- a/crates/adapter/src/http_log.rs
+++ b/crates/adapter/src/http_log.rs
@@ -90,7 +90,10 @@
         let answer = answer.map_err(SendError::into_read)?;
         if answer.status == StatusCode::GONE {
             let reply: GoneReply = answer.parse().map_err(ReadError::Malformed)?;
-            return Err(ReadError::Gone { first: reply.first });
+            return Err(ReadError::Gone {
+                first: reply.first,
+                era: reply.era,
+            });
         }
         if !answer.status.is_success() {
             return Err(ReadError::Unavailable(answer.status.to_string()));
--- a/crates/adapter/src/log_message.rs
+++ b/crates/adapter/src/log_message.rs
@@ -1,5 +1,5 @@
 use serde::{Deserialize, Serialize};
-use streams::{LogOffset, NewRecord};
+use streams::{LogEra, LogOffset, NewRecord};
 
 /// The body of an append request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -13,4 +13,7 @@
 pub struct GoneReply {
     /// The oldest offset that is still retained.
     pub first: LogOffset,
+    /// The era of the log.
+    #[serde(default, skip_serializing_if = "LogEra::is_first")]
+    pub era: LogEra,
 }
--- a/crates/lentilshift/src/config_client.rs
+++ b/crates/lentilshift/src/config_client.rs
@@ -117,7 +117,7 @@
         let from = self.fold.next();
         let batch = match self.log.read(LogStream::Config, from, wait_ms).await {
             Ok(batch) => batch,
-            Err(ReadError::Gone { first }) if first > from => {
+            Err(ReadError::Gone { first, .. }) if first > from => {
                 self.fold.lose_before(first);
                 return Ok(ReadProgress::default());
             }
--- a/crates/lentilshift/tests/platform_path/departures.rs
+++ b/crates/lentilshift/tests/platform_path/departures.rs
@@ -21,7 +21,7 @@
 const SERVE_LIMIT: Duration = Duration::from_secs(3);
 
 /// Tells a node of the departure of its instance, and returns whether the node confirmed it.
-async fn depart(fleet: &PlatformFleet, node: usize, is_gone: bool) -> bool {
+pub async fn depart(fleet: &PlatformFleet, node: usize, is_gone: bool) -> bool {
     let instance = &fleet.instances[node];
     let address = fleet.report_address(node);
     if is_gone {
@@ -32,7 +32,7 @@
 }
 
 /// Sends requests to all nodes for a while, and returns how many have reached an instance.
-async fn arrivals_at(fleet: &PlatformFleet, instance: usize, span: Duration) -> usize {
+pub async fn arrivals_at(fleet: &PlatformFleet, instance: usize, span: Duration) -> usize {
     let before = fleet.instances[instance].runs().len();
     let until = Instant::now() + span;
     while Instant::now() < until {
--- a/crates/lentilshift/tests/platform_path/main.rs
+++ b/crates/lentilshift/tests/platform_path/main.rs
@@ -3,6 +3,7 @@
 mod departures;
 mod endless_answers;
 mod late_requests;
+mod log_return;
 mod platform_fleet;
 mod signals;
 mod soak;
--- a/crates/lentilshift/tests/platform_path/platform_fleet.rs
+++ b/crates/lentilshift/tests/platform_path/platform_fleet.rs
@@ -102,7 +102,11 @@
 impl PlatformFleet {
     /// Starts two instances of one service and one of another, and waits until all nodes are ready.
     pub async fn start() -> Self {
-        let store = StoreServer::default();
+        Self::start_on(StoreServer::default()).await
+    }
+
+    /// Does the same on a store.
+    pub async fn start_on(store: StoreServer) -> Self {
         let address = store.start().await.unwrap();
         let mut fleet = Self {
             store,
@@ -127,6 +131,11 @@
 
     /// Publishes a configuration with one key and one route for it, as operators do.
     pub fn publish(&self, version: u64, key: &str, path: &str) {
+        self.publish_rate(version, key, path, 5_000);
+    }
+
+    /// Does the same with a rate per second, which is also the burst.
+    pub fn publish_rate(&self, version: u64, key: &str, path: &str, rate: u32) {
         let route = |name: &str, path: &str, is_open: bool| {
             json!({"name": name, "path-prefix": path, "kind": "safe", "timeout-ms": 900,
                    "target-latency-ms": 200, "priority": 1, "service": "archive",
@@ -138,7 +147,7 @@
         let body = json!({
             "version": format!("{version:08x}"),
             "services": [{"name": "archive"}, {"name": "registry"}],
-            "tenants": [{"name": "clubs", "api-keys": [key], "rate-per-s": 5000, "burst": 5000}],
+            "tenants": [{"name": "clubs", "api-keys": [key], "rate-per-s": rate, "burst": rate}],
             "virtual-hosts": [{"host": "cairns.example",
                 "paths": [route("r-keyed", path, false), route("r-open", "/open/", true), slow]}],
         });
--- a/crates/member/src/member_fold.rs
+++ b/crates/member/src/member_fold.rs
@@ -86,6 +86,12 @@
 }
 
 impl StreamFold for MemberFold {
+    /// Keeps the members and departures: each member announces itself again, and departures are
+    /// written again by those who know them.
+    fn go_back(&mut self, _now: ClockTime) {
+        self.next = LogOffset::ZERO;
+    }
+
     fn lose_before(&mut self, _now: ClockTime, first: LogOffset) {
         self.next = self.next.max(first);
     }
--- a/crates/member/src/member_view.rs
+++ b/crates/member/src/member_view.rs
@@ -120,9 +120,14 @@
         });
     }
 
+    /// Returns the departures of all backend servers.
+    pub fn departures(&self) -> impl Iterator<Item = &BackendDeparture> {
+        self.departures.iter().map(|known| &known.departure)
+    }
+
     /// Returns the departures of the backend servers beside all processes of a node on a VM.
     pub fn departures_on(&self, vm: &VmName) -> impl Iterator<Item = &BackendDeparture> {
-        let all = self.departures.iter().map(|known| &known.departure);
+        let all = self.departures();
         all.filter(|departure| departure.vm.without_start() == vm.without_start())
     }
 
--- a/crates/member/tests/member_fold.rs
+++ b/crates/member/tests/member_fold.rs
@@ -10,7 +10,7 @@
 use rand::SeedableRng;
 use rstest::rstest;
 use streams::{
-    FoldFeed, FollowSettings, LogOffset, LogRecord, LogStream, ReadBatch, RecordBody, StreamFeed,
+    FoldFeed, FollowSettings, LogEra, LogOffset, LogRecord, LogStream, ReadBatch, RecordBody, StreamFeed,
     StreamFold,
 };
 
@@ -42,6 +42,7 @@
         first: LogOffset::ZERO,
         end,
         records,
+        era: LogEra::FIRST,
     };
     let now = clock::ClockTime::from_ms(10);
     let mut random = rand::rngs::SmallRng::seed_from_u64(1);
--- a/crates/node/src/announce.rs
+++ b/crates/node/src/announce.rs
@@ -57,6 +57,9 @@
             append.on_change(&core, timer.announcement());
         }
         supersede_other_start(&core, &mut timer, &mut superseded_at);
+        if core.is_announcement_lost.take() {
+            timer.make_due();
+        }
         if append.is_free(&mut timer, core.now()) {
             announce_due(&core, &mut timer, &append);
         }
--- a/crates/node/src/claim_state.rs
+++ b/crates/node/src/claim_state.rs
@@ -9,6 +9,10 @@
 }
 
 impl StreamFold for ClaimState {
+    fn go_back(&mut self, now: ClockTime) {
+        self.table.go_back(now, &mut self.actions);
+    }
+
     fn lose_before(&mut self, now: ClockTime, first: LogOffset) {
         self.table.receive_gap(now, first.get(), &mut self.actions);
     }
--- a/crates/node/src/claim_watch.rs
+++ b/crates/node/src/claim_watch.rs
@@ -7,13 +7,14 @@
     OnceRequest, StoredAnswer,
 };
 use streams::{
-    AppendError, ClaimShard, LogStream, NewRecord, PlatformLog, RecordBody, RelayBatch, RelayPull,
+    AppendError, ClaimShard, LogEra, LogStream, NewRecord, PlatformLog, RecordBody, RelayBatch, RelayPull,
+    StreamFeed,
 };
 use wire::CallHead;
 
 use crate::call_answer::CallRefusal;
 use crate::call_headers::{charged_team, idempotency_key};
-use crate::config_watch::pull_from;
+use crate::config_watch::{note_went_back, pull_from};
 use crate::node_core::NodeCore;
 use crate::node_message::{NodeMessage, NodeReply};
 use crate::peer_exchange::exchange_message;
@@ -37,6 +38,10 @@
         execute_claim_actions(&self.0);
     }
 
+    fn on_went_back(&self, stream: LogStream, era: LogEra) {
+        note_went_back(&self.0, stream, era);
+    }
+
     async fn pull(&self, peer: &VmName, pull: RelayPull) -> Option<RelayBatch> {
         pull_from(&self.0, peer, pull).await
     }
@@ -154,7 +159,11 @@
 /// Runs the work of the claim table that is due.
 pub(crate) fn poll_claims(core: &Rc<NodeCore>, now: ClockTime) {
     core.claims.with(|feed| {
+        let is_caught_up = feed.is_caught_up();
         let state = feed.fold();
+        if is_caught_up {
+            state.table.log_caught_up(now, &mut state.actions);
+        }
         if state.table.next_poll() <= now {
             state.table.poll(now, &mut state.actions);
         }
--- a/crates/node/src/config_state.rs
+++ b/crates/node/src/config_state.rs
@@ -5,7 +5,7 @@
 use contract::{ContractParser, FleetContract};
 use rand::Rng;
 use streams::{
-    AppliedRecord, ConfigFeed, ConfigVersion, FeedSettings, FollowAction, LogStream, ReadBatch,
+    AppliedRecord, ConfigFeed, ConfigVersion, FeedSettings, FollowAction, LogEra, LogStream, ReadBatch,
     ReadError, RelayBatch, RelayPull, StreamFeed, TextCheck, UpdateTime,
 };
 
@@ -111,6 +111,14 @@
         self.feed.follower().fresh_at()
     }
 
+    fn known_era(&self) -> Option<LogEra> {
+        self.feed.follower().known_era()
+    }
+
+    fn is_caught_up(&self) -> bool {
+        self.feed.follower().is_caught_up()
+    }
+
     fn answer(&self, now: ClockTime, pull: &RelayPull) -> RelayBatch {
         self.feed.answer(now, pull)
     }
--- a/crates/node/src/config_watch.rs
+++ b/crates/node/src/config_watch.rs
@@ -4,7 +4,7 @@
 use clock::ClockTime;
 use compio::time::{sleep, timeout};
 use model::VmName;
-use streams::{LogStream, NewRecord, PlatformLog, RelayBatch, RelayPull};
+use streams::{LogEra, LogStream, NewRecord, PlatformLog, RelayBatch, RelayPull};
 
 use crate::node_core::NodeCore;
 use crate::node_message::{NodeMessage, NodeReply};
@@ -37,11 +37,21 @@
         core.fleet.with(|feed| feed.fold().mark_changed());
     }
 
+    fn on_went_back(&self, stream: LogStream, era: LogEra) {
+        note_went_back(&self.0, stream, era);
+    }
+
     async fn pull(&self, peer: &VmName, pull: RelayPull) -> Option<RelayBatch> {
         pull_from(&self.0, peer, pull).await
     }
 }
 
+/// Logs and counts that the log has come back without its last records.
+pub(crate) fn note_went_back(core: &NodeCore, stream: LogStream, era: LogEra) {
+    log::warn!("event=log-went-back era={era} stream={stream}");
+    core.metrics.log_returns.inc();
+}
+
 /// Pulls the next records of a stream from another node.
 pub(crate) async fn pull_from(
     core: &NodeCore,
--- a/crates/node/src/departure_log.rs
+++ b/crates/node/src/departure_log.rs
@@ -147,7 +147,48 @@
     Some(departure)
 }
 
+/// Writes departures again after the log has come back without its last records: those beside this
+/// VM, and those of all VMs on the node that appends for the fleet.
+pub(crate) fn write_departures_again(core: &Rc<NodeCore>) {
+    let is_appender = core
+        .appender_vm
+        .borrow()
+        .as_ref()
+        .is_none_or(|vm| *vm == core.settings.vm);
+    let mut departures: Vec<BackendDeparture> = core.fleet.with(|feed| {
+        let view = feed.fold().view();
+        if is_appender {
+            view.departures().cloned().collect()
+        } else {
+            view.departures_on(&core.settings.vm).cloned().collect()
+        }
+    });
+    let last = core.departures.last.borrow();
+    let last = last.as_ref().map(|(last, _)| last.clone());
+    let is_listed = |last: &BackendDeparture| departures.contains(last);
+    if let Some(last) = last.filter(|last| !is_listed(last)) {
+        departures.push(last);
+    }
+    if departures.is_empty() {
+        return;
+    }
+    log::info!("event=departures-rewritten count={}", departures.len());
+    let core = Rc::clone(core);
+    compio::runtime::spawn(async move {
+        for departure in &departures {
+            write_departure(&core, departure).await;
+        }
+    })
+    .detach();
+}
+
 async fn append_departure(core: &NodeCore, departure: &BackendDeparture) {
+    write_departure(core, departure).await;
+    core.departures.finish(departure);
+}
+
+/// Appends the record of a departure, until that succeeds.
+async fn write_departure(core: &NodeCore, departure: &BackendDeparture) {
     loop {
         let record = NewRecord {
             id: core.new_record_id(),
@@ -163,5 +204,4 @@
         }
         sleep(Duration::from_millis(RETRY_MS)).await;
     }
-    core.departures.finish(departure);
 }
--- a/crates/node/src/fleet_watch.rs
+++ b/crates/node/src/fleet_watch.rs
@@ -5,9 +5,10 @@
 use member::{MemberAnnouncement, MemberState, MemberSubset};
 use model::{CentreName, ServiceName, VmName};
 use route::RouteTarget;
-use streams::{ClaimShard, PlanSettings, RelayBatch, RelayPlan, RelayPull};
+use streams::{ClaimShard, LogEra, LogStream, PlanSettings, RelayBatch, RelayPlan, RelayPull};
 
-use crate::config_watch::pull_from;
+use crate::config_watch::{note_went_back, pull_from};
+use crate::departure_log::write_departures_again;
 use crate::node_core::NodeCore;
 use crate::stream_host::StreamWatch;
 use crate::suspect_watch::set_service_peers;
@@ -18,6 +19,12 @@
 impl StreamWatch for FleetWatch {
     fn on_update(&self, _now: ClockTime) {}
 
+    fn on_went_back(&self, stream: LogStream, era: LogEra) {
+        note_went_back(&self.0, stream, era);
+        self.0.is_announcement_lost.set(true);
+        write_departures_again(&self.0);
+    }
+
     async fn pull(&self, peer: &VmName, pull: RelayPull) -> Option<RelayBatch> {
         pull_from(&self.0, peer, pull).await
     }
--- a/crates/node/src/node_core.rs
+++ b/crates/node/src/node_core.rs
@@ -68,6 +68,8 @@
     pub(crate) appender_vm: RefCell<Option<VmName>>,
     /// The state of the local backend server as last reported, if it sends reports.
     pub(crate) backend_watch: RefCell<BackendWatch>,
+    /// Whether the log may have lost this node's announcement.
+    pub(crate) is_announcement_lost: Cell<bool>,
     /// The departures of backend servers that are on the log.
     pub(crate) departures: DepartureLog,
     /// The members of the fleet.
@@ -167,6 +169,7 @@
             contract: RefCell::default(),
             routes: RefCell::default(),
             backend_watch: RefCell::new(watch),
+            is_announcement_lost: Cell::new(false),
             departures: DepartureLog::default(),
             log,
             config: StreamHost::new(clock, ConfigState::new(&settings)),
--- a/crates/node/src/node_metrics.rs
+++ b/crates/node/src/node_metrics.rs
@@ -33,6 +33,8 @@
     /// The requests sent to the local backend server.
     pub(crate) backend_requests: IntCounter,
     pub(crate) stated_rate: Gauge,
+    /// How often a stream was found to have come back without its last records.
+    pub(crate) log_returns: IntCounter,
     loop_rounds: IntCounter,
     processor: Counter,
     backend_failures: IntCounter,
@@ -87,6 +89,10 @@
                 "Requests per second that the backend server accepts; 0 if it states no rate.",
             )
             .expect("the gauge's name is valid"),
+            log_returns: counter(
+                "lentilshift_log_returns_total",
+                "Times that a stream of the log came back without its last records.",
+            ),
             loop_rounds: counter(
                 "lentilshift_loop_rounds_total",
                 "Times that the node has asked the system for events.",
@@ -182,7 +188,7 @@
     }
 
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 16] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 17] = [
             Box::new(self.calls.clone()),
             Box::new(self.refusals.clone()),
             Box::new(self.latency.clone()),
@@ -191,6 +197,7 @@
             Box::new(self.sent.clone()),
             Box::new(self.backend_requests.clone()),
             Box::new(self.stated_rate.clone()),
+            Box::new(self.log_returns.clone()),
             Box::new(self.loop_rounds.clone()),
             Box::new(self.processor.clone()),
             Box::new(self.backend_failures.clone()),
--- a/crates/node/src/rate_state.rs
+++ b/crates/node/src/rate_state.rs
@@ -8,6 +8,10 @@
 }
 
 impl StreamFold for RateState {
+    fn go_back(&mut self, now: ClockTime) {
+        self.limiter.go_back(now);
+    }
+
     fn lose_before(&mut self, _now: ClockTime, first: LogOffset) {
         log::info!("event=records-lost stream=rates before={first}");
         self.limiter.lose_before(first.get());
--- a/crates/node/src/rate_watch.rs
+++ b/crates/node/src/rate_watch.rs
@@ -5,10 +5,10 @@
 use compio::time::timeout;
 use model::{RefusalReason, TeamName, VmName};
 use rate::{RateAction, RateDecision, RateMessage, TeamRate};
-use streams::{LogStream, NewRecord, PlatformLog, RecordBody, RelayBatch, RelayPull, StreamFeed};
+use streams::{LogEra, LogStream, NewRecord, PlatformLog, RecordBody, RelayBatch, RelayPull, StreamFeed};
 
 use crate::call_answer::CallRefusal;
-use crate::config_watch::pull_from;
+use crate::config_watch::{note_went_back, pull_from};
 use crate::node_core::NodeCore;
 use crate::node_message::NodeMessage;
 use crate::peer_exchange::exchange_message;
@@ -30,6 +30,10 @@
         poll_rates(&self.0, now);
     }
 
+    fn on_went_back(&self, stream: LogStream, era: LogEra) {
+        note_went_back(&self.0, stream, era);
+    }
+
     async fn pull(&self, peer: &VmName, pull: RelayPull) -> Option<RelayBatch> {
         pull_from(&self.0, peer, pull).await
     }
@@ -98,7 +102,7 @@
 pub(crate) fn poll_rates(core: &Rc<NodeCore>, now: ClockTime) {
     let mut actions = Vec::new();
     core.rates.with(|feed| {
-        if feed.fresh_at().is_some() {
+        if feed.is_caught_up() {
             feed.fold().limiter.log_caught_up(now);
         }
         let limiter = &mut feed.fold().limiter;
--- a/crates/node/src/stream_host.rs
+++ b/crates/node/src/stream_host.rs
@@ -8,7 +8,9 @@
 use model::VmName;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use streams::{FollowAction, FollowSettings, PlatformLog, RelayBatch, RelayPull, StreamFeed};
+use streams::{
+    FollowAction, FollowSettings, LogEra, LogStream, PlatformLog, RelayBatch, RelayPull, StreamFeed,
+};
 
 use crate::change_notifier::ChangeNotifier;
 use crate::node_clock::NodeClock;
@@ -18,6 +20,9 @@
     /// Is called after the stream has brought an update.
     fn on_update(&self, now: ClockTime);
 
+    /// Is called after the log was found to have come back without its last records.
+    fn on_went_back(&self, stream: LogStream, era: LogEra);
+
     /// Pulls the next records from another node; `None` means that it failed.
     async fn pull(&self, peer: &VmName, pull: RelayPull) -> Option<RelayBatch>;
 }
@@ -134,7 +139,14 @@
     /// update.
     fn apply(&self, watch: &impl StreamWatch, change: impl FnOnce(&mut F, &mut SmallRng) -> bool) {
         let before = self.feed.borrow().fresh_at();
+        let (stream, known) = self.with(|feed| (feed.stream(), feed.known_era()));
         let is_update = self.with_random(change);
+        let era = self.feed.borrow().known_era();
+        if let (Some(known), Some(era)) = (known, era)
+            && era > known
+        {
+            watch.on_went_back(stream, era);
+        }
         if is_update {
             watch.on_update(self.clock.now());
         }
--- a/crates/once/src/claim_fold.rs
+++ b/crates/once/src/claim_fold.rs
@@ -148,6 +148,11 @@
             .map(|(key, claim)| (*key, claim.attempt))
     }
 
+    /// Returns all claims.
+    pub(crate) fn into_claims(self) -> impl Iterator<Item = (KeyDigest, HeldClaim)> {
+        self.claims.into_iter()
+    }
+
     /// Splits all claims into chunks of a snapshot, with at most `chunk_claims` claims each.
     #[must_use]
     pub fn snapshot_claims(&self, chunk_claims: usize) -> Vec<Vec<SnapshotClaim>> {
--- a/crates/once/src/claim_table.rs
+++ b/crates/once/src/claim_table.rs
@@ -1,3 +1,4 @@
+mod log_return;
 mod reconcile;
 mod transitions;
 
@@ -7,6 +8,7 @@
 use clock::ClockTime;
 use model::{AttemptId, RecordId, RefusalReason, RunVerdict, ServiceName, VmName};
 
+use self::log_return::LogReturn;
 use crate::claim_maintenance::ClaimMaintenance;
 use crate::claim_outbox::ClaimOutbox;
 use crate::local_attempts::{EndState, LocalAttempts, LocalState};
@@ -30,6 +32,7 @@
     answers: AnswerStore,
     outbox: ClaimOutbox,
     maintenance: ClaimMaintenance,
+    log_return: LogReturn,
     random: SmallRng,
 }
 
@@ -53,6 +56,7 @@
             answers: AnswerStore::new(settings.answer_bytes),
             outbox: ClaimOutbox::default(),
             maintenance: ClaimMaintenance::default(),
+            log_return: LogReturn::default(),
             random: SmallRng::seed_from_u64(seed),
         };
         table.maintenance.complete_at = now.plus_ms(settings.horizon_ms);
@@ -270,6 +274,7 @@
             actions.push(ClaimAction::Append(record));
         }
         self.append_due(now, actions);
+        self.rewrite_claims(now, actions);
         self.run_maintenance(now, actions);
     }
 
@@ -285,13 +290,14 @@
             self.local.next_deadline(),
             self.local.next_query(),
             self.outbox.next_poll(),
+            self.next_rewrite(),
         ];
         due.into_iter().flatten().fold(maintenance, ClockTime::min)
     }
 
     /// Returns the refusal of a call that can't be accepted: its key is older than the horizon, so an
     /// earlier claim may have expired; the fold is incomplete; or the key is new and there are too
-    /// many claims or appends are overdue.
+    /// many claims, appends are overdue, or the log may have lost a claim of the key.
     fn immediate_refusal(&self, now: ClockTime, request: &OnceRequest) -> Option<ClaimRefusal> {
         let is_expired = |age_ms| age_ms >= self.settings.horizon_ms;
         if request.key_age_ms.is_some_and(is_expired) {
@@ -301,9 +307,11 @@
                 retry_after_ms: None,
             });
         }
-        let is_new = self.fold.owner(request.key).is_none();
+        let is_new = self.owner(request.key).is_none();
         let is_full = self.fold.len() >= self.settings.max_claims;
-        let is_unavailable = is_full || self.outbox.is_append_overdue(now, &self.settings);
+        let is_unavailable = is_full
+            || self.outbox.is_append_overdue(now, &self.settings)
+            || self.is_guarded(now);
         ((is_new && is_unavailable) || !self.fold.is_complete()).then_some(ClaimRefusal {
             reason: RefusalReason::ClaimUnavailable,
             verdict: RunVerdict::NotRun,
@@ -314,6 +322,7 @@
     fn handle_event(&mut self, now: ClockTime, event: FoldEvent, actions: &mut Vec<ClaimAction>) {
         match event {
             FoldEvent::KeyChanged(key) => {
+                self.drop_carried(key);
                 self.release_if_not_run(now, key);
                 self.reconcile(now, key, actions);
             }
@@ -326,6 +335,10 @@
     fn handle_completion(&mut self, now: ClockTime, marks: &[SnapshotMark]) {
         self.maintenance.restore_marks(now, &self.settings, marks);
         self.schedule_snapshot(now);
+        let carried: Vec<KeyDigest> = self.log_return.carried.keys().copied().collect();
+        for key in carried {
+            self.drop_carried(key);
+        }
         let keys: Vec<KeyDigest> = self.fold.claims_of(&self.vm).map(|(key, _)| key).collect();
         for key in keys {
             self.release_if_not_run(now, key);
--- a/crates/once/src/claim_table/reconcile.rs
+++ b/crates/once/src/claim_table/reconcile.rs
@@ -17,7 +17,7 @@
         actions: &mut Vec<ClaimAction>,
     ) {
         let attempts = self.local.of_key(key);
-        match self.fold.owner(key).cloned() {
+        match self.owner(key).cloned() {
             None => self.reconcile_unowned(now, key, &attempts, actions),
             Some(owner) => {
                 for attempt in attempts {
--- a/crates/once/src/once_settings.rs
+++ b/crates/once/src/once_settings.rs
@@ -27,6 +27,11 @@
     pub query_interval_ms: u64,
     /// The retry delay sent to refused callers, in milliseconds.
     pub retry_after_ms: u64,
+    /// How long keys without a known claim can't be claimed after the log has come back without its
+    /// last records, in milliseconds: other nodes write lost claims again in this time.
+    pub return_guard_ms: u64,
+    /// The interval in which claims that the log has lost are written again, in milliseconds.
+    pub rewrite_ms: u64,
     /// The maximum memory for stored answers, in bytes.
     pub answer_bytes: usize,
     /// The maximum number of ended attempts whose outcome is retained.
@@ -48,6 +53,8 @@
             start_within_ms: 60_000,
             query_interval_ms: 250,
             retry_after_ms: 1_000,
+            return_guard_ms: 5_000,
+            rewrite_ms: 1_000,
             answer_bytes: 8 * 1024 * 1024,
             max_ended_attempts: 20_000,
         }
--- a/crates/once/tests/claim_table.rs
+++ b/crates/once/tests/claim_table.rs
@@ -20,6 +20,8 @@
     start_within_ms: 1_000,
     query_interval_ms: 250,
     retry_after_ms: 1_000,
+    return_guard_ms: 2_000,
+    rewrite_ms: 400,
     answer_bytes: 100,
     max_ended_attempts: 100,
 };
@@ -264,3 +266,108 @@
     late.receive_record(time(0), 5, &record("vm-2", snapshot), &mut Vec::new());
     assert!(late.fold().is_complete());
 }
+
+/// Returns the claims in the appends among some actions, with the VM for which they are written.
+fn claims(actions: &[ClaimAction]) -> Vec<(String, AttemptId)> {
+    let mut claims = Vec::new();
+    for action in actions {
+        if let ClaimAction::Append(ClaimRecord { vm, body, .. }) = action
+            && let ClaimBody::Batch(entries) = body
+        {
+            claims.extend(entries.iter().filter_map(|entry| match entry {
+                ClaimEntry::Claim { attempt, .. } => Some((vm.to_string(), *attempt)),
+                ClaimEntry::Release { .. } => None,
+            }));
+        }
+    }
+    claims
+}
+
+// Guards against a key running twice: its claim was lost with the last records of the log.
+#[test]
+fn claim_that_the_log_has_lost_is_written_again_and_stays_binding() {
+    let mut table = table(0);
+    acquire_claim(&mut table, 0, 1);
+    let mut actions = Vec::new();
+    assert!(table.start(time(2), attempt(1), &mut actions));
+    table.go_back(time(10), &mut actions);
+    table.log_caught_up(time(11), &mut actions);
+    assert_eq!(claims(&actions), [("vm-1".to_owned(), attempt(1))]);
+    table.finish(time(12), attempt(1), ClaimOutcome::MayHaveRun, &mut actions);
+    actions.clear();
+    table.begin(time(5_000), request(2, b"body"), &mut actions);
+    assert_eq!(
+        refusal(&actions),
+        (RefusalReason::Duplicate, RunVerdict::MayHaveRun)
+    );
+    assert!(claims(&actions).is_empty());
+}
+
+// Guards against the same for a claim of another node, which may have ended.
+#[test]
+fn lost_claim_of_another_node_is_written_again_in_its_name() {
+    let mut table = table(0);
+    let mut actions = Vec::new();
+    table.receive_record(time(0), 0, &claim("vm-2", key(1), 7), &mut actions);
+    table.go_back(time(10), &mut actions);
+    table.log_caught_up(time(11), &mut actions);
+    assert!(claims(&actions).is_empty());
+    table.poll(time(500), &mut actions);
+    assert_eq!(claims(&actions), [("vm-2".to_owned(), attempt(7))]);
+    table.receive_record(time(501), 0, &claim("vm-2", key(1), 7), &mut actions);
+    assert_eq!(table.carried_claims(), 0);
+}
+
+// Guards against a key being claimed as fresh before the holder of a lost claim has written it again.
+#[test]
+fn unknown_key_is_refused_until_others_have_written_again() {
+    let mut table = table(0);
+    let mut actions = Vec::new();
+    table.go_back(time(10), &mut actions);
+    table.log_caught_up(time(11), &mut actions);
+    table.begin(time(12), request(1, b"body"), &mut actions);
+    assert_eq!(
+        refusal(&actions),
+        (RefusalReason::ClaimUnavailable, RunVerdict::NotRun)
+    );
+    actions.clear();
+    table.receive_record(time(1_000), 0, &claim("vm-2", key(1), 7), &mut actions);
+    table.begin(time(2_100), request(2, b"body"), &mut actions);
+    assert!(matches!(actions[..], [ClaimAction::QueryHolder { .. }]));
+}
+
+// Guards against an attempt that won its key on a log that has gone back running on that ground.
+#[test]
+fn attempt_that_has_not_started_does_not_run_after_the_log_went_back() {
+    let mut table = table(0);
+    acquire_claim(&mut table, 0, 1);
+    let mut actions = Vec::new();
+    table.go_back(time(10), &mut actions);
+    assert_eq!(
+        refusal(&actions),
+        (RefusalReason::ClaimUnavailable, RunVerdict::NotRun)
+    );
+    assert!(!table.start(time(11), attempt(1), &mut actions));
+    assert_eq!(table.carried_claims(), 0);
+}
+
+// Guards against an append in flight taking the key of a claim that was lost, and giving it free.
+#[test]
+fn lost_claim_is_written_again_after_another_one_was_released() {
+    let mut table = table(0);
+    acquire_claim(&mut table, 0, 1);
+    let mut actions = Vec::new();
+    assert!(table.start(time(2), attempt(1), &mut actions));
+    table.go_back(time(10), &mut actions);
+    table.receive_record(time(11), 0, &claim("vm-2", key(1), 9), &mut actions);
+    table.log_caught_up(time(12), &mut actions);
+    assert!(claims(&actions).is_empty());
+    let release = ClaimEntry::Release {
+        key: key(1),
+        attempt: attempt(9),
+    };
+    let release = record("vm-2", ClaimBody::Batch(vec![release]));
+    table.receive_record(time(500), 1, &release, &mut actions);
+    table.poll(time(501), &mut actions);
+    assert_eq!(claims(&actions), [("vm-1".to_owned(), attempt(1))]);
+}
--- a/crates/rate/src/lease_fold.rs
+++ b/crates/rate/src/lease_fold.rs
@@ -12,6 +12,8 @@
     pub(crate) record: LeaseRecord,
     pub(crate) offset: u64,
     pub(crate) read_at: ClockTime,
+    /// Whether a later record may have been lost when the log came back without its last ones.
+    pub(crate) is_returned: bool,
 }
 
 /// Records read by a node that can't read those before offset `first`.
@@ -30,9 +32,38 @@
     partial: Option<PartialHistory>,
     snapshot_at: Option<ClockTime>,
     reset_at: Option<ClockTime>,
+    /// The tables known before the log came back, which other allocators may still enforce.
+    carried_tables: Vec<TableRecord>,
+    /// Whether the records from before the log came back are being read again.
+    is_returning: bool,
 }
 
 impl LeaseFold {
+    /// Starts again from the first record, as the log has come back without its last ones.
+    ///
+    /// The tables known so far stay in force beside those read from now on.
+    pub(crate) fn go_back(&mut self) {
+        let mut carried_tables = std::mem::take(&mut self.carried_tables);
+        carried_tables.extend(self.tables.values().map(|(table, _)| table.clone()));
+        *self = Self {
+            first_epoch: Some(0),
+            reset_at: self.reset_at,
+            carried_tables,
+            is_returning: true,
+            ..Self::default()
+        };
+    }
+
+    /// Records that the log has been read to its end after it came back.
+    pub(crate) const fn finish_return(&mut self) {
+        self.is_returning = false;
+    }
+
+    /// Drops the tables known before the log came back, when no grant under them can be valid.
+    pub(crate) fn drop_carried_tables(&mut self) {
+        self.carried_tables.clear();
+    }
+
     /// Applies a record and returns whether it changed the state.
     pub(crate) fn apply(&mut self, now: ClockTime, offset: u64, record: &RateRecord) -> bool {
         match record {
@@ -59,6 +90,8 @@
         let retained = Vec::new();
         *self = Self {
             partial: Some(PartialHistory { first, retained }),
+            carried_tables: std::mem::take(&mut self.carried_tables),
+            is_returning: self.is_returning,
             ..Self::default()
         };
     }
@@ -100,6 +133,8 @@
         *self = Self {
             first_epoch: Some(0),
             reset_at: Some(now),
+            carried_tables: std::mem::take(&mut self.carried_tables),
+            is_returning: self.is_returning,
             ..Self::default()
         };
     }
@@ -121,6 +156,7 @@
             record: entry.lease.clone(),
             offset: entry.offset,
             read_at: now,
+            is_returned: self.is_returning,
         };
         let leases = snapshot.leases.iter();
         self.leases = leases
@@ -159,6 +195,7 @@
             record: lease.clone(),
             offset,
             read_at: now,
+            is_returned: self.is_returning,
         };
         self.leases.insert(lease.centre.clone(), state);
         self.first_epoch.get_or_insert(lease.epoch);
@@ -220,10 +257,10 @@
 
     /// Returns the smallest share over all tables that other allocators may still enforce.
     pub(crate) fn share(&self, team: &TeamName, centre: &CentreName) -> TeamShare {
-        let shares = self
-            .tables
-            .values()
-            .map(|(table, _)| TeamShare::of(table, team, centre));
+        let tables = self.tables.values().map(|(table, _)| table);
+        let shares = tables
+            .chain(&self.carried_tables)
+            .map(|table| TeamShare::of(table, team, centre));
         shares.reduce(TeamShare::min).unwrap_or_default()
     }
 
--- a/crates/rate/src/rate_allocator.rs
+++ b/crates/rate/src/rate_allocator.rs
@@ -39,9 +39,23 @@
     is_leaving: bool,
     promises: PromiseLedger,
     promised_until: ClockTime,
+    /// The right to grant from before the log came back, until the lease is on the log again.
+    carried: Option<CarriedLease>,
+    /// The holder known before the log came back, to which promises are still given for a while.
+    known_holder: Option<(VmName, ClockTime)>,
+    /// Until when this node proposes no lease, unless it has a right to carry on.
+    blocked_until: ClockTime,
     ledger: GrantLedger,
 }
 
+/// The lease of an allocator that goes on granting tokens after the log has come back without its
+/// last records, which may have included that lease.
+#[derive(Clone, Debug)]
+struct CarriedLease {
+    successors: Vec<VmName>,
+    until: ClockTime,
+}
+
 impl RateAllocator {
     pub(crate) fn new(slot: u16, vm: VmName, centre: CentreName) -> Self {
         Self {
@@ -60,6 +74,9 @@
             is_leaving: false,
             promises: PromiseLedger::default(),
             promised_until: ClockTime::ZERO,
+            carried: None,
+            known_holder: None,
+            blocked_until: ClockTime::ZERO,
         }
     }
 
@@ -73,7 +90,14 @@
     /// It may for a short time after its lease record, and later only while every node that could
     /// take over promises not to.
     pub(crate) fn may_grant(&self, now: ClockTime, fold: &LeaseFold) -> bool {
-        if !self.is_holder(fold) || self.is_stepping_down() {
+        if !self.is_holder_or_carries(fold) || self.is_stepping_down() {
+            return false;
+        }
+        if self
+            .carried
+            .as_ref()
+            .is_some_and(|lease| now >= lease.until)
+        {
             return false;
         }
         if now < self.leased_until {
@@ -83,6 +107,52 @@
         now < self.grants_until && self.successors(fold).iter().all(is_promised)
     }
 
+    fn is_holder_or_carries(&self, fold: &LeaseFold) -> bool {
+        self.carried.is_some() || self.is_holder(fold)
+    }
+
+    /// Handles a log that has come back without its last records, before `fold` starts again.
+    ///
+    /// Records read or proposed so far give no right from now on: they may be lost, and an append in
+    /// flight may follow others than expected. Only a node that may grant at this moment carries on,
+    /// for a short time, and writes its lease again. All others wait until no grant from before can
+    /// be valid.
+    pub(crate) fn go_back(&mut self, now: ClockTime, fold: &LeaseFold, settings: &RateSettings) {
+        let until = now.plus_ms(settings.shorter_ms(settings.return_carry_ms));
+        let carried = self.may_grant(now, fold).then(|| CarriedLease {
+            successors: self.successors(fold).into_iter().collect(),
+            until,
+        });
+        if let Some(holder) = fold.holder(&self.centre) {
+            self.known_holder = Some((holder.clone(), until));
+        }
+        self.blocked_until = now.plus_ms(settings.return_wait_ms());
+        self.pending = None;
+        self.observed_offset = None;
+        self.carried = carried;
+        if self.carried.is_none() {
+            self.forget_lease();
+        }
+    }
+
+    /// Ends the right to carry on that has expired before the lease was on the log again.
+    fn end_carrying(&mut self, now: ClockTime) {
+        if self.carried.take_if(|lease| now >= lease.until).is_some() {
+            self.pending = None;
+            self.forget_lease();
+        }
+    }
+
+    /// Returns whether this node goes on granting tokens though its lease isn't on the log again.
+    pub(crate) const fn is_carrying(&self) -> bool {
+        self.carried.is_some()
+    }
+
+    /// Returns until when this node proposes no lease after the log has come back.
+    pub(crate) const fn blocked_until(&self) -> ClockTime {
+        self.blocked_until
+    }
+
     /// Returns whether a record by which this node steps down is pending.
     fn is_stepping_down(&self) -> bool {
         let pending = self.pending.as_ref();
@@ -103,11 +173,21 @@
 
     /// Returns every node that the newest lease or the pending one names as successor.
     fn successors(&self, fold: &LeaseFold) -> BTreeSet<VmName> {
-        let current = fold.lease(&self.centre).map(|state| &state.record);
-        let pending = self.pending.as_ref().map(|pending| &pending.record);
-        let records = current.into_iter().chain(pending);
-        records
-            .flat_map(|record| record.successors.iter().cloned())
+        let current = match &self.carried {
+            Some(carried) => Some(&carried.successors),
+            None => fold
+                .lease(&self.centre)
+                .map(|state| &state.record.successors),
+        };
+        let pending = self
+            .pending
+            .as_ref()
+            .map(|pending| &pending.record.successors);
+        current
+            .into_iter()
+            .chain(pending)
+            .flatten()
+            .cloned()
             .collect()
     }
 
@@ -125,6 +205,8 @@
         if pending.record != state.record {
             return self.forget_unless_held(state);
         }
+        self.carried = None;
+        self.blocked_until = ClockTime::ZERO;
         if state.record.released.is_some() {
             return self.forget_lease();
         }
@@ -156,7 +238,7 @@
     }
 
     fn forget_unless_held(&mut self, state: &LeaseState) {
-        if state.record.holder.as_ref() != Some(&self.vm) {
+        if state.record.holder.as_ref() != Some(&self.vm) && self.carried.is_none() {
             self.forget_lease();
         }
     }
@@ -170,12 +252,13 @@
         settings: &RateSettings,
         actions: &mut Vec<RateAction>,
     ) {
+        self.end_carrying(now);
         self.drop_outdated(fold);
         if self.pending.is_none() {
             self.propose(now, fold, standby, settings);
         }
         self.send_pending(now, settings, actions);
-        if self.is_holder(fold) {
+        if self.is_holder_or_carries(fold) {
             self.ledger.expire_grants(now, fold, settings);
             self.ledger.refill_all(now, fold, settings);
             self.request_promises(now, fold, standby, settings, actions);
@@ -198,7 +281,11 @@
         standby: SlotStandby<'_>,
         settings: &RateSettings,
     ) {
-        let record = if self.is_holder(fold) {
+        let record = if self.carried.is_some() {
+            self.next_carried(now, fold, standby, settings)
+        } else if now < self.blocked_until {
+            None
+        } else if self.is_holder(fold) {
             self.next_renewal(now, fold, standby, settings)
         } else {
             self.next_take_over(now, fold, standby, settings)
@@ -261,7 +348,10 @@
         settings: &RateSettings,
         actions: &mut Vec<RateAction>,
     ) {
-        if self.pending.is_some() || fold.holder(&self.centre) != Some(&from) {
+        let is_known = |(holder, until): &(VmName, ClockTime)| *holder == from && now < *until;
+        let is_holder = fold.holder(&self.centre) == Some(&from)
+            || self.known_holder.as_ref().is_some_and(is_known);
+        if self.pending.is_some() || !is_holder {
             return;
         }
         let until = now.plus_ms(settings.longer_ms(settings.promise_ms));
--- a/crates/rate/src/rate_allocator/lease_steps.rs
+++ b/crates/rate/src/rate_allocator/lease_steps.rs
@@ -54,6 +54,37 @@
         Some(record)
     }
 
+    /// Returns the record by which this node writes its lease again after the log has come back
+    /// without its last records.
+    pub(super) fn next_carried(
+        &mut self,
+        now: ClockTime,
+        fold: &LeaseFold,
+        standby: SlotStandby<'_>,
+        settings: &RateSettings,
+    ) -> Option<LeaseRecord> {
+        let newest = fold.table().map(|table| table.epoch)?;
+        let state = fold.lease(&self.centre);
+        let is_renewal = self.is_holder(fold);
+        let epoch = state
+            .filter(|_| is_renewal)
+            .map_or(newest, |state| state.record.epoch);
+        let is_responsive = |vm: &&VmName| !self.promises.is_silent(now, vm, settings);
+        let candidates = standby.candidates.iter().filter(is_responsive);
+        let successors = candidates.take(settings.successors).cloned().collect();
+        self.renewals += 1;
+        Some(LeaseRecord {
+            slot: self.slot,
+            centre: self.centre.clone(),
+            base: state.map(|state| state.offset),
+            holder: Some(self.vm.clone()),
+            successors,
+            renewal: self.renewals,
+            epoch,
+            released: None,
+        })
+    }
+
     /// Returns the first candidates that give promises, completed by the successors named before.
     fn next_successors(
         &self,
@@ -265,7 +296,8 @@
 
 /// Returns whether the tokens passed on by a holder that stepped down may be granted.
 ///
-/// They may not when another table may be in force, as grants of that holder may still be valid.
+/// They may not when another table may be in force, as grants of that holder may still be valid, or
+/// when the log has come back since, as another node may have spent them.
 fn is_release_usable(state: &LeaseState, fold: &LeaseFold) -> bool {
-    state.record.released.is_some() && fold.is_only_table(state.record.epoch)
+    state.record.released.is_some() && !state.is_returned && fold.is_only_table(state.record.epoch)
 }
--- a/crates/rate/src/rate_settings.rs
+++ b/crates/rate/src/rate_settings.rs
@@ -17,6 +17,12 @@
     /// The time after its last lease record when any node of the data centre may replace an
     /// allocator, in milliseconds. An allocator that can't reach the log stops granting by then.
     pub abandon_ms: u64,
+    /// The time after which every node that exchanges messages with others knows that the log has
+    /// come back without its last records, counted from when the first node does, in milliseconds.
+    pub return_notice_ms: u64,
+    /// The time for which an allocator goes on granting tokens after the log has come back, until
+    /// its lease is on the log again, in milliseconds.
+    pub return_carry_ms: u64,
     /// The longest time between two snapshots of a slot on the stream, in milliseconds. The log
     /// must retain records for several times as long.
     pub snapshot_ms: u64,
@@ -62,6 +68,8 @@
             renew_ms: 20_000,
             promise_ms: 1_000,
             abandon_ms: 900_000,
+            return_notice_ms: 5_000,
+            return_carry_ms: 3_000,
             snapshot_ms: 60_000,
             successors: 2,
             drift_ppm: 500,
@@ -87,6 +95,19 @@
         span_ms + span_ms * self.drift_ppm / 1_000_000 + 2
     }
 
+    /// Returns the time after which no grant from before the log came back can be valid, counted
+    /// from when a node notices that it has, in milliseconds.
+    #[must_use]
+    pub const fn return_wait_ms(&self) -> u64 {
+        let promised_ms = self.return_notice_ms + self.return_carry_ms + self.promise_ms;
+        let right_ms = if promised_ms < self.abandon_ms {
+            promised_ms
+        } else {
+            self.abandon_ms
+        };
+        self.longer_ms(right_ms) + self.longer_ms(self.grant_ms)
+    }
+
     /// Returns how long the local clock may run before `span_ms` has passed by any other clock.
     #[must_use]
     pub const fn shorter_ms(&self, span_ms: u64) -> u64 {
--- a/crates/rate/src/team_limiter.rs
+++ b/crates/rate/src/team_limiter.rs
@@ -46,6 +46,10 @@
     next_offset: u64,
     polled_at: ClockTime,
     control_at: ClockTime,
+    /// When the log was last found to have come back without its last records.
+    returned_at: Option<ClockTime>,
+    /// Whether the records from before that are being read again.
+    is_returning: bool,
 }
 
 impl TeamLimiter {
@@ -72,6 +76,8 @@
             next_offset: 0,
             polled_at: ClockTime::ZERO,
             control_at: ClockTime::ZERO,
+            returned_at: None,
+            is_returning: false,
         }
     }
 
@@ -146,6 +152,39 @@
     /// Records that the stream of rate records has been read up to its end.
     pub fn log_caught_up(&mut self, now: ClockTime) {
         self.caught_up_at.get_or_insert(now);
+        if std::mem::take(&mut self.is_returning) {
+            for fold in self.folds.values_mut() {
+                fold.finish_return();
+            }
+            for fold in self.folds.values() {
+                self.holder
+                    .set_allocating_centres(fold.allocating_centres());
+            }
+            for slot in 0..self.settings.slots {
+                self.set_allocators(now, slot);
+            }
+        }
+    }
+
+    /// Starts again from the first record of the stream, as the log has come back without its last
+    /// ones.
+    ///
+    /// An allocator carries on for a short time, within which it writes its lease again; nobody else
+    /// takes a lease until no grant from before can be valid.
+    pub fn go_back(&mut self, now: ClockTime) {
+        self.next_offset = 0;
+        self.caught_up_at = None;
+        self.returned_at = Some(now);
+        self.is_returning = true;
+        for (slot, fold) in &mut self.folds {
+            if let Some(allocator) = self.allocators.get_mut(slot) {
+                allocator.before_record(now, fold, &self.settings);
+                allocator.go_back(now, fold, &self.settings);
+            }
+            fold.go_back();
+        }
+        self.tables_tried.clear();
+        self.snapshots_tried.clear();
     }
 
     /// Drops the state of all slots, as unread records before the offset `first` have expired.
@@ -210,16 +249,42 @@
         if matches!(record, RateRecord::Reset(_)) {
             self.holder.forget_allocators_of(slot);
         }
+        if let Some(allocator) = self.allocators.get_mut(&slot) {
+            allocator.observe(now, fold, &self.settings);
+        }
+        // While earlier records are read again, the allocators known before stay.
+        if self.is_returning {
+            return;
+        }
         if !matches!(record, RateRecord::Lease(_)) {
             self.holder
                 .set_allocating_centres(fold.allocating_centres());
         }
+        self.set_allocators(now, slot);
+    }
+
+    /// Sets the allocators of a slot to the holders of its leases.
+    fn set_allocators(&mut self, now: ClockTime, slot: u16) {
+        let Some(fold) = self.folds.get(&slot) else {
+            return;
+        };
         for centre in fold.leases().keys() {
             let pool = (slot, centre.clone());
             self.holder.set_allocator(now, pool, fold.holder(centre));
         }
-        if let Some(allocator) = self.allocators.get_mut(&slot) {
-            allocator.observe(now, fold, &self.settings);
+    }
+
+    /// Drops the tables from before the log came back, once no grant under them can be valid.
+    fn end_return(&mut self, now: ClockTime) {
+        let wait_ms = self.settings.return_wait_ms();
+        if self
+            .returned_at
+            .take_if(|time| now.since_ms(*time) >= wait_ms)
+            .is_some()
+        {
+            for fold in self.folds.values_mut() {
+                fold.drop_carried_tables();
+            }
         }
     }
 
@@ -229,6 +294,7 @@
         let mut emitted = Vec::new();
         if now >= self.control_at {
             self.control_at = now.plus_ms(CONTROL_PERIOD_MS);
+            self.end_return(now);
             self.poll_allocators(now, &mut emitted);
             self.propose_tables(now, &mut emitted);
             self.vacate_leases(now, &mut emitted);
@@ -397,7 +463,8 @@
             settings.longer_ms(settings.abandon_ms) + settings.longer_ms(settings.grant_ms);
         let reset_at = self.folds.get(&slot)?.reset_at();
         let free_at = reset_at.map_or(ClockTime::ZERO, |time| time.plus_ms(life_ms));
-        Some(self.caught_up_at?.max(free_at))
+        let blocked_until = self.allocators.get(&slot)?.blocked_until();
+        Some(self.caught_up_at?.max(free_at).max(blocked_until))
     }
 }
 
--- a/crates/rate/src/team_limiter/slot_records.rs
+++ b/crates/rate/src/team_limiter/slot_records.rs
@@ -46,7 +46,7 @@
 
     /// Appends a table where the contract or the data centres changed.
     pub(super) fn propose_tables(&mut self, now: ClockTime, emitted: &mut Vec<RateAction>) {
-        let Some(version) = self.version else {
+        let Some(version) = self.version.filter(|_| self.caught_up_at.is_some()) else {
             return;
         };
         for slot in 0..self.settings.slots {
@@ -68,7 +68,8 @@
             return None;
         }
         let Some(last) = fold.table() else {
-            let may_claim = self.claim_at(slot).is_some_and(|time| time <= now);
+            let is_carrying = self.allocators.get(&slot)?.is_carrying();
+            let may_claim = is_carrying || self.claim_at(slot).is_some_and(|time| time <= now);
             return (may_claim && !teams.is_empty()).then(|| TableRecord {
                 slot,
                 epoch: 1,
--- a/crates/rate/tests/lease_search.rs
+++ b/crates/rate/tests/lease_search.rs
@@ -67,3 +67,53 @@
     };
     assert!(search(&model).violation.is_some());
 }
+
+/// A model in which the log goes back, beside other faults only for what mustn't be granted: that
+/// grants don't resume after the loss of a successor shows without a return of the log.
+fn returning(nodes: usize, property: LeaseProperty) -> LeaseModel {
+    let is_about_grants_again = matches!(
+        property,
+        LeaseProperty::GrantsResume | LeaseProperty::GrantsGoOn
+    );
+    let faults = if is_about_grants_again {
+        0
+    } else {
+        support::number_from_env("LENTILSHIFT_FAULTS", 1)
+    };
+    LeaseModel {
+        nodes,
+        faults,
+        property,
+        returns: 1,
+        ..LeaseModel::default()
+    }
+}
+
+// Guards against tokens that are granted twice, or never again, after the log has come back without
+// its last records, with another fault before or after that.
+#[rstest]
+#[case::one_allocator(2, LeaseProperty::OneAllocator)]
+#[case::one_allocator_of_three(3, LeaseProperty::OneAllocator)]
+#[case::within_rate(2, LeaseProperty::WithinRate)]
+#[case::within_rate_of_three(3, LeaseProperty::WithinRate)]
+#[case::grants_resume(2, LeaseProperty::GrantsResume)]
+#[case::grants_resume_of_three(3, LeaseProperty::GrantsResume)]
+#[case::grants_go_on(2, LeaseProperty::GrantsGoOn)]
+#[case::grants_go_on_of_three(3, LeaseProperty::GrantsGoOn)]
+fn log_that_goes_back_grants_nothing_twice(#[case] nodes: usize, #[case] property: LeaseProperty) {
+    let report = search(&returning(nodes, property));
+    assert_eq!(report.violation, None);
+    assert!(report.is_exhausted);
+}
+
+// Shows that the search finds what goes wrong when nodes don't notice that the log has gone back.
+#[rstest]
+#[case::one_allocator(LeaseProperty::OneAllocator)]
+#[case::within_rate(LeaseProperty::WithinRate)]
+fn unnoticed_return_of_the_log_is_found(#[case] property: LeaseProperty) {
+    let model = LeaseModel {
+        notices_return: false,
+        ..returning(2, property)
+    };
+    assert!(search(&model).violation.is_some());
+}
--- a/crates/rate/tests/support/lease_model.rs
+++ b/crates/rate/tests/support/lease_model.rs
@@ -28,6 +28,16 @@
 const RESUME_MS: u64 = 15_000;
 /// The time for which grants are checked after [`RESUME_MS`], in milliseconds.
 const RESUMED_MS: u64 = 3_000;
+/// The time from the start of the search in which the log goes back, in milliseconds.
+const RETURNS_MS: u64 = 5_000;
+/// The time from the start of the search in which other faults happen when the log also goes back,
+/// in milliseconds.
+const FAULTS_BESIDE_RETURN_MS: u64 = 500;
+/// The longest time for which no node may grant tokens while all run, in milliseconds.
+const MAX_GAP_MS: u64 = 1_000;
+/// How much of the log is lost when it goes back, in milliseconds: less than a take-over takes, more
+/// than that, and all.
+const LOST_MS: [u64; 3] = [1_000, 4_000, 60_000];
 /// The rate and burst of the only team.
 const RATE: TeamRate = TeamRate {
     rate_per_s: 40,
@@ -53,6 +63,8 @@
     WithinRate,
     /// Some node grants tokens from [`RESUME_MS`] after the last fault on.
     GrantsResume,
+    /// Some node may grant tokens at any time, but for [`MAX_GAP_MS`].
+    GrantsGoOn,
 }
 
 /// What happens in one step.
@@ -76,6 +88,8 @@
     DelayMessages(VmName, VmName),
     /// Messages from one node to another arrive again in the next step.
     RepeatMessages(VmName, VmName),
+    /// The log comes back without the records of the last milliseconds.
+    LogWentBack(u64),
 }
 
 /// The model of a slot's lease.
@@ -90,6 +104,10 @@
     /// The drift of the clocks from the start of the search on, in parts per million; every other
     /// clock is fast, the rest are slow.
     pub drift_ppm: u64,
+    /// How often the log goes back in a sequence.
+    pub returns: u64,
+    /// Whether nodes notice that the log has gone back, and read it again.
+    pub notices_return: bool,
 }
 
 impl Default for LeaseModel {
@@ -99,6 +117,8 @@
             faults: 1,
             property: LeaseProperty::OneAllocator,
             drift_ppm: RateSettings::default().drift_ppm,
+            returns: 0,
+            notices_return: true,
         }
     }
 }
@@ -111,6 +131,7 @@
     drift_ppm: u64,
     read: usize,
     read_at_ms: u64,
+    era: u64,
     frozen_until_ms: u64,
 }
 
@@ -138,12 +159,18 @@
 pub struct LeaseState {
     now_ms: u64,
     nodes: BTreeMap<VmName, LeaseNode>,
-    log: Vec<RateRecord>,
+    /// The records and when they were appended.
+    log: Vec<(u64, RateRecord)>,
+    /// How often the log has gone back.
+    era: u64,
+    notices_return: bool,
     late: Vec<ModelMessage>,
     /// When the nodes learn of the current members.
     members_at_ms: Option<u64>,
     bucket: ExactBucket,
     is_exceeded: bool,
+    /// When some node last might grant tokens.
+    granted_at_ms: u64,
     faults: u64,
     fault_at_ms: u64,
     starts: u64,
@@ -161,6 +188,7 @@
             drift_ppm,
             read: 0,
             read_at_ms: self.now_ms,
+            era: self.era,
             frozen_until_ms: 0,
         };
         self.nodes.insert(vm.clone(), node);
@@ -227,10 +255,15 @@
             return;
         }
         let now = node.time(now_ms);
-        for (offset, record) in self.log.iter().enumerate().skip(node.read) {
+        if node.era != self.era && self.notices_return {
+            node.limiter.go_back(now);
+            node.read = 0;
+        }
+        node.era = self.era;
+        for (offset, (_, record)) in self.log.iter().enumerate().skip(node.read) {
             node.limiter.receive_record(now, offset as u64, record);
         }
-        node.read = self.log.len();
+        node.read = node.read.max(self.log.len());
         node.read_at_ms = now_ms + READ_INTERVAL_MS;
         node.limiter.log_caught_up(now);
     }
@@ -262,7 +295,7 @@
                     message,
                 }),
                 RateAction::Append(_) if *event == LeaseEvent::RefuseAppends(vm.clone()) => {}
-                RateAction::Append(record) => self.log.push(record),
+                RateAction::Append(record) => self.log.push((self.now_ms, record)),
             }
         }
     }
@@ -346,10 +379,13 @@
             now_ms: 0,
             nodes: BTreeMap::new(),
             log: Vec::new(),
+            era: 0,
+            notices_return: self.notices_return,
             late: Vec::new(),
             members_at_ms: None,
             bucket: ExactBucket::new(RATE),
             is_exceeded: false,
+            granted_at_ms: 0,
             faults: 0,
             fault_at_ms: WARM_UP_MS,
             starts: 0,
@@ -365,11 +401,21 @@
 
     fn events(&self, state: &LeaseState) -> Vec<LeaseEvent> {
         let is_checked = state.now_ms < state.fault_at_ms + RESUME_MS + RESUMED_MS;
-        let has_faults = state.faults < self.faults && state.now_ms < WARM_UP_MS + FAULTS_MS;
-        if !is_checked || (!has_faults && state.faults == 0) {
+        let faults_ms = if self.returns > 0 {
+            FAULTS_BESIDE_RETURN_MS
+        } else {
+            FAULTS_MS
+        };
+        let faults = state.faults - state.era;
+        let has_faults = faults < self.faults && state.now_ms < WARM_UP_MS + faults_ms;
+        let has_returns = state.era < self.returns && state.now_ms < WARM_UP_MS + RETURNS_MS;
+        if !is_checked || (!has_faults && !has_returns && state.faults == 0) {
             return Vec::new();
         }
         let mut events = vec![LeaseEvent::Step];
+        if has_returns {
+            events.extend(LOST_MS.map(LeaseEvent::LogWentBack));
+        }
         if !has_faults {
             return events;
         }
@@ -414,9 +460,17 @@
                 let node = state.nodes.get_mut(vm).unwrap();
                 node.read_at_ms += READ_INTERVAL_MS;
             }
+            LeaseEvent::LogWentBack(lost_ms) => {
+                let until_ms = state.now_ms.saturating_sub(*lost_ms);
+                state.log.retain(|(at_ms, _)| *at_ms <= until_ms);
+                state.era += 1;
+            }
             _ => {}
         }
         state.step(event);
+        if state.granting(&state.running()) > 0 {
+            state.granted_at_ms = state.now_ms;
+        }
     }
 
     fn violation(&self, state: &LeaseState) -> Option<String> {
@@ -431,6 +485,9 @@
             LeaseProperty::GrantsResume if is_due && state.granting(&state.running()) == 0 => Some(
                 format!("no node grants tokens {RESUME_MS} ms after the last fault"),
             ),
+            LeaseProperty::GrantsGoOn if state.now_ms - state.granted_at_ms > MAX_GAP_MS => Some(
+                format!("no node has granted tokens for more than {MAX_GAP_MS} ms"),
+            ),
             _ => None,
         }
     }
--- a/crates/standin/src/log_server.rs
+++ b/crates/standin/src/log_server.rs
@@ -225,7 +225,7 @@
     wait_ms(control.faults().read_delay_ms).await;
     match result {
         Ok(batch) => json(StatusCode::OK, &batch),
-        Err(ReadError::Gone { first }) => json(StatusCode::GONE, &GoneBody { first }),
+        Err(ReadError::Gone { first, .. }) => json(StatusCode::GONE, &GoneBody { first }),
         Err(error) => text(StatusCode::INTERNAL_SERVER_ERROR, &error.to_string()),
     }
 }
--- a/crates/standin/src/log_store.rs
+++ b/crates/standin/src/log_store.rs
@@ -1,7 +1,9 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use clock::ClockTime;
-use streams::{AppendReceipt, LogOffset, LogRecord, LogStream, NewRecord, ReadBatch, ReadError};
+use streams::{
+    AppendReceipt, LogEra, LogOffset, LogRecord, LogStream, NewRecord, ReadBatch, ReadError,
+};
 
 /// The maximum number of records in one batch.
 const MAX_BATCH_RECORDS: usize = 1_000;
@@ -61,7 +63,10 @@
                 .records
                 .push_back((now, LogRecord { offset, id, body }));
         }
-        AppendReceipt { first }
+        AppendReceipt {
+            first,
+            era: LogEra::FIRST,
+        }
     }
 
     /// Reads a batch of records, starting at an offset.
@@ -75,7 +80,10 @@
         };
         let first = LogOffset::new(stored.first);
         if from < first {
-            return Err(ReadError::Gone { first });
+            return Err(ReadError::Gone {
+                first,
+                era: LogEra::FIRST,
+            });
         }
         let skipped = usize::try_from(from.get() - stored.first).unwrap_or(usize::MAX);
         let later = stored.records.iter().skip(skipped).take(MAX_BATCH_RECORDS);
@@ -83,6 +91,7 @@
             first,
             end: LogOffset::new(stored.end()),
             records: later.map(|(_, record)| record.clone()).collect(),
+            era: LogEra::FIRST,
         })
     }
 
--- a/crates/standin/src/store_server.rs
+++ b/crates/standin/src/store_server.rs
@@ -29,6 +29,13 @@
 /// The name prefix of topics whose records have keys.
 const KEYED_TOPIC_PREFIX: &str = "keyed.";
 
+/// The header that states the era.
+const ERA_HEADER: &str = "store-era";
+/// The first era.
+const FIRST_ERA: u64 = 1;
+/// The topics that only the operator and the instances write to.
+const OTHERS_TOPICS: [&str; 2] = ["keyed.op", "keyed.servers"];
+
 /// The injected faults of a [`StoreServer`].
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct StoreFaults {
@@ -42,14 +49,21 @@
 
 /// A topic name and a key in that topic.
 type TopicKey = (String, String);
-/// The offset and the value of a record.
-type KeyedValue = (u64, Vec<u8>);
+
+/// A value of a key.
+#[derive(Clone, Debug)]
+struct KeyedValue {
+    written_at: Instant,
+    offset: u64,
+    value: Vec<u8>,
+}
 
 /// The retained records of one topic.
 #[derive(Clone, Debug, Default)]
 struct StoredTopic {
     first: u64,
-    records: Vec<Vec<u8>>,
+    /// The records and when they were written.
+    records: Vec<(Instant, Vec<u8>)>,
 }
 
 impl StoredTopic {
@@ -61,12 +75,15 @@
 /// An in-memory stand-in for the store of the users' platform.
 ///
 /// It serves appends with or without an expected end offset, reads that wait for records, and the
-/// newest record of each key. Records can be removed to simulate retention.
+/// newest record of each key. Records can be removed to simulate retention, and the store can come
+/// back from a copy that lacks the last records.
 #[derive(Clone, Debug, Default)]
 pub struct StoreServer {
     topics: Rc<RefCell<BTreeMap<String, StoredTopic>>>,
-    /// The newest record of each key of a topic, with its offset.
-    newest: Rc<RefCell<BTreeMap<TopicKey, KeyedValue>>>,
+    /// The values of each key of a topic, the newest last.
+    values: Rc<RefCell<BTreeMap<TopicKey, Vec<KeyedValue>>>>,
+    /// The era that answers state, if they do.
+    era: Rc<Cell<Option<u64>>>,
     faults: Rc<Cell<StoreFaults>>,
     calls: Rc<Cell<u64>>,
 }
@@ -95,6 +112,36 @@
         self.faults.set(faults);
     }
 
+    /// Makes all answers state the era, which is the first one until [`Self::go_back`] is called.
+    pub fn state_era(&self) {
+        self.era.set(Some(self.era.get().unwrap_or(FIRST_ERA)));
+    }
+
+    /// Comes back from a copy of this age, in the next era.
+    ///
+    /// The records that the system wrote since are gone, and their offsets are given out again. The
+    /// newest value of each key that the operator or the instances wrote since is written again.
+    pub fn go_back(&self, age: Duration) {
+        let copied_at = Instant::now().checked_sub(age);
+        let is_lost = |written_at: Instant| copied_at.is_none_or(|time| written_at > time);
+        self.era.set(Some(self.era.get().unwrap_or(FIRST_ERA) + 1));
+        for topic in self.topics.borrow_mut().values_mut() {
+            topic.records.retain(|(written_at, _)| !is_lost(*written_at));
+        }
+        let mut written_again = Vec::new();
+        for ((topic, key), values) in self.values.borrow_mut().iter_mut() {
+            let newest = values.last().cloned();
+            values.retain(|value| !is_lost(value.written_at));
+            let lost = newest.filter(|value| is_lost(value.written_at));
+            if let Some(lost) = lost.filter(|_| OTHERS_TOPICS.contains(&topic.as_str())) {
+                written_again.push((topic.clone(), key.clone(), lost.value));
+            }
+        }
+        for (topic, key, value) in written_again {
+            self.put(&topic, &key, &value);
+        }
+    }
+
     /// Returns the number of requests received so far.
     #[must_use]
     pub fn calls(&self) -> u64 {
@@ -130,7 +177,8 @@
         let topics = self.topics.borrow();
         topics
             .get(topic)
-            .map(|stored| stored.records.clone())
+            .map(|stored| stored.records.iter().map(|(_, record)| record.clone()))
+            .map(Iterator::collect)
             .unwrap_or_default()
     }
 
@@ -138,13 +186,20 @@
         let mut topics = self.topics.borrow_mut();
         let stored = topics.entry(topic.to_owned()).or_default();
         let start = stored.end();
+        let written_at = Instant::now();
         for (offset, record) in (start..).zip(&records) {
             if let Some((key, value)) = split_keyed(topic, record) {
-                let newest = (offset, value.to_vec());
+                let value = KeyedValue {
+                    written_at,
+                    offset,
+                    value: value.to_vec(),
+                };
                 let topic_key = (topic.to_owned(), key.to_owned());
-                self.newest.borrow_mut().insert(topic_key, newest);
+                let mut values = self.values.borrow_mut();
+                values.entry(topic_key).or_default().push(value);
             }
         }
+        let records = records.into_iter().map(|record| (written_at, record));
         stored.records.extend(records);
         start
     }
@@ -159,6 +214,14 @@
     }
 
     async fn answer(&self, request: Request<Incoming>) -> io::Result<TextResponse> {
+        let mut response = self.answer_call(request).await?;
+        if let Some(era) = self.era.get() {
+            response.headers_mut().insert(ERA_HEADER, era.into());
+        }
+        Ok(response)
+    }
+
+    async fn answer_call(&self, request: Request<Incoming>) -> io::Result<TextResponse> {
         self.calls.set(self.calls.get() + 1);
         match self.faults.get().outage {
             LogOutage::None => {}
@@ -209,19 +272,20 @@
         let from = query_number(query, "from").unwrap_or(0);
         let wait = query_number(query, "wait-ms").unwrap_or(0).min(MAX_WAIT_MS);
         let until = Instant::now() + Duration::from_millis(wait);
-        while self.end(topic) <= from && Instant::now() < until {
+        let is_beyond_end = || self.era.get().is_some() && from > self.end(topic);
+        while self.end(topic) <= from && Instant::now() < until && !is_beyond_end() {
             wait_ms(POLL_INTERVAL_MS).await;
         }
         let topics = self.topics.borrow();
         let stored = topics.get(topic).cloned().unwrap_or_default();
-        if from < stored.first {
+        if from < stored.first || is_beyond_end() {
             let body = json!({ "first": stored.first });
             return json(StatusCode::GONE, &body);
         }
         let mut body = stored.end().to_be_bytes().to_vec();
         body.extend_from_slice(&stored.first.to_be_bytes());
         let start = usize::try_from(from - stored.first).unwrap_or(usize::MAX);
-        for record in stored.records.iter().skip(start) {
+        for (_, record) in stored.records.iter().skip(start) {
             let length = u32::try_from(record.len()).expect("the record length exceeds u32");
             body.extend_from_slice(&length.to_be_bytes());
             body.extend_from_slice(record);
@@ -231,11 +295,12 @@
 
     fn newest(&self, query: &str) -> TextResponse {
         let topic = query_text(query, "topic").unwrap_or_default();
-        let newest = self.newest.borrow();
-        let of_topic = newest.iter().filter(|((name, _), _)| name == topic);
-        let items = of_topic.map(|((_, key), (offset, value))| {
-            let value = encode_base64(value);
-            json!({ "key": key, "value": value, "offset": offset })
+        let values = self.values.borrow();
+        let of_topic = values.iter().filter(|((name, _), _)| name == topic);
+        let items = of_topic.filter_map(|((_, key), values)| {
+            let newest = values.last()?;
+            let value = encode_base64(&newest.value);
+            Some(json!({ "key": key, "value": value, "offset": newest.offset }))
         });
         let items: Vec<_> = items.collect();
         let body = json!({ "items": items, "has-more": false, "end": self.end(topic) });
--- a/crates/streams/examples/config_slopes.rs
+++ b/crates/streams/examples/config_slopes.rs
@@ -5,7 +5,7 @@
 use clock::ClockTime;
 use lentilshift_streams::{
     ConfigFeed, ConfigFold, ConfigRecord, ConfigVersion, FeedSettings, FollowAction, KeyDigest,
-    KeyFold, LogOffset, LogRecord, LogStream, ReadBatch, RecordBody, RelayPull,
+    KeyFold, LogEra, LogOffset, LogRecord, LogStream, ReadBatch, RecordBody, RelayPull,
 };
 use model::{CentreName, RecordId, TeamName};
 use rand::{SeedableRng, rngs::SmallRng};
@@ -104,6 +104,7 @@
         first: LogOffset::ZERO,
         end: LogOffset::new(1),
         records: vec![record],
+        era: LogEra::FIRST,
     };
     feed.on_read(now, now, Ok(batch), &mut rng);
     let pull = RelayPull {
@@ -112,6 +113,7 @@
         needs_snapshot: false,
         age_ms: Some(0),
         wait_ms: 500,
+        era: LogEra::FIRST,
     };
     let answer_ns = nanos_each(10_000, |_| {
         black_box(feed.answer(now, &pull));
--- a/crates/streams/src/config_feed.rs
+++ b/crates/streams/src/config_feed.rs
@@ -8,7 +8,7 @@
     ConfigFold, ConfigRecord, FollowAction, FollowSettings, FollowUpdate, KeyDigest, KeyTrust,
     LogRecord, LogStream, ReadBatch, ReadError, RecordBody, RecordOutcome, RecordRelay, RelayBatch,
     RelayPlan, RelayPull, RelaySettings, RelaySnapshot, SnapshotSettings, SnapshotTimer,
-    StreamFollower, TextCheck, TrustSettings, TrustState,
+    StreamFollower, TextCheck, TrustSettings, TrustState, UpdateTime,
 };
 
 /// Settings of a [`ConfigFeed`].
@@ -134,14 +134,15 @@
     ) -> Vec<AppliedRecord> {
         let (next, outages) = (batch.next, batch.outages.clone());
         let answered = requested_at.plus_ms(batch.held_ms).min(now);
-        if let Some(age) = batch.snapshot_age_ms {
+        let is_current = batch.era >= self.follower.era();
+        if let Some(age) = batch.snapshot_age_ms.filter(|_| is_current) {
             let age = age.saturating_add(now.since_ms(requested_at));
             self.timer.on_snapshot(now, batch.snapshot_covers, age);
         }
         let max_record_age_ms = self.max_record_age_ms(now);
         let update = self.follower.on_batch(now, requested_at, batch);
         let applied = self.apply(now, max_record_age_ms, update);
-        if self.fold.is_complete() && self.follower.next() >= next {
+        if is_current && self.fold.is_complete() && self.follower.next() >= next {
             self.trust.on_outages(answered, &outages);
         }
         applied
@@ -163,8 +164,9 @@
     /// Answers another node's pull. The caller sets [`RelayBatch::held_ms`] when the pull was held.
     #[must_use]
     pub fn answer(&self, now: ClockTime, pull: &RelayPull) -> RelayBatch {
-        let fresh_at = self.follower.fresh_at().filter(|_| self.fold.is_complete());
-        let outages = self.trust.outages(now, fresh_at);
+        let complete = |time: Option<UpdateTime>| time.filter(|_| self.fold.is_complete());
+        let outages = self.trust.outages(now, complete(self.follower.fresh_at()));
+        let fresh_at = complete(self.follower.relayed_fresh_at());
         let snapshot = || self.relay_snapshot();
         let batch = self.relay.answer(now, pull, fresh_at, outages, snapshot);
         RelayBatch {
@@ -232,6 +234,11 @@
         max_record_age_ms: Option<u64>,
         update: FollowUpdate,
     ) -> Vec<AppliedRecord> {
+        self.relay.set_era(self.follower.era());
+        if update.went_back.is_some() {
+            self.fold.go_back();
+            self.timer.reset();
+        }
         if let Some(first) = update.lost_before {
             self.fold.lose_before(first);
             self.relay.skip_to(first);
--- a/crates/streams/src/config_fold.rs
+++ b/crates/streams/src/config_fold.rs
@@ -68,6 +68,8 @@
     keys: KeyFold,
     next: LogOffset,
     buffered: Option<BufferedRecords>,
+    /// The records before this offset were applied before the log came back.
+    applied_before: LogOffset,
     /// Whether each record replaces the complete state, so that no snapshot is needed.
     is_replaced: bool,
 }
@@ -104,6 +106,7 @@
             keys: KeyFold::default(),
             next: LogOffset::ZERO,
             buffered: None,
+            applied_before: LogOffset::ZERO,
             is_replaced: false,
         }
     }
@@ -166,11 +169,24 @@
         })
     }
 
+    /// Reads the stream again from its first record, as the log has come back without its last
+    /// records. Texts and withdrawals are kept: neither ever reverts.
+    pub fn go_back(&mut self) {
+        if self.is_complete() {
+            self.applied_before = self.applied_before.max(self.next);
+        }
+        self.next = LogOffset::ZERO;
+        self.buffered = None;
+    }
+
     /// Notifies the fold that records before `first` were removed from the log, so that unread ones
     /// are missing.
     pub fn lose_before(&mut self, first: LogOffset) {
-        if first > self.next {
-            self.next = first;
+        if first <= self.next {
+            return;
+        }
+        self.next = first;
+        if first > self.applied_before {
             self.buffered = Some(BufferedRecords::new(first));
         }
     }
--- a/crates/streams/src/fold_feed.rs
+++ b/crates/streams/src/fold_feed.rs
@@ -2,13 +2,17 @@
 use rand::Rng;
 
 use crate::{
-    FollowAction, FollowSettings, FollowUpdate, LogOffset, LogRecord, LogStream, ReadBatch,
+    FollowAction, FollowSettings, FollowUpdate, LogEra, LogOffset, LogRecord, LogStream, ReadBatch,
     ReadError, RecordRelay, RelayBatch, RelayPlan, RelayPull, RelaySettings, RelaySnapshot,
     StreamFeed, StreamFollower, UpdateTime,
 };
 
 /// The state that a node folds from one stream of the platform's log.
 pub trait StreamFold {
+    /// Handles a log that has come back without its last records: the stream is read again from its
+    /// first record, and what isn't on it any more but still binding is to be written again.
+    fn go_back(&mut self, now: ClockTime);
+
     /// Handles the loss of unread records: those before `first` were removed from the log.
     fn lose_before(&mut self, now: ClockTime, first: LogOffset);
 
@@ -55,8 +59,12 @@
     }
 
     fn apply_update(&mut self, now: ClockTime, update: FollowUpdate) -> bool {
-        let is_update =
-            update.lost_before.is_some() || update.snapshot.is_some() || !update.records.is_empty();
+        self.relay.set_era(self.follower.era());
+        if update.went_back.is_some() {
+            self.fold.go_back(now);
+        }
+        let is_update = update.went_back.is_some()
+            || update.lost_before.is_some() || update.snapshot.is_some() || !update.records.is_empty();
         if let Some(first) = update.lost_before {
             self.fold.lose_before(now, first);
             self.relay.skip_to(first);
@@ -118,8 +126,17 @@
         self.follower.fresh_at()
     }
 
+    fn known_era(&self) -> Option<LogEra> {
+        self.follower.known_era()
+    }
+
+    fn is_caught_up(&self) -> bool {
+        self.follower.is_caught_up()
+    }
+
     fn answer(&self, now: ClockTime, pull: &RelayPull) -> RelayBatch {
-        let fresh_at = self.fresh_at().filter(|_| !self.fold.needs_snapshot());
+        let fresh_at = self.follower.relayed_fresh_at();
+        let fresh_at = fresh_at.filter(|_| !self.fold.needs_snapshot());
         let snapshot = || self.fold.snapshot();
         self.relay.answer(now, pull, fresh_at, Vec::new(), snapshot)
     }
--- a/crates/streams/src/platform_log.rs
+++ b/crates/streams/src/platform_log.rs
@@ -1,7 +1,7 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use crate::{LogOffset, LogRecord, LogStream, NewRecord};
+use crate::{LogEra, LogOffset, LogRecord, LogStream, NewRecord};
 
 /// A client of the platform's append-only log, implemented by the adapters.
 #[allow(
@@ -25,7 +25,8 @@
     ///
     /// # Errors
     ///
-    /// Returns [`ReadError::Gone`] when the record at the offset was removed by retention.
+    /// Returns [`ReadError::Gone`] when the record at the offset was removed by retention, or when
+    /// the offset belongs to an earlier era and lies beyond the end.
     async fn read(
         &self,
         stream: LogStream,
@@ -39,6 +40,9 @@
 pub struct AppendReceipt {
     /// The offset of the first record.
     pub first: LogOffset,
+    /// The era of the log in which the records were written.
+    #[serde(default, skip_serializing_if = "LogEra::is_first")]
+    pub era: LogEra,
 }
 
 /// The result of one read.
@@ -50,6 +54,9 @@
     pub end: LogOffset,
     /// The records in order; a batch may stop short of `end`.
     pub records: Vec<LogRecord>,
+    /// The era of the log to which the offsets belong.
+    #[serde(default, skip_serializing_if = "LogEra::is_first")]
+    pub era: LogEra,
 }
 
 /// Why an append returned no receipt.
@@ -66,11 +73,14 @@
 /// Why a read returned no records.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum ReadError {
-    /// The record at the offset was removed by retention.
-    #[error("records before offset {first} were removed by retention")]
+    /// The log doesn't have the offset: its record was removed by retention, or the offset belongs
+    /// to an earlier era.
+    #[error("the log doesn't have the offset: it begins at offset {first}, in era {era}")]
     Gone {
         /// The oldest retained offset.
         first: LogOffset,
+        /// The era of the log.
+        era: LogEra,
     },
     /// The log can't be reached or returned an error.
     #[error("the log is unavailable: {0}")]
--- a/crates/streams/src/record_relay.rs
+++ b/crates/streams/src/record_relay.rs
@@ -1,9 +1,10 @@
+use std::cmp::Ordering;
 use std::collections::VecDeque;
 
 use clock::ClockTime;
 
 use crate::{
-    CentreOutage, LogOffset, LogRecord, LogStream, RelayBatch, RelayPull, RelaySnapshot, UpdateTime,
+    CentreOutage, LogEra, LogOffset, LogRecord, LogStream, RelayBatch, RelayPull, RelaySnapshot, UpdateTime,
 };
 
 /// How many records a node retains for other nodes.
@@ -32,6 +33,7 @@
     records: VecDeque<LogRecord>,
     retained_bytes: usize,
     next: LogOffset,
+    era: LogEra,
 }
 
 impl RecordRelay {
@@ -44,6 +46,7 @@
             records: VecDeque::new(),
             retained_bytes: 0,
             next: LogOffset::ZERO,
+            era: LogEra::FIRST,
         }
     }
 
@@ -77,14 +80,29 @@
         self.next = next;
     }
 
+    /// Sets the era of the log; the records of an earlier one are cleared.
+    pub fn set_era(&mut self, era: LogEra) {
+        if era != self.era {
+            self.era = era;
+            self.skip_to(LogOffset::ZERO);
+        }
+    }
+
     /// Returns whether a pull can be answered with records or a snapshot, rather than held.
     #[must_use]
-    pub const fn has_update(&self, pull: &RelayPull) -> bool {
-        self.next.get() > pull.from.get() || pull.needs_snapshot
+    pub fn has_update(&self, pull: &RelayPull) -> bool {
+        match pull.era.cmp(&self.era) {
+            Ordering::Less => self.next > LogOffset::ZERO,
+            Ordering::Equal => self.next > pull.from || pull.needs_snapshot,
+            Ordering::Greater => false,
+        }
     }
 
     /// Answers a pull; `snapshot` is called only when the requester lacks records that are no
     /// longer retained here.
+    ///
+    /// A requester in an earlier era gets the records of this one from the first on; one in a later
+    /// era gets none, as this node's offsets mean nothing to it.
     pub fn answer(
         &self,
         now: ClockTime,
@@ -97,19 +115,33 @@
             .records
             .front()
             .map_or(self.next, |record| record.offset);
-        let needs_snapshot = pull.needs_snapshot || pull.from < oldest;
+        let is_outdated = pull.era > self.era;
+        let requested = if pull.era < self.era {
+            LogOffset::ZERO
+        } else {
+            pull.from
+        };
+        let needs_snapshot = !is_outdated && (pull.needs_snapshot || requested < oldest);
         let snapshot = needs_snapshot.then(snapshot).flatten();
-        let from = snapshot.as_ref().map_or(pull.from, |state| state.covers);
+        let from = snapshot.as_ref().map_or(requested, |state| state.covers);
+        let records = if is_outdated {
+            Vec::new()
+        } else {
+            self.records_from(from)
+        };
         RelayBatch {
             stream: self.stream,
-            records: self.records_from(from),
+            records,
             snapshot,
             next: self.next,
-            fresh_ms: fresh_at.map(|time| time.age_ms(now)),
+            fresh_ms: fresh_at
+                .filter(|_| !is_outdated)
+                .map(|time| time.age_ms(now)),
             held_ms: 0,
             outages,
             snapshot_age_ms: None,
             snapshot_covers: LogOffset::ZERO,
+            era: self.era,
         }
     }
 
--- a/crates/streams/src/relay_message.rs
+++ b/crates/streams/src/relay_message.rs
@@ -1,7 +1,7 @@
 use model::{CentreName, VmName};
 use serde::{Deserialize, Serialize};
 
-use crate::{LogOffset, LogRecord, LogStream, RecordBody};
+use crate::{LogEra, LogOffset, LogRecord, LogStream, RecordBody};
 
 /// A node's request to another node for the records of a stream from `from` on.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -17,6 +17,8 @@
     pub age_ms: Option<u64>,
     /// How long the answer may be held until there is an update, in milliseconds.
     pub wait_ms: u64,
+    /// The era of the log to which `from` belongs.
+    pub era: LogEra,
 }
 
 /// The answer to a [`RelayPull`].
@@ -42,6 +44,8 @@
     pub snapshot_age_ms: Option<u64>,
     /// The offset up to which this snapshot covers the stream.
     pub snapshot_covers: LogOffset,
+    /// The era of the log to which the offsets belong.
+    pub era: LogEra,
 }
 
 impl RelayBatch {
--- a/crates/streams/src/snapshot_timer.rs
+++ b/crates/streams/src/snapshot_timer.rs
@@ -46,6 +46,13 @@
         }
     }
 
+    /// Forgets the snapshots seen so far, as the log may have lost them.
+    pub const fn reset(&mut self) {
+        self.last_snapshot_at = None;
+        self.covers = LogOffset::ZERO;
+        self.write_at = None;
+    }
+
     /// Records that a snapshot was seen on the stream `age_ms` ago; 0 for one just written.
     pub fn on_snapshot(&mut self, now: ClockTime, covers: LogOffset, age_ms: u64) {
         if self.age_ms(now).is_none_or(|known| age_ms < known) {
--- a/crates/streams/src/stream_feed.rs
+++ b/crates/streams/src/stream_feed.rs
@@ -1,7 +1,7 @@
 use clock::ClockTime;
 use rand::Rng;
 
-use crate::{FollowAction, LogStream, ReadBatch, ReadError, RelayBatch, RelayPull, UpdateTime};
+use crate::{FollowAction, LogEra, LogStream, ReadBatch, ReadError, RelayBatch, RelayPull, UpdateTime};
 
 /// Follows one stream of the platform's log, folds its records and serves them to other nodes,
 /// without doing I/O.
@@ -39,6 +39,12 @@
     /// Returns the time up to which all records of the stream are known.
     fn fresh_at(&self) -> Option<UpdateTime>;
 
+    /// Returns the era of the log, or `None` before the first answer.
+    fn known_era(&self) -> Option<LogEra>;
+
+    /// Returns whether the stream has been read to its end in the current era of the log.
+    fn is_caught_up(&self) -> bool;
+
     /// Answers another node's pull. The caller sets [`RelayBatch::held_ms`] when the pull was held.
     fn answer(&self, now: ClockTime, pull: &RelayPull) -> RelayBatch;
 }
--- a/crates/streams/src/stream_follower.rs
+++ b/crates/streams/src/stream_follower.rs
@@ -3,7 +3,7 @@
 use rand::Rng;
 
 use crate::{
-    LogOffset, LogRecord, LogStream, ReadBatch, ReadError, RelayBatch, RelayPlan, RelayPull,
+    LogEra, LogOffset, LogRecord, LogStream, ReadBatch, ReadError, RelayBatch, RelayPlan, RelayPull,
     RelaySnapshot, UpdateTime,
 };
 
@@ -104,6 +104,9 @@
 /// An update of the stream, to be applied to its fold in the order of the fields.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct FollowUpdate {
+    /// The log has come back without its last records and is now in this era; the stream is read
+    /// again from its first record.
+    pub went_back: Option<LogEra>,
     /// Unread records before this offset were removed from the log.
     pub lost_before: Option<LogOffset>,
     /// A state to apply.
@@ -123,11 +126,21 @@
 /// an unresponsive log doesn't block pulls. It hedges a read that has no answer after
 /// `hedge_after_ms` with another read on another connection, so that a stalled connection or a slow
 /// log ages the state by little more than the time of one answer.
+///
+/// Offsets belong to an era of the log. When an answer shows a later era, the stream is read again
+/// from its first record, and answers of earlier eras are ignored. `fresh_at` keeps its value, as it
+/// is from before the log came back, and advances once the new era has been read to its end.
 #[derive(Clone, Debug)]
 pub struct StreamFollower {
     stream: LogStream,
     settings: FollowSettings,
     plan: RelayPlan,
+    /// The era of the log, `None` before the first answer.
+    era: Option<LogEra>,
+    /// When the current era was noticed; answers to earlier requests have offsets of another one.
+    era_at: Option<ClockTime>,
+    /// Whether the stream has been read to its end in the current era.
+    is_caught_up: bool,
     next: LogOffset,
     /// The oldest offset retained by the log, as of the last read.
     first: LogOffset,
@@ -160,6 +173,9 @@
             stream,
             settings,
             plan: RelayPlan::default(),
+            era: None,
+            era_at: None,
+            is_caught_up: false,
             next: LogOffset::ZERO,
             first: LogOffset::ZERO,
             fresh_at: None,
@@ -183,6 +199,24 @@
         self.stream
     }
 
+    /// Returns the era of the log, or `None` before the first answer.
+    #[must_use]
+    pub const fn known_era(&self) -> Option<LogEra> {
+        self.era
+    }
+
+    /// Returns the era to which the offsets of this node belong.
+    #[must_use]
+    pub fn era(&self) -> LogEra {
+        self.era.unwrap_or_default()
+    }
+
+    /// Returns whether the stream has been read to its end in the current era of the log.
+    #[must_use]
+    pub const fn is_caught_up(&self) -> bool {
+        self.is_caught_up
+    }
+
     /// Returns the offset of the first record not yet returned.
     #[must_use]
     pub const fn next(&self) -> LogOffset {
@@ -201,6 +235,13 @@
         self.fresh_at
     }
 
+    /// Returns [`Self::fresh_at`] for other nodes, or `None` while the stream is read again after the
+    /// log has come back: they don't get the records of the earlier era from this node.
+    #[must_use]
+    pub fn relayed_fresh_at(&self) -> Option<UpdateTime> {
+        self.fresh_at.filter(|_| self.is_caught_up)
+    }
+
     /// Returns the fault of the stream, if any.
     #[must_use]
     pub const fn fault(&self) -> Option<FollowFault> {
@@ -219,6 +260,9 @@
     /// been held for `held_ms`, by at least `MIN_FRESHNESS_GAIN_MS`.
     #[must_use]
     pub fn is_fresher(&self, now: ClockTime, pull: &RelayPull, held_ms: u64) -> bool {
+        if !self.is_caught_up || pull.era > self.era() {
+            return false;
+        }
         let requester_age = pull.age_ms.map(|age| age.saturating_add(held_ms));
         let own_age = self.fresh_at.map(|time| time.age_ms(now));
         match (own_age, requester_age) {
@@ -287,9 +331,26 @@
         result: Result<ReadBatch, ReadError>,
         rng: &mut R,
     ) -> FollowUpdate {
+        let era = match &result {
+            Ok(batch) => Some(batch.era),
+            Err(ReadError::Gone { era, .. }) => Some(*era),
+            Err(_) => None,
+        };
+        if let Some(era) = era {
+            if self.is_of_earlier_era(requested_at, era) {
+                self.back_off_reads(now, rng);
+                return FollowUpdate::default();
+            }
+            if self.enter_era(now, era) {
+                return FollowUpdate {
+                    went_back: Some(era),
+                    ..FollowUpdate::default()
+                };
+            }
+        }
         match result {
             Ok(batch) => self.on_log_batch(now, requested_at, batch, rng),
-            Err(ReadError::Gone { first }) if first > self.next => self.skip_to(now, first),
+            Err(ReadError::Gone { first, .. }) if first > self.next => self.skip_to(now, first),
             Err(_) => {
                 self.back_off_reads(now, rng);
                 FollowUpdate::default()
@@ -307,6 +368,12 @@
         self.pull_failures = 0;
         self.pull_at = now.plus_ms(MIN_PULL_INTERVAL_MS);
         let mut update = FollowUpdate::default();
+        if batch.era < self.era() {
+            return update;
+        }
+        if self.enter_era(now, batch.era) {
+            update.went_back = Some(batch.era);
+        }
         let is_wanted = |state: &RelaySnapshot| self.needs_snapshot || state.covers > self.next;
         if let Some(snapshot) = batch.snapshot.filter(is_wanted) {
             self.next = self.next.max(snapshot.covers);
@@ -316,6 +383,7 @@
         update.records = self.accept_in_order(now, batch.records);
         // The freshness of the other node applies only once all of its records have been received.
         if let Some(age) = batch.fresh_ms.filter(|_| self.next >= batch.next) {
+            self.is_caught_up = true;
             let answered = requested_at.plus_ms(batch.held_ms).min(now);
             self.advance_fresh_at(UpdateTime::before(answered, age));
         }
@@ -360,6 +428,7 @@
         self.first = batch.first;
         let records = self.accept_in_order(now, batch.records);
         if self.next >= batch.end {
+            self.is_caught_up = true;
             self.advance_fresh_at(UpdateTime::at(requested_at));
         }
         FollowUpdate {
@@ -368,6 +437,30 @@
         }
     }
 
+    /// Returns whether an answer has offsets of an earlier era than the current one.
+    fn is_of_earlier_era(&self, requested_at: ClockTime, era: LogEra) -> bool {
+        let is_early = self.era_at.is_some_and(|time| requested_at <= time);
+        self.era
+            .is_some_and(|known| era < known || (era == known && is_early))
+    }
+
+    /// Enters the era of an answer, and returns whether the log has come back since the last one.
+    fn enter_era(&mut self, now: ClockTime, era: LogEra) -> bool {
+        let known = self.era.replace(era);
+        let went_back = known.is_some_and(|known| era > known);
+        if went_back {
+            self.era_at = Some(now);
+            self.is_caught_up = false;
+            self.next = LogOffset::ZERO;
+            self.first = LogOffset::ZERO;
+            self.advanced_at = now;
+            self.fault = None;
+            self.read_failures = 0;
+            self.read_at = now.plus_ms(1);
+        }
+        went_back
+    }
+
     /// Continues at `first`, as the unread records before it were removed from the log.
     fn skip_to(&mut self, now: ClockTime, first: LogOffset) -> FollowUpdate {
         self.advanced_at = now;
@@ -410,6 +503,7 @@
             needs_snapshot: self.needs_snapshot,
             age_ms: self.fresh_at.map(|time| time.age_ms(now)),
             wait_ms,
+            era: self.era(),
         }
     }
 
--- a/crates/streams/tests/fleet_schedules.rs
+++ b/crates/streams/tests/fleet_schedules.rs
@@ -10,7 +10,7 @@
 use fleet::{Check, SimFleet};
 use lentilshift_streams::{
     AppendReceipt, AttemptAction, AttemptSettings, AttemptStatus, ConfigFold, ConfigRecord,
-    ConfigVersion, KeyDigest, LogOffset, ReadBatch, ReadError, RecordAttempt, TrustState,
+    ConfigVersion, KeyDigest, LogEra, LogOffset, ReadBatch, ReadError, RecordAttempt, TrustState,
 };
 use model::{RecordId, TeamName};
 use partitions::{PAIR_PLAN, PartitionPlan, check_in_force, has_readers, is_at_log};
@@ -276,7 +276,10 @@
             let withdrawal = self.withdrawals.entry(*digest).or_default();
             withdrawal.appended_at.get_or_insert(self.fleet.now);
         }
-        let reply = reply.map(|()| AppendReceipt { first });
+        let reply = reply.map(|()| AppendReceipt {
+            first,
+            era: LogEra::FIRST,
+        });
         operator.attempt.on_reply(self.fleet.now, reply);
     }
 
--- a/crates/streams/tests/naive_fold.rs
+++ b/crates/streams/tests/naive_fold.rs
@@ -153,7 +153,7 @@
 
 fn first_retained(store: &LogStore) -> LogOffset {
     match store.read(STREAM, LogOffset::ZERO) {
-        Err(ReadError::Gone { first }) => first,
+        Err(ReadError::Gone { first, .. }) => first,
         _ => LogOffset::ZERO,
     }
 }
