--- a/crates/once/src/claim_table.rs
+++ b/crates/once/src/claim_table.rs
@@ -309,9 +309,8 @@
         }
         let is_new = self.owner(request.key).is_none();
         let is_full = self.fold.len() >= self.settings.max_claims;
-        let is_unavailable = is_full
-            || self.outbox.is_append_overdue(now, &self.settings)
-            || self.is_guarded(now);
+        let is_unavailable =
+            is_full || self.outbox.is_append_overdue(now, &self.settings) || self.is_guarded(now);
         ((is_new && is_unavailable) || !self.fold.is_complete()).then_some(ClaimRefusal {
             reason: RefusalReason::ClaimUnavailable,
             verdict: RunVerdict::NotRun,
--- a/crates/once/src/claim_table/log_return.rs
+++ b/crates/once/src/claim_table/log_return.rs
@@ -8,7 +8,7 @@
 use super::ClaimTable;
 use crate::claim_maintenance::ClaimMaintenance;
 use crate::local_attempts::{EndState, LocalState};
-use crate::{ClaimAction, ClaimBody, ClaimEntry, ClaimFold, HeldClaim, KeyDigest};
+use crate::{ClaimAction, ClaimBody, ClaimEntry, ClaimFold, ClaimRecord, HeldClaim, KeyDigest};
 
 /// What is known from before the log came back without its last records.
 #[derive(Clone, Debug, Default)]
@@ -113,11 +113,12 @@
                 entries.entry(claim.vm.clone()).or_default().push(entry);
             }
         }
+        let batch_entries = self.settings.batch_entries.max(1);
         for (vm, entries) in entries {
-            for batch in entries.chunks(self.settings.batch_entries.max(1)) {
+            for batch in entries.chunks(batch_entries) {
                 let record = self.new_record(ClaimBody::Batch(batch.to_vec()));
                 let vm = vm.clone();
-                actions.push(ClaimAction::Append(crate::ClaimRecord { vm, ..record }));
+                actions.push(ClaimAction::Append(ClaimRecord { vm, ..record }));
             }
         }
     }
--- a/crates/once/src/claim_table/transitions.rs
+++ b/crates/once/src/claim_table/transitions.rs
@@ -258,7 +258,7 @@
         }
     }
 
-    fn new_record(&mut self, body: ClaimBody) -> ClaimRecord {
+    pub(super) fn new_record(&mut self, body: ClaimBody) -> ClaimRecord {
         ClaimRecord {
             id: RecordId::from_random(self.random.random()),
             service: self.service.clone(),
