--- a/crates/streams/src/config_feed.rs
+++ b/crates/streams/src/config_feed.rs
@@ -226,9 +226,11 @@
         team.map_or(KeyAnswer::Unknown, KeyAnswer::Team)
     }
 
-    /// Returns the maximum age of a record that is read for the first time now.
+    /// Returns the maximum age of a record that is read for the first time now, or `None` when it
+    /// may be from before the log came back.
     fn max_record_age_ms(&self, now: ClockTime) -> Option<u64> {
-        self.follower.fresh_at().map(|time| time.age_ms(now))
+        let fresh_at = self.follower.relayed_fresh_at();
+        fresh_at.map(|time| time.age_ms(now))
     }
 
     fn relay_snapshot(&self) -> Option<RelaySnapshot> {
--- a/crates/streams/src/config_fold.rs
+++ b/crates/streams/src/config_fold.rs
@@ -253,7 +253,7 @@
             None => snapshot.covers > self.next,
         };
         if !is_update {
-            return;
+            return self.restore(snapshot);
         }
         self.keys.merge(&snapshot.keys);
         if snapshot.version > self.newest.version {
@@ -265,6 +265,19 @@
         }
     }
 
+    /// Adds to a complete state what the log has lost since a snapshot's writer read it.
+    ///
+    /// On a log that has lost nothing, a snapshot never has more than the records before it.
+    fn restore(&mut self, snapshot: &ConfigSnapshot) {
+        if !self.is_complete() {
+            return;
+        }
+        self.keys.merge(&snapshot.keys);
+        if snapshot.version > self.newest.version {
+            self.apply_snapshot_text(snapshot);
+        }
+    }
+
     /// Applies a snapshot of a stream whose records replace the complete state.
     fn apply_replaced_snapshot(&mut self, snapshot: &ConfigSnapshot) {
         self.is_replaced = true;
--- a/crates/streams/src/snapshot_timer.rs
+++ b/crates/streams/src/snapshot_timer.rs
@@ -32,8 +32,14 @@
     last_snapshot_at: Option<UpdateTime>,
     covers: LogOffset,
     write_at: Option<ClockTime>,
+    /// Whether the log has come back since the last snapshot, so that one is due soon.
+    is_urgent: bool,
 }
 
+/// The longest random delay before a snapshot is appended to a log that has come back without its
+/// last records, in milliseconds.
+const URGENT_JITTER_MS: u64 = 2_000;
+
 impl SnapshotTimer {
     /// Creates the timer of a node that has seen no snapshot yet.
     #[must_use]
@@ -43,6 +49,7 @@
             last_snapshot_at: None,
             covers: LogOffset::ZERO,
             write_at: None,
+            is_urgent: false,
         }
     }
 
@@ -51,6 +58,7 @@
         self.last_snapshot_at = None;
         self.covers = LogOffset::ZERO;
         self.write_at = None;
+        self.is_urgent = true;
     }
 
     /// Records that a snapshot was seen on the stream `age_ms` ago; 0 for one just written.
@@ -58,6 +66,7 @@
         if self.age_ms(now).is_none_or(|known| age_ms < known) {
             self.last_snapshot_at = Some(UpdateTime::before(now, age_ms));
             self.write_at = None;
+            self.is_urgent = false;
         }
         self.covers = self.covers.max(covers);
     }
@@ -83,7 +92,12 @@
             self.write_at = None;
             return false;
         }
-        let spread = rng.random_range(0..=self.settings.jitter_ms);
+        let jitter_ms = if self.is_urgent {
+            self.settings.jitter_ms.min(URGENT_JITTER_MS)
+        } else {
+            self.settings.jitter_ms
+        };
+        let spread = rng.random_range(0..=jitter_ms);
         let time = *self.write_at.get_or_insert(now.plus_ms(spread));
         if time > now {
             return false;
--- a/crates/streams/tests/log_era.rs
+++ b/crates/streams/tests/log_era.rs
@@ -4,9 +4,10 @@
 
 use clock::ClockTime;
 use lentilshift_streams::{
-    ConfigFeed, ConfigRecord, ConfigReplacement, ConfigVersion, FeedSettings, FollowAction,
-    FollowSettings, FollowUpdate, LogEra, LogOffset, LogRecord, LogStream, ReadBatch, ReadError,
-    RecordBody, RecordRelay, RelayBatch, RelayPull, RelaySettings, StreamFollower, UpdateTime,
+    ConfigFeed, ConfigFold, ConfigRecord, ConfigReplacement, ConfigVersion, FeedSettings,
+    FollowAction, FollowSettings, FollowUpdate, KeyDigest, LogEra, LogOffset, LogRecord, LogStream,
+    ReadBatch, ReadError, RecordBody, RecordRelay, RelayBatch, RelayPull, RelaySettings,
+    StreamFollower, UpdateTime,
 };
 use model::RecordId;
 use rand::SeedableRng;
@@ -261,3 +262,44 @@
     assert_eq!(read(&mut feed, 6, 2, vec![config(2, 9)]), 9);
     assert!(feed.is_ready());
 }
+
+// Guards against a key or a text being forgotten that the log has lost: a node that had read them
+// writes its state again, and others take it from there.
+#[rstest]
+fn lost_text_and_withdrawal_are_restored_from_a_snapshot() {
+    let check = |_: &str| Ok(());
+    let (kept, lost) = (KeyDigest::of_key(b"kept"), KeyDigest::of_key(b"lost"));
+    let grant = |digest| ConfigRecord::Grant {
+        digest,
+        team: "clubs".into(),
+    };
+    let first = ConfigRecord::publish(ConfigVersion::NONE, "", "one");
+    let second = ConfigRecord::publish(ConfigVersion::new(1), "one", "two");
+    let withdrawal = ConfigRecord::Withdraw { digest: kept };
+    let record_of = |number: u64, change: &ConfigRecord| LogRecord {
+        body: RecordBody::encode(change),
+        ..record(0, number)
+    };
+    let mut knowing = ConfigFold::new(check);
+    let mut other = ConfigFold::new(check);
+    let all = [&first, &grant(kept), &second, &withdrawal, &grant(lost)];
+    for (number, change) in (0..).zip(all) {
+        knowing.apply(&record_of(number, change));
+    }
+    knowing.go_back();
+    for fold in [&mut knowing, &mut other] {
+        for (number, change) in (0..).zip([&first, &grant(kept)]) {
+            fold.apply(&record_of(number, change));
+        }
+    }
+    assert_eq!(&*knowing.in_force().text, "two");
+    assert!(knowing.keys().is_withdrawn(&kept));
+    assert_eq!(&*other.in_force().text, "one");
+    let snapshot = ConfigRecord::Snapshot(knowing.snapshot().unwrap());
+    for fold in [&mut knowing, &mut other] {
+        fold.apply(&record_of(2, &snapshot));
+        assert_eq!(&*fold.in_force().text, "two");
+        assert!(fold.keys().is_withdrawn(&kept));
+        assert!(fold.keys().team(&lost).is_some());
+    }
+}
