--- a/crates/lentilshift/tests/platform_path/main.rs
+++ b/crates/lentilshift/tests/platform_path/main.rs
@@ -4,6 +4,7 @@
 mod endless_answers;
 mod evacuation;
 mod late_requests;
+mod log_return;
 mod platform_fleet;
 mod signals;
 mod soak;
--- a/crates/lentilshift/tests/platform_path/platform_fleet.rs
+++ b/crates/lentilshift/tests/platform_path/platform_fleet.rs
@@ -102,12 +102,17 @@
 impl PlatformFleet {
     /// Starts two instances of one service and one of another, and waits until all nodes are ready.
     pub async fn start() -> Self {
-        Self::start_in(["here"; 3]).await
+        Self::start_on(StoreServer::default(), ["here"; 3]).await
     }
 
     /// Starts the same fleet with each instance in a zone of its own choice.
+    #[allow(dead_code, reason = "not every test file has several zones")]
     pub async fn start_in(zones: [&str; 3]) -> Self {
-        let store = StoreServer::default();
+        Self::start_on(StoreServer::default(), zones).await
+    }
+
+    /// Starts the same fleet on a store.
+    pub async fn start_on(store: StoreServer, zones: [&str; 3]) -> Self {
         let address = store.start().await.unwrap();
         let mut fleet = Self {
             store,
@@ -132,8 +137,13 @@
 
     /// Publishes a configuration with one key and one route for it, as operators do.
     pub fn publish(&self, version: u64, key: &str, path: &str) {
+        self.publish_rate(version, key, path, 5_000);
+    }
+
+    /// Does the same with a rate per second, which is also the burst.
+    pub fn publish_rate(&self, version: u64, key: &str, path: &str, rate: u32) {
         let services = json!([{"name": "archive"}, {"name": "registry"}]);
-        self.publish_services(version, key, path, &services);
+        self.publish_services(version, key, path, rate, &services);
     }
 
     /// Publishes a configuration by which cold instances bear 16 requests per second.
@@ -144,10 +154,17 @@
                    "warmup-per-s": 16.0})
         };
         let services = json!([service("archive"), service("registry")]);
-        self.publish_services(version, KEY, "/records/", &services);
+        self.publish_services(version, KEY, "/records/", 5_000, &services);
     }
 
-    fn publish_services(&self, version: u64, key: &str, path: &str, services: &serde_json::Value) {
+    fn publish_services(
+        &self,
+        version: u64,
+        key: &str,
+        path: &str,
+        rate: u32,
+        services: &serde_json::Value,
+    ) {
         let route = |name: &str, path: &str, is_open: bool| {
             json!({"name": name, "path-prefix": path, "kind": "safe", "timeout-ms": 900,
                    "target-latency-ms": 200, "priority": 1, "service": "archive",
@@ -159,7 +176,7 @@
         let body = json!({
             "version": format!("{version:08x}"),
             "services": services,
-            "tenants": [{"name": "clubs", "api-keys": [key], "rate-per-s": 5000, "burst": 5000}],
+            "tenants": [{"name": "clubs", "api-keys": [key], "rate-per-s": rate, "burst": rate}],
             "virtual-hosts": [{"host": "cairns.example",
                 "paths": [route("r-keyed", path, false), route("r-open", "/open/", true), slow]}],
         });
--- a/crates/node/src/config_watch.rs
+++ b/crates/node/src/config_watch.rs
@@ -4,8 +4,9 @@
 use clock::ClockTime;
 use compio::time::{sleep, timeout};
 use model::VmName;
-use streams::{LogStream, NewRecord, PlatformLog, RelayBatch, RelayPull};
+use streams::{LogEra, LogStream, NewRecord, PlatformLog, RelayBatch, RelayPull};
 
+use crate::log_return::on_log_return;
 use crate::node_core::NodeCore;
 use crate::node_message::{NodeMessage, NodeReply};
 use crate::peer_exchange::exchange_message;
@@ -38,6 +39,10 @@
         core.fleet.with(|feed| feed.fold().mark_changed());
     }
 
+    fn on_went_back(&self, stream: LogStream, era: LogEra) {
+        on_log_return(&self.0, stream, era);
+    }
+
     async fn pull(&self, peer: &VmName, pull: RelayPull) -> Option<RelayBatch> {
         pull_from(&self.0, peer, pull).await
     }
--- a/crates/node/src/fleet_watch.rs
+++ b/crates/node/src/fleet_watch.rs
@@ -5,9 +5,10 @@
 use member::{MemberAnnouncement, MemberState, MemberSubset};
 use model::{CentreName, ServiceName, VmName};
 use route::RouteTarget;
-use streams::{ClaimShard, PlanSettings, RelayBatch, RelayPlan, RelayPull};
+use streams::{ClaimShard, LogEra, LogStream, PlanSettings, RelayBatch, RelayPlan, RelayPull};
 
 use crate::config_watch::pull_from;
+use crate::log_return::on_log_return;
 use crate::node_core::NodeCore;
 use crate::stream_host::StreamWatch;
 use crate::suspect_watch::set_service_peers;
@@ -18,6 +19,10 @@
 impl StreamWatch for FleetWatch {
     fn on_update(&self, _now: ClockTime) {}
 
+    fn on_went_back(&self, stream: LogStream, era: LogEra) {
+        on_log_return(&self.0, stream, era);
+    }
+
     async fn pull(&self, peer: &VmName, pull: RelayPull) -> Option<RelayBatch> {
         pull_from(&self.0, peer, pull).await
     }
--- a/crates/node/src/node_metrics.rs
+++ b/crates/node/src/node_metrics.rs
@@ -36,6 +36,8 @@
     pub(crate) warm_up_rate: Gauge,
     /// The questions to the backend server about its state.
     pub(crate) questions: IntCounter,
+    /// How often a stream was found to have come back without its last records.
+    pub(crate) log_returns: IntCounter,
     loop_rounds: IntCounter,
     processor: Counter,
     backend_failures: IntCounter,
@@ -64,15 +66,7 @@
                 "Calls refused or given up by a node, by part of the node and reason.",
                 &["part", "reason"],
             ),
-            latency: HistogramVec::new(
-                HistogramOpts::new(
-                    "lentilshift_call_seconds",
-                    "Time from a call's arrival to the head of its answer, in seconds.",
-                )
-                .buckets(LATENCY_BUCKETS.to_vec()),
-                &["part"],
-            )
-            .expect("the histogram's name is valid"),
+            latency: latency_histogram(),
             retries: counter(
                 "lentilshift_retries_total",
                 "Calls sent again to another VM.",
@@ -89,20 +83,22 @@
                 "lentilshift_backend_requests_total",
                 "Requests sent to the backend server.",
             ),
-            stated_rate: Gauge::new(
+            stated_rate: float_gauge(
                 "lentilshift_stated_rate_per_second",
                 "Requests per second that the backend server accepts; 0 if it states no rate.",
-            )
-            .expect("the gauge's name is valid"),
-            warm_up_rate: Gauge::new(
+            ),
+            warm_up_rate: float_gauge(
                 "lentilshift_warm_up_rate_per_second",
                 "Requests per second sent to a backend server that may be cold; 0 if it is warm.",
-            )
-            .expect("the gauge's name is valid"),
+            ),
             questions: counter(
                 "lentilshift_backend_questions_total",
                 "Questions to the backend server about its state.",
             ),
+            log_returns: counter(
+                "lentilshift_log_returns_total",
+                "Times that a stream of the log came back without its last records.",
+            ),
             loop_rounds: counter(
                 "lentilshift_loop_rounds_total",
                 "Times that the node has asked the system for events.",
@@ -216,7 +212,7 @@
     }
 
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 21] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 22] = [
             Box::new(self.calls.clone()),
             Box::new(self.refusals.clone()),
             Box::new(self.latency.clone()),
@@ -227,6 +223,7 @@
             Box::new(self.stated_rate.clone()),
             Box::new(self.warm_up_rate.clone()),
             Box::new(self.questions.clone()),
+            Box::new(self.log_returns.clone()),
             Box::new(self.loop_rounds.clone()),
             Box::new(self.processor.clone()),
             Box::new(self.backend_failures.clone()),
@@ -258,3 +255,17 @@
 fn gauge(name: &str, help: &str) -> IntGauge {
     IntGauge::new(name, help).expect("the gauge's name is valid")
 }
+
+fn float_gauge(name: &str, help: &str) -> Gauge {
+    Gauge::new(name, help).expect("the gauge's name is valid")
+}
+
+/// Returns the histogram of the times that calls take.
+fn latency_histogram() -> HistogramVec {
+    let opts = HistogramOpts::new(
+        "lentilshift_call_seconds",
+        "Time from a call's arrival to the head of its answer, in seconds.",
+    );
+    HistogramVec::new(opts.buckets(LATENCY_BUCKETS.to_vec()), &["part"])
+        .expect("the histogram's name is valid")
+}
--- a/crates/streams/src/config_feed.rs
+++ b/crates/streams/src/config_feed.rs
@@ -6,9 +6,9 @@
 
 use crate::{
     ConfigFold, ConfigRecord, FollowAction, FollowSettings, FollowUpdate, KeyDigest, KeyTrust,
-    LogRecord, LogStream, ReadBatch, ReadError, RecordBody, RecordOutcome, RecordRelay, RelayBatch,
-    RelayPlan, RelayPull, RelaySettings, RelaySnapshot, SnapshotSettings, SnapshotTimer,
-    StreamFollower, TextCheck, TrustSettings, TrustState,
+    LogEra, LogRecord, LogStream, ReadBatch, ReadError, RecordBody, RecordOutcome, RecordRelay,
+    RelayBatch, RelayPlan, RelayPull, RelaySettings, RelaySnapshot, SnapshotSettings,
+    SnapshotTimer, StreamFollower, TextCheck, TrustSettings, TrustState, UpdateTime,
 };
 
 /// Settings of a [`ConfigFeed`].
@@ -134,19 +134,31 @@
     ) -> Vec<AppliedRecord> {
         let (next, outages) = (batch.next, batch.outages.clone());
         let answered = requested_at.plus_ms(batch.held_ms).min(now);
-        if let Some(age) = batch.snapshot_age_ms {
+        let is_current = batch.era >= self.follower.known_era();
+        if let Some(age) = batch.snapshot_age_ms.filter(|_| is_current) {
             let age = age.saturating_add(now.since_ms(requested_at));
             self.timer.on_snapshot(now, batch.snapshot_covers, age);
         }
         let max_record_age_ms = self.max_record_age_ms(now);
         let update = self.follower.on_batch(now, requested_at, batch);
         let applied = self.apply(now, max_record_age_ms, update);
-        if self.fold.is_complete() && self.follower.next() >= next {
+        if is_current && self.fold.is_complete() && self.follower.next() >= next {
             self.trust.on_outages(answered, &outages);
         }
         applied
     }
 
+    /// Enters an era that another stream's answer has shown, and returns whether the log has come
+    /// back since the last answer of this one.
+    pub fn on_era(&mut self, now: ClockTime, era: LogEra) -> bool {
+        let update = self.follower.on_era(now, era);
+        let went_back = update.is_some();
+        if let Some(update) = update {
+            self.apply(now, None, update);
+        }
+        went_back
+    }
+
     /// Handles a pull that got no answer.
     pub fn on_pull_failure<R: Rng>(&mut self, now: ClockTime, rng: &mut R) {
         self.follower.on_pull_failure(now, rng);
@@ -163,8 +175,9 @@
     /// Answers another node's pull. The caller sets [`RelayBatch::held_ms`] when the pull was held.
     #[must_use]
     pub fn answer(&self, now: ClockTime, pull: &RelayPull) -> RelayBatch {
-        let fresh_at = self.follower.fresh_at().filter(|_| self.fold.is_complete());
-        let outages = self.trust.outages(now, fresh_at);
+        let complete = |time: Option<UpdateTime>| time.filter(|_| self.fold.is_complete());
+        let outages = self.trust.outages(now, complete(self.follower.fresh_at()));
+        let fresh_at = complete(self.follower.relayed_fresh_at());
         let snapshot = || self.relay_snapshot();
         let batch = self.relay.answer(now, pull, fresh_at, outages, snapshot);
         RelayBatch {
@@ -213,9 +226,11 @@
         team.map_or(KeyAnswer::Unknown, KeyAnswer::Team)
     }
 
-    /// Returns the maximum age of a record that is read for the first time now.
+    /// Returns the maximum age of a record that is read for the first time now, or `None` when it
+    /// may be from before the log came back.
     fn max_record_age_ms(&self, now: ClockTime) -> Option<u64> {
-        self.follower.fresh_at().map(|time| time.age_ms(now))
+        let fresh_at = self.follower.relayed_fresh_at();
+        fresh_at.map(|time| time.age_ms(now))
     }
 
     fn relay_snapshot(&self) -> Option<RelaySnapshot> {
@@ -232,6 +247,11 @@
         max_record_age_ms: Option<u64>,
         update: FollowUpdate,
     ) -> Vec<AppliedRecord> {
+        self.relay.set_era(self.follower.known_era());
+        if update.went_back.is_some() {
+            self.fold.go_back();
+            self.timer.reset();
+        }
         if let Some(first) = update.lost_before {
             self.fold.lose_before(first);
             self.relay.skip_to(first);
--- a/crates/streams/src/config_fold.rs
+++ b/crates/streams/src/config_fold.rs
@@ -72,6 +72,8 @@
     evacuated: BTreeSet<CentreName>,
     next: LogOffset,
     buffered: Option<BufferedRecords>,
+    /// The records before this offset were applied before the log came back.
+    applied_before: LogOffset,
     /// Whether each record replaces the complete state, so that no snapshot is needed.
     is_replaced: bool,
 }
@@ -109,6 +111,7 @@
             evacuated: BTreeSet::new(),
             next: LogOffset::ZERO,
             buffered: None,
+            applied_before: LogOffset::ZERO,
             is_replaced: false,
         }
     }
@@ -178,11 +181,24 @@
         })
     }
 
+    /// Reads the stream again from its first record, as the log has come back without its last
+    /// records. Texts and withdrawals are kept: neither ever reverts.
+    pub fn go_back(&mut self) {
+        if self.is_complete() {
+            self.applied_before = self.applied_before.max(self.next);
+        }
+        self.next = LogOffset::ZERO;
+        self.buffered = None;
+    }
+
     /// Notifies the fold that records before `first` were removed from the log, so that unread ones
     /// are missing.
     pub fn lose_before(&mut self, first: LogOffset) {
-        if first > self.next {
-            self.next = first;
+        if first <= self.next {
+            return;
+        }
+        self.next = first;
+        if first > self.applied_before {
             self.buffered = Some(BufferedRecords::new(first));
         }
     }
@@ -253,7 +269,7 @@
             None => snapshot.covers > self.next,
         };
         if !is_update {
-            return;
+            return self.restore(snapshot);
         }
         self.keys.merge(&snapshot.keys);
         self.evacuated.clone_from(&snapshot.evacuated);
@@ -266,6 +282,19 @@
         }
     }
 
+    /// Adds to a complete state what the log has lost since a snapshot's writer read it.
+    ///
+    /// On a log that has lost nothing, a snapshot never has more than the records before it.
+    fn restore(&mut self, snapshot: &ConfigSnapshot) {
+        if !self.is_complete() {
+            return;
+        }
+        self.keys.merge(&snapshot.keys);
+        if snapshot.version > self.newest.version {
+            self.apply_snapshot_text(snapshot);
+        }
+    }
+
     /// Applies a snapshot of a stream whose records replace the complete state.
     fn apply_replaced_snapshot(&mut self, snapshot: &ConfigSnapshot) {
         self.is_replaced = true;
