--- a/crates/node/tests/pipeline/mod.rs
+++ b/crates/node/tests/pipeline/mod.rs
@@ -163,6 +163,16 @@
     fleet
 }
 
+/// Starts backend servers of `filings` and `registry` and their nodes, with a link between them.
+pub async fn two_nodes() -> Fleet {
+    let mut fleet = Fleet::start().await;
+    let backend = BackendSettings::default;
+    fleet.add("filings-1", "filings", backend()).await;
+    fleet.add("registry-1", "registry", backend()).await;
+    fleet.wait_until_warm().await;
+    fleet
+}
+
 /// Connects to the first node.
 pub async fn connect(fleet: &Fleet) -> PipelineClient {
     PipelineClient::connect(fleet.vms[0].node.caller_address()).await
--- a/crates/node/tests/requests_ahead_bounds.rs
+++ b/crates/node/tests/requests_ahead_bounds.rs
@@ -8,7 +8,7 @@
 
 use compio::time::sleep;
 use lentilshift_node::AheadSettings;
-use pipeline::{connect, metric, one_node, one_node_with, read, request};
+use pipeline::{connect, metric, one_node, one_node_with, read, request, two_nodes};
 
 /// The largest piece of an answer that is read at once, in bytes.
 const MAX_FRAME_BYTES: u64 = 64 * 1024;
@@ -96,3 +96,23 @@
         assert_eq!((answer.status, answer.body.len()), (200, number));
     }
 }
+
+/// The same for answers that come over a link.
+#[compio::test]
+async fn unread_answers_of_other_nodes_are_held_within_bounds() {
+    const ANSWER_BYTES: usize = 20_000_000;
+    let fleet = two_nodes().await;
+    let mut client = connect(&fleet).await;
+    let path = format!("/registry/records/1?bytes={ANSWER_BYTES}");
+    let requests = request("GET", &path, "large", "").repeat(4);
+    client.send(&requests).await;
+    sleep(Duration::from_secs(1)).await;
+    let limit = AheadSettings::default().answer_bytes as u64 + MAX_FRAME_BYTES;
+    let held = metric(&fleet, "lentilshift_ahead_bytes").await;
+    assert!(held > 0 && held <= 3 * limit, "{held}");
+    for _ in 0..4 {
+        assert_eq!(client.answer().await.body.len(), ANSWER_BYTES);
+    }
+    assert_eq!(fleet.runs("large"), 4);
+    assert_eq!(metric(&fleet, "lentilshift_ahead_bytes").await, 0);
+}
--- a/crates/node/tests/requests_ahead_ends.rs
+++ b/crates/node/tests/requests_ahead_ends.rs
@@ -9,8 +9,8 @@
 use compio::time::{sleep, timeout};
 use lentilshift_node::AheadSettings;
 use pipeline::{
-    WAIT_TIMEOUT, connect, metric, one_node, one_node_with, read, request, wait_until_running,
-    write,
+    WAIT_TIMEOUT, connect, metric, one_node, one_node_with, read, request, two_nodes,
+    wait_until_running, write,
 };
 use rstest::rstest;
 
@@ -208,3 +208,29 @@
     assert!(client.next().await.is_none());
     assert_eq!(fleet.runs("write"), 0);
 }
+
+/// The reads of a caller that leaves end on other nodes too.
+#[compio::test]
+async fn a_caller_that_leaves_ends_its_reads_on_other_nodes() {
+    let fleet = two_nodes().await;
+    let mut client = connect(&fleet).await;
+    let path = "/registry/records/1?ms=20000";
+    client
+        .send(&request("GET", path, "long", "").repeat(4))
+        .await;
+    let record = fleet.vms[1].backend.record();
+    let wait_until = async |count: usize| {
+        let waiting = async {
+            while record.running() != count {
+                sleep(Duration::from_millis(5)).await;
+            }
+        };
+        timeout(WAIT_TIMEOUT, waiting).await.unwrap();
+    };
+    wait_until(4).await;
+    let left = Instant::now();
+    drop(client);
+    wait_until(0).await;
+    assert!(left.elapsed() < Duration::from_secs(5));
+    assert!(record.entries().iter().all(|entry| !entry.is_finished));
+}
