test(standin): instances that fall over while they are cold

A stand-in instance that is cold falls over beyond the bound: it closes its listener and its connections, and starts again, cold. The new test lets all instances of a service fall over once under load.

--- a/crates/lentilshift/tests/warm_up.rs
+++ b/crates/lentilshift/tests/warm_up.rs
@@ -12,7 +12,7 @@
 use futures_util::future::{join_all, select};
 use platform_fleet::{CallerRequest, PlatformFleet};
 use rstest::rstest;
-use standin::InstanceRun;
+use standin::{ColdState, InstanceRun};
 
 /// The time for which an instance is cold.
 const COLD_TIME: Duration = Duration::from_secs(3);
@@ -137,6 +137,33 @@
     assert_eq!(count.refused.get() + count.faulty.get(), 0, "{count:?}");
 }
 
+/// Instances that fell over came back cold, got the load of warm ones and fell over again, without
+/// end.
+#[rstest]
+#[compio::test]
+async fn instances_that_fell_over_get_warm_again() {
+    let fleet = start_fleet().await;
+    for instance in &fleet.instances {
+        instance.set_cold_state(ColdState {
+            time: COLD_TIME,
+            bears: ALLOWED,
+        });
+    }
+    send_load(&fleet, Duration::from_secs(1)).await;
+    for instance in &fleet.instances[..2] {
+        instance.fall_over();
+    }
+    send_load(&fleet, 2 * COLD_TIME).await;
+    let count = send_load(&fleet, Duration::from_secs(1)).await;
+    for instance in &fleet.instances[..2] {
+        assert_eq!(instance.falls(), 1, "{count:?}");
+        let most = most_cold(&instance.runs());
+        assert!(most <= ALLOWED, "{most} requests in a second");
+    }
+    assert!(count.served.get() > 150, "{count:?}");
+    assert_eq!(count.refused.get() + count.faulty.get(), 0, "{count:?}");
+}
+
 /// A node that starts beside a cold instance knows nothing of it, while the others go on sending.
 #[rstest]
 #[compio::test]
--- a/crates/standin/src/instance_server.rs
+++ b/crates/standin/src/instance_server.rs
@@ -8,7 +8,10 @@
 use bytes::Bytes;
 use compio::net::{TcpListener, TcpStream};
 use compio::runtime::spawn;
+use compio::time::sleep;
 use cyper_core::HyperStream;
+use futures_channel::oneshot;
+use futures_util::future::select;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -33,6 +36,20 @@
 const INSTANCE_ID: &str = "instance-id";
 /// The path of questions about the state of the instance.
 const HEALTH_PATH: &str = "/healthz";
+/// How long an instance that has fallen over is down.
+const DOWN_TIME: Duration = Duration::from_millis(800);
+/// The time between two attempts to listen again.
+const LISTEN_RETRY: Duration = Duration::from_millis(10);
+
+/// How an instance behaves while it is cold.
+#[derive(Clone, Copy, Debug)]
+pub struct ColdState {
+    /// How long it is cold after a start.
+    pub time: Duration,
+    /// The most requests in a second that it bears meanwhile; with more it falls over and starts
+    /// again.
+    pub bears: usize,
+}
 
 /// A request that an instance has run.
 #[derive(Clone, Debug)]
@@ -66,6 +83,11 @@
     endless_part: Cell<Option<EndlessPart>>,
     /// Until when the instance is cold.
     cold_until: Cell<Option<Instant>>,
+    /// How the instance behaves while it is cold, if it can fall over.
+    cold_state: Cell<Option<ColdState>>,
+    falls: Cell<usize>,
+    /// Ends the listener and the open connections when the instance falls over.
+    open: RefCell<Vec<oneshot::Sender<()>>>,
     /// The questions about its state that the instance has answered.
     questions: Cell<usize>,
     client: cyper::Client,
@@ -91,19 +113,86 @@
             states_leaving: Cell::new(false),
             endless_part: Cell::new(None),
             cold_until: Cell::new(None),
+            cold_state: Cell::new(None),
+            falls: Cell::new(0),
+            open: RefCell::default(),
             questions: Cell::new(0),
             client: cyper::Client::new().map_err(io::Error::other)?,
         });
-        let accepting = Rc::clone(&server);
-        spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                spawn(Rc::clone(&accepting).serve(stream)).detach();
-            }
-        })
-        .detach();
+        spawn(Rc::clone(&server).listen(listener)).detach();
         Ok(server)
     }
 
+    /// Accepts connections, with a new listener after each time that the instance has fallen over.
+    async fn listen(self: Rc<Self>, mut listener: TcpListener) {
+        loop {
+            let fallen = self.until_fall();
+            let accepting = async {
+                while let Ok((stream, _)) = listener.accept().await {
+                    let serving = Rc::clone(&self).serve(stream);
+                    let fallen = self.until_fall();
+                    spawn(async move {
+                        let _ = select(Box::pin(serving), fallen).await;
+                    })
+                    .detach();
+                }
+            };
+            let _ = select(Box::pin(accepting), fallen).await;
+            drop(listener);
+            sleep(DOWN_TIME).await;
+            listener = loop {
+                match TcpListener::bind(self.address).await {
+                    Ok(listener) => break listener,
+                    Err(_) => sleep(LISTEN_RETRY).await,
+                }
+            };
+            self.start_anew();
+            if let Some(state) = self.cold_state.get() {
+                self.turn_cold(state.time);
+            }
+        }
+    }
+
+    /// Returns a future that ends when the instance falls over.
+    fn until_fall(&self) -> oneshot::Receiver<()> {
+        let (sender, receiver) = oneshot::channel();
+        let mut open = self.open.borrow_mut();
+        open.retain(|sender| !sender.is_canceled());
+        open.push(sender);
+        receiver
+    }
+
+    /// Falls over if the instance is cold and has got more requests in a second than it bears.
+    fn check_load(&self) {
+        let Some(state) = self.cold_state.get() else {
+            return;
+        };
+        let runs = self.runs.borrow();
+        let is_recent = |run: &&InstanceRun| run.arrived.elapsed() < Duration::from_secs(1);
+        let recent = runs.iter().rev().take_while(is_recent);
+        if recent.filter(|run| run.is_cold).count() > state.bears {
+            drop(runs);
+            self.fall_over();
+        }
+    }
+
+    /// Closes the listener and all connections, and starts again some time later.
+    pub fn fall_over(&self) {
+        self.falls.set(self.falls.get() + 1);
+        self.open.take();
+    }
+
+    /// Sets how the instance behaves while it is cold, so that it can fall over.
+    pub fn set_cold_state(&self, state: ColdState) {
+        self.cold_state.set(Some(state));
+    }
+
+    /// Returns how often the instance has fallen over.
+    #[must_use]
+    pub const fn falls(&self) -> usize {
+        self.falls.get()
+    }
+
     /// Returns the address on which the instance listens.
     #[must_use]
     pub const fn address(&self) -> SocketAddr {
@@ -238,6 +327,7 @@
             arrived: Instant::now(),
             is_cold: self.cold_ms() > 0,
         });
+        self.check_load();
         let mut response = Response::builder().header("response-signature", &self.id);
         if let Some(id) = headers.get(REQUEST_ID) {
             response = response.header(REQUEST_ID, id);
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -17,7 +17,7 @@
 pub use backend_server::BackendServer;
 pub use backend_settings::{BackendCall, BackendSettings};
 pub use endless_answer::EndlessPart;
-pub use instance_server::{InstanceRun, InstanceServer};
+pub use instance_server::{ColdState, InstanceRun, InstanceServer};
 pub use log_faults::{LogFaults, LogOutage};
 pub use log_server::{LogControl, LogServer};
 pub use log_store::LogStore;
