--- a/crates/lentilshift/tests/warm_up.rs
+++ b/crates/lentilshift/tests/warm_up.rs
@@ -6,6 +6,7 @@
 mod platform_fleet;
 
 use std::cell::Cell;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use compio::time::sleep;
@@ -40,6 +41,14 @@
     count.set(count.get() + 1);
 }
 
+/// Returns a path that no other request has. Copies of one request that ran during two crashes would
+/// be quarantined.
+fn new_path() -> &'static str {
+    static COUNT: AtomicUsize = AtomicUsize::new(0);
+    let number = COUNT.fetch_add(1, Ordering::Relaxed);
+    Box::leak(format!("/records/{number}").into_boxed_str())
+}
+
 /// Sends requests to all nodes at once until the time is over.
 async fn send_load(fleet: &PlatformFleet, time: Duration) -> LoadCount {
     let count = LoadCount::default();
@@ -47,7 +56,7 @@
         let count = &count;
         async move {
             loop {
-                let request = CallerRequest::new("/records/7");
+                let request = CallerRequest::new(new_path());
                 let Some(answer) = fleet.try_send(caller % fleet.len(), &request).await else {
                     sleep(Duration::from_millis(20)).await;
                     continue;
