--- a/crates/lentilshift/tests/warm_up.rs
+++ b/crates/lentilshift/tests/warm_up.rs
@@ -6,13 +6,14 @@
 mod platform_fleet;
 
 use std::cell::Cell;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use compio::time::sleep;
 use futures_util::future::{join_all, select};
 use platform_fleet::{CallerRequest, PlatformFleet};
 use rstest::rstest;
-use standin::InstanceRun;
+use standin::{ColdState, InstanceRun};
 
 /// The time for which an instance is cold.
 const COLD_TIME: Duration = Duration::from_secs(3);
@@ -40,6 +41,14 @@
     count.set(count.get() + 1);
 }
 
+/// Returns a path that no other request has. Copies of one request that ran during two crashes would
+/// be quarantined.
+fn new_path() -> &'static str {
+    static COUNT: AtomicUsize = AtomicUsize::new(0);
+    let number = COUNT.fetch_add(1, Ordering::Relaxed);
+    Box::leak(format!("/records/{number}").into_boxed_str())
+}
+
 /// Sends requests to all nodes at once until the time is over.
 async fn send_load(fleet: &PlatformFleet, time: Duration) -> LoadCount {
     let count = LoadCount::default();
@@ -47,7 +56,7 @@
         let count = &count;
         async move {
             loop {
-                let request = CallerRequest::new("/records/7");
+                let request = CallerRequest::new(new_path());
                 let Some(answer) = fleet.try_send(caller % fleet.len(), &request).await else {
                     sleep(Duration::from_millis(20)).await;
                     continue;
@@ -137,6 +146,33 @@
     assert_eq!(count.refused.get() + count.faulty.get(), 0, "{count:?}");
 }
 
+/// Instances that fell over came back cold, got the load of warm ones and fell over again, without
+/// end.
+#[rstest]
+#[compio::test]
+async fn instances_that_fell_over_get_warm_again() {
+    let fleet = start_fleet().await;
+    for instance in &fleet.instances {
+        instance.set_cold_state(ColdState {
+            time: COLD_TIME,
+            bears: ALLOWED,
+        });
+    }
+    send_load(&fleet, Duration::from_secs(1)).await;
+    for instance in &fleet.instances[..2] {
+        instance.fall_over();
+    }
+    send_load(&fleet, 2 * COLD_TIME).await;
+    let count = send_load(&fleet, Duration::from_secs(1)).await;
+    for instance in &fleet.instances[..2] {
+        assert_eq!(instance.falls(), 1, "{count:?}");
+        let most = most_cold(&instance.runs());
+        assert!(most <= ALLOWED, "{most} requests in a second");
+    }
+    assert!(count.served.get() > 150, "{count:?}");
+    assert_eq!(count.refused.get() + count.faulty.get(), 0, "{count:?}");
+}
+
 /// A node that starts beside a cold instance knows nothing of it, while the others go on sending.
 #[rstest]
 #[compio::test]
