--- a/crates/standin/src/log_server.rs
+++ b/crates/standin/src/log_server.rs
@@ -16,7 +16,7 @@
 use http::{Method, Request, StatusCode};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use serde::{Deserialize, Serialize};
-use streams::{LogOffset, LogStream, NewRecord, ReadError};
+use streams::{LogEra, LogOffset, LogStream, NewRecord, ReadError};
 
 use crate::http_parts::{TextResponse, json, query_number, read_body, text, wait_ms};
 use crate::{LogFaults, LogOutage, LogStore};
@@ -111,6 +111,12 @@
         function(&mut self.store.borrow_mut())
     }
 
+    /// Comes back from a copy of this age, without the later records and in the next era.
+    pub fn go_back(&self, age_ms: u64) {
+        let now = self.now();
+        self.with_store(|store| store.go_back(now, age_ms));
+    }
+
     fn now(&self) -> ClockTime {
         let ms = self.started.elapsed().as_millis();
         ClockTime::from_ms(u64::try_from(ms).unwrap_or(u64::MAX))
@@ -136,6 +142,8 @@
 #[derive(Serialize)]
 struct GoneBody {
     first: LogOffset,
+    #[serde(skip_serializing_if = "LogEra::is_first")]
+    era: LogEra,
 }
 
 async fn serve(stream: TcpStream, control: LogControl) {
@@ -225,7 +233,7 @@
     wait_ms(control.faults().read_delay_ms).await;
     match result {
         Ok(batch) => json(StatusCode::OK, &batch),
-        Err(ReadError::Gone { first, .. }) => json(StatusCode::GONE, &GoneBody { first }),
+        Err(ReadError::Gone { first, era }) => json(StatusCode::GONE, &GoneBody { first, era }),
         Err(error) => text(StatusCode::INTERNAL_SERVER_ERROR, &error.to_string()),
     }
 }
--- a/crates/standin/src/log_store.rs
+++ b/crates/standin/src/log_store.rs
@@ -27,6 +27,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct LogStore {
     streams: BTreeMap<LogStream, StoredStream>,
+    era: LogEra,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -55,6 +56,7 @@
         stream: LogStream,
         records: Vec<NewRecord>,
     ) -> AppendReceipt {
+        let era = self.era;
         let stored = self.streams.entry(stream).or_default();
         let first = LogOffset::new(stored.end());
         for NewRecord { id, body } in records {
@@ -63,26 +65,28 @@
                 .records
                 .push_back((now, LogRecord { offset, id, body }));
         }
-        AppendReceipt {
-            first,
-            era: LogEra::FIRST,
-        }
+        AppendReceipt { first, era }
     }
 
     /// Reads a batch of records, starting at an offset.
     ///
     /// # Errors
     ///
-    /// Returns [`ReadError::Gone`] when the record at the offset has been removed.
+    /// Returns [`ReadError::Gone`] when the record at the offset has been removed, or when the log
+    /// has come back from a copy that ends before it.
     pub fn read(&self, stream: LogStream, from: LogOffset) -> Result<ReadBatch, ReadError> {
         let Some(stored) = self.streams.get(&stream) else {
-            return Ok(ReadBatch::default());
+            return Ok(ReadBatch {
+                era: self.era,
+                ..ReadBatch::default()
+            });
         };
         let first = LogOffset::new(stored.first);
-        if from < first {
+        let is_beyond_end = self.era > LogEra::FIRST && from.get() > stored.end();
+        if from < first || is_beyond_end {
             return Err(ReadError::Gone {
                 first,
-                era: LogEra::FIRST,
+                era: self.era,
             });
         }
         let skipped = usize::try_from(from.get() - stored.first).unwrap_or(usize::MAX);
@@ -91,7 +95,7 @@
             first,
             end: LogOffset::new(stored.end()),
             records: later.map(|(_, record)| record.clone()).collect(),
-            era: LogEra::FIRST,
+            era: self.era,
         })
     }
 
@@ -102,6 +106,18 @@
         LogOffset::new(end)
     }
 
+    /// Comes back from a copy of this age, without the later records and in the next era.
+    pub fn go_back(&mut self, now: ClockTime, age_ms: u64) {
+        self.era = LogEra::new(self.era.get() + 1);
+        for stored in self.streams.values_mut() {
+            while let Some((time, _)) = stored.records.back()
+                && now.since_ms(*time) < age_ms
+            {
+                stored.records.pop_back();
+            }
+        }
+    }
+
     /// Removes all records that are older than `retention_ms`.
     pub fn expire(&mut self, now: ClockTime, retention_ms: u64) {
         for stored in self.streams.values_mut() {
