--- a/crates/limit/src/admission_queue.rs
+++ b/crates/limit/src/admission_queue.rs
@@ -251,9 +251,16 @@
             queued: u32::try_from(self.waiting.len()).unwrap_or(u32::MAX),
             wait_ms: u32::try_from(self.wait_now()).unwrap_or(u32::MAX),
             thresholds: self.reported_thresholds(),
+            ..LoadReport::default()
         }
     }
 
+    /// Returns whether a request that arrives now waits.
+    #[must_use]
+    pub fn is_full(&self) -> bool {
+        !self.has_slot() || self.waiting.len() > 0
+    }
+
     /// Returns the thresholds for entry nodes, which refuse requests by the mean of a service's VMs.
     ///
     /// A VM that a stated rate binds has none: it stands for less capacity than the others, and what
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -7,6 +7,7 @@
 //! that a downstream service would refuse.
 
 mod admission_queue;
+mod backend_load;
 mod completion_batches;
 mod concurrency_limit;
 mod entry_window;
@@ -24,6 +25,7 @@
 mod wait_queue;
 
 pub use admission_queue::AdmissionQueue;
+pub use backend_load::BackendLoad;
 pub use completion_batches::CompletionBatches;
 pub use concurrency_limit::{ConcurrencyLimit, LimitSettings};
 pub use entry_window::WindowSettings;
--- a/crates/limit/src/load_report.rs
+++ b/crates/limit/src/load_report.rs
@@ -1,3 +1,4 @@
+use model::LoadNews;
 use serde::{Deserialize, Serialize};
 
 use crate::ShedThresholds;
@@ -16,4 +17,9 @@
     /// The thresholds below which new requests are refused.
     #[serde(rename = "cuts")]
     pub thresholds: ShedThresholds,
+    /// How long work takes on the host of the backend server now, in percent of the usual; 0 if it
+    /// isn't stated.
+    pub slowness: u16,
+    /// Figures of other VMs of the service.
+    pub news: Vec<LoadNews>,
 }
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod attempt_id;
 mod call_importance;
+mod load_news;
 mod names;
 mod record_id;
 mod refusal_reason;
@@ -20,6 +21,7 @@
 
 pub use attempt_id::AttemptId;
 pub use call_importance::CallImportance;
+pub use load_news::LoadNews;
 pub use names::{CallName, CentreName, NameError, ServiceName, TeamName, VmName};
 pub use record_id::RecordId;
 pub use refusal_reason::RefusalReason;
--- a/crates/model/src/refusal_reason.rs
+++ b/crates/model/src/refusal_reason.rs
@@ -43,11 +43,13 @@
     BadRequest,
     /// The backend server accepts fewer requests at present than it is sent.
     BackendLimited,
+    /// The call would have to wait on this VM, and the calling node knows of another one with room.
+    Moved,
 }
 
 impl RefusalReason {
     /// All reasons: the values of the metric label, and the rows of the documentation.
-    pub const ALL: [Self; 20] = [
+    pub const ALL: [Self; 21] = [
         Self::KeyMissing,
         Self::KeyUnknown,
         Self::KeysStale,
@@ -68,6 +70,7 @@
         Self::NotReady,
         Self::BadRequest,
         Self::BackendLimited,
+        Self::Moved,
     ];
 
     /// Returns whether the request was refused for lack of capacity or time.
@@ -108,6 +111,7 @@
             Self::NotReady => "not-ready",
             Self::BadRequest => "bad-request",
             Self::BackendLimited => "backend-limited",
+            Self::Moved => "moved",
         }
     }
 
@@ -127,6 +131,7 @@
             | Self::NoBackend
             | Self::BackendBusy
             | Self::BackendLimited
+            | Self::Moved
             | Self::ClaimUnavailable
             | Self::NotReady => 503,
             Self::TooLate | Self::DeadlinePassed => 504,
--- a/crates/node/src/admin_port.rs
+++ b/crates/node/src/admin_port.rs
@@ -31,6 +31,9 @@
             core.metrics.running.set(i64::from(load.in_flight));
             core.metrics.queued.set(i64::from(load.queued));
             core.metrics.limit.set(i64::from(load.limit));
+            core.metrics.slowness.set(i64::from(load.slowness));
+            let age_ms = i64::try_from(core.news_age_ms()).unwrap_or(i64::MAX);
+            core.metrics.news_age_ms.set(age_ms);
             let stated_rate = core.gate.stated_rate_per_s().unwrap_or(0.0);
             core.metrics.stated_rate.set(stated_rate);
             let (version, refused) = core.config.with(|state| {
--- a/crates/node/src/backend_statement.rs
+++ b/crates/node/src/backend_statement.rs
@@ -1,7 +1,7 @@
 use std::rc::Rc;
 
 use http::{HeaderMap, HeaderName};
-use limit::{PaceChange, RateStatement};
+use limit::{BackendLoad, PaceChange, RateStatement};
 use member::BackendName;
 
 use crate::departure_log::record_departure;
@@ -18,6 +18,8 @@
     pub(crate) rate: RateStatement,
     /// Whether it is leaving and accepts no new requests.
     pub(crate) is_leaving: bool,
+    /// The load that it states, if that can be read.
+    pub(crate) load: Option<BackendLoad>,
 }
 
 impl BackendStatement {
@@ -27,6 +29,7 @@
             rate: RateStatement::parse(values(headers, edge.rate_header.as_ref())),
             is_leaving: values(headers, edge.leaving_header.as_ref())
                 .any(|value| value.trim() == LEAVING),
+            load: values(headers, edge.load_header.as_ref()).find_map(BackendLoad::parse),
         }
     }
 }
@@ -68,6 +71,15 @@
             }
         }
     }
+    if let Some(load) = statement.load
+        && core.gate.record_load(now, load)
+    {
+        log::info!(
+            "event=backend-slowness-stated backend={name} slowness={} slots={}",
+            load.slowness,
+            load.slots
+        );
+    }
     let Some(backend) = backend.filter(|_| statement.is_leaving) else {
         return;
     };
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -6,6 +6,7 @@
 use model::{RefusalReason, RunVerdict, VmName};
 use quarantine::RequestFingerprint;
 use retry::{AllowanceShare, FailedCall, RetryAllowance, RetryDecision, RetryPolicy};
+use route::RouteCall;
 use wire::{AnswerHead, CallHead};
 
 use crate::call_answer::{CallAnswer, CallRefusal};
@@ -24,6 +25,12 @@
 const MAX_REDIRECTS: u32 = 2;
 /// The maximum number of reroutes of a call whose attempts didn't reach a backend server.
 const MAX_REROUTES: u32 = 4;
+/// The maximum number of VMs that refuse a call as moved before one queues it.
+const MAX_MOVES: u32 = 2;
+/// The usual length of a call's or an answer's head, in bytes.
+const HEAD_BYTES: u64 = 300;
+/// The most figures of other VMs that an answer is asked for.
+const MAX_NEWS: usize = 16;
 /// The retry delay for callers when no backend server of the service is known, in milliseconds.
 const NO_BACKEND_RETRY_AFTER_MS: u64 = 1_000;
 
@@ -49,6 +56,7 @@
         was_redirected: false,
         redirects: 0,
         reroutes: 0,
+        moves: 0,
         earlier_verdict: RunVerdict::NotRun,
         fingerprint: keyed_fingerprint(&head),
         head,
@@ -72,6 +80,8 @@
     redirects: u32,
     /// The number of times the call was rerouted before it reached a backend server.
     reroutes: u32,
+    /// The number of VMs that have refused the call as moved.
+    moves: u32,
     /// Whether an attempt before the current one may have run.
     earlier_verdict: RunVerdict,
     /// The fingerprint by which all copies of a call with an idempotency key are routed to one VM.
@@ -140,6 +150,7 @@
                 .with_retry_after_ms(NO_BACKEND_RETRY_AFTER_MS);
             return CallAnswer::refused(&self.head, &refusal.with_service(&self.head.service), 0);
         };
+        self.set_load_news(&vm);
         let share = self.allowance.delegate(self.head.attempt, 1);
         self.head.allowance = share.retries();
         self.head.mark = None;
@@ -155,6 +166,39 @@
         answer
     }
 
+    /// Sets what the head tells a VM of the others, and whether the VM may send the call on.
+    ///
+    /// A call that is bound to a VM doesn't move, nor does one that can't be sent again.
+    fn set_load_news(&mut self, vm: &VmName) {
+        let is_movable = self.moves < MAX_MOVES
+            && self.reroutes < MAX_REROUTES
+            && !self.was_redirected
+            && !self.head.once
+            && self.fingerprint.is_none()
+            && self.body.is_replayable();
+        let (core, head, tried) = (self.core, &mut self.head, &self.tried);
+        let now = core.now();
+        let service = head.service.clone();
+        core.with_router(&service, |router| {
+            if !router.compares_room() {
+                return;
+            }
+            let body_bytes = head.body_bytes.unwrap_or(0);
+            let call = RouteCall {
+                call: Some(&head.call),
+                body_bytes,
+            };
+            head.may_move = is_movable && router.has_room_beside(now, vm, tried, call);
+            let count = router.news_count(vm, HEAD_BYTES + body_bytes);
+            head.news = router.news(now, vm, count);
+            let answer_bytes = router.answer_bytes(&head.call);
+            let wanted = router
+                .news_count(vm, HEAD_BYTES + answer_bytes)
+                .min(MAX_NEWS);
+            head.news_count = u8::try_from(wanted).unwrap_or(u8::MAX);
+        });
+    }
+
     /// Stores the VM that the answer redirects the call to, if any, and returns whether the call is
     /// sent there at once.
     fn take_redirect(&mut self, answer: &mut AnswerHead) -> bool {
@@ -180,6 +224,7 @@
                     | RefusalReason::LinkBroken
                     | RefusalReason::NoBackend
                     | RefusalReason::BackendLimited
+                    | RefusalReason::Moved
             )
         );
         let has_time = self.core.now() < self.deadline;
@@ -191,6 +236,12 @@
         {
             return false;
         }
+        if answer.refusal == Some(RefusalReason::Moved) {
+            self.core.metrics.moved.inc();
+            self.moves += 1;
+            self.reroutes += 1;
+            return true;
+        }
         let has_vm = if answer.refusal == Some(RefusalReason::BackendLimited) {
             let service = &self.head.service;
             self.core.has_unlimited_vm(service, &self.tried)
@@ -221,8 +272,12 @@
             self.core
                 .designated_vm_of(service, fingerprint, &self.tried)
         });
-        let untried = designated.or_else(|| self.core.choose_vm(service, &self.tried));
-        let vm = untried.or_else(|| self.core.choose_vm(service, &[]))?;
+        let call = RouteCall {
+            call: Some(&self.head.call),
+            body_bytes: self.head.body_bytes.unwrap_or(0),
+        };
+        let untried = designated.or_else(|| self.core.choose_vm_for(service, &self.tried, call));
+        let vm = untried.or_else(|| self.core.choose_vm_for(service, &[], call))?;
         self.tried.push(vm.clone());
         Some(vm)
     }
@@ -277,6 +332,7 @@
                 | RefusalReason::BackendBusy
                 | RefusalReason::BackendFailed
                 | RefusalReason::NotReady
+                | RefusalReason::Moved
         )
     )
 }
--- a/crates/node/src/edge_settings.rs
+++ b/crates/node/src/edge_settings.rs
@@ -29,6 +29,8 @@
     pub rate_header: Option<HeaderName>,
     /// The header by which the backend server says that it is leaving.
     pub leaving_header: Option<HeaderName>,
+    /// The header in which the backend server states its load.
+    pub load_header: Option<HeaderName>,
     /// Whether the headers that this project defines are sent to callers and to the backend server.
     pub sends_project_headers: bool,
     /// Whether a key is also accepted in `Authorization` and refused in a path, instead of being
@@ -51,6 +53,7 @@
             signature_header: None,
             rate_header: None,
             leaving_header: None,
+            load_header: None,
             sends_project_headers: true,
             checks_all_key_locations: true,
             has_verdict_status: false,
--- a/crates/node/src/egress.rs
+++ b/crates/node/src/egress.rs
@@ -230,6 +230,9 @@
         path: entry.path,
         headers: call_headers(core, &parts.headers),
         body_bytes: None,
+        may_move: false,
+        news_count: 0,
+        news: Vec::new(),
     }
 }
 
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -182,6 +182,9 @@
         path: entry.path,
         headers: HeaderList::from(&headers),
         body_bytes: None,
+        may_move: false,
+        news_count: 0,
+        news: Vec::new(),
     }
 }
 
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -7,7 +7,7 @@
 use http::{Request, Response, Uri};
 use hyper::body::Incoming;
 use limit::{LoadReport, QueueTicket};
-use model::{RefusalReason, RunVerdict};
+use model::{LoadNews, RefusalReason, RunVerdict};
 use once::ClaimOutcome;
 use wire::{AnswerHead, CallHead, HeaderList};
 
@@ -65,6 +65,10 @@
         let refusal = CallRefusal::not_run(RefusalReason::NotReady);
         return CallAnswer::refused(head, &refusal, head.allowance);
     }
+    if head.may_move && core.gate.is_full() {
+        let refusal = CallRefusal::not_run(RefusalReason::Moved);
+        return CallAnswer::refused(head, &refusal, head.allowance);
+    }
     let body = match buffer_small_link_body(core, body, head.body_bytes, deadline).await {
         Ok(body) => body,
         Err(refusal) => return CallAnswer::refused(head, &refusal, head.allowance),
@@ -354,9 +358,11 @@
 fn finish_answer(core: &NodeCore, head: &CallHead, mut answer: CallAnswer) -> CallAnswer {
     let now = core.now();
     answer.head.load = core.gate.load(now);
+    answer.head.load.news = exchange_news(core, head);
     answer.head.mark = Some(core.attempts.borrow().mark(now));
     answer.head.threshold_reports = threshold_reports_for(core, head);
     if let Some(reason) = answer.head.refusal
+        && reason != RefusalReason::Moved
         && core.may_log()
     {
         log::info!(
@@ -388,6 +394,17 @@
     answer
 }
 
+/// Records the figures of other VMs that a call carries, and returns those for its answer.
+fn exchange_news(core: &NodeCore, head: &CallHead) -> Vec<LoadNews> {
+    let now = core.now();
+    let mut news = Vec::new();
+    core.with_router(&head.service, |router| {
+        router.record_news(now, &head.news);
+        news = router.news(now, &core.settings.vm, usize::from(head.news_count));
+    });
+    news
+}
+
 /// Returns the bytes of a buffered body; a streamed body yields an empty buffer.
 fn buffered_bytes(body: &CallBody) -> Bytes {
     match body {
--- a/crates/node/src/ingress_gate.rs
+++ b/crates/node/src/ingress_gate.rs
@@ -2,18 +2,25 @@
 
 use clock::ClockTime;
 use limit::{
-    AdmissionQueue, CompletionBatches, LoadReport, PaceChange, QueueAction, QueueDecision,
-    QueueRefusal, QueueSettings, QueueTicket, RateStatement, RunOutcome,
+    AdmissionQueue, BackendLoad, CompletionBatches, LoadReport, PaceChange, QueueAction,
+    QueueDecision, QueueRefusal, QueueSettings, QueueTicket, RateStatement, RunOutcome,
 };
 use model::AttemptId;
 
 use crate::decision_waiters::DecisionWaiters;
 use crate::task_loop::loop_rounds;
 
+/// The time for which a stated load holds, in milliseconds.
+const STATED_LOAD_MS: u64 = 400;
+/// The slowness of a host whose backend server has stated none of late, in percent.
+const USUAL_SLOWNESS: u16 = 100;
+
 /// The admission queue in front of the backend server, with the waiting calls.
 pub(crate) struct IngressGate {
     queue: RefCell<AdmissionQueue>,
     batches: Cell<CompletionBatches>,
+    /// The last load that the backend server stated with the slowness of its host.
+    stated: Cell<Option<(ClockTime, BackendLoad)>>,
     waiting: DecisionWaiters<Result<(), QueueRefusal>>,
 }
 
@@ -22,6 +29,7 @@
         Self {
             queue: RefCell::new(AdmissionQueue::new(settings, seed)),
             batches: Cell::default(),
+            stated: Cell::default(),
             waiting: DecisionWaiters::default(),
         }
     }
@@ -36,7 +44,32 @@
     }
 
     pub(crate) fn load(&self, now: ClockTime) -> LoadReport {
-        self.queue.borrow().load(now)
+        let mut report = self.queue.borrow().load(now);
+        if let Some((at, stated)) = self.stated.get() {
+            let is_fresh = now.since_ms(at) < STATED_LOAD_MS;
+            report.slowness = if is_fresh {
+                stated.slowness
+            } else {
+                USUAL_SLOWNESS
+            };
+            let waiting = if is_fresh { stated.waiting } else { 0 };
+            report.queued = report.queued.max(waiting.min(report.limit));
+        }
+        report
+    }
+
+    /// Records the load that the backend server states, if it states the slowness of its host, and
+    /// returns whether it is the first time.
+    pub(crate) fn record_load(&self, now: ClockTime, load: BackendLoad) -> bool {
+        if load.slowness == 0 {
+            return false;
+        }
+        self.stated.replace(Some((now, load))).is_none()
+    }
+
+    /// Returns whether a call that arrives now waits.
+    pub(crate) fn is_full(&self) -> bool {
+        self.queue.borrow().is_full()
     }
 
     /// Waits until a call may run.
--- a/crates/node/src/node_core.rs
+++ b/crates/node/src/node_core.rs
@@ -14,7 +14,7 @@
 use rand::{Rng, SeedableRng};
 use rate::TeamLimiter;
 use retry::{ResendCounts, ResendSettings, ResendTable, RetryBudget};
-use route::{RouteSettings, VmRouter};
+use route::{RouteCall, RouteSettings, VmRouter};
 use streams::{ClaimShard, FoldFeed, KeyAnswer, KeyDigest, LogHandle, LogStream};
 
 use crate::announcement_appender::AnnouncementAppender;
@@ -254,9 +254,30 @@
 
     /// Chooses a VM of a service, other than those in `tried`.
     pub(crate) fn choose_vm(&self, service: &ServiceName, tried: &[VmName]) -> Option<VmName> {
+        self.choose_vm_for(service, tried, RouteCall::default())
+    }
+
+    /// Chooses a VM that isn't in `tried` for a call, with regard to the call's size.
+    pub(crate) fn choose_vm_for(
+        &self,
+        service: &ServiceName,
+        tried: &[VmName],
+        call: RouteCall,
+    ) -> Option<VmName> {
         let mut routers = self.routers.borrow_mut();
         let router = routers.get_mut(service)?;
-        router.choose(self.now(), &mut *self.random.borrow_mut(), tried)
+        router.choose_for(self.now(), &mut *self.random.borrow_mut(), tried, call)
+    }
+
+    /// Returns the mean age of the fresh load figures that the node has of VMs, in milliseconds.
+    pub(crate) fn news_age_ms(&self) -> u64 {
+        let now = self.now();
+        let routers = self.routers.borrow();
+        let ages = routers.values().map(|router| router.news_age_ms(now));
+        let (sum, count) = ages.fold((0, 0), |(sum, count), (age_ms, vms)| {
+            (sum + age_ms * vms, count + vms)
+        });
+        sum / count.max(1)
     }
 
     /// Returns whether a service has a VM that isn't in `tried` and isn't known to be at the rate
--- a/crates/node/src/node_metrics.rs
+++ b/crates/node/src/node_metrics.rs
@@ -32,6 +32,10 @@
     pub(crate) sent: IntCounter,
     /// The requests sent to the local backend server.
     pub(crate) backend_requests: IntCounter,
+    /// The calls that another VM refused as moved and that this node has sent on.
+    pub(crate) moved: IntCounter,
+    pub(crate) news_age_ms: IntGauge,
+    pub(crate) slowness: IntGauge,
     pub(crate) stated_rate: Gauge,
     loop_rounds: IntCounter,
     processor: Counter,
@@ -82,6 +86,18 @@
                 "lentilshift_backend_requests_total",
                 "Requests sent to the backend server.",
             ),
+            moved: counter(
+                "lentilshift_moved_calls_total",
+                "Calls sent on to another VM because the first one had no room.",
+            ),
+            news_age_ms: gauge(
+                "lentilshift_load_news_age_milliseconds",
+                "Mean age of the load figures of other VMs that are in use; 0 without any.",
+            ),
+            slowness: gauge(
+                "lentilshift_host_slowness_percent",
+                "How long work takes on the backend server's host, 100 as usual; 0 if not stated.",
+            ),
             stated_rate: Gauge::new(
                 "lentilshift_stated_rate_per_second",
                 "Requests per second that the backend server accepts; 0 if it states no rate.",
@@ -182,7 +198,7 @@
     }
 
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 16] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 19] = [
             Box::new(self.calls.clone()),
             Box::new(self.refusals.clone()),
             Box::new(self.latency.clone()),
@@ -190,6 +206,9 @@
             Box::new(self.arrived.clone()),
             Box::new(self.sent.clone()),
             Box::new(self.backend_requests.clone()),
+            Box::new(self.moved.clone()),
+            Box::new(self.news_age_ms.clone()),
+            Box::new(self.slowness.clone()),
             Box::new(self.stated_rate.clone()),
             Box::new(self.loop_rounds.clone()),
             Box::new(self.processor.clone()),
--- a/crates/node/src/route_guard.rs
+++ b/crates/node/src/route_guard.rs
@@ -19,7 +19,7 @@
 
 impl<'c> RouteGuard<'c> {
     pub(crate) fn begin(core: &'c NodeCore, head: &CallHead, vm: &'c VmName) -> Self {
-        core.with_router(&head.service, |router| router.begin(vm));
+        core.with_router(&head.service, |router| router.begin(core.now(), vm));
         Self {
             core,
             target: call_target(head),
@@ -44,10 +44,26 @@
             in_flight: answer.load.in_flight,
             limit: answer.load.limit,
             queued: answer.load.queued,
+            slowness: answer.load.slowness,
         };
+        self.record_news(answer);
         self.report(outcome, (sample.limit > 0).then_some(sample));
     }
 
+    /// Records what an answer says of other VMs, and how long the call ran.
+    fn record_news(&self, answer: &AnswerHead) {
+        let now = self.core.now();
+        let CallTarget { service, call } = &self.target;
+        let has_run = answer.refusal.is_none() && (200..300).contains(&answer.status);
+        self.core.with_router(service, |router| {
+            router.record_news(now, &answer.load.news);
+            if has_run && answer.verdict == RunVerdict::Ran {
+                let answer_bytes = answer.body_bytes.unwrap_or(0);
+                router.record_run(self.vm, call, answer.run_ms, answer_bytes);
+            }
+        });
+    }
+
     fn report(&mut self, outcome: RouteOutcome, sample: Option<LoadSample>) {
         self.is_reported = true;
         let now = self.core.now();
--- a/crates/route/src/route_settings.rs
+++ b/crates/route/src/route_settings.rs
@@ -1,3 +1,5 @@
+use crate::RoomSettings;
+
 /// The settings of a [`VmRouter`](crate::VmRouter).
 #[derive(Clone, Copy, Debug, PartialEq)]
 #[expect(
@@ -25,6 +27,8 @@
     pub max_eject_ms: u64,
     /// The largest share of a service's VMs that may be ejected at a time.
     pub max_ejected_share: f64,
+    /// The choice by free room.
+    pub room: RoomSettings,
 }
 
 impl Default for RouteSettings {
@@ -40,6 +44,7 @@
             base_eject_ms: 1_000,
             max_eject_ms: 30_000,
             max_ejected_share: 0.4,
+            room: RoomSettings::default(),
         }
     }
 }
--- a/crates/route/src/route_target.rs
+++ b/crates/route/src/route_target.rs
@@ -11,7 +11,7 @@
 }
 
 /// The load that a VM's node reported with an answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct LoadSample {
     /// The requests that are running.
     pub in_flight: u32,
@@ -19,6 +19,8 @@
     pub limit: u32,
     /// The requests that are waiting.
     pub queued: u32,
+    /// How long work takes on the host, in percent of the usual; 0 if it isn't stated.
+    pub slowness: u16,
 }
 
 /// How a request sent to a VM ended.
--- a/crates/route/src/vm_router.rs
+++ b/crates/route/src/vm_router.rs
@@ -1,17 +1,20 @@
 use std::collections::BTreeMap;
 
 use clock::ClockTime;
-use model::{CentreName, VmName};
+use model::{CentreName, LoadNews, VmName};
 use rand::Rng;
 
+use crate::call_profile::CallProfiles;
 use crate::vm_state::VmState;
-use crate::{LoadSample, RouteOutcome, RouteSettings, RouteTarget};
+use crate::{LoadSample, RouteCall, RouteOutcome, RouteSettings, RouteTarget};
 
 /// The factor over the service's median latency from which a VM counts as slow.
 const SLOW_FACTOR: f64 = 1.3;
 /// How long other VMs are preferred after a VM has refused a request because its backend server
 /// accepts fewer requests at present, in milliseconds.
 const LIMITED_MS: u64 = 200;
+/// The mean load of a service before the first report, as a fraction of the limits.
+const INITIAL_LOAD: f64 = 0.5;
 
 /// Chooses a VM of one service for each request.
 ///
@@ -35,9 +38,16 @@
 /// ```
 #[derive(Clone, Debug)]
 pub struct VmRouter {
-    settings: RouteSettings,
-    centre: CentreName,
-    states: BTreeMap<VmName, VmState>,
+    pub(crate) settings: RouteSettings,
+    pub(crate) centre: CentreName,
+    pub(crate) states: BTreeMap<VmName, VmState>,
+    /// The VMs by the digests that stand for them in messages.
+    pub(crate) digests: BTreeMap<u32, VmName>,
+    pub(crate) profiles: CallProfiles,
+    /// The mean of the loads reported of late, as a fraction of the limits.
+    pub(crate) mean_load: f64,
+    /// Whether a VM has reported how long work takes on its host.
+    pub(crate) has_stated: bool,
     median_ms: f64,
 }
 
@@ -49,23 +59,28 @@
             settings,
             centre,
             states: BTreeMap::new(),
+            digests: BTreeMap::new(),
+            profiles: CallProfiles::new(),
+            mean_load: INITIAL_LOAD,
+            has_stated: false,
             median_ms: 1.0,
         }
     }
 
     /// Adds a VM or updates what it announces; measurements of a known VM are kept.
     pub fn upsert(&mut self, vm: VmName, target: RouteTarget) {
-        match self.states.get_mut(&vm) {
-            Some(state) => state.target = target,
-            None => {
-                self.states.insert(vm, VmState::new(target));
-            }
+        if let Some(state) = self.states.get_mut(&vm) {
+            state.target = target;
+            return;
         }
+        self.digests.insert(LoadNews::digest_of(&vm), vm.clone());
+        self.states.insert(vm, VmState::new(target));
     }
 
     /// Removes a VM.
     pub fn remove(&mut self, vm: &VmName) {
         self.states.remove(vm);
+        self.digests.remove(&LoadNews::digest_of(vm));
     }
 
     /// Marks a VM as leaving, so that it gets no new requests.
@@ -87,6 +102,12 @@
         self.states.keys()
     }
 
+    /// Returns the requests in progress that the caller has sent to a VM.
+    #[must_use]
+    pub fn in_flight(&self, vm: &VmName) -> u32 {
+        self.states.get(vm).map_or(0, |state| state.in_flight)
+    }
+
     /// Returns the number of VMs that may be chosen.
     #[must_use]
     pub fn available_count(&self) -> usize {
@@ -113,6 +134,17 @@
         now: ClockTime,
         random: &mut impl Rng,
         tried: &[VmName],
+    ) -> Option<VmName> {
+        self.choose_for(now, random, tried, RouteCall::default())
+    }
+
+    /// Chooses a VM for a call as [`choose`](Self::choose) does, with regard to its size.
+    pub fn choose_for(
+        &mut self,
+        now: ClockTime,
+        random: &mut impl Rng,
+        tried: &[VmName],
+        call: RouteCall,
     ) -> Option<VmName> {
         let mut available: Vec<(&VmName, &VmState)> = self
             .states
@@ -122,6 +154,10 @@
         if available.iter().any(|(_, state)| !state.is_limited(now)) {
             available.retain(|(_, state)| !state.is_limited(now));
         }
+        if self.compares_room() {
+            let chosen = self.choose_by_room(now, random, &available, call);
+            return chosen.map(|(vm, _)| vm.clone());
+        }
         if self.settings.prefers_local {
             let local: Vec<(&VmName, &VmState)> = available
                 .iter()
@@ -138,10 +174,14 @@
         self.pick(now, random, &available).map(|(vm, _)| vm.clone())
     }
 
-    /// Records that a request was sent to a VM.
-    pub fn begin(&mut self, vm: &VmName) {
+    /// Records that a request is sent to a VM at `now`.
+    pub fn begin(&mut self, now: ClockTime, vm: &VmName) {
+        let compares_room = self.compares_room();
         if let Some(state) = self.states.get_mut(vm) {
             state.in_flight += 1;
+            if compares_room {
+                state.room.record_send(now);
+            }
         }
     }
 
@@ -155,6 +195,9 @@
     ) {
         let settings = self.settings;
         let can_eject = self.can_eject();
+        if let Some(sample) = sample {
+            self.record_report(now, vm, sample);
+        }
         let Some(state) = self.states.get_mut(vm) else {
             return;
         };
@@ -232,6 +275,6 @@
     }
 }
 
-const fn is_available(state: &VmState) -> bool {
+pub(crate) const fn is_available(state: &VmState) -> bool {
     !state.is_leaving && !state.health.is_ejected()
 }
--- a/crates/route/src/vm_state.rs
+++ b/crates/route/src/vm_state.rs
@@ -1,5 +1,6 @@
 use clock::ClockTime;
 
+use crate::room_state::RoomState;
 use crate::vm_health::VmHealth;
 use crate::{LoadSample, RouteSettings, RouteTarget};
 
@@ -23,6 +24,7 @@
     pub(crate) in_flight: u32,
     /// The time until which other VMs are preferred, as the backend server accepts fewer requests.
     pub(crate) limited_until: ClockTime,
+    pub(crate) room: RoomState,
     latency_ms: Option<f64>,
     sample: Option<(ClockTime, LoadSample)>,
 }
@@ -35,6 +37,7 @@
             health: VmHealth::new(),
             in_flight: 0,
             limited_until: ClockTime::ZERO,
+            room: RoomState::new(),
             latency_ms: None,
             sample: None,
         }
--- a/crates/route/tests/vm_router.rs
+++ b/crates/route/tests/vm_router.rs
@@ -48,7 +48,7 @@
         let name = router
             .choose(now, &mut random, &[])
             .expect("a VM is available");
-        router.begin(&name);
+        router.begin(now, &name);
         let index = (0..8)
             .find(|index| vm(*index) == name)
             .expect("the VM is known");
@@ -63,6 +63,7 @@
         in_flight: 5,
         limit: 10,
         queued: 0,
+        ..LoadSample::default()
     }
 }
 
@@ -86,11 +87,13 @@
         in_flight: 0,
         limit: 100,
         queued: 0,
+        ..LoadSample::default()
     };
     let busy = LoadSample {
         in_flight: 9,
         limit: 10,
         queued: 0,
+        ..LoadSample::default()
     };
     let false_report = |name: &VmName| if *name == vm(0) { idle } else { busy };
     let mut router = router(RouteSettings::default(), &["south"; 4]);
@@ -108,6 +111,7 @@
         in_flight: 10,
         limit: 10,
         queued: 4,
+        ..LoadSample::default()
     };
     let is_local = |name: &VmName| *name == vm(0) || *name == vm(1);
     let sample = |name: &VmName| {
@@ -150,7 +154,7 @@
 fn ejected_vm_is_readmitted() {
     let mut router = router(RouteSettings::default(), &["north"; 4]);
     for _ in 0..5 {
-        router.begin(&vm(0));
+        router.begin(ClockTime::ZERO, &vm(0));
         router.finish(ClockTime::ZERO, &vm(0), RouteOutcome::Failed, None);
     }
     assert_eq!(router.available_count(), 3);
@@ -170,7 +174,7 @@
         let name = router
             .choose(now, &mut random, &[])
             .expect("one is available");
-        router.begin(&name);
+        router.begin(now, &name);
         let is_failed = name == vm(0);
         failures += usize::from(is_failed);
         let outcome = if is_failed {
@@ -224,7 +228,7 @@
     let mut router = router(RouteSettings::default(), &["north", "south"]);
     let mut random = SmallRng::seed_from_u64(1);
     let start = ClockTime::from_ms(10_000);
-    router.begin(&vm(0));
+    router.begin(start, &vm(0));
     router.finish(start, &vm(0), RouteOutcome::Limited, None);
     let mut choose = |at_ms, tried: &[VmName]| {
         let now = ClockTime::from_ms(at_ms);
--- a/crates/trial/src/call.rs
+++ b/crates/trial/src/call.rs
@@ -56,6 +56,10 @@
     pub(crate) caller_vm: usize,
     pub(crate) vm: usize,
     pub(crate) tried_vms: Vec<usize>,
+    pub(crate) first_sent_us: u64,
+    /// Whether the VM may refuse the call so that it is sent to another one.
+    pub(crate) may_move: bool,
+    pub(crate) moves: u32,
     pub(crate) sent_us: u64,
     pub(crate) started_us: u64,
     pub(crate) state: CallState,
@@ -63,6 +67,7 @@
     pub(crate) child: Option<usize>,
     pub(crate) child_wait_us: u64,
     pub(crate) child_sent_us: u64,
+    pub(crate) run_us: u64,
     pub(crate) work_ms: f64,
     pub(crate) hop_retries_left: u32,
     pub(crate) retries: u32,
@@ -81,6 +86,8 @@
     Refused(bool),
     /// The backend server or its VM failed.
     Failed,
+    /// The call would have waited at the VM, and is sent to another one.
+    Moved,
     /// A nested call of the backend server failed and isn't retried.
     ChildFailed,
 }
--- a/crates/trial/src/firm.rs
+++ b/crates/trial/src/firm.rs
@@ -63,6 +63,8 @@
     pub kinds: Vec<RequestKind>,
     /// The contracted rate of each team, as a relative weight.
     pub teams: Vec<u32>,
+    /// The length of the bodies of a call and its answer, in bytes.
+    pub body_bytes: u64,
 }
 
 /// The relative contracted rates of eight teams, a few of them large.
@@ -85,6 +87,7 @@
             calls: Vec::new(),
             kinds: Vec::new(),
             teams: TEAM_WEIGHTS.to_vec(),
+            body_bytes: 0,
         };
         let (archive, filings, surveys, registry) = (0, 1, 2, 3);
         let read_record = firm.call(registry, 60.0, &[]);
@@ -120,6 +123,7 @@
             calls: Vec::new(),
             kinds: Vec::new(),
             teams: TEAM_WEIGHTS.to_vec(),
+            body_bytes: 0,
         };
         let (tracker, booking, quoting, catalogue) = (0, 1, 2, 3);
         let status = firm.call(tracker, 60.0, &[]);
@@ -137,6 +141,25 @@
         firm
     }
 
+    /// Returns the model of a stock service alone, with short and long reads.
+    #[must_use]
+    pub fn yard(instances: usize) -> Self {
+        let mut firm = Self {
+            name: "yard",
+            between_centres_ms: 0.9,
+            services: vec![FirmService::new("yard", instances, 8)],
+            calls: Vec::new(),
+            kinds: Vec::new(),
+            teams: TEAM_WEIGHTS.to_vec(),
+            body_bytes: 600,
+        };
+        let map = firm.call(0, 22.0, &[]);
+        let stock = firm.call(0, 310.0, &[]);
+        firm.kind("map", 0.88, CallImportance::Normal, 2_500, map);
+        firm.kind("stock", 0.12, CallImportance::Normal, 4_000, stock);
+        firm
+    }
+
     fn call(&mut self, service: usize, own_ms: f64, children: &[usize]) -> usize {
         self.calls.push(CallPlan {
             service,
--- a/crates/trial/src/ingress.rs
+++ b/crates/trial/src/ingress.rs
@@ -121,6 +121,14 @@
         }
     }
 
+    /// Returns whether a call that arrives now waits.
+    pub(crate) fn is_full(&self) -> bool {
+        match self {
+            Self::Baseline(queue) => queue.len() > 0,
+            Self::Policy(queue) => queue.is_full(),
+        }
+    }
+
     /// Returns the load and the shed thresholds that the node reports; baselines report nothing.
     pub(crate) fn report(&self, now: ClockTime) -> Option<(route::LoadSample, ShedThresholds)> {
         match self {
@@ -131,6 +139,7 @@
                     in_flight: load.in_flight,
                     limit: load.limit,
                     queued: load.queued,
+                    slowness: load.slowness,
                 };
                 Some((sample, load.thresholds))
             }
--- a/crates/trial/src/main.rs
+++ b/crates/trial/src/main.rs
@@ -1,7 +1,9 @@
 //! Prints a table of the measurements of the policy and of the baselines under each workload.
 
 use gumdrop::Options;
-use lentilshift_trial::{Firm, NodeKind, NodePolicy, ScoreTable, Simulation, TrialScore, Workload};
+use lentilshift_trial::{
+    Firm, NodeKind, NodePolicy, PlacementScore, ScoreTable, Simulation, TrialScore, Workload,
+};
 
 /// The command line options.
 #[derive(Debug, Options)]
@@ -21,10 +23,16 @@
     node: String,
     #[options(help = "compare the policy with copies that each have one feature changed")]
     ablate: bool,
+    #[options(help = "compare ways of choosing VMs, at this many VMs")]
+    place: Option<usize>,
 }
 
 fn main() {
     let options = TrialOptions::parse_args_default_or_exit();
+    if let Some(vms) = options.place {
+        print_placements(&options, vms);
+        return;
+    }
     let mut table = ScoreTable::default();
     for firm in [Firm::zuma(), Firm::turnwell()] {
         if !is_selected(&options.firm, firm.name) {
@@ -53,14 +61,31 @@
         if !is_selected(&options.node, name) {
             continue;
         }
-        let scores = run_seeds(options.seeds, firm, workload, policy);
+        let scores = run_seeds(options.seeds, firm, workload, &policy);
         table.add(firm.name, workload.name(), name, scores);
     }
 }
 
-fn run_seeds(seeds: u64, firm: &Firm, workload: Workload, policy: NodePolicy) -> Vec<TrialScore> {
+fn print_placements(options: &TrialOptions, vms: usize) {
+    let nodes = if options.ablate {
+        NodePolicy::room_ablations()
+    } else {
+        NodePolicy::placements()
+    };
+    println!("{}", PlacementScore::HEADER);
+    for seed in 1..=options.seeds {
+        for (name, policy) in &nodes {
+            if is_selected(&options.node, name) {
+                let trial = Simulation::new(Firm::yard(vms), Workload::UnevenHosts, *policy, seed);
+                println!("| {vms} | {seed} | {name} | {}", trial.run_placement());
+            }
+        }
+    }
+}
+
+fn run_seeds(seeds: u64, firm: &Firm, workload: Workload, policy: &NodePolicy) -> Vec<TrialScore> {
     (1..=seeds)
-        .map(|seed| Simulation::new(firm.clone(), workload, policy, seed).run())
+        .map(|seed| Simulation::new(firm.clone(), workload, *policy, seed).run())
         .collect()
 }
 
--- a/crates/trial/src/policy.rs
+++ b/crates/trial/src/policy.rs
@@ -1,7 +1,7 @@
 use graph::AdmissionSettings;
 use limit::QueueSettings;
 use retry::ResendSettings;
-use route::RouteSettings;
+use route::{RoomRule, RouteSettings};
 
 /// The kind of node to simulate.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -14,11 +14,24 @@
     Policy,
 }
 
+/// How the VM of a call is chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum VmPlacement {
+    /// By the router of the production nodes.
+    Router,
+    /// By turns, over all VMs that a node knows.
+    RoundRobin,
+    /// One of the VMs with the fewest requests of the node's own in progress.
+    LeastRequests,
+}
+
 /// The settings shared by all nodes of a simulation.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct NodePolicy {
     /// The kind of node.
     pub kind: NodeKind,
+    /// How VMs are chosen.
+    pub placement: VmPlacement,
     /// The settings of the queues.
     pub queue: QueueSettings,
     /// The settings of the routers.
@@ -41,6 +54,7 @@
     pub fn new(kind: NodeKind) -> Self {
         Self {
             kind,
+            placement: VmPlacement::Router,
             queue: QueueSettings::default(),
             route: RouteSettings::default(),
             checks_chain: true,
@@ -60,6 +74,39 @@
         }
     }
 
+    /// Returns the ways of choosing VMs that are compared, with their names.
+    #[must_use]
+    pub fn placements() -> Vec<(&'static str, Self)> {
+        let room = Self::new(NodeKind::Policy);
+        let mut loads = room;
+        loads.route.room.rule = RoomRule::Never;
+        let placed = |placement| Self { placement, ..loads };
+        vec![
+            ("room", room),
+            ("loads", loads),
+            ("least requests", placed(VmPlacement::LeastRequests)),
+            ("round robin", placed(VmPlacement::RoundRobin)),
+        ]
+    }
+
+    /// Returns copies of the choice by room that each have one part changed, with their names.
+    #[must_use]
+    pub fn room_ablations() -> Vec<(&'static str, Self)> {
+        let full = Self::new(NodeKind::Policy);
+        let mut list = Vec::new();
+        let mut add = |name, change: fn(&mut Self)| {
+            let mut policy = full;
+            change(&mut policy);
+            list.push((name, policy));
+        };
+        add("no moves", |p| p.route.room.moves_calls = false);
+        add("no news", |p| p.route.room.near_news = 0);
+        add("two compared", |p| p.route.room.compared_vms = 2);
+        add("all compared", |p| p.route.room.compared_vms = usize::MAX);
+        add("spill from 0.9", |p| p.route.room.small_spill_load = 0.9);
+        list
+    }
+
     /// Returns the whole policy, then variants that each have one feature changed, with their names.
     #[must_use]
     pub fn ablations() -> Vec<(&'static str, Self)> {
--- a/crates/trial/src/simulation.rs
+++ b/crates/trial/src/simulation.rs
@@ -14,12 +14,14 @@
 use crate::event::{EventQueue, SimulationEvent};
 use crate::firm::Firm;
 use crate::ingress::Ingress;
+use crate::placement_score::{PlacementLog, PlacementScore};
 use crate::policy::NodePolicy;
 use crate::score::TrialScore;
+use crate::simulation_placement::HostState;
 use crate::workload::{LONG_OBSERVE_AFTER_MS, OBSERVE_AFTER_MS, WARM_UP_MS, Workload};
 
 /// The data centres of a simulated company.
-const CENTRE_NAMES: [&str; 3] = ["north", "east", "west"];
+pub(crate) const CENTRE_NAMES: [&str; 3] = ["north", "east", "west"];
 /// The one-way latency between two VMs of one data centre, in microseconds.
 const SAME_CENTRE_US: u64 = 250;
 /// The one-way latency within one VM, in microseconds.
@@ -45,6 +47,7 @@
     /// The slots that the backend server announces, which may differ from the actual ones.
     pub(crate) announced_slots: u32,
     pub(crate) backend: Backend,
+    pub(crate) host: HostState,
     pub(crate) ingress: Ingress,
     pub(crate) admission: ChainAdmission,
     /// The routers of the node, by service.
@@ -72,6 +75,9 @@
     /// Draws the arrivals; separate from `random` so that all kinds of node get the same ones.
     pub(crate) arrival_random: SmallRng,
     pub(crate) random: SmallRng,
+    /// Draws the changes of hosts, so that all ways of choosing VMs get the same ones.
+    pub(crate) host_random: SmallRng,
+    pub(crate) placement: PlacementLog,
     pub(crate) vms: Vec<SimulatedVm>,
     pub(crate) vm_indices: BTreeMap<VmName, usize>,
     pub(crate) team_names: Vec<TeamName>,
@@ -119,6 +125,8 @@
             events: EventQueue::default(),
             arrival_random: SmallRng::seed_from_u64(seed),
             random: SmallRng::seed_from_u64(seed ^ 0x5EED),
+            host_random: SmallRng::seed_from_u64(seed ^ 0x0057),
+            placement: PlacementLog::default(),
             vms: Vec::new(),
             vm_indices: BTreeMap::new(),
             team_names,
@@ -139,8 +147,22 @@
     /// Runs the workload to its end and returns the measurements.
     #[must_use]
     pub fn run(mut self) -> TrialScore {
+        self.run_to_end();
+        TrialScore::of(&self)
+    }
+
+    /// Runs the workload to its end and returns the measurements of the choice of VMs.
+    #[must_use]
+    pub fn run_placement(mut self) -> PlacementScore {
+        self.run_to_end();
+        PlacementScore::of(self.placement)
+    }
+
+    fn run_to_end(&mut self) {
         let disturbance_end_ms = WARM_UP_MS + self.workload.disturbance_ms();
-        let after_ms = if self.policy.callers_back_off {
+        let after_ms = if self.has_uneven_hosts() {
+            0
+        } else if self.policy.callers_back_off {
             LONG_OBSERVE_AFTER_MS
         } else {
             OBSERVE_AFTER_MS
@@ -159,7 +181,6 @@
             self.now_us = at_us;
             self.handle(event);
         }
-        TrialScore::of(&self)
     }
 
     fn handle(&mut self, event: SimulationEvent) {
@@ -200,6 +221,7 @@
                     slots,
                     announced_slots,
                     backend: Backend::new(slots),
+                    host: HostState::default(),
                     ingress: Ingress::new(&self.policy, announced_slots, seed ^ index as u64),
                     admission: ChainAdmission::new(self.policy.admission),
                     routers: self.new_routers(instance % CENTRE_NAMES.len()),
@@ -214,11 +236,26 @@
                 self.vms.push(vm);
             }
         }
+        if self.has_uneven_hosts() {
+            self.set_up_hosts();
+            return;
+        }
         for index in 0..self.vms.len() {
             self.add_to_routers(index);
         }
     }
 
+    /// Adds a VM to the router of one node.
+    pub(crate) fn add_to_router(&mut self, node: usize, index: usize) {
+        let vm = &self.vms[index];
+        let (name, service) = (vm.name.clone(), vm.service);
+        let target = RouteTarget {
+            centre: CentreName::new(CENTRE_NAMES[vm.centre]),
+            slots: vm.announced_slots,
+        };
+        self.vms[node].routers[service].upsert(name, target);
+    }
+
     fn new_routers(&self, centre: usize) -> Vec<VmRouter> {
         let centre = CentreName::new(CENTRE_NAMES[centre]);
         self.firm
@@ -285,7 +322,8 @@
     /// Returns the load and the shed thresholds that the node of a VM currently reports.
     pub(crate) fn report(&self, vm: usize) -> Option<(LoadSample, ShedThresholds)> {
         let vm = &self.vms[vm];
-        let (sample, thresholds) = vm.ingress.report(self.now())?;
+        let (mut sample, thresholds) = vm.ingress.report(self.now())?;
+        sample.slowness = vm.host.slow_percent;
         Some((vm.false_sample.unwrap_or(sample), thresholds))
     }
 
--- a/crates/trial/src/simulation_calls.rs
+++ b/crates/trial/src/simulation_calls.rs
@@ -3,16 +3,20 @@
 use clock::ClockTime;
 use graph::{CallTarget, ThresholdReport};
 use limit::{QueueTicket, ShedThresholds};
-use model::RefusalReason;
+use model::{RefusalReason, VmName};
 use retry::{AllowanceShare, RetryAllowance};
-use route::RouteOutcome;
+use route::{RouteCall, RouteOutcome};
 
 use crate::call::{Call, CallAnswer, CallResult, CallState};
 use crate::event::SimulationEvent;
 use crate::ingress::{IngressAction, attempt_id};
-use crate::policy::NodeKind;
+use crate::placement_score::is_measured;
+use crate::policy::{NodeKind, VmPlacement};
 use crate::simulation::Simulation;
 
+/// The most times that a call moves on before it waits.
+const MAX_MOVES: u32 = 2;
+
 impl Simulation {
     pub(crate) fn new_call(
         &mut self,
@@ -36,6 +40,9 @@
             caller_vm,
             vm: caller_vm,
             tried_vms: Vec::new(),
+            first_sent_us: self.now_us,
+            may_move: false,
+            moves: 0,
             sent_us: self.now_us,
             started_us: self.now_us,
             state: CallState::Sent,
@@ -43,6 +50,7 @@
             child: None,
             child_wait_us: 0,
             child_sent_us: 0,
+            run_us: 0,
             work_ms: 0.0,
             hop_retries_left: self.policy.hop_retries(),
             retries: 0,
@@ -61,7 +69,18 @@
         let service = self.vms[vm].service;
         let caller_vm = self.calls[call].caller_vm;
         let name = self.vms[vm].name.clone();
-        self.vms[caller_vm].routers[service].begin(&name);
+        let now = self.now();
+        let tried_vms = self.tried_names(call);
+        let router = &mut self.vms[caller_vm].routers[service];
+        let has_room_beside = router.has_room_beside(now, &name, &tried_vms, RouteCall::default());
+        self.calls[call].may_move = has_room_beside && self.calls[call].moves < MAX_MOVES;
+        router.begin(now, &name);
+        if is_measured(self.workload, self.now_us) {
+            let is_crossing = self.vms[caller_vm].centre != self.vms[vm].centre;
+            self.placement.sent += 1;
+            self.placement.sent_to_other_centre += u64::from(is_crossing);
+        }
+        self.pass_news(caller_vm, vm, vm);
         let record = &mut self.calls[call];
         record.vm = vm;
         record.state = CallState::Sent;
@@ -79,17 +98,48 @@
         if self.policy.kind != NodeKind::Policy {
             return self.next_round_robin(caller_vm, service);
         }
-        let tried_vms: Vec<_> = record
-            .tried_vms
-            .iter()
-            .map(|vm| self.vms[*vm].name.clone())
-            .collect();
+        match self.policy.placement {
+            VmPlacement::Router => {}
+            VmPlacement::RoundRobin => return self.next_of_router(caller_vm, service),
+            VmPlacement::LeastRequests => return self.least_requests(caller_vm, service),
+        }
+        let tried_vms = self.tried_names(call);
         let now = self.now();
         let router = &mut self.vms[caller_vm].routers[service];
-        let name = router.choose(now, &mut self.random, &tried_vms)?;
+        let name = router
+            .choose(now, &mut self.random, &tried_vms)
+            .or_else(|| router.choose(now, &mut self.random, &[]))?;
         self.vm_indices.get(&name).copied()
     }
 
+    fn tried_names(&self, call: usize) -> Vec<VmName> {
+        let tried_vms = self.calls[call].tried_vms.iter();
+        tried_vms.map(|vm| self.vms[*vm].name.clone()).collect()
+    }
+
+    /// Chooses the next of the VMs that a node's router has.
+    fn next_of_router(&mut self, caller_vm: usize, service: usize) -> Option<usize> {
+        let node = &mut self.vms[caller_vm];
+        let names: Vec<&VmName> = node.routers[service].names().collect();
+        let turn = &mut node.round_robin[service];
+        *turn += 1;
+        let name = names.get(*turn % names.len().max(1))?;
+        self.vm_indices.get(*name).copied()
+    }
+
+    /// Chooses one of the VMs with the fewest requests of a node's own in progress.
+    fn least_requests(&mut self, caller_vm: usize, service: usize) -> Option<usize> {
+        let node = &mut self.vms[caller_vm];
+        let router = &node.routers[service];
+        let names: Vec<&VmName> = router.names().collect();
+        let turn = &mut node.round_robin[service];
+        *turn += 1;
+        let count = names.len().max(1);
+        let in_turn = (0..count).filter_map(|step| names.get((*turn + step) % count));
+        let name = in_turn.min_by_key(|name| router.in_flight(name))?;
+        self.vm_indices.get(*name).copied()
+    }
+
     fn next_round_robin(&mut self, caller_vm: usize, service: usize) -> Option<usize> {
         let known: Vec<usize> = (0..self.vms.len())
             .filter(|vm| self.vms[*vm].service == service && self.vms[*vm].is_known)
@@ -110,6 +160,10 @@
             self.send_answer(call, CallResult::Failed);
             return;
         }
+        if self.moves_on(call) {
+            self.send_answer(call, CallResult::Moved);
+            return;
+        }
         let queue_ticket = self.queue_ticket(call);
         self.calls[call].state = CallState::Waiting;
         let now = self.now();
@@ -159,6 +213,10 @@
         self.last_start_us[service][importance as usize] = self.now_us;
         self.calls[call].state = CallState::Running;
         self.calls[call].started_us = self.now_us;
+        let first_sent_us = self.calls[call].first_sent_us;
+        if is_measured(self.workload, first_sent_us) {
+            self.placement.waits_us.push(self.now_us - first_sent_us);
+        }
         self.vms[vm].backend.acquire_slot(self.now_us);
         self.start_work_phase(call);
     }
@@ -215,6 +273,7 @@
         self.vms[vm]
             .admission
             .observe_downstream_calls(target, &used);
+        self.calls[call].run_us = own_us;
         self.finish_run(call, Some(own_us / 1_000));
         self.send_answer(call, CallResult::Done);
     }
@@ -286,7 +345,7 @@
             CallResult::Done => RouteOutcome::Succeeded {
                 latency_ms: (self.now_us - record.sent_us) / 1_000,
             },
-            CallResult::Refused(_) => RouteOutcome::Refused,
+            CallResult::Refused(_) | CallResult::Moved => RouteOutcome::Refused,
             CallResult::Failed => RouteOutcome::Failed,
             CallResult::ChildFailed => RouteOutcome::Abandoned,
         };
@@ -299,9 +358,33 @@
         let (now, name) = (self.now(), self.vms[vm].name.clone());
         let service = self.vms[vm].service;
         self.vms[caller_vm].routers[service].finish(now, &name, outcome, answer.sample);
+        self.pass_news(vm, caller_vm, vm);
+        if answer.result == CallResult::Moved {
+            self.send_moved(call);
+            return;
+        }
+        if answer.result == CallResult::Done {
+            self.record_done(call);
+        }
         self.handle_result(call, answer.result);
     }
 
+    fn record_done(&mut self, call: usize) {
+        let record = &self.calls[call];
+        let (vm, caller_vm) = (record.vm, record.caller_vm);
+        let service = self.vms[vm].service;
+        let name = self.vms[vm].name.clone();
+        let target = &self.targets[record.plan];
+        let run_ms = u32::try_from(record.run_us / 1_000).unwrap_or(u32::MAX);
+        let body_bytes = self.firm.body_bytes;
+        if is_measured(self.workload, record.first_sent_us) {
+            let latency_us = self.now_us - record.first_sent_us;
+            self.placement.latencies_us.push(latency_us);
+        }
+        let router = &mut self.vms[caller_vm].routers[service];
+        router.record_run(&name, &target.call, run_ms, body_bytes);
+    }
+
     /// Applies the thresholds and the duration of an answer to the admission check of the calling
     /// node.
     fn observe_answer(&mut self, call: usize, answer: &CallAnswer) {
--- a/crates/trial/src/simulation_clients.rs
+++ b/crates/trial/src/simulation_clients.rs
@@ -5,6 +5,7 @@
 use crate::call::{CallResult, ClientAttempt, ClientRequest, RefusalRecord};
 use crate::event::SimulationEvent;
 use crate::firm::FirmService;
+use crate::placement_score::is_measured;
 use crate::policy::NodeKind;
 use crate::simulation::{CLIENT_DELAY_US, Simulation};
 
@@ -58,10 +59,14 @@
         let id = RequestId::from_random(self.random.random());
         let order = ShedOrder::new(kind.importance, id);
         let timeout_us = kind.timeout_ms * 1_000;
-        let known: Vec<usize> = (0..self.vms.len())
-            .filter(|vm| self.vms[*vm].is_known)
-            .collect();
-        let entry_vm = known[self.random.random_range(0..known.len())];
+        let entry_vm = if self.has_uneven_hosts() {
+            self.swinging_entry()
+        } else {
+            let known: Vec<usize> = (0..self.vms.len())
+                .filter(|vm| self.vms[*vm].is_known)
+                .collect();
+            known[self.random.random_range(0..known.len())]
+        };
         self.attempts.push(ClientAttempt {
             request,
             entry_vm,
@@ -134,6 +139,9 @@
 
     /// Sends the answer of the entry node to the caller.
     pub(crate) fn answer_client(&mut self, client_attempt: usize, result: CallResult) {
+        if result != CallResult::Done && is_measured(self.workload, self.now_us) {
+            self.placement.refused += 1;
+        }
         let is_refused = matches!(result, CallResult::Refused(_) | CallResult::ChildFailed);
         if is_refused && !self.attempts[client_attempt].is_finished {
             self.record_refusal(client_attempt);
--- a/crates/trial/src/simulation_disturbance.rs
+++ b/crates/trial/src/simulation_disturbance.rs
@@ -41,6 +41,10 @@
         match self.workload {
             Workload::ColdStarts | Workload::ColdSteps if self.is_disturbed => self.warm_backends(),
             Workload::FalseReports => self.falsify_reports(),
+            Workload::UnevenHosts => {
+                self.change_hosts();
+                self.record_idle_slots();
+            }
             _ => {}
         }
         self.events
@@ -129,6 +133,7 @@
                     in_flight: 0,
                     limit: self.vms[vm].announced_slots,
                     queued: 0,
+                    ..LoadSample::default()
                 }),
                 1 if is_renewed => self.vms[vm]
                     .ingress
--- a/crates/trial/src/simulation_retries.rs
+++ b/crates/trial/src/simulation_retries.rs
@@ -39,7 +39,7 @@
         let (verdict, is_service_shedding) = match result {
             CallResult::Failed => (RunVerdict::MayHaveRun, false),
             CallResult::Refused(is_shed) => (RunVerdict::NotRun, is_shed),
-            CallResult::Done | CallResult::ChildFailed => return None,
+            CallResult::Done | CallResult::ChildFailed | CallResult::Moved => return None,
         };
         let record = &mut self.calls[call];
         let attempt = &self.attempts[record.client_attempt];
--- a/crates/trial/src/workload.rs
+++ b/crates/trial/src/workload.rs
@@ -31,6 +31,9 @@
     /// Demand at twice capacity during the disturbance; of every three VMs of a service, one has
     /// half of the default slots and one has one and a half times as many.
     UnequalVms,
+    /// Backend servers differ in speed, hosts turn slow for moments, and the demand of each data
+    /// centre swings.
+    UnevenHosts,
 }
 
 /// The time before the disturbance starts, in milliseconds.
@@ -42,7 +45,7 @@
 pub(crate) const LONG_OBSERVE_AFTER_MS: u64 = 300_000;
 
 impl Workload {
-    /// All workloads.
+    /// The workloads on which kinds of nodes are compared.
     pub const ALL: [Self; 13] = [
         Self::SteadyHalf,
         Self::SteadyFull,
@@ -76,6 +79,7 @@
             Self::FalseReports => "false-reports",
             Self::VmsGone => "vms-gone",
             Self::UnequalVms => "unequal-vms",
+            Self::UnevenHosts => "uneven-hosts",
         }
     }
 
@@ -85,6 +89,7 @@
             Self::SteadyHalf => 0.5,
             Self::SteadyFull | Self::FalseReports | Self::VmsGone => 0.9,
             Self::ColdStarts => 0.6,
+            Self::UnevenHosts => 0.75,
             _ => 0.8,
         }
     }
@@ -121,6 +126,7 @@
         match self {
             Self::SlowService => 30_000,
             Self::SteadyFull => 20_000,
+            Self::UnevenHosts => 4_000,
             _ => 10_000,
         }
     }
@@ -129,7 +135,11 @@
     pub(crate) const fn is_temporary(self) -> bool {
         !matches!(
             self,
-            Self::SteadyHalf | Self::SteadyFull | Self::FalseReports | Self::VmsGone
+            Self::SteadyHalf
+                | Self::SteadyFull
+                | Self::FalseReports
+                | Self::VmsGone
+                | Self::UnevenHosts
         )
     }
 }
--- a/crates/wire/src/call_head.rs
+++ b/crates/wire/src/call_head.rs
@@ -1,7 +1,8 @@
 use std::fmt;
 
 use model::{
-    AttemptId, CallImportance, CallName, RequestId, ServiceName, ShedClass, ShedOrder, TeamName,
+    AttemptId, CallImportance, CallName, LoadNews, RequestId, ServiceName, ShedClass, ShedOrder,
+    TeamName,
 };
 use once::TableMark;
 use serde::de::{SeqAccess, Visitor};
@@ -12,7 +13,7 @@
 use crate::field_reader::FieldReader;
 
 /// The number of encoded fields of a [`CallHead`].
-const FIELD_COUNT: usize = 18;
+const FIELD_COUNT: usize = 21;
 
 /// The metadata of a call, sent to the next node ahead of the body.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -55,6 +56,13 @@
     pub headers: HeaderList,
     /// The length of the body in bytes, when it is known.
     pub body_bytes: Option<u64>,
+    /// Whether the receiving node may refuse the call as moved instead of queueing it, since the
+    /// sender knows of another VM with room.
+    pub may_move: bool,
+    /// The figures of other VMs that the answer should carry.
+    pub news_count: u8,
+    /// Figures of other VMs of the service.
+    pub news: Vec<LoadNews>,
 }
 
 impl CallHead {
@@ -87,6 +95,9 @@
         tuple.serialize_element(&self.path)?;
         tuple.serialize_element(&self.headers)?;
         tuple.serialize_element(&self.body_bytes)?;
+        tuple.serialize_element(&self.may_move)?;
+        tuple.serialize_element(&self.news_count)?;
+        tuple.serialize_element(&self.news)?;
         tuple.end()
     }
 }
@@ -127,6 +138,9 @@
             path: fields.next()?,
             headers: fields.next()?,
             body_bytes: fields.next()?,
+            may_move: fields.next()?,
+            news_count: fields.next()?,
+            news: fields.next()?,
         })
     }
 }
--- a/crates/wire/tests/heads.rs
+++ b/crates/wire/tests/heads.rs
@@ -2,7 +2,7 @@
 
 use lentilshift_wire::{AnswerHead, CallHead, HeaderList, decode, encode};
 use limit::LoadReport;
-use model::{AttemptId, CallImportance, RefusalReason, RequestId, RunVerdict};
+use model::{AttemptId, CallImportance, LoadNews, RefusalReason, RequestId, RunVerdict};
 use proptest::prelude::*;
 
 fn call_head(bits: u128, path: String, once: bool, length: Option<u64>) -> CallHead {
@@ -25,6 +25,19 @@
         path,
         headers: HeaderList::default(),
         body_bytes: length,
+        may_move: once,
+        news_count: 2,
+        news: vec![news(); 2],
+    }
+}
+
+fn news() -> LoadNews {
+    LoadNews {
+        vm: LoadNews::digest_of(&"registry-3".into()),
+        busy: 400,
+        limit: u16::MAX,
+        slowness: 251,
+        age_ms: 300,
     }
 }
 
@@ -40,7 +53,11 @@
         status: 503,
         headers: HeaderList::default(),
         body_bytes: call.body_bytes,
-        load: LoadReport::default(),
+        load: LoadReport {
+            slowness: 250,
+            news: vec![news(); 4],
+            ..LoadReport::default()
+        },
         threshold_reports: Vec::new(),
         run_ms: 7,
         mark: None,
@@ -50,6 +67,13 @@
     }
 }
 
+/// Messages between data centres carry few figures for their length, which rests on this bound.
+#[test]
+fn figures_of_a_vm_take_few_bytes() {
+    let bytes = encode(&news()).unwrap();
+    assert!(bytes.len() as u64 <= LoadNews::MAX_BYTES);
+}
+
 proptest! {
     #[test]
     fn call_heads_round_trip(
