--- a/crates/trial/src/firm.rs
+++ b/crates/trial/src/firm.rs
@@ -160,6 +160,15 @@
         firm
     }
 
+    /// Returns the model of a stock service that is called by the nodes of other VMs too. Each node
+    /// then hears of a VM of the service rarely.
+    #[must_use]
+    pub fn yard_among(instances: usize, others: usize) -> Self {
+        let mut firm = Self::yard(instances);
+        firm.services.push(FirmService::new("desk", others, 8));
+        firm
+    }
+
     fn call(&mut self, service: usize, own_ms: f64, children: &[usize]) -> usize {
         self.calls.push(CallPlan {
             service,
@@ -238,6 +247,7 @@
     #[must_use]
     pub fn bottleneck(&self, slots: &[f64], speeds: &[f64]) -> (usize, f64) {
         (0..self.services.len())
+            .filter(|service| self.mean_slot_ms(*service, speeds) > 0.0)
             .map(|service| {
                 let rate = slots[service] * 1_000.0 / self.mean_slot_ms(service, speeds);
                 (service, rate)
