--- a/crates/node/tests/stated_load.rs
+++ b/crates/node/tests/stated_load.rs
@@ -1,7 +1,6 @@
 //! The load that backend servers state in their answers, and calls that move on from full VMs.
 
 mod fleet;
-#[expect(dead_code, reason = "shared with other tests")]
 mod scripted;
 
 use std::rc::Rc;
--- a/crates/trial/tests/placement.rs
+++ b/crates/trial/tests/placement.rs
@@ -12,8 +12,8 @@
 /// The greatest share of the calls to other data centres that remains.
 const MAX_CROSSING_RATIO: f64 = 0.5;
 
-fn run(vms: usize, policy: NodePolicy, seed: u64) -> PlacementScore {
-    Simulation::new(Firm::yard(vms), Workload::UnevenHosts, policy, seed).run_placement()
+fn run(vms: usize, policy: &NodePolicy, seed: u64) -> PlacementScore {
+    Simulation::new(Firm::yard(vms), Workload::UnevenHosts, *policy, seed).run_placement()
 }
 
 #[rstest]
@@ -25,7 +25,7 @@
     let scores: Vec<(&str, PlacementScore)> = thread::scope(|scope| {
         let trials = NodePolicy::placements()
             .into_iter()
-            .map(|(name, policy)| (name, scope.spawn(move || run(vms, policy, seed))));
+            .map(|(name, policy)| (name, scope.spawn(move || run(vms, &policy, seed))));
         let trials: Vec<_> = trials.collect();
         let scores = trials.into_iter();
         scores
@@ -55,19 +55,19 @@
 fn each_part_lowers_the_wait(#[case] part: &str) {
     let ablations = NodePolicy::room_ablations();
     let (_, without) = ablations.iter().find(|(name, _)| *name == part).unwrap();
-    let (_, with) = NodePolicy::placements()[0];
-    let wait_ms = |policy: NodePolicy, seed| {
+    let (_, with) = &NodePolicy::placements()[0];
+    let wait_ms = |policy: &NodePolicy, seed| {
         let firm = Firm::yard_among(27, 60);
-        let trial = Simulation::new(firm, Workload::UnevenHosts, policy, seed);
+        let trial = Simulation::new(firm, Workload::UnevenHosts, *policy, seed);
         trial.run_placement().mean_wait_ms
     };
-    let wait = |policy: NodePolicy| (1..=3).map(|seed| wait_ms(policy, seed)).sum();
-    let (with, without): (f64, f64) = (wait(with), wait(*without));
+    let wait = |policy: &NodePolicy| (1..=3).map(|seed| wait_ms(policy, seed)).sum();
+    let (with, without): (f64, f64) = (wait(with), wait(without));
     assert!(with < without, "{with} {without}");
 }
 
 #[rstest]
 fn same_seed_gives_the_same_placement() {
     let (_, policy) = NodePolicy::placements()[0];
-    assert_eq!(run(15, policy, 4), run(15, policy, 4));
+    assert_eq!(run(15, &policy, 4), run(15, &policy, 4));
 }
