--- a/crates/node/src/admin_port.rs
+++ b/crates/node/src/admin_port.rs
@@ -28,11 +28,14 @@
         }
         "/metrics" => {
             let load = core.gate.load(core.now());
-            core.metrics.running.set(i64::from(load.in_flight));
-            core.metrics.queued.set(i64::from(load.queued));
-            core.metrics.limit.set(i64::from(load.limit));
+            core.metrics.load.running.set(i64::from(load.in_flight));
+            core.metrics.load.queued.set(i64::from(load.queued));
+            core.metrics.load.limit.set(i64::from(load.limit));
             let ahead_bytes = i64::try_from(core.ahead_bytes.get()).unwrap_or(i64::MAX);
             core.metrics.ahead_bytes.set(ahead_bytes);
+            core.metrics.load.slowness.set(i64::from(load.slowness));
+            let age_ms = i64::try_from(core.news_age_ms()).unwrap_or(i64::MAX);
+            core.metrics.load.news_age_ms.set(age_ms);
             let stated_rate = core.gate.stated_rate_per_s().unwrap_or(0.0);
             core.metrics.stated_rate.set(stated_rate);
             let warm_up_rate = core.gate.warm_up_rate_per_s().unwrap_or(0.0);
--- a/crates/node/src/backend_statement.rs
+++ b/crates/node/src/backend_statement.rs
@@ -2,7 +2,7 @@
 
 use clock::ClockTime;
 use http::{HeaderMap, HeaderName};
-use limit::{PaceChange, RateStatement, WarmUpSource, WarmUpStatement};
+use limit::{BackendLoad, PaceChange, RateStatement, WarmUpSource, WarmUpStatement};
 use member::BackendName;
 
 use crate::departure_log::record_departure;
@@ -24,6 +24,8 @@
     pub(crate) is_leaving: bool,
     /// How many milliseconds longer it is cold, if it says so.
     pub(crate) cold_ms: Option<u64>,
+    /// The load that it states, if that can be read.
+    pub(crate) load: Option<BackendLoad>,
 }
 
 impl BackendStatement {
@@ -34,6 +36,7 @@
             is_leaving: values(headers, edge.leaving_header.as_ref())
                 .any(|value| value.trim() == LEAVING),
             cold_ms: read_cold_ms(edge, headers),
+            load: values(headers, edge.load_header.as_ref()).find_map(BackendLoad::parse),
         }
     }
 }
@@ -96,6 +99,15 @@
         let warm_up = WarmUpStatement { cold_ms, source };
         log_change(core, core.gate.record_warm_up(now, warm_up), "answer");
     }
+    if let Some(load) = statement.load
+        && core.gate.record_load(now, load)
+    {
+        log::info!(
+            "event=backend-slowness-stated backend={name} slowness={} slots={}",
+            load.slowness,
+            load.slots
+        );
+    }
     let Some(backend) = backend.filter(|_| statement.is_leaving) else {
         return;
     };
--- a/crates/node/src/edge_settings.rs
+++ b/crates/node/src/edge_settings.rs
@@ -33,6 +33,8 @@
     pub warm_up_header: Option<HeaderName>,
     /// The header of a health answer that names the backend server.
     pub health_backend_header: Option<HeaderName>,
+    /// The header in which the backend server states its load.
+    pub load_header: Option<HeaderName>,
     /// Whether the headers that this project defines are sent to callers and to the backend server.
     pub sends_project_headers: bool,
     /// Whether a key is also accepted in `Authorization` and refused in a path, instead of being
@@ -57,6 +59,7 @@
             leaving_header: None,
             warm_up_header: Some(HeaderName::from_static("lentilshift-cold-ms")),
             health_backend_header: None,
+            load_header: None,
             sends_project_headers: true,
             checks_all_key_locations: true,
             has_verdict_status: false,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -55,6 +55,7 @@
 mod ingress_gate;
 mod link_call;
 mod link_slot;
+mod load_metrics;
 mod local_executor;
 mod log_return;
 mod node_clock;
--- a/crates/node/src/node_metrics.rs
+++ b/crates/node/src/node_metrics.rs
@@ -9,6 +9,7 @@
 use streams::ConfigVersion;
 use wire::AnswerHead;
 
+use crate::load_metrics::LoadMetrics;
 use crate::task_loop::loop_rounds;
 use crate::usage_report::processor_ms;
 
@@ -25,6 +26,8 @@
     calls: IntCounterVec,
     refusals: IntCounterVec,
     latency: HistogramVec,
+    /// The load of the local backend server, and what is known of that of others.
+    pub(crate) load: LoadMetrics,
     retries: IntCounter,
     /// The calls that arrived for the local backend server.
     pub(crate) arrived: IntCounter,
@@ -44,9 +47,6 @@
     contract_version: IntGauge,
     evacuated_centres: IntGauge,
     refused_version: IntGauge,
-    pub(crate) running: IntGauge,
-    pub(crate) queued: IntGauge,
-    pub(crate) limit: IntGauge,
     /// The requests that were started before earlier ones of their connection were answered.
     pub(crate) requests_ahead: IntCounter,
     pub(crate) ahead_bytes: IntGauge,
@@ -67,6 +67,7 @@
                 &["part", "reason"],
             ),
             latency: latency_histogram(),
+            load: LoadMetrics::new(),
             retries: counter(
                 "lentilshift_retries_total",
                 "Calls sent again to another VM.",
@@ -124,18 +125,6 @@
                 "lentilshift_contract_refused_version",
                 "Version of the newest text that stays out of force for its faults; 0 for none.",
             ),
-            running: gauge(
-                "lentilshift_running_calls",
-                "Calls that the backend server runs now.",
-            ),
-            queued: gauge(
-                "lentilshift_queued_calls",
-                "Calls that wait for the backend server.",
-            ),
-            limit: gauge(
-                "lentilshift_concurrency_limit_calls",
-                "Calls that the backend server may run at once.",
-            ),
             requests_ahead: counter(
                 "lentilshift_requests_ahead_total",
                 "Requests started before earlier ones of their connection were answered.",
@@ -212,7 +201,7 @@
     }
 
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 22] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 19] = [
             Box::new(self.calls.clone()),
             Box::new(self.refusals.clone()),
             Box::new(self.latency.clone()),
@@ -230,13 +219,10 @@
             Box::new(self.contract_version.clone()),
             Box::new(self.refused_version.clone()),
             Box::new(self.evacuated_centres.clone()),
-            Box::new(self.running.clone()),
-            Box::new(self.queued.clone()),
-            Box::new(self.limit.clone()),
             Box::new(self.requests_ahead.clone()),
             Box::new(self.ahead_bytes.clone()),
         ];
-        for collector in collectors {
+        for collector in collectors.into_iter().chain(self.load.collectors()) {
             self.registry
                 .register(collector)
                 .expect("each metric has a name of its own");
@@ -248,11 +234,11 @@
     IntCounterVec::new(Opts::new(name, help), labels).expect("the counter's name is valid")
 }
 
-fn counter(name: &str, help: &str) -> IntCounter {
+pub(crate) fn counter(name: &str, help: &str) -> IntCounter {
     IntCounter::new(name, help).expect("the counter's name is valid")
 }
 
-fn gauge(name: &str, help: &str) -> IntGauge {
+pub(crate) fn gauge(name: &str, help: &str) -> IntGauge {
     IntGauge::new(name, help).expect("the gauge's name is valid")
 }
 
