test: crowds of clients that don't keep to the limits, at every port

Clients that aren't ours may send anything. Checked are the process, its peak memory, its descriptors, and that one ordinary request is answered while the crowd's connections are still open; no times.

--- a/crates/lentilshift/tests/platform_path/platform_fleet.rs
+++ b/crates/lentilshift/tests/platform_path/platform_fleet.rs
@@ -9,7 +9,7 @@
 use compio::net::TcpStream;
 use compio::time::sleep;
 use http::HeaderMap;
-use serde_json::json;
+use serde_json::{Value, json};
 use standin::{InstanceRun, InstanceServer, StoreServer};
 
 /// The API key of the caller in these tests.
@@ -78,6 +78,8 @@
     nodes: Vec<Child>,
     /// The command of each node.
     commands: Vec<Command>,
+    /// The `limits` in the settings of every node.
+    limits: Value,
     client: cyper::Client,
 }
 
@@ -102,6 +104,12 @@
 impl PlatformFleet {
     /// Starts two instances of one service and one of another, and waits until all nodes are ready.
     pub async fn start() -> Self {
+        Self::start_services(&["archive", "archive", "registry"], json!({})).await
+    }
+
+    /// Starts an instance of each service, with the same limits for every node, and waits until all
+    /// nodes are ready.
+    pub async fn start_services(services: &[&str], limits: Value) -> Self {
         let store = StoreServer::default();
         let address = store.start().await.unwrap();
         let mut fleet = Self {
@@ -111,10 +119,11 @@
             vm_addresses: Vec::new(),
             nodes: Vec::new(),
             commands: Vec::new(),
+            limits,
             client: cyper::Client::new().unwrap(),
         };
         fleet.publish(4, KEY, "/records/");
-        for service in ["archive", "archive", "registry"] {
+        for service in services {
             fleet.add(service, address).await;
         }
         fleet.wait_until_ready().await;
@@ -135,12 +144,15 @@
         let slow = json!({"name": "r-slow", "path-prefix": "/slow/", "kind": "unsafe",
                           "timeout-ms": 6_000, "target-latency-ms": 500, "priority": 1,
                           "service": "archive", "max-attempts": 2, "allow-anonymous": true});
+        let upload = json!({"name": "r-upload", "path-prefix": "/uploads/", "kind": "upload",
+                            "timeout-ms": 6_000, "target-latency-ms": 500, "priority": 1,
+                            "service": "archive", "max-attempts": 1, "allow-anonymous": true});
         let body = json!({
             "version": format!("{version:08x}"),
             "services": [{"name": "archive"}, {"name": "registry"}],
             "tenants": [{"name": "clubs", "api-keys": [key], "rate-per-s": 5000, "burst": 5000}],
             "virtual-hosts": [{"host": "cairns.example",
-                "paths": [route("r-keyed", path, false), route("r-open", "/open/", true), slow]}],
+                "paths": [route("r-keyed", path, false), route("r-open", "/open/", true), slow, upload]}],
         });
         self.store
             .put("keyed.op", "config", body.to_string().as_bytes());
@@ -236,6 +248,18 @@
         SocketAddr::new(self.vm_addresses[node], CALLERS)
     }
 
+    /// Returns the address of a node for readiness checks.
+    #[allow(dead_code, reason = "not every test file connects to it")]
+    pub fn ready_address(&self, node: usize) -> SocketAddr {
+        SocketAddr::new(self.vm_addresses[node], READY)
+    }
+
+    /// Returns the address of a node for other nodes.
+    #[allow(dead_code, reason = "not every test file connects to it")]
+    pub fn peer_address(&self, node: usize) -> SocketAddr {
+        SocketAddr::new(self.vm_addresses[node], PEERS)
+    }
+
     /// Opens a connection to a node.
     pub async fn connect(&self, node: usize) -> io::Result<TcpStream> {
         TcpStream::connect(self.caller_address(node)).await
@@ -251,13 +275,30 @@
 
     /// Returns the memory that a node has resident, in bytes, or `None` if it has ended.
     pub fn memory_bytes(&self, node: usize) -> Option<u64> {
+        self.status_bytes(node, "VmRSS:")
+    }
+
+    /// Returns the most memory that a node has had resident, in bytes, or `None` if it has ended.
+    #[allow(dead_code, reason = "not every test file reads it")]
+    pub fn peak_memory_bytes(&self, node: usize) -> Option<u64> {
+        self.status_bytes(node, "VmHWM:")
+    }
+
+    fn status_bytes(&self, node: usize, field: &str) -> Option<u64> {
         let path = format!("/proc/{}/status", self.nodes[node].id());
         let text = std::fs::read_to_string(path).ok()?;
-        let resident = text.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
-        let kilobytes: u64 = resident.split_whitespace().next()?.parse().ok()?;
+        let value = text.lines().find_map(|line| line.strip_prefix(field))?;
+        let kilobytes: u64 = value.split_whitespace().next()?.parse().ok()?;
         Some(kilobytes * 1_024)
     }
 
+    /// Returns the number of descriptors that a node has open, or `None` if it has ended.
+    #[allow(dead_code, reason = "not every test file reads it")]
+    pub fn descriptor_count(&self, node: usize) -> Option<usize> {
+        let path = format!("/proc/{}/fd", self.nodes[node].id());
+        Some(std::fs::read_dir(path).ok()?.count())
+    }
+
     /// Waits until a node is ready for callers.
     pub async fn wait_until_serving(&self, node: usize, limit: Duration) {
         let until = Instant::now() + limit;
@@ -333,6 +374,7 @@
             "listen": {"outbound": listen(CALLERS), "inbound": listen(PEERS),
                        "ready": listen(READY), "control": listen(REPORTS)},
             "internal-ports": INTERNAL,
+            "limits": self.limits,
             "app-addr": instance.address().to_string(),
             "platform": {"address": store.to_string(), "keep_s": 20},
             "bounds": {"revoke-ms": 4000, "fail-closed": true},
--- a/crates/standin/src/instance_server.rs
+++ b/crates/standin/src/instance_server.rs
@@ -56,6 +56,8 @@
     stated_limit: RefCell<Option<String>>,
     states_leaving: Cell<bool>,
     endless_part: Cell<Option<EndlessPart>>,
+    /// The size of the bodies of answers, or `None` for a short text.
+    answer_bytes: Cell<Option<usize>>,
     client: cyper::Client,
 }
 
@@ -78,6 +80,7 @@
             stated_limit: RefCell::default(),
             states_leaving: Cell::new(false),
             endless_part: Cell::new(None),
+            answer_bytes: Cell::new(None),
             client: cyper::Client::new().map_err(io::Error::other)?,
         });
         let accepting = Rc::clone(&server);
@@ -123,6 +126,11 @@
         self.endless_part.set(part);
     }
 
+    /// Sets the size of the bodies of answers, or `None` for a short text.
+    pub fn set_answer_bytes(&self, answer_bytes: Option<usize>) {
+        self.answer_bytes.set(answer_bytes);
+    }
+
     /// Reports `state` to a node, and returns whether the node acknowledged the report.
     pub async fn report(&self, node: SocketAddr, state: &str) -> bool {
         self.sequence.set(self.sequence.get() + 1);
@@ -203,7 +211,11 @@
         if self.states_leaving.get() {
             response = response.header(SERVER_LEAVING, "1");
         }
-        let body = Full::from(Bytes::from(format!("{} answers", self.id)));
+        let body = match self.answer_bytes.get() {
+            Some(bytes) => Bytes::from(vec![b'a'; bytes]),
+            None => Bytes::from(format!("{} answers", self.id)),
+        };
+        let body = Full::from(body);
         response.body(body).expect("a fixed answer is valid")
     }
 }
