feat(node): bound the bytes and connections held for clients

Cause: nothing bounded what a node holds for its clients in all. Each limit was one of a connection: a buffer of 64 kB, a body of 512 kB, an HTTP/2 window of 1 MB. A crowd multiplies them.

Ruled out: limits by connection alone (many connections exceed the memory, or one proper request is refused); closing the oldest connection (a crowd pushes out ordinary callers); counting by declared length.

Change: a ledger counts what is held, by connection and in all, over every port. Requests without room are refused as not run; connections whose clients keep the node waiting are closed first, those that hold most before the others, and never one whose request is at work. Every port has a share of the connections. The limits follow from `limits.memory-mb` and `limits.max-fds` of the users' settings file. A request takes its place in the entry window, and its team's tokens, once a small body has arrived. Log lines that clients cause at the ports for reports and peers count toward the budget of such lines.

--- a/crates/lentilshift/src/commands/file_settings.rs
+++ b/crates/lentilshift/src/commands/file_settings.rs
@@ -1,7 +1,7 @@
 use std::fs;
 
 use model::VmName;
-use node::{NodeSettings, ReportSettings};
+use node::{ClientSettings, NodeSettings, ReportSettings};
 use platform::{FileSettings, StoreClient, StoreLog, edge_settings, read_notice, read_settings};
 use streams::LogHandle;
 use wire::FleetSecret;
@@ -47,6 +47,7 @@
             read_notice,
             leave_grace_ms: bounds.drain_ms / LEAVE_GRACE_DIVISOR,
         }),
+        clients: ClientSettings::for_vm(file.memory_bytes, file.descriptors),
         ..base
     };
     base.with_bounds(bounds)
--- a/crates/lentilshift/tests/hostile_clients/main.rs
+++ b/crates/lentilshift/tests/hostile_clients/main.rs
@@ -7,7 +7,7 @@
 #[allow(dead_code, reason = "another test binary uses the rest")]
 mod platform_fleet;
 
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use compio::BufResult;
@@ -37,9 +37,20 @@
 /// The time within which an ordinary caller has to be answered, beyond all time limits of a node.
 const SERVED_TIMEOUT: Duration = Duration::from_secs(90);
 
-/// Held by the test that runs, as each takes descriptors and memory.
+/// Locked by the test that runs, as each takes descriptors and memory.
 static TURN: Mutex<()> = Mutex::new(());
 
+/// The turn of a test, which has a thread and a runtime of its own.
+struct TestTurn(
+    #[allow(dead_code, reason = "held for its drop, never read")] MutexGuard<'static, ()>,
+);
+
+impl TestTurn {
+    fn take() -> Self {
+        Self(TURN.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+}
+
 /// The most that a process has used.
 #[derive(Clone, Copy, Debug, Default)]
 struct ProcessUse {
@@ -147,7 +158,7 @@
     #[case] kind: HostileKind,
     #[case] door: HostileDoor,
 ) {
-    let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
+    let _turn = TestTurn::take();
     let limits = json!({"memory-mb": MEMORY_MB, "max-fds": MAX_DESCRIPTORS});
     let mut fleet = PlatformFleet::start_services(&["archive"], limits).await;
     let mut used = ProcessUse::default();
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -7,6 +7,9 @@
 //! that a downstream service would refuse.
 
 mod admission_queue;
+mod client_entry;
+mod client_ledger;
+mod client_limits;
 mod completion_batches;
 mod concurrency_limit;
 mod entry_window;
@@ -21,9 +24,12 @@
 mod shed_control;
 mod team_credits;
 mod team_demand;
+mod wait_meter;
 mod wait_queue;
 
 pub use admission_queue::AdmissionQueue;
+pub use client_ledger::{ClientClosure, ClientId, ClientLedger, CloseReason};
+pub use client_limits::{ClientLimits, ClientPort};
 pub use completion_batches::CompletionBatches;
 pub use concurrency_limit::{ConcurrencyLimit, LimitSettings};
 pub use entry_window::WindowSettings;
--- a/crates/node/src/admin_port.rs
+++ b/crates/node/src/admin_port.rs
@@ -31,6 +31,8 @@
             core.metrics.running.set(i64::from(load.in_flight));
             core.metrics.queued.set(i64::from(load.queued));
             core.metrics.limit.set(i64::from(load.limit));
+            let client_bytes = i64::try_from(core.clients.held_bytes()).unwrap_or(i64::MAX);
+            core.metrics.client_bytes.set(client_bytes);
             let stated_rate = core.gate.stated_rate_per_s().unwrap_or(0.0);
             core.metrics.stated_rate.set(stated_rate);
             let (version, refused) = core.config.with(|state| {
--- a/crates/node/src/answer_body.rs
+++ b/crates/node/src/answer_body.rs
@@ -6,6 +6,7 @@
 use http_body::{Body, Frame, SizeHint};
 
 use crate::call_body::{CallBody, CallBodyError};
+use crate::client_budget::OpenRequest;
 use crate::count_guard::CountGuard;
 use crate::held_answer::HeldAnswer;
 
@@ -14,6 +15,7 @@
     source: AnswerSource,
     body_bytes: Option<u64>,
     arrival: Option<CountGuard>,
+    client: Option<OpenRequest>,
 }
 
 /// The source of the bytes of an answer.
@@ -31,6 +33,7 @@
             source: AnswerSource::Body(body),
             body_bytes,
             arrival: None,
+            client: None,
         }
     }
 
@@ -40,9 +43,17 @@
             source: AnswerSource::Held(answer),
             body_bytes,
             arrival: None,
+            client: None,
         }
     }
 
+    /// Counts the request of a client as open until the body is dropped.
+    #[must_use]
+    pub(crate) fn with_client(mut self, request: OpenRequest) -> Self {
+        self.client = Some(request);
+        self
+    }
+
     /// Counts the call as arrived until the body is dropped.
     #[must_use]
     pub(crate) fn with_arrival(mut self, arrival: CountGuard) -> Self {
--- a/crates/node/src/caller_stream.rs
+++ b/crates/node/src/caller_stream.rs
@@ -8,12 +8,15 @@
 use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
 use wire::BufferedStream;
 
+use crate::client_budget::ClientConnection;
 use crate::node_settings::NodeSettings;
 use crate::stall_timer::StallTimer;
 
 /// The length of the HTTP/2 connection preface, in bytes. The server detects the protocol by these
 /// bytes and applies its own timeouts after them.
 const PREFACE_BYTES: usize = 24;
+/// The connection preface of HTTP/2.
+const HTTP2_PREFACE: &[u8; PREFACE_BYTES] = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
 
 /// An accepted connection that fails if its peer stops reading, or if the peer is too slow to send
 /// the bytes that identify its protocol.
@@ -21,11 +24,14 @@
     stream: BufferedStream,
     preface: Option<PrefaceReader>,
     write_timer: StallTimer,
+    client: Rc<ClientConnection>,
+    http2_window_bytes: u32,
 }
 
 /// Reads the first bytes of a connection with a time limit.
 struct PrefaceReader {
     seen_bytes: usize,
+    is_http2: bool,
     has_request: Rc<Cell<bool>>,
     timer: StallTimer,
 }
@@ -43,6 +49,8 @@
         let mut first = ReadBuf::new(&mut bytes[..left]);
         match Pin::new(stream).poll_read(context, first.unfilled()) {
             Poll::Ready(Ok(())) => {
+                let seen = &HTTP2_PREFACE[self.seen_bytes..];
+                self.is_http2 &= seen.starts_with(first.filled());
                 self.seen_bytes += first.filled().len();
                 buffer.put_slice(first.filled());
                 Poll::Ready(Ok(()))
@@ -55,6 +63,11 @@
         }
     }
 
+    /// Returns whether the connection speaks HTTP/2.
+    const fn is_http2(&self) -> bool {
+        self.is_http2 && self.seen_bytes == PREFACE_BYTES
+    }
+
     fn is_complete(&self) -> bool {
         self.seen_bytes == PREFACE_BYTES || self.has_request.get()
     }
@@ -67,9 +80,11 @@
         stream: TcpStream,
         has_request: Rc<Cell<bool>>,
         settings: &NodeSettings,
+        client: Rc<ClientConnection>,
     ) -> Self {
         let preface = PrefaceReader {
             seen_bytes: 0,
+            is_http2: true,
             has_request,
             timer: StallTimer::new(settings.head_limit_ms),
         };
@@ -77,6 +92,8 @@
             stream: BufferedStream::new(stream),
             preface: Some(preface),
             write_timer: StallTimer::new(settings.stall_limit_ms),
+            client,
+            http2_window_bytes: settings.clients.http2_window_bytes,
         }
     }
 
@@ -107,12 +124,24 @@
             .as_ref()
             .is_some_and(PrefaceReader::is_complete)
         {
-            connection.preface = None;
+            let is_http2 = connection
+                .preface
+                .take()
+                .is_some_and(|preface| preface.is_http2());
+            if is_http2 {
+                connection.client.use_http2(connection.http2_window_bytes);
+            }
         }
-        match &mut connection.preface {
+        let before = connection.stream.received();
+        let poll = match &mut connection.preface {
             Some(preface) => preface.poll_read(&mut connection.stream, context, buffer),
             None => Pin::new(&mut connection.stream).poll_read(context, buffer),
-        }
+        };
+        let read_bytes = connection.stream.received() - before;
+        connection
+            .client
+            .record_read(poll.is_ready().then_some(read_bytes));
+        poll
     }
 }
 
@@ -123,6 +152,7 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         let poll = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.client.record_write(written_bytes(&poll));
         self.limit_write(context, poll)
     }
 
@@ -132,6 +162,7 @@
         buffers: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let poll = Pin::new(&mut self.stream).poll_write_vectored(context, buffers);
+        self.client.record_write(written_bytes(&poll));
         self.limit_write(context, poll)
     }
 
@@ -141,6 +172,7 @@
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         let poll = Pin::new(&mut self.stream).poll_flush(context);
+        self.client.record_write(poll.is_ready().then_some(0));
         self.limit_write(context, poll)
     }
 
@@ -149,3 +181,12 @@
         self.limit_write(context, poll)
     }
 }
+
+/// Returns the number of bytes that a write has taken, or `None` if it waits.
+const fn written_bytes(poll: &Poll<io::Result<usize>>) -> Option<u64> {
+    match poll {
+        Poll::Ready(Ok(bytes)) => Some(*bytes as u64),
+        Poll::Ready(Err(_)) => Some(0),
+        Poll::Pending => None,
+    }
+}
--- a/crates/node/src/egress.rs
+++ b/crates/node/src/egress.rs
@@ -82,7 +82,7 @@
         .infer_parent(deadline, entry.contract.deadline_ms);
     let request_id = parent.as_ref().map_or(request_id, |parent| parent.request);
     let head = build_head(core, request_id, entry, &parts, parent.as_deref());
-    let body = buffer_small_body(core, body, deadline).await?;
+    let (body, _hold) = buffer_small_body(core, &parts, body, deadline).await?;
     let body_bytes = body.known_len();
     let target = CallTarget::new(head.service.clone(), head.call.clone());
     if let Some(parent) = &parent {
@@ -134,7 +134,7 @@
     }
     let head = build_head(core, request_id, entry, &parts, parent.as_deref());
     check_chain(core, &head, deadline)?;
-    let body = buffer_small_body(core, body, deadline).await?;
+    let (body, _hold) = buffer_small_body(core, &parts, body, deadline).await?;
     let body_bytes = body.known_len();
     let mut head = CallHead { body_bytes, ..head };
     if let Some(parent) = &parent
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -24,7 +24,7 @@
 use crate::http_answer::{build_response, refusal_response};
 use crate::node_core::NodeCore;
 use crate::rate_watch::admit_team;
-use crate::request_body::{buffer_small_body, discard_body};
+use crate::request_body::{buffer_small_body, discard_body, discard_unread};
 use crate::resend_allowance::{ResendAllowance, resends_exhausted};
 
 /// The retry delay for callers of a node whose keys are too old to be trusted, in milliseconds.
@@ -88,14 +88,21 @@
     body: Incoming,
 ) -> Result<CallAnswer, CallRefusal> {
     let started = core.now();
-    let (head, deadline, permit) = match admit_request(core, request_id, &parts).await {
-        Ok(admitted) => admitted,
+    let (head, deadline, target_ms) = match check_request(core, request_id, &parts) {
+        Ok(checked) => checked,
         Err(refusal) => {
             discard_body(&parts, body);
             return Err(refusal);
         }
     };
-    let body = buffer_small_body(core, body, deadline).await?;
+    let (body, _hold) = buffer_small_body(core, &parts, body, deadline).await?;
+    let permit = match admit_request(core, &head, deadline, target_ms).await {
+        Ok(permit) => permit,
+        Err(refusal) => {
+            discard_unread(&parts, body);
+            return Err(refusal);
+        }
+    };
     let resend_allowance = ResendAllowance::open(core, &head);
     let resend_allowance = resend_allowance.ok_or_else(resends_exhausted)?;
     let head = CallHead {
@@ -114,13 +121,13 @@
     Ok(answer)
 }
 
-/// Admits a request on the basis of its head. Returns the head of its call, its deadline and its
-/// permit.
-async fn admit_request(
-    core: &Rc<NodeCore>,
+/// Checks a request on the basis of its head. Returns the head of its call, its deadline and the
+/// time in which it should be answered, in milliseconds.
+fn check_request(
+    core: &NodeCore,
     request_id: RequestId,
     parts: &Parts,
-) -> Result<(CallHead, ClockTime, EntryPermit), CallRefusal> {
+) -> Result<(CallHead, ClockTime, u64), CallRefusal> {
     if !core.has_contract() || core.has_left() {
         return Err(not_ready());
     }
@@ -140,11 +147,22 @@
     let target_ms = entry.contract.target_or_deadline_ms();
     let head = build_head(core, request_id, entry, team, parts, key);
     check_chain(core, &head, deadline)?;
-    let permit = EntryPermit::acquire(core, &head, target_ms)?;
+    Ok((head, deadline, target_ms))
+}
+
+/// Admits a request whose body has arrived or is a stream, so that a caller who doesn't send a
+/// small body keeps no place from others. Returns the permit of the request.
+async fn admit_request(
+    core: &Rc<NodeCore>,
+    head: &CallHead,
+    deadline: ClockTime,
+    target_ms: u64,
+) -> Result<EntryPermit, CallRefusal> {
+    let permit = EntryPermit::acquire(core, head, target_ms)?;
     if let Some(team) = &head.team {
         admit_team(core, team, deadline).await?;
     }
-    Ok((head, deadline, permit))
+    Ok(permit)
 }
 
 /// Returns the refusal of a node that is starting or stopping.
--- a/crates/node/src/http_body.rs
+++ b/crates/node/src/http_body.rs
@@ -1,4 +1,5 @@
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
@@ -6,6 +7,7 @@
 use hyper::body::Incoming;
 
 use crate::call_body::CallBodyError;
+use crate::client_budget::{ClientBudget, ClientRequest};
 use crate::stall_timer::StallTimer;
 
 /// A body that arrives over HTTP and fails if its sender stalls or if it is too long.
@@ -14,6 +16,8 @@
     /// The number of bytes that may still arrive.
     left_bytes: u64,
     timer: StallTimer,
+    /// The request of a client to which the body belongs.
+    request: Option<(Rc<ClientBudget>, ClientRequest)>,
 }
 
 impl HttpBody {
@@ -23,6 +27,19 @@
             body,
             left_bytes: u64::MAX,
             timer: StallTimer::new(stall_limit_ms),
+            request: None,
+        }
+    }
+
+    /// Makes the body tell the budget of the clients when it is complete.
+    pub(crate) fn of_client(mut self, budget: &Rc<ClientBudget>, request: ClientRequest) -> Self {
+        self.request = Some((Rc::clone(budget), request));
+        self
+    }
+
+    fn record_end(&self) {
+        if let Some((budget, request)) = &self.request {
+            budget.end_body(request);
         }
     }
 
@@ -51,6 +68,9 @@
     ) -> Poll<Option<Result<Frame<Bytes>, CallBodyError>>> {
         if let Poll::Ready(frame) = Pin::new(&mut self.body).poll_frame(context) {
             self.timer.record_progress();
+            if frame.is_none() || self.body.is_end_stream() {
+                self.record_end();
+            }
             return Poll::Ready(frame.map(|frame| self.count(frame?)));
         }
         let stalled = self.timer.poll_stalled(context);
--- a/crates/node/src/http_port.rs
+++ b/crates/node/src/http_port.rs
@@ -9,26 +9,29 @@
 use futures_util::future::{Either, select};
 use http::header::{CONNECTION, HeaderValue};
 use http::{Request, Response, Version};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::service::service_fn;
 use hyper_util::server::conn::auto;
+use limit::ClientPort;
+use model::RefusalReason;
 
 use crate::answer_body::AnswerBody;
+use crate::call_answer::CallRefusal;
 use crate::caller_stream::CallerStream;
+use crate::client_budget::ClientConnection;
+use crate::client_watch::close_excess;
 use crate::count_guard::CountGuard;
+use crate::http_answer::refusal_response;
 use crate::local_executor::LocalExecutor;
 use crate::node_core::NodeCore;
 
-/// The maximum size of the head of an HTTP/1.1 request, in bytes.
-const MAX_HEAD_BYTES: usize = 64 * 1024;
-/// The maximum size of the header list of an HTTP/2 request, in bytes.
-const MAX_HEADER_LIST_BYTES: u32 = 64 * 1024;
 /// The interval of keep-alive pings on an HTTP/2 connection.
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(20);
 /// The time after which an HTTP/2 connection is closed if a ping isn't answered.
 const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(10);
-/// The maximum number of concurrent requests on an HTTP/2 connection.
-const MAX_CONCURRENT_STREAMS: u32 = 1_000;
+/// The delay after which a client may retry a request for which there was no memory, in
+/// milliseconds.
+const SHORT_RETRY_AFTER_MS: u64 = 1_000;
 
 /// The peers that a port serves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -38,8 +41,25 @@
     Caller,
     /// The local backend server, which is served until the last running call has ended.
     Backend,
-    /// Operators, and the backend server when it reports its own state.
+    /// Operators, and the platform when it checks whether the node is ready.
     Operator,
+    /// The backend server when it reports its own state.
+    Report,
+    /// What collects metrics.
+    Metric,
+}
+
+impl PortUser {
+    /// Returns the port under which the connections are counted.
+    const fn client_port(self) -> ClientPort {
+        match self {
+            Self::Caller => ClientPort::Callers,
+            Self::Backend => ClientPort::Egress,
+            Self::Operator => ClientPort::Admin,
+            Self::Report => ClientPort::Reports,
+            Self::Metric => ClientPort::Metrics,
+        }
+    }
 }
 
 /// Accepts connections on a port and answers HTTP/1.1 and HTTP/2 requests with a handler.
@@ -56,8 +76,18 @@
         match listener.accept().await {
             Ok((stream, from)) => {
                 log::trace!("event=connection-opened user={user:?} from={from}");
-                let connection = serve_connection(Rc::clone(&core), user, stream, handler.clone());
-                compio::runtime::spawn(connection).detach();
+                let client = core.clients.open(user.client_port());
+                close_excess(&core, client.port());
+                if client.is_closed() {
+                    continue;
+                }
+                let closing = Rc::clone(&client);
+                let connection =
+                    serve_connection(Rc::clone(&core), user, stream, client, handler.clone());
+                compio::runtime::spawn(async move {
+                    select(pin!(connection), pin!(closing.closed())).await;
+                })
+                .detach();
             }
             Err(error) => {
                 log::warn!("event=accept-failed error={:?}", error.to_string());
@@ -67,8 +97,13 @@
     }
 }
 
-async fn serve_connection<A, F>(core: Rc<NodeCore>, user: PortUser, stream: TcpStream, handler: A)
-where
+async fn serve_connection<A, F>(
+    core: Rc<NodeCore>,
+    user: PortUser,
+    stream: TcpStream,
+    client: Rc<ClientConnection>,
+    handler: A,
+) where
     A: Fn(Rc<NodeCore>, Request<Incoming>) -> F + 'static,
     F: Future<Output = Response<AnswerBody>> + 'static,
 {
@@ -76,19 +111,28 @@
     let (count, shutdown) = match user {
         PortUser::Caller => (Some(&core.open_connections), &core.drain),
         PortUser::Backend => (Some(&core.egress_connections), &core.close),
-        PortUser::Operator => (None, &core.close),
+        PortUser::Operator | PortUser::Report | PortUser::Metric => (None, &core.close),
     };
     let _open = count.map(CountGuard::new);
     let service_core = Rc::clone(&core);
     let has_request = Rc::new(Cell::new(false));
     let request_seen = Rc::clone(&has_request);
-    let service = service_fn(move |request| {
+    let service_client = Rc::clone(&client);
+    let service = service_fn(move |mut request: Request<Incoming>| {
         request_seen.set(true);
+        let has_body = !request.body().is_end_stream();
+        let (open, is_admitted) = service_client.start_request(has_body);
+        request.extensions_mut().insert(open.request());
+        close_excess(&service_core, service_client.port());
         let core = Rc::clone(&service_core);
         let is_http1 = request.version() < Version::HTTP_2;
-        let handling = Box::pin(handler(Rc::clone(&core), request));
+        let handling = is_admitted.then(|| Box::pin(handler(Rc::clone(&core), request)));
         async move {
-            let mut response = handling.await;
+            let response = match handling {
+                Some(handling) => handling.await,
+                None => short_response(&core),
+            };
+            let mut response = response.map(|body| body.with_client(open));
             if is_http1 && user == PortUser::Caller && core.stop.is_triggered() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
@@ -97,20 +141,24 @@
         }
     });
     let settings = &core.settings;
+    let clients = &settings.clients;
     let mut builder = auto::Builder::new(LocalExecutor);
     builder
         .http1()
         .timer(CompioTimer)
         .header_read_timeout(Duration::from_millis(settings.head_limit_ms))
-        .max_buf_size(MAX_HEAD_BYTES);
+        .max_headers(clients.fields)
+        .max_buf_size(clients.head_bytes);
     builder
         .http2()
         .timer(CompioTimer)
         .keep_alive_interval(KEEP_ALIVE_INTERVAL)
         .keep_alive_timeout(KEEP_ALIVE_TIMEOUT)
-        .max_concurrent_streams(MAX_CONCURRENT_STREAMS)
-        .max_header_list_size(MAX_HEADER_LIST_BYTES);
-    let stream = CallerStream::new(stream, has_request, settings);
+        .initial_stream_window_size(clients.http2_window_bytes)
+        .initial_connection_window_size(clients.http2_window_bytes)
+        .max_concurrent_streams(clients.http2_streams)
+        .max_header_list_size(u32::try_from(clients.head_bytes).unwrap_or(u32::MAX));
+    let stream = CallerStream::new(stream, has_request, settings, client);
     let connection = builder.serve_connection(stream, service);
     let mut connection = pin!(connection);
     let is_stopping = match select(connection.as_mut(), pin!(shutdown.wait())).await {
@@ -126,6 +174,13 @@
     }
 }
 
+/// Returns the refusal of a request for which there is no memory.
+fn short_response(core: &NodeCore) -> Response<AnswerBody> {
+    let refusal = CallRefusal::not_run(RefusalReason::Overloaded);
+    let refusal = refusal.with_retry_after_ms(SHORT_RETRY_AFTER_MS);
+    refusal_response(core, core.new_request_id(), "entry", &refusal)
+}
+
 fn log_end(result: Result<(), Box<dyn std::error::Error + Send + Sync>>) {
     if let Err(error) = result {
         log::debug!("event=connection-ended error={:?}", error.to_string());
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -65,8 +65,9 @@
         let refusal = CallRefusal::not_run(RefusalReason::NotReady);
         return CallAnswer::refused(head, &refusal, head.allowance);
     }
-    let body = match buffer_small_link_body(core, body, head.body_bytes, deadline).await {
-        Ok(body) => body,
+    let buffered = buffer_small_link_body(core, body, head.body_bytes, deadline).await;
+    let (body, _hold) = match buffered {
+        Ok(buffered) => buffered,
         Err(refusal) => return CallAnswer::refused(head, &refusal, head.allowance),
     };
     if !head.once {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -27,6 +27,9 @@
 mod change_notifier;
 mod claim_state;
 mod claim_watch;
+mod client_budget;
+mod client_settings;
+mod client_watch;
 mod config_state;
 mod config_watch;
 mod count_guard;
@@ -76,6 +79,7 @@
 mod usage_report;
 
 pub use answer_limits::AnswerLimits;
+pub use client_settings::ClientSettings;
 pub use edge_settings::EdgeSettings;
 pub use fleet_bounds::FleetBounds;
 pub use node_process::{NodeError, NodeProcess};
--- a/crates/node/src/node_core.rs
+++ b/crates/node/src/node_core.rs
@@ -23,6 +23,7 @@
 use crate::change_notifier::ChangeNotifier;
 use crate::claim_state::ClaimState;
 use crate::claim_watch::ClaimDecision;
+use crate::client_budget::ClientBudget;
 use crate::config_state::ConfigState;
 use crate::decision_waiters::DecisionWaiters;
 use crate::departure_log::DepartureLog;
@@ -106,6 +107,8 @@
     /// The answers of the local backend server that are being sent and hold a slot.
     pub(crate) held: HeldAnswers,
     pub(crate) metrics: NodeMetrics,
+    /// The bytes and connections that are held for clients.
+    pub(crate) clients: Rc<ClientBudget>,
     /// Triggered when the node starts to stop.
     pub(crate) stop: StopSignal,
     /// Closes the connections of callers once these have had time to move to other nodes.
@@ -203,6 +206,7 @@
             running: RunningCalls::default(),
             held: HeldAnswers::default(),
             metrics: NodeMetrics::new(),
+            clients: Rc::new(ClientBudget::new(clock, settings.clients.limits)),
             stop: StopSignal::new(),
             drain: StopSignal::new(),
             close: StopSignal::new(),
--- a/crates/node/src/node_metrics.rs
+++ b/crates/node/src/node_metrics.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 
 use clock::ClockTime;
+use limit::CloseReason;
 use model::{RefusalReason, ServiceName};
 use prometheus::{
     Counter, Gauge, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
@@ -41,6 +42,8 @@
     pub(crate) running: IntGauge,
     pub(crate) queued: IntGauge,
     pub(crate) limit: IntGauge,
+    pub(crate) client_bytes: IntGauge,
+    client_closures: IntCounterVec,
 }
 
 impl NodeMetrics {
@@ -120,8 +123,22 @@
                 "lentilshift_concurrency_limit_calls",
                 "Calls that the backend server may run at once.",
             ),
+            client_bytes: gauge(
+                "lentilshift_client_bytes",
+                "Bytes that the node holds for its clients, by its own count.",
+            ),
+            client_closures: counters(
+                "lentilshift_client_closures_total",
+                "Connections of clients that the node closed, by reason.",
+                &["reason"],
+            ),
             registry,
         };
+        for reason in CloseReason::ALL {
+            metrics
+                .client_closures
+                .with_label_values(&[reason.as_str()]);
+        }
         metrics.register();
         metrics
     }
@@ -146,6 +163,11 @@
             .inc();
     }
 
+    pub(crate) fn count_closure(&self, reason: CloseReason) {
+        let labels = [reason.as_str()];
+        self.client_closures.with_label_values(&labels).inc();
+    }
+
     pub(crate) fn count_retry(&self) {
         self.retries.inc();
     }
@@ -182,7 +204,7 @@
     }
 
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 16] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 18] = [
             Box::new(self.calls.clone()),
             Box::new(self.refusals.clone()),
             Box::new(self.latency.clone()),
@@ -199,6 +221,8 @@
             Box::new(self.running.clone()),
             Box::new(self.queued.clone()),
             Box::new(self.limit.clone()),
+            Box::new(self.client_bytes.clone()),
+            Box::new(self.client_closures.clone()),
         ];
         for collector in collectors {
             self.registry
--- a/crates/node/src/node_process.rs
+++ b/crates/node/src/node_process.rs
@@ -1,6 +1,7 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -9,6 +10,8 @@
 use compio::net::TcpListener;
 use compio::runtime::spawn;
 use compio::time::{sleep, timeout};
+use futures_util::future::{Either, select};
+use limit::ClientPort;
 use member::{MemberAnnouncement, MemberState};
 use rand::Rng;
 use streams::{LogHandle, StreamFeed};
@@ -18,6 +21,7 @@
 use crate::admin_port::answer_admin;
 use crate::announce::announce_node;
 use crate::claim_watch::{ClaimWatch, poll_claims};
+use crate::client_watch::{close_excess, close_slow_clients};
 use crate::config_watch::{ConfigWatch, repeat_config};
 use crate::departure_log::recall_departures;
 use crate::egress::answer_backend;
@@ -236,10 +240,13 @@
 
 fn serve_extra(core: &Rc<NodeCore>, kind: PortKind, listener: TcpListener) {
     let core = Rc::clone(core);
-    let user = PortUser::Operator;
     match kind {
-        PortKind::Reports => spawn(serve_port(core, user, listener, answer_report)).detach(),
-        PortKind::Metrics => spawn(serve_port(core, user, listener, answer_admin)).detach(),
+        PortKind::Reports => {
+            spawn(serve_port(core, PortUser::Report, listener, answer_report)).detach();
+        }
+        PortKind::Metrics => {
+            spawn(serve_port(core, PortUser::Metric, listener, answer_admin)).detach();
+        }
     }
 }
 
@@ -266,9 +273,26 @@
             sleep(Duration::from_millis(TICK_MS)).await;
             continue;
         };
+        let client = core.clients.open(ClientPort::Peers);
+        close_excess(&core, ClientPort::Peers);
+        if client.is_closed() {
+            continue;
+        }
         let server = Rc::clone(&server);
+        let core = Rc::clone(&core);
         spawn(async move {
-            if let Err(error) = server.serve(stream).await {
+            // The connection counts as that of a client until its peer has authenticated.
+            let authenticating = pin!(server.authenticate_peer(stream));
+            let peer = match select(authenticating, pin!(client.closed())).await {
+                Either::Left((Ok(Some(peer)), _)) => peer,
+                Either::Left((Err(error), _)) if core.may_log() => {
+                    log::info!("event=link-ended from={from} error={:?}", error.to_string());
+                    return;
+                }
+                _ => return,
+            };
+            drop(client);
+            if let Err(error) = server.serve_peer(peer).await {
                 log::info!("event=link-ended from={from} error={:?}", error.to_string());
             }
         })
@@ -366,6 +390,7 @@
             }
         });
         apply_members(&core);
+        close_slow_clients(&core);
         for router in core.routers.borrow_mut().values_mut() {
             router.tick(now);
         }
--- a/crates/node/src/node_settings.rs
+++ b/crates/node/src/node_settings.rs
@@ -9,6 +9,7 @@
 use wire::{FleetSecret, LinkSettings};
 
 use crate::answer_limits::AnswerLimits;
+use crate::client_settings::ClientSettings;
 use crate::edge_settings::EdgeSettings;
 use crate::report_port::NoticeReader;
 
@@ -67,6 +68,8 @@
     pub head_limit_ms: u64,
     /// The bounds on the answers of the backend server.
     pub answers: AnswerLimits,
+    /// What clients may send, and what is held for them.
+    pub clients: ClientSettings,
     /// The settings of links to other nodes.
     pub link: LinkSettings,
     /// How calls are queued for the backend server and shed.
@@ -128,6 +131,7 @@
             stall_limit_ms: 30_000,
             head_limit_ms: 10_000,
             answers: AnswerLimits::default(),
+            clients: ClientSettings::default(),
             link: LinkSettings::default(),
             queue: QueueSettings::default(),
             edge: EdgeSettings::default(),
--- a/crates/node/src/report_port.rs
+++ b/crates/node/src/report_port.rs
@@ -50,7 +50,9 @@
     let body = match Limited::new(body, MAX_NOTICE_BYTES).collect().await {
         Ok(body) => body.to_bytes(),
         Err(error) => {
-            log::warn!("event=notice-cut error={:?}", error.to_string());
+            if core.may_log() {
+                log::warn!("event=notice-cut error={:?}", error.to_string());
+            }
             return status_response(StatusCode::BAD_REQUEST);
         }
     };
@@ -58,7 +60,9 @@
         Ok(notice) => status_response(handle_notice(&core, &notice).await),
         Err(NoticeError::UnknownCall) => status_response(StatusCode::NOT_FOUND),
         Err(error) => {
-            log::warn!("event=notice-refused error={:?}", error.to_string());
+            if core.may_log() {
+                log::warn!("event=notice-refused error={:?}", error.to_string());
+            }
             status_response(StatusCode::BAD_REQUEST)
         }
     }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -33,7 +33,7 @@
 pub use link_error::LinkError;
 pub use link_settings::LinkSettings;
 pub use peer_link::PeerLink;
-pub use peer_server::{PeerHandler, PeerServer};
+pub use peer_server::{LinkPeer, PeerHandler, PeerServer};
 
 /// The version of the protocol between nodes; nodes of different versions refuse to connect.
 pub const WIRE_VERSION: u16 = 1;
--- a/crates/wire/src/peer_server.rs
+++ b/crates/wire/src/peer_server.rs
@@ -30,6 +30,12 @@
 /// The VM of an authenticated peer, and its connection.
 type AuthenticatedPeer = (VmName, PeerConnection);
 
+/// A peer that has authenticated, with its connection.
+pub struct LinkPeer {
+    vm: Rc<VmName>,
+    connection: PeerConnection,
+}
+
 /// Handles the calls and control messages of other nodes.
 pub trait PeerHandler: 'static {
     /// The body of an answer.
@@ -71,14 +77,41 @@
     ///
     /// Returns a [`LinkError`] when the peer violates the protocol or fails to authenticate.
     pub async fn serve(&self, stream: TcpStream) -> Result<(), LinkError> {
+        match self.authenticate_peer(stream).await? {
+            Some(peer) => self.serve_peer(peer).await,
+            None => Ok(()),
+        }
+    }
+
+    /// Authenticates the peer of a new connection, within the time limit of the settings; returns
+    /// `None` when it disconnects first.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`LinkError`] when the peer violates the protocol or fails to authenticate.
+    pub async fn authenticate_peer(
+        &self,
+        stream: TcpStream,
+    ) -> Result<Option<LinkPeer>, LinkError> {
         stream.set_nodelay(true)?;
         let limit_ms = self.settings.authentication_timeout_ms;
         let authenticating = self.authenticate(TokioIo::new(BufferedStream::new(stream)));
         let authenticated = timeout(Duration::from_millis(limit_ms), authenticating).await;
-        match authenticated.map_err(|_| LinkError::AuthenticationTimeout(limit_ms))?? {
-            Some((vm, connection)) => self.serve_authenticated(Rc::new(vm), connection).await,
-            None => Ok(()),
-        }
+        let peer = authenticated.map_err(|_| LinkError::AuthenticationTimeout(limit_ms))??;
+        Ok(peer.map(|(vm, connection)| LinkPeer {
+            vm: Rc::new(vm),
+            connection,
+        }))
+    }
+
+    /// Serves a peer that has authenticated until its connection ends; closes the connection when
+    /// it has been idle for too long.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`LinkError`] when the peer violates the protocol.
+    pub async fn serve_peer(&self, peer: LinkPeer) -> Result<(), LinkError> {
+        self.serve_authenticated(peer.vm, peer.connection).await
     }
 
     /// Authenticates the peer, with one stream at a time and small windows, so that an unknown peer
