test(node): crowds whose requests run at other nodes; serve the other ports

A crowd at one node of three also costs the nodes to which its requests go over links; six such crowds are checked at all nodes.

Requests at the ports other than that of callers aren't refused when memory is short: they are few, and the platform and the fleet depend on them.

--- a/crates/lentilshift/tests/hostile_clients/main.rs
+++ b/crates/lentilshift/tests/hostile_clients/main.rs
@@ -51,7 +51,7 @@
     }
 }
 
-/// The most that a process has used.
+/// The most that a process of the fleet has used.
 #[derive(Clone, Copy, Debug, Default)]
 struct ProcessUse {
     memory_bytes: u64,
@@ -59,16 +59,18 @@
 }
 
 impl ProcessUse {
-    /// Updates the figures; panics if the process has ended.
+    /// Updates the figures; panics if a process has ended.
     fn update(&mut self, fleet: &PlatformFleet) {
-        let memory_bytes = fleet.peak_memory_bytes(0).expect("the node runs");
-        self.memory_bytes = memory_bytes.max(self.memory_bytes);
-        let descriptors = fleet.descriptor_count(0).expect("the node runs");
-        self.descriptors = descriptors.max(self.descriptors);
+        for node in 0..fleet.len() {
+            let memory_bytes = fleet.peak_memory_bytes(node).expect("the node runs");
+            self.memory_bytes = memory_bytes.max(self.memory_bytes);
+            let descriptors = fleet.descriptor_count(node).expect("the node runs");
+            self.descriptors = descriptors.max(self.descriptors);
+        }
     }
 }
 
-/// Runs a future and watches what the process of the node uses meanwhile.
+/// Runs a future and watches what the processes of the nodes use meanwhile.
 async fn watch<T>(
     fleet: &PlatformFleet,
     used: &mut ProcessUse,
@@ -158,26 +160,54 @@
     #[case] kind: HostileKind,
     #[case] door: HostileDoor,
 ) {
+    check_crowd(kind, door, &["archive"]).await;
+}
+
+/// Guards against the same where the requests of a crowd at one node run at others too, over links.
+#[rstest]
+#[case::whole_safe(HostileKind::Whole, HostileDoor::Safe)]
+#[case::whole_upload(HostileKind::Whole, HostileDoor::Upload)]
+#[case::chunks_upload(HostileKind::Chunks, HostileDoor::Upload)]
+#[case::tiny_chunks_upload(HostileKind::TinyChunks, HostileDoor::Upload)]
+#[case::oversize_upload(HostileKind::Oversize, HostileDoor::Upload)]
+#[case::slow_reader_safe(HostileKind::SlowReader, HostileDoor::Safe)]
+#[compio::test]
+async fn crowd_at_one_node_leaves_all_nodes_within_their_limits(
+    #[case] kind: HostileKind,
+    #[case] door: HostileDoor,
+) {
+    check_crowd(kind, door, &["registry", "archive", "archive"]).await;
+}
+
+/// Sends a crowd to the first node of a fleet, and checks what the processes use and that an ordinary
+/// request is answered while the connections of the crowd are still open.
+async fn check_crowd(kind: HostileKind, door: HostileDoor, services: &[&str]) {
     let _turn = TestTurn::take();
     let limits = json!({"memory-mb": MEMORY_MB, "max-fds": MAX_DESCRIPTORS});
-    let mut fleet = PlatformFleet::start_services(&["archive"], limits).await;
+    let mut fleet = PlatformFleet::start_services(services, limits).await;
     let mut used = ProcessUse::default();
     used.update(&fleet);
     let base = used;
     if kind == HostileKind::SlowReader {
-        fleet.instances[0].set_answer_bytes(Some(LONG_ANSWER_BYTES));
+        for instance in &fleet.instances {
+            instance.set_answer_bytes(Some(LONG_ANSWER_BYTES));
+        }
     }
     let crowd = HostileCrowd::send(&fleet, kind, door, CROWD_CLIENTS);
     let crowd = watch(&fleet, &mut used, crowd).await;
     watch(&fleet, &mut used, sleep(STAY_TIME)).await;
-    fleet.instances[0].set_answer_bytes(None);
+    for instance in &fleet.instances {
+        instance.set_answer_bytes(None);
+    }
     let until = Instant::now() + SERVED_TIMEOUT;
     while !watch(&fleet, &mut used, is_answered(&fleet)).await {
         assert!(Instant::now() < until, "no caller is served; used {used:?}");
         sleep(CHECK_INTERVAL).await;
     }
     drop(crowd);
-    assert!(fleet.ended(0).is_none(), "the node has ended");
+    for node in 0..fleet.len() {
+        assert!(fleet.ended(node).is_none(), "node {node} has ended");
+    }
     println!("before {base:?}, most {used:?}");
     assert!(
         used.memory_bytes <= MEMORY_MB << 20 && used.descriptors <= MAX_DESCRIPTORS,
--- a/crates/node/src/http_port.rs
+++ b/crates/node/src/http_port.rs
@@ -126,6 +126,8 @@
         close_excess(&service_core, service_client.port());
         let core = Rc::clone(&service_core);
         let is_http1 = request.version() < Version::HTTP_2;
+        // At the other ports, requests are few, and the platform and the fleet depend on them.
+        let is_admitted = is_admitted || user != PortUser::Caller;
         let handling = is_admitted.then(|| Box::pin(handler(Rc::clone(&core), request)));
         async move {
             let response = match handling {
