--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -8,6 +8,9 @@
 
 mod admission_queue;
 mod backend_load;
+mod client_entry;
+mod client_ledger;
+mod client_limits;
 mod completion_batches;
 mod concurrency_limit;
 mod entry_window;
@@ -22,12 +25,15 @@
 mod shed_control;
 mod team_credits;
 mod team_demand;
+mod wait_meter;
 mod wait_queue;
 mod warm_up_pacer;
 mod warm_up_settings;
 
 pub use admission_queue::AdmissionQueue;
 pub use backend_load::BackendLoad;
+pub use client_ledger::{ClientClosure, ClientId, ClientLedger, CloseReason};
+pub use client_limits::{ClientLimits, ClientPort};
 pub use completion_batches::CompletionBatches;
 pub use concurrency_limit::{ConcurrencyLimit, LimitSettings};
 pub use entry_window::WindowSettings;
--- a/crates/node/src/admin_port.rs
+++ b/crates/node/src/admin_port.rs
@@ -36,6 +36,8 @@
             core.metrics.load.slowness.set(i64::from(load.slowness));
             let age_ms = i64::try_from(core.news_age_ms()).unwrap_or(i64::MAX);
             core.metrics.load.news_age_ms.set(age_ms);
+            let client_bytes = i64::try_from(core.clients.held_bytes()).unwrap_or(i64::MAX);
+            core.metrics.client_bytes.set(client_bytes);
             let stated_rate = core.gate.stated_rate_per_s().unwrap_or(0.0);
             core.metrics.stated_rate.set(stated_rate);
             let warm_up_rate = core.gate.warm_up_rate_per_s().unwrap_or(0.0);
--- a/crates/node/src/caller_stream.rs
+++ b/crates/node/src/caller_stream.rs
@@ -8,6 +8,7 @@
 use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
 use wire::BufferedStream;
 
+use crate::client_budget::ClientConnection;
 use crate::node_settings::NodeSettings;
 use crate::request_ahead::RequestsAhead;
 use crate::stall_timer::StallTimer;
@@ -15,6 +16,8 @@
 /// The length of the HTTP/2 connection preface, in bytes. The server detects the protocol by these
 /// bytes and applies its own timeouts after them.
 const PREFACE_BYTES: usize = 24;
+/// The connection preface of HTTP/2.
+const HTTP2_PREFACE: &[u8; PREFACE_BYTES] = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
 
 /// An accepted connection that fails if its peer stops reading, or if the peer is too slow to send
 /// the bytes that identify its protocol.
@@ -29,6 +32,8 @@
 pub(crate) struct CallerSocket {
     stream: BufferedStream,
     preface: Option<PrefaceReader>,
+    client: Rc<ClientConnection>,
+    http2_window_bytes: u32,
 }
 
 impl CallerSocket {
@@ -37,6 +42,7 @@
         self.stream.received()
     }
 
+    /// Reads, and counts the bytes of the client.
     pub(crate) fn poll_read(
         &mut self,
         context: &mut Context<'_>,
@@ -47,18 +53,30 @@
             .as_ref()
             .is_some_and(PrefaceReader::is_complete)
         {
-            self.preface = None;
+            let is_http2 = self
+                .preface
+                .take()
+                .is_some_and(|preface| preface.is_http2());
+            if is_http2 {
+                self.client.use_http2(self.http2_window_bytes);
+            }
         }
-        match &mut self.preface {
+        let before = self.stream.received();
+        let poll = match &mut self.preface {
             Some(preface) => preface.poll_read(&mut self.stream, context, buffer),
             None => Pin::new(&mut self.stream).poll_read(context, buffer),
-        }
+        };
+        let read_bytes = self.stream.received() - before;
+        self.client
+            .record_read(poll.is_ready().then_some(read_bytes));
+        poll
     }
 }
 
 /// Reads the first bytes of a connection with a time limit.
 struct PrefaceReader {
     seen_bytes: usize,
+    is_http2: bool,
     has_request: Rc<Cell<bool>>,
     timer: StallTimer,
 }
@@ -76,6 +94,8 @@
         let mut first = ReadBuf::new(&mut bytes[..left]);
         match Pin::new(stream).poll_read(context, first.unfilled()) {
             Poll::Ready(Ok(())) => {
+                let seen = &HTTP2_PREFACE[self.seen_bytes..];
+                self.is_http2 &= seen.starts_with(first.filled());
                 self.seen_bytes += first.filled().len();
                 buffer.put_slice(first.filled());
                 Poll::Ready(Ok(()))
@@ -88,6 +108,11 @@
         }
     }
 
+    /// Returns whether the connection speaks HTTP/2.
+    const fn is_http2(&self) -> bool {
+        self.is_http2 && self.seen_bytes == PREFACE_BYTES
+    }
+
     fn is_complete(&self) -> bool {
         self.seen_bytes == PREFACE_BYTES || self.has_request.get()
     }
@@ -101,9 +126,11 @@
         has_request: Rc<Cell<bool>>,
         settings: &NodeSettings,
         ahead: Option<Rc<RequestsAhead>>,
+        client: Rc<ClientConnection>,
     ) -> Self {
         let preface = PrefaceReader {
             seen_bytes: 0,
+            is_http2: true,
             has_request,
             timer: StallTimer::new(settings.head_limit_ms),
         };
@@ -111,6 +138,8 @@
             socket: CallerSocket {
                 stream: BufferedStream::new(stream),
                 preface: Some(preface),
+                client,
+                http2_window_bytes: settings.clients.http2_window_bytes,
             },
             write_timer: StallTimer::new(settings.stall_limit_ms),
             ahead,
@@ -153,6 +182,7 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         let poll = Pin::new(&mut self.socket.stream).poll_write(context, bytes);
+        self.socket.client.record_write(written_bytes(&poll));
         self.limit_write(context, poll)
     }
 
@@ -162,6 +192,7 @@
         buffers: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let poll = Pin::new(&mut self.socket.stream).poll_write_vectored(context, buffers);
+        self.socket.client.record_write(written_bytes(&poll));
         self.limit_write(context, poll)
     }
 
@@ -171,6 +202,9 @@
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         let poll = Pin::new(&mut self.socket.stream).poll_flush(context);
+        self.socket
+            .client
+            .record_write(poll.is_ready().then_some(0));
         self.limit_write(context, poll)
     }
 
@@ -184,3 +218,12 @@
         Poll::Ready(Ok(()))
     }
 }
+
+/// Returns the number of bytes that a write has taken, or `None` if it waits.
+const fn written_bytes(poll: &Poll<io::Result<usize>>) -> Option<u64> {
+    match poll {
+        Poll::Ready(Ok(bytes)) => Some(*bytes as u64),
+        Poll::Ready(Err(_)) => Some(0),
+        Poll::Pending => None,
+    }
+}
--- a/crates/node/src/http_body.rs
+++ b/crates/node/src/http_body.rs
@@ -1,4 +1,5 @@
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
@@ -6,6 +7,7 @@
 use hyper::body::Incoming;
 
 use crate::call_body::CallBodyError;
+use crate::client_budget::{ClientBudget, ClientRequest};
 use crate::sent_body::SendProgress;
 use crate::stall_timer::StallTimer;
 
@@ -15,8 +17,10 @@
     /// The number of bytes that may still arrive.
     left_bytes: u64,
     /// The request that has to be sent before the body may end.
-    request: Option<SendProgress>,
+    sending: Option<SendProgress>,
     timer: StallTimer,
+    /// The request of a client to which the body belongs.
+    request: Option<(Rc<ClientBudget>, ClientRequest)>,
 }
 
 impl HttpBody {
@@ -25,8 +29,21 @@
         Self {
             body,
             left_bytes: u64::MAX,
-            request: None,
+            sending: None,
             timer: StallTimer::new(stall_limit_ms),
+            request: None,
+        }
+    }
+
+    /// Makes the body tell the budget of the clients when it is complete.
+    pub(crate) fn of_client(mut self, budget: &Rc<ClientBudget>, request: ClientRequest) -> Self {
+        self.request = Some((Rc::clone(budget), request));
+        self
+    }
+
+    fn record_end(&self) {
+        if let Some((budget, request)) = &self.request {
+            budget.end_body(request);
         }
     }
 
@@ -40,8 +57,8 @@
     ///
     /// The end of a connection is the end of an answer without a length. While the request is still
     /// being sent, a connection that is reset looks the same if the end is read first.
-    pub(crate) fn ending_after(mut self, request: Option<SendProgress>) -> Self {
-        self.request = request;
+    pub(crate) fn ending_after(mut self, sending: Option<SendProgress>) -> Self {
+        self.sending = sending;
         self
     }
 
@@ -65,10 +82,13 @@
         if let Poll::Ready(frame) = Pin::new(&mut self.body).poll_frame(context) {
             self.timer.record_progress();
             let is_early =
-                frame.is_none() && self.request.as_ref().is_some_and(|it| !it.is_written());
+                frame.is_none() && self.sending.as_ref().is_some_and(|it| !it.is_written());
             if is_early {
                 return Poll::Ready(Some(Err(CallBodyError::Early)));
             }
+            if frame.is_none() || self.body.is_end_stream() {
+                self.record_end();
+            }
             return Poll::Ready(frame.map(|frame| self.count(frame?)));
         }
         let stalled = self.timer.poll_stalled(context);
--- a/crates/node/src/node_metrics.rs
+++ b/crates/node/src/node_metrics.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 
 use clock::ClockTime;
+use limit::CloseReason;
 use model::{RefusalReason, ServiceName};
 use prometheus::{
     Counter, Gauge, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
@@ -50,6 +51,8 @@
     /// The requests that were started before earlier ones of their connection were answered.
     pub(crate) requests_ahead: IntCounter,
     pub(crate) ahead_bytes: IntGauge,
+    pub(crate) client_bytes: IntGauge,
+    client_closures: IntCounterVec,
 }
 
 impl NodeMetrics {
@@ -133,8 +136,22 @@
                 "lentilshift_ahead_bytes",
                 "Bytes held of requests sent ahead and of answers that wait for their turn.",
             ),
+            client_bytes: gauge(
+                "lentilshift_client_bytes",
+                "Bytes that the node holds for its clients, by its own count.",
+            ),
+            client_closures: counters(
+                "lentilshift_client_closures_total",
+                "Connections of clients that the node closed, by reason.",
+                &["reason"],
+            ),
             registry,
         };
+        for reason in CloseReason::ALL {
+            metrics
+                .client_closures
+                .with_label_values(&[reason.as_str()]);
+        }
         metrics.register();
         metrics
     }
@@ -159,6 +176,11 @@
             .inc();
     }
 
+    pub(crate) fn count_closure(&self, reason: CloseReason) {
+        let labels = [reason.as_str()];
+        self.client_closures.with_label_values(&labels).inc();
+    }
+
     pub(crate) fn count_retry(&self) {
         self.retries.inc();
     }
@@ -201,7 +223,7 @@
     }
 
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 19] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 21] = [
             Box::new(self.calls.clone()),
             Box::new(self.refusals.clone()),
             Box::new(self.latency.clone()),
@@ -221,6 +243,8 @@
             Box::new(self.evacuated_centres.clone()),
             Box::new(self.requests_ahead.clone()),
             Box::new(self.ahead_bytes.clone()),
+            Box::new(self.client_bytes.clone()),
+            Box::new(self.client_closures.clone()),
         ];
         for collector in collectors.into_iter().chain(self.load.collectors()) {
             self.registry
--- a/crates/node/src/node_settings.rs
+++ b/crates/node/src/node_settings.rs
@@ -10,6 +10,7 @@
 
 use crate::ahead_settings::AheadSettings;
 use crate::answer_limits::AnswerLimits;
+use crate::client_settings::ClientSettings;
 use crate::edge_settings::EdgeSettings;
 use crate::report_port::NoticeReader;
 
@@ -70,6 +71,8 @@
     pub ahead: AheadSettings,
     /// The bounds on the answers of the backend server.
     pub answers: AnswerLimits,
+    /// What clients may send, and what is held for them.
+    pub clients: ClientSettings,
     /// The settings of links to other nodes.
     pub link: LinkSettings,
     /// How calls are queued for the backend server and shed.
@@ -132,6 +135,7 @@
             head_limit_ms: 10_000,
             ahead: AheadSettings::default(),
             answers: AnswerLimits::default(),
+            clients: ClientSettings::default(),
             link: LinkSettings::default(),
             queue: QueueSettings::default(),
             edge: EdgeSettings::default(),
--- a/crates/node/src/request_ahead.rs
+++ b/crates/node/src/request_ahead.rs
@@ -13,7 +13,6 @@
 use crate::caller_stream::CallerSocket;
 use crate::chunk_reader::{ChunkReader, ChunkStep};
 use crate::entry::may_repeat;
-use crate::http_port::MAX_HEAD_BYTES;
 use crate::node_core::NodeCore;
 use crate::unread_drop::UnreadDrop;
 
@@ -48,6 +47,8 @@
 }
 
 struct AheadState {
+    /// The maximum size of a head, in bytes.
+    head_bytes: usize,
     plan: AheadPlan,
     mode: PassMode,
     buffer: AheadBuffer,
@@ -115,6 +116,7 @@
 impl RequestsAhead {
     pub(crate) fn new(core: &Rc<NodeCore>) -> Rc<Self> {
         let state = AheadState {
+            head_bytes: core.settings.clients.head_bytes,
             plan: AheadPlan::new(core.settings.ahead.max_requests),
             mode: PassMode::ByRequest,
             buffer: AheadBuffer::new(&core.ahead_bytes),
@@ -335,7 +337,7 @@
                 }
                 ReadStep::Again
             }
-            HeadParse::Partial if self.buffer.len() < MAX_HEAD_BYTES => {
+            HeadParse::Partial if self.buffer.len() < self.head_bytes => {
                 if !self.buffer.is_passed() {
                     self.buffer.pass_head(self.buffer.len(), cursor);
                     return ReadStep::Again;
--- a/crates/node/src/waiting_body.rs
+++ b/crates/node/src/waiting_body.rs
@@ -8,6 +8,7 @@
 use crate::answer_body::AnswerBody;
 use crate::byte_count::ByteCount;
 use crate::call_body::CallBodyError;
+use crate::client_budget::OpenRequest;
 use crate::request_ahead::AnswerEnd;
 
 /// The body of an answer on a port, of which a first part may be read before its turn to be sent.
@@ -20,6 +21,8 @@
     read_bytes: Option<ByteCount>,
     /// Ends the turn of the request.
     end: Option<AnswerEnd>,
+    /// Counts the request as open until the answer is sent or dropped.
+    open: Option<OpenRequest>,
 }
 
 impl WaitingBody {
@@ -30,6 +33,7 @@
             read: VecDeque::new(),
             read_bytes: None,
             end: None,
+            open: None,
         }
     }
 
@@ -43,6 +47,11 @@
         self.end = end;
     }
 
+    /// Counts the request as open until the body is dropped.
+    pub(crate) fn hold_client(&mut self, open: OpenRequest) {
+        self.open = Some(open);
+    }
+
     /// Reads frames while `has_room` holds for the number of bytes that were read before.
     pub(crate) fn poll_read_ahead(
         &mut self,
--- a/crates/standin/src/instance_server.rs
+++ b/crates/standin/src/instance_server.rs
@@ -90,6 +90,8 @@
     open: RefCell<Vec<oneshot::Sender<()>>>,
     /// The questions about its state that the instance has answered.
     questions: Cell<usize>,
+    /// The size of the bodies of answers, or `None` for a short text.
+    answer_bytes: Cell<Option<usize>>,
     client: cyper::Client,
 }
 
@@ -117,6 +119,7 @@
             falls: Cell::new(0),
             open: RefCell::default(),
             questions: Cell::new(0),
+            answer_bytes: Cell::new(None),
             client: cyper::Client::new().map_err(io::Error::other)?,
         });
         spawn(Rc::clone(&server).listen(listener)).detach();
@@ -246,6 +249,11 @@
         })
     }
 
+    /// Sets the size of the bodies of answers, or `None` for a short text.
+    pub fn set_answer_bytes(&self, answer_bytes: Option<usize>) {
+        self.answer_bytes.set(answer_bytes);
+    }
+
     /// Reports `state` to a node, and returns whether the node acknowledged the report.
     pub async fn report(&self, node: SocketAddr, state: &str) -> bool {
         self.sequence.set(self.sequence.get() + 1);
@@ -338,7 +346,11 @@
         if self.states_leaving.get() {
             response = response.header(SERVER_LEAVING, "1");
         }
-        let body = Full::from(Bytes::from(format!("{} answers", self.id)));
+        let body = match self.answer_bytes.get() {
+            Some(bytes) => Bytes::from(vec![b'a'; bytes]),
+            None => Bytes::from(format!("{} answers", self.id)),
+        };
+        let body = Full::from(body);
         response.body(body).expect("a fixed answer is valid")
     }
 }
