--- a/review/9/case.rs
+++ b/review/9/case.rs
@@ -1,44 +1,28 @@
-//! Clients that have sent requests ahead leave.
+//! Connections to an instance go silent while answers are on their way.
 
 #[path = "../kit-2/kit.rs"]
 mod kit;
 
-use std::io::{BufReader, Write};
+use std::io::{BufReader, Read, Write};
 use std::net::TcpStream;
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
-use kit::{Fleet, Handler, Head, Instance, OUTBOUND, Spec, has_trouble};
+use kit::{Fleet, Handler, Head, Instance, OUTBOUND, Proxy, Spec, has_trouble};
 
-/// The clients that leave, and those that stay beside each: the share that leaves is a quarter.
-const CLIENTS: usize = 10;
-const STAYING: usize = 3;
-/// The time between two of the clients that leave.
-const PACE: Duration = Duration::from_millis(500);
-/// The requests that each client sends on its connection.
-const REQUESTS: usize = 10;
-/// The size of a head; the configuration allows 16,384 bytes.
-const HEAD_BYTES: usize = 2_200;
-/// How long an instance works on a request.
-const WORK: Duration = Duration::from_millis(1_200);
-/// When the clients leave, after they have sent their requests.
-const STAY: Duration = Duration::from_millis(300);
-/// How long after that requests may still arrive and be at work.
-const LEFT: Duration = Duration::from_millis(500);
+/// The requests whose answers are on their way when the connections go silent.
+const REQUESTS: usize = 16;
+/// The route's `timeout-ms`.
+const TIMEOUT_MS: u64 = 4_000;
+/// The time after the route's timeout by which the final answer is due.
+const LATE_MS: u64 = 500;
+/// What the clients allow for.
+const DEADLINE_MS: u64 = 6_000;
+const BODY: usize = 40_000;
 
-/// A request at an instance.
-#[derive(Clone)]
-struct Work {
-    id: String,
-    began: Instant,
-    ended: Option<Instant>,
-}
-
-/// Works on a request until it is done or its connection closes.
-fn work(
-    all: &Mutex<Vec<Work>>,
+/// Answers with the first half at once and the second half a second later.
+fn answer_in_two_parts(
     instance: &Instance,
     head: &Head,
     reader: &mut BufReader<TcpStream>,
@@ -46,175 +30,149 @@
 ) -> std::io::Result<bool> {
     let body = kit::read_body(reader, head)?;
     instance.note_run(head, body);
-    let began = Instant::now();
-    let id = head.get("request-id").unwrap_or("").to_owned();
-    let index = {
-        let mut all = all.lock().unwrap();
-        all.push(Work {
-            id,
-            began,
-            ended: None,
-        });
-        all.len() - 1
-    };
-    let socket = writer.try_clone()?;
-    socket.set_nonblocking(true)?;
-    let mut is_closed = false;
-    let is_short = head.word(1).ends_with("/short");
-    while !is_short && began.elapsed() < WORK && !is_closed {
-        thread::sleep(Duration::from_millis(10));
-        let mut byte = [0];
-        is_closed = match socket.peek(&mut byte) {
-            Ok(count) => count == 0,
-            Err(error) => error.kind() != std::io::ErrorKind::WouldBlock,
-        };
-    }
-    socket.set_nonblocking(false)?;
-    all.lock().unwrap()[index].ended = Some(Instant::now());
-    if is_closed {
-        return Ok(false);
-    }
-    kit::answer_ok(head, writer, b"done")?;
+    let id = head.get("request-id").unwrap_or("");
+    let answer = format!(
+        "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: sig-{id}\r\n\
+         Content-Length: {BODY}\r\n\r\n"
+    );
+    writer.write_all(answer.as_bytes())?;
+    writer.write_all(&vec![b'a'; BODY / 2])?;
+    thread::sleep(Duration::from_millis(1_000));
+    writer.write_all(&vec![b'b'; BODY / 2])?;
     Ok(true)
 }
 
-/// Sends its requests, and leaves or reads all answers. Returns when it left and what it was answered.
-fn play_client(fleet: &Fleet, client: usize) -> (Option<Instant>, usize) {
-    let Ok(mut stream) = kit::connect(fleet.machines[0].at(OUTBOUND)) else {
-        return (None, 0);
+/// What a client has seen of its request.
+struct Outcome {
+    text: String,
+    /// When the answer was complete or the connection ended, after the request was sent.
+    ended_ms: Option<u64>,
+}
+
+fn ask(fleet: &Fleet, number: usize) -> Outcome {
+    let address = fleet.machines[0].at(OUTBOUND);
+    let Ok(mut stream) = kit::connect(address) else {
+        return Outcome {
+            text: "no connection".into(),
+            ended_ms: Some(0),
+        };
     };
-    let mut all = String::new();
-    for number in 0..REQUESTS {
-        let head = format!(
-            "GET /beta/{number} HTTP/1.1\r\nHost: site.example\r\nRequest-Id: {client:x}{number:02x}\r\n\
-             Deadline-Ms: 8000\r\nCookie: "
-        );
-        all.push_str(&head);
-        all.push_str(&"c".repeat(HEAD_BYTES - head.len() - 4));
-        all.push_str("\r\n\r\n");
-    }
-    if stream.write_all(all.as_bytes()).is_err() {
-        return (None, 0);
-    }
-    if has_trouble() {
-        thread::sleep(STAY);
-        drop(stream);
-        return (Some(Instant::now()), 0);
-    }
-    let mut reader = BufReader::new(stream);
-    let mut answered = 0;
-    for _ in 0..REQUESTS {
-        match kit::read_answer(&mut reader) {
-            Ok(answer) if answer.is_complete => {
-                answered += usize::from(answer.head.status() == 200)
+    let request = format!(
+        "GET /alpha/{number} HTTP/1.1\r\nHost: site.example\r\nRequest-Id: {:x}\r\n\
+         Deadline-Ms: {DEADLINE_MS}\r\n\r\n",
+        0x100 + number
+    );
+    let sent = Instant::now();
+    let _ = stream.write_all(request.as_bytes());
+    let mut seen = Vec::new();
+    let mut bytes = [0; 16 * 1024];
+    let end = sent + Duration::from_millis(DEADLINE_MS);
+    loop {
+        let left = end.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            let text = format!(
+                "{} bytes, then nothing up to the client's deadline",
+                seen.len()
+            );
+            return Outcome {
+                text,
+                ended_ms: None,
+            };
+        }
+        let _ = stream.set_read_timeout(Some(left));
+        let at = |sent: Instant| Some(sent.elapsed().as_millis() as u64);
+        match stream.read(&mut bytes) {
+            Ok(0) => {
+                return Outcome {
+                    text: format!("cut after {} bytes", seen.len()),
+                    ended_ms: at(sent),
+                };
+            }
+            Ok(count) => seen.extend_from_slice(&bytes[..count]),
+            Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
+            Err(error) => {
+                return Outcome {
+                    text: error.to_string(),
+                    ended_ms: at(sent),
+                };
             }
-            _ => break,
+        }
+        if let Ok(answer) = kit::read_answer(&mut &seen[..])
+            && answer.is_complete
+        {
+            let text = format!("{} with {} bytes", answer.head.status(), answer.body.len());
+            return Outcome {
+                text,
+                ended_ms: at(sent),
+            };
         }
     }
-    (None, answered)
 }
 
 fn main() {
+    let proxy = Arc::new(Proxy::default());
     let spec = Spec {
-        proxy: None,
-        machines: &[
-            ("m-a-1", "zone-a", "alpha"),
-            ("m-a-2", "zone-a", "beta"),
-            ("m-b-1", "zone-b", "beta"),
-        ],
+        proxy: Some(Arc::clone(&proxy)),
+        machines: &[("m-a-1", "zone-a", "alpha"), ("m-b-1", "zone-b", "beta")],
         memory_mb: 260,
-        slots: 100,
+        slots: 25,
         log_level: "info",
     };
-    let route = ("r-beta", "/beta/", "safe", 8_000, "beta");
+    let route = ("r-alpha", "/alpha/", "safe", TIMEOUT_MS as u32, "alpha");
     let config = kit::config(1, &["alpha", "beta"], &[route], "");
-    let all: Arc<Mutex<Vec<Work>>> = Arc::default();
-    let noted = Arc::clone(&all);
-    let handler: Arc<Handler> = Arc::new(
-        move |instance: &Instance,
-              head: &Head,
-              reader: &mut BufReader<TcpStream>,
-              writer: &mut TcpStream| { work(&noted, instance, head, reader, writer) },
-    );
+    let handler: Arc<Handler> = Arc::new(answer_in_two_parts);
     let fleet = Fleet::start(&spec, "review/9/record.txt", &config, |_| {
         Arc::clone(&handler)
     });
     if !fleet.wait_ready(Duration::from_secs(25)) {
         kit::give_up(fleet, "the nodes aren't ready");
     }
-    let staying_answers = AtomicUsize::new(0);
-    let clients: Vec<(Option<Instant>, usize)> = thread::scope(|scope| {
-        let mut clients = Vec::new();
-        for client in 0..CLIENTS {
-            let (fleet, staying_answers) = (&fleet, &staying_answers);
-            clients.push(scope.spawn(move || play_client(fleet, client)));
-            for number in 0..STAYING {
-                scope.spawn(move || {
-                    let request = format!(
-                        "GET /beta/short HTTP/1.1\r\nHost: site.example\r\nRequest-Id: f{client:x}{number:02x}\r\n\
-                         Deadline-Ms: 8000\r\n\r\n"
-                    );
-                    let answer = kit::ask(fleet.machines[0].at(OUTBOUND), request.as_bytes());
-                    let is_served = answer.is_ok_and(|answer| answer.head.status() == 200);
-                    staying_answers.fetch_add(usize::from(is_served), Ordering::Relaxed);
-                });
-            }
-            thread::sleep(PACE);
+    let outcomes: Vec<Outcome> = thread::scope(|scope| {
+        let fleet = &fleet;
+        let clients: Vec<_> = (0..REQUESTS)
+            .map(|number| scope.spawn(move || ask(fleet, number)))
+            .collect();
+        fleet.note(&format!(
+            "{REQUESTS} requests are sent to {}",
+            fleet.machines[0].name
+        ));
+        thread::sleep(Duration::from_millis(400));
+        if has_trouble() {
+            proxy.silence();
+            fleet.note("the open connections between the nodes and their instances go silent");
         }
         clients
             .into_iter()
             .map(|client| client.join().expect("a client"))
             .collect()
     });
-    thread::sleep(WORK + Duration::from_secs(1));
-    fleet.note(&format!(
-        "{} of {} requests of the clients that stay were answered 200",
-        staying_answers.load(Ordering::Relaxed),
-        CLIENTS * STAYING
-    ));
-    let (mut late, mut lasting, mut at_work) = (0, 0, 0);
-    for (client, (left, answered)) in clients.iter().enumerate() {
-        let Some(left) = left else {
-            fleet.note(&format!(
-                "client {client:x}: stayed, {answered} answers 200"
-            ));
-            continue;
-        };
-        fleet.note(&format!("client {client:x}: left"));
-        let prefix = format!("{client:x}");
-        let works = all.lock().unwrap().clone();
-        for work in works
-            .iter()
-            .filter(|work| work.id.len() == 3 && work.id.starts_with(&prefix))
-        {
-            let due = *left + LEFT;
-            let ended = work.ended.unwrap_or_else(Instant::now);
-            let since = |time: Instant| {
-                let after = time.saturating_duration_since(*left).as_millis();
-                let before = left.saturating_duration_since(time).as_millis();
-                if after > 0 {
-                    format!("{after} ms after")
-                } else {
-                    format!("{before} ms before")
-                }
-            };
-            fleet.note(&format!(
-                "request {}: began {} the client left, ended {}",
-                work.id,
-                since(work.began),
-                since(ended)
-            ));
-            late += usize::from(work.began > due);
-            // Requests at work when the client left that would have lasted beyond the time allowed.
-            if work.began <= *left && work.began + WORK > due {
-                lasting += 1;
-                at_work += usize::from(ended > due);
-            }
-        }
+    let runs = fleet.machines[0]
+        .instance
+        .as_ref()
+        .map_or(0, |it| it.runs.lock().unwrap().len());
+    let due_ms = TIMEOUT_MS + LATE_MS;
+    let mut unanswered = 0;
+    let mut missing = 0;
+    for (number, outcome) in outcomes.iter().enumerate() {
+        let ended = outcome.ended_ms.map_or("-".into(), |ms| format!("{ms} ms"));
+        fleet.note(&format!(
+            "request {:x}: {}, ended {ended}",
+            0x100 + number,
+            outcome.text
+        ));
+        unanswered += usize::from(outcome.ended_ms.is_none_or(|ms| ms > TIMEOUT_MS));
+        missing += usize::from(outcome.ended_ms.is_none_or(|ms| ms > due_ms));
     }
+    // New connections to the instance work all the while.
+    let probe = b"GET /alpha/probe HTTP/1.1\r\nHost: site.example\r\nRequest-Id: 999\r\nDeadline-Ms: 5000\r\n\r\n";
+    let probe = kit::ask(fleet.machines[0].at(OUTBOUND), probe);
+    let probe = probe.map_or("no answer".into(), |it| {
+        format!("{}, complete {}", it.head.status(), it.is_complete)
+    });
+    fleet.note(&format!("a request afterwards: {probe}"));
     let text = format!(
-        "{late} requests arrived over 500 ms after their clients had left, and of {lasting} requests that \
-         would have lasted so long, instances were still at work on {at_work}"
+        "of {REQUESTS} requests ({runs} run), {unanswered} were unanswered at the route's timeout, \
+         and {missing} of these had no final answer {LATE_MS} ms later"
     );
-    kit::finish(fleet, 4 * at_work > lasting || late > 5, &text);
+    kit::finish(fleet, missing >= 8 && 2 * missing > unanswered, &text);
 }
