--- a/review/kit-2/kit.rs
+++ b/review/kit-2/kit.rs
@@ -561,6 +561,8 @@
     log: PathBuf,
 }
 
+/// The longest time of a case.
+const LIMIT: Duration = Duration::from_secs(110);
 /// Where an instance listens that is reached through a proxy.
 const BEHIND_PROXY: u16 = 18557;
 pub const CONTROL: u16 = 18540;
@@ -646,6 +648,35 @@
     is_over: Arc<AtomicBool>,
 }
 
+/// Returns the middle bytes of loopback addresses on which all ports of the machines are free.
+fn pick_network(machines: u8) -> (u8, u8) {
+    let pid = std::process::id();
+    let ports = [
+        CONTROL,
+        INBOUND,
+        READY,
+        APP,
+        OUTBOUND,
+        BEHIND_PROXY,
+        18700,
+        18701,
+    ];
+    let candidates = (0..200).map(|attempt| {
+        let number = pid.wrapping_mul(7).wrapping_add(attempt);
+        (64 + ((number >> 8) & 63) as u8, (number & 255) as u8)
+    });
+    let is_free = |network: &(u8, u8)| {
+        let ips = (1..=machines).map(|last| Ipv4Addr::new(127, network.0, network.1, last));
+        let mut addresses = ips.flat_map(|ip| ports.map(|port| (ip, port)));
+        addresses.all(|address| TcpListener::bind(address).is_ok())
+    };
+    let mut candidates = candidates.filter(is_free);
+    candidates.next().unwrap_or_else(|| {
+        println!("can't run: no loopback addresses with free ports");
+        std::process::exit(2);
+    })
+}
+
 /// The machines to start: name, zone, service.
 pub struct Spec<'s> {
     /// What stands between the nodes and their instances.
@@ -665,14 +696,8 @@
         handler: impl Fn(&str) -> Arc<Handler>,
     ) -> Self {
         let pid = std::process::id();
-        let base = |index: u32| {
-            Ipv4Addr::new(
-                127,
-                64 + ((pid >> 8) & 63) as u8,
-                (pid & 255) as u8,
-                (index + 1) as u8,
-            )
-        };
+        let network = pick_network(spec.machines.len() as u8);
+        let base = |index: u32| Ipv4Addr::new(127, network.0, network.1, (index + 1) as u8);
         let folder = std::env::temp_dir().join(format!("fleet-{pid}"));
         fs::create_dir_all(&folder).expect("temporary folder");
         let store = Store::start(base(200));
@@ -735,6 +760,15 @@
             machines.push(machine);
         }
         let record = File::create(record).expect("record file");
+        let watched = machines.clone();
+        thread::spawn(move || {
+            thread::sleep(LIMIT);
+            for machine in &watched {
+                machine.kill();
+            }
+            println!("can't run: the case didn't end in time");
+            std::process::exit(2);
+        });
         Self {
             store,
             machines,
