fix(node): end the requests of clients that leave while much of what they sent is unread

Cause: a node learns of a leave by reading the end of the connection. RequestsAhead stopped reading while its buffer held 16 KiB, and the heads of the requests at work stay in that buffer.

Change: those heads don't count towards what is read ahead.

The four cases of the new test failed before, each at its limit of 5 s.

--- a/crates/node/src/ahead_settings.rs
+++ b/crates/node/src/ahead_settings.rs
@@ -4,7 +4,8 @@
     /// The maximum number of requests of a connection that run at once. With 1, each request waits
     /// for the answer of the one before.
     pub max_requests: usize,
-    /// The number of bytes of a connection that are read while a request is being answered.
+    /// The number of bytes of a connection that are read while a request is being answered, beside
+    /// the heads of the requests that run.
     pub read_bytes: usize,
     /// The number of bytes from which an answer that waits for earlier ones isn't read on.
     pub answer_bytes: usize,
--- a/crates/node/src/client_budget.rs
+++ b/crates/node/src/client_budget.rs
@@ -50,6 +50,8 @@
             client,
             port,
             switch,
+            awaits_read: Cell::new(false),
+            open_requests: Cell::new(0),
         })
     }
 
@@ -142,6 +144,10 @@
     client: ClientId,
     port: ClientPort,
     switch: Rc<CloseSwitch>,
+    /// Whether a read waits for the client.
+    awaits_read: Cell<bool>,
+    /// The number of requests that aren't answered completely.
+    open_requests: Cell<usize>,
 }
 
 impl ClientConnection {
@@ -170,8 +176,24 @@
         ledger.use_http2(self.client, u64::from(window_bytes));
     }
 
+    /// Returns whether a read has waited for the client since [`Self::begin_poll`].
+    pub(crate) fn awaits_read(&self) -> bool {
+        self.awaits_read.get()
+    }
+
+    /// Records that the connection is about to be polled, which reads from it unless it has enough.
+    pub(crate) fn begin_poll(&self) {
+        self.awaits_read.set(false);
+    }
+
+    /// Returns whether a request isn't answered completely.
+    pub(crate) fn has_requests(&self) -> bool {
+        self.open_requests.get() > 0
+    }
+
     /// Records a read: the bytes that it returned, or `None` if it waits for the client.
     pub(crate) fn record_read(&self, bytes: Option<u64>) {
+        self.awaits_read.set(bytes.is_none());
         let now = self.budget.clock.now();
         let mut ledger = self.budget.ledger.borrow_mut();
         match bytes {
@@ -200,6 +222,7 @@
             client: self.client,
             is_body_open: Arc::new(AtomicBool::new(has_body)),
         };
+        self.open_requests.set(self.open_requests.get() + 1);
         let connection = Rc::clone(self);
         let open = OpenRequest {
             connection,
@@ -230,6 +253,8 @@
 
 impl Drop for OpenRequest {
     fn drop(&mut self) {
+        let open_requests = &self.connection.open_requests;
+        open_requests.set(open_requests.get() - 1);
         let budget = &self.connection.budget;
         let had_open_body = self.request.is_body_open.swap(false, Ordering::Relaxed);
         let mut ledger = budget.ledger.borrow_mut();
--- a/crates/node/src/http_port.rs
+++ b/crates/node/src/http_port.rs
@@ -23,6 +23,7 @@
 use crate::caller_stream::CallerStream;
 use crate::client_budget::ClientConnection;
 use crate::client_watch::close_excess;
+use crate::close_watch::CloseWatch;
 use crate::count_guard::CountGuard;
 use crate::early_answers::{EarlyAnswer, EarlyAnswers};
 use crate::http_answer::refusal_response;
@@ -39,6 +40,9 @@
 /// milliseconds.
 const SHORT_RETRY_AFTER_MS: u64 = 1_000;
 
+/// The error of a connection whose client has left while nothing was read from it.
+const UNREAD_CLOSE: &str = "the client closed the connection before its requests were answered";
+
 /// The peers that a port serves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum PortUser {
@@ -183,6 +187,8 @@
         .initial_connection_window_size(clients.http2_window_bytes)
         .max_concurrent_streams(clients.http2_streams)
         .max_header_list_size(u32::try_from(clients.head_bytes).unwrap_or(u32::MAX));
+    let mut close_watch = CloseWatch::new(stream.clone(), Rc::clone(&client));
+    let polled_client = Rc::clone(&client);
     let stream = CallerStream::new(stream, has_request, settings, ahead.clone(), client);
     let connection = builder.serve_connection(stream, service);
     let mut connection = pin!(connection);
@@ -190,9 +196,13 @@
     let (mut is_stopping, mut is_ending) = (false, false);
     let result = poll_fn(|context| {
         loop {
+            polled_client.begin_poll();
             if let Poll::Ready(result) = connection.as_mut().poll(context) {
                 return Poll::Ready(result);
             }
+            if close_watch.poll_closed(context).is_ready() {
+                return Poll::Ready(Err(Box::from(UNREAD_CLOSE)));
+            }
             if let Some(ahead) = &ahead {
                 let handler = |request| handler(Rc::clone(&core), request);
                 early_answers.poll(context, ahead, handler);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -37,6 +37,7 @@
 mod client_budget;
 mod client_settings;
 mod client_watch;
+mod close_watch;
 mod config_state;
 mod config_watch;
 mod count_guard;
--- a/crates/node/src/request_ahead.rs
+++ b/crates/node/src/request_ahead.rs
@@ -198,7 +198,7 @@
             if state.is_closed {
                 return READ;
             }
-            let has_room = state.buffer.len() < settings.read_bytes
+            let has_room = state.buffer.behind_started().len() < settings.read_bytes
                 && self.core.ahead_bytes.get() < settings.node_bytes;
             let read = if has_room {
                 state.read_chunk(context, socket, CHUNK_BYTES)
--- a/crates/node/tests/requests_ahead_ends.rs
+++ b/crates/node/tests/requests_ahead_ends.rs
@@ -31,6 +31,40 @@
     assert_eq!(status.as_u16(), 200);
 }
 
+/// Guards against requests that run to their end for callers that have left, because the node holds
+/// as much of what they sent as it may and doesn't read the end of their connections.
+#[rstest]
+#[case::large_heads(AheadSettings::default(), (10, 2_200), 8, "")]
+#[case::more_than_is_read(AheadSettings::default(), (30, 2_200), 8, "")]
+#[case::a_body_behind(AheadSettings::default(), (2, 0), 2, "write")]
+#[case::no_memory_left(AheadSettings { node_bytes: 0, ..AheadSettings::default() }, (10, 1_500), 1, "")]
+#[compio::test]
+async fn callers_that_leave_with_much_unread_end_all_their_reads(
+    #[case] ahead: AheadSettings,
+    #[case] (requests, head_bytes): (usize, usize),
+    #[case] running: usize,
+    #[case] behind: &str,
+) {
+    let fleet = one_node_with(ahead, 10_000).await;
+    let mut client = connect(&fleet).await;
+    let cookie = format!("cookie: {}\r\n", "c".repeat(head_bytes));
+    let path = "/filings/filings/1?ms=20000";
+    let mut text = request("GET", path, "read", &cookie).repeat(requests);
+    if !behind.is_empty() {
+        text += &write(0, behind, &"b".repeat(40_000));
+    }
+    client.send(&text).await;
+    wait_until_running(&fleet, running).await;
+    let left = Instant::now();
+    drop(client);
+    wait_until_running(&fleet, 0).await;
+    assert!(left.elapsed() < Duration::from_secs(5));
+    sleep(Duration::from_millis(500)).await;
+    let entries = fleet.vms[0].backend.record().entries();
+    assert_eq!(entries.len(), running);
+    assert!(entries.iter().all(|entry| !entry.is_finished));
+}
+
 /// What lies behind the answer that closes the connection is never passed on.
 #[compio::test]
 async fn nothing_runs_behind_an_answer_that_closes() {
