fix(node): end answers that have begun at the deadline of their call

Callers had got the head and the first half of their answers when the connections to the backend servers went silent.

Cause: the deadline of a call was a timeout around the wait for the head of its answer. The body had only the limit on a transfer without progress.

Change: an AnswerBody has the deadline, at the node beside the backend server and at the node of the caller, for every source and both kinds of hops. Only waits for the source count, so what was sent reaches a slow reader after the deadline too; each wait uses up a part of 200 ms, which comes back while the reader is the slower one. A wait for the rest of an answer that is abandoned closes the idle connections to the backend server, like one for the head.

Of the new tests, seven of eight cases of an_answer_that_has_begun_ends_at_its_deadline failed before (ended after 30 s), and connections_beside_a_silent_answer_are_not_used_again; the latter also fails with the deadline alone.

--- a/crates/node/src/answer_body.rs
+++ b/crates/node/src/answer_body.rs
@@ -1,10 +1,11 @@
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
 
+use crate::answer_deadline::AnswerDeadline;
 use crate::call_body::{CallBody, CallBodyError};
 use crate::count_guard::CountGuard;
 use crate::held_answer::HeldAnswer;
@@ -14,6 +15,7 @@
     source: AnswerSource,
     body_bytes: Option<u64>,
     arrival: Option<CountGuard>,
+    deadline: Option<AnswerDeadline>,
 }
 
 /// The source of the bytes of an answer.
@@ -31,6 +33,7 @@
             source: AnswerSource::Body(body),
             body_bytes,
             arrival: None,
+            deadline: None,
         }
     }
 
@@ -40,9 +43,17 @@
             source: AnswerSource::Held(answer),
             body_bytes,
             arrival: None,
+            deadline: None,
         }
     }
 
+    /// Makes the body fail if its source is silent after a deadline.
+    #[must_use]
+    pub(crate) fn ending_at(mut self, deadline: AnswerDeadline) -> Self {
+        self.deadline = Some(deadline);
+        self
+    }
+
     /// Counts the call as arrived until the body is dropped.
     #[must_use]
     pub(crate) fn with_arrival(mut self, arrival: CountGuard) -> Self {
@@ -69,10 +80,22 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, CallBodyError>>> {
-        match &mut self.source {
+        if let Some(deadline) = &mut self.deadline {
+            deadline.record_demand();
+        }
+        let poll = match &mut self.source {
             AnswerSource::Body(body) => Pin::new(body).poll_frame(context),
             AnswerSource::Held(answer) => answer.poll_frame(context),
+        };
+        let Some(deadline) = &mut self.deadline else {
+            return poll;
+        };
+        if poll.is_ready() {
+            deadline.record_progress();
+            return poll;
         }
+        ready!(deadline.poll_passed(context));
+        Poll::Ready(Some(Err(CallBodyError::Late)))
     }
 
     fn size_hint(&self) -> SizeHint {
--- a/crates/node/src/backend_pool.rs
+++ b/crates/node/src/backend_pool.rs
@@ -90,12 +90,20 @@
 
 /// How the backend server has answered a request.
 pub(crate) enum BackendOutcome {
-    /// The request ran. If the answer ends with its connection, the progress of the request follows.
-    Ran(Response<Incoming>, Option<SendProgress>),
+    /// The request ran.
+    Ran(RunAnswer),
     /// The backend server rejected the request without running it.
     NotRun(AnswerKind),
 }
 
+/// The answer to a request that ran.
+pub(crate) struct RunAnswer {
+    pub(crate) response: Response<Incoming>,
+    /// The progress of the request, if the answer ends with its connection.
+    pub(crate) sending: Option<SendProgress>,
+    pub(crate) wait: AnswerWait,
+}
+
 /// A connection to the backend server.
 struct BackendConnection {
     sender: SendRequest<SentBody>,
@@ -295,13 +303,14 @@
         self.is_down.get()
     }
 
-    /// Closes the idle connections if no request was answered since an abandoned one was sent.
+    /// Closes the idle connections if no request was answered since the wait for an abandoned answer,
+    /// or for the rest of one, began.
     ///
     /// Something between the node and the backend server may lose the state of all open connections
     /// while new ones work. Without this, each open connection would cost a request.
-    fn close_silent(&self, sent_at: ClockTime) {
-        let waited_ms = self.clock.now().since_ms(sent_at);
-        if waited_ms < SILENCE_LIMIT_MS || self.answered_at.get() > sent_at {
+    fn close_silent(&self, since: ClockTime) {
+        let waited_ms = self.clock.now().since_ms(since);
+        if waited_ms < SILENCE_LIMIT_MS || self.answered_at.get() > since {
             return;
         }
         let closed = self.idle.take().len();
@@ -379,7 +388,7 @@
         edge: &EdgeSettings,
     ) -> Result<BackendAnswer, SendFailure> {
         let is_first = std::mem::take(&mut connection.is_new);
-        let wait = AnswerWaitGuard::start(self);
+        let mut wait = AnswerWait::start(self);
         let limits = &self.limits;
         let budget = limits.head_bytes.saturating_add(limits.interim_bytes);
         connection.budget.set(Some(budget));
@@ -406,8 +415,11 @@
                     .detach();
                 }
                 let outcome = if kind == AnswerKind::Ran {
-                    let request = has_no_length(&response).then_some(progress);
-                    BackendOutcome::Ran(response, request)
+                    BackendOutcome::Ran(RunAnswer {
+                        sending: has_no_length(&response).then_some(progress),
+                        response,
+                        wait,
+                    })
                 } else {
                     drain_answer(response.into_body());
                     BackendOutcome::NotRun(kind)
@@ -438,32 +450,36 @@
     }
 }
 
-/// A request that was sent and not answered yet. If it is abandoned, the connections may have gone
-/// silent.
-struct AnswerWaitGuard<'p> {
-    pool: &'p BackendPool,
-    sent_at: ClockTime,
-    is_done: bool,
+/// A wait for the head or for the rest of an answer. If it is abandoned, the connections may have
+/// gone silent.
+pub(crate) struct AnswerWait {
+    pool: Rc<BackendPool>,
+    since: Option<ClockTime>,
 }
 
-impl<'p> AnswerWaitGuard<'p> {
-    fn start(pool: &'p BackendPool) -> Self {
+impl AnswerWait {
+    fn start(pool: &Rc<BackendPool>) -> Self {
         Self {
-            pool,
-            sent_at: pool.clock.now(),
-            is_done: false,
+            pool: Rc::clone(pool),
+            since: Some(pool.clock.now()),
         }
     }
 
-    fn finish(mut self) {
-        self.is_done = true;
+    /// Records that the answer is awaited.
+    pub(crate) fn resume(&mut self) {
+        self.since.get_or_insert_with(|| self.pool.clock.now());
+    }
+
+    /// Records that what was awaited has arrived or has failed.
+    pub(crate) const fn finish(&mut self) {
+        self.since = None;
     }
 }
 
-impl Drop for AnswerWaitGuard<'_> {
+impl Drop for AnswerWait {
     fn drop(&mut self) {
-        if !self.is_done {
-            self.pool.close_silent(self.sent_at);
+        if let Some(since) = self.since {
+            self.pool.close_silent(since);
         }
     }
 }
--- a/crates/node/src/call_body.rs
+++ b/crates/node/src/call_body.rs
@@ -32,6 +32,9 @@
     /// The sender or the reader of the body stalled.
     #[error("body was interrupted: its sender or reader stalled")]
     Stalled,
+    /// The rest of an answer hasn't come by the deadline of its request.
+    #[error("answer was interrupted: the deadline of its request has passed")]
+    Late,
     /// The body has more bytes than an answer may have.
     #[error("body exceeds the maximum size of an answer")]
     TooLong,
--- a/crates/node/src/held_answer.rs
+++ b/crates/node/src/held_answer.rs
@@ -12,6 +12,7 @@
 use crate::run_guard::RunGuard;
 
 /// The progress of an answer.
+#[expect(clippy::large_enum_variant, reason = "nearly all answers are open")]
 enum HeldState {
     /// More frames may follow.
     Open(CallBody, RunGuard),
--- a/crates/node/src/http_body.rs
+++ b/crates/node/src/http_body.rs
@@ -6,6 +6,7 @@
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
 
+use crate::backend_pool::AnswerWait;
 use crate::call_body::CallBodyError;
 use crate::client_budget::{ClientBudget, ClientRequest};
 use crate::sent_body::SendProgress;
@@ -21,6 +22,8 @@
     timer: StallTimer,
     /// The request of a client to which the body belongs.
     request: Option<(Rc<ClientBudget>, ClientRequest)>,
+    /// The wait for an answer of the backend server to which the body belongs.
+    wait: Option<AnswerWait>,
 }
 
 impl HttpBody {
@@ -32,9 +35,16 @@
             sending: None,
             timer: StallTimer::new(stall_limit_ms),
             request: None,
+            wait: None,
         }
     }
 
+    /// Makes the body record when the backend server is silent.
+    pub(crate) fn of_answer(mut self, wait: AnswerWait) -> Self {
+        self.wait = Some(wait);
+        self
+    }
+
     /// Makes the body tell the budget of the clients when it is complete.
     pub(crate) fn of_client(mut self, budget: &Rc<ClientBudget>, request: ClientRequest) -> Self {
         self.request = Some((Rc::clone(budget), request));
@@ -81,6 +91,9 @@
     ) -> Poll<Option<Result<Frame<Bytes>, CallBodyError>>> {
         if let Poll::Ready(frame) = Pin::new(&mut self.body).poll_frame(context) {
             self.timer.record_progress();
+            if let Some(wait) = &mut self.wait {
+                wait.finish();
+            }
             let is_early =
                 frame.is_none() && self.sending.as_ref().is_some_and(|it| !it.is_written());
             if is_early {
@@ -91,6 +104,9 @@
             }
             return Poll::Ready(frame.map(|frame| self.count(frame?)));
         }
+        if let Some(wait) = &mut self.wait {
+            wait.resume();
+        }
         let stalled = self.timer.poll_stalled(context);
         stalled.map(|()| Some(Err(CallBodyError::Stalled)))
     }
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -5,8 +5,7 @@
 use bytes::Bytes;
 use clock::ClockTime;
 use compio::time::timeout;
-use http::{Request, Response, Uri};
-use hyper::body::Incoming;
+use http::{Request, Uri};
 use limit::{LoadReport, QueueTicket};
 use model::{LoadNews, RefusalReason, RunVerdict};
 use once::ClaimOutcome;
@@ -14,9 +13,10 @@
 
 use crate::answer_body::AnswerBody;
 use crate::answer_check::AnswerKind;
+use crate::answer_deadline::AnswerDeadline;
 use crate::answer_replay::{replay_answer, store_answer};
 use crate::attempt_guard::AttemptGuard;
-use crate::backend_pool::{BackendAnswer, BackendError, BackendOutcome};
+use crate::backend_pool::{BackendAnswer, BackendError, BackendOutcome, RunAnswer};
 use crate::backend_statement::apply_statement;
 use crate::call_answer::{CallAnswer, CallRefusal};
 use crate::call_body::CallBody;
@@ -30,7 +30,6 @@
 use crate::request_body::buffer_small_link_body;
 use crate::resend_allowance::{ResendCount, resends_exhausted};
 use crate::run_guard::RunGuard;
-use crate::sent_body::SendProgress;
 use crate::suspect_watch::{SuspectGuard, SuspectRefusal, quarantine_refusal, wait_to_run};
 use crate::warm_up_watch::doubt_warmth;
 
@@ -168,9 +167,14 @@
     let is_sent = Cell::new(false);
     match timeout(left, send_call(core, head, body, deadline, &is_sent)).await {
         Ok(Ok(BackendOutcome::NotRun(kind))) => refuse_not_run(core, head, kind, guards),
-        Ok(Ok(BackendOutcome::Ran(response, request))) => {
+        Ok(Ok(BackendOutcome::Ran(answer))) => {
             guards.suspect.mark_answered();
-            wrap_answer(core, head, response, request, guards).await
+            let answer = wrap_answer(core, head, answer, guards).await;
+            let deadline = AnswerDeadline::new(core, head, deadline);
+            CallAnswer {
+                body: answer.body.ending_at(deadline),
+                ..answer
+            }
         }
         Ok(Err(error)) => answer_failed(core, head, &error, guards).await,
         Err(_) if !is_sent.get() => {
@@ -323,11 +327,10 @@
 async fn wrap_answer(
     core: &NodeCore,
     head: &CallHead,
-    response: Response<Incoming>,
-    request: Option<SendProgress>,
+    answer: RunAnswer,
     guards: RunGuards,
 ) -> CallAnswer {
-    let (parts, body) = response.into_parts();
+    let (parts, body) = answer.response.into_parts();
     let RunGuards { run, claim, .. } = guards;
     if parts.status.is_success() {
         record_downstream_calls(core, head, &run.call.downstream_calls.borrow());
@@ -335,7 +338,8 @@
     let max_bytes = core.settings.answers.body_bytes;
     let body = HttpBody::new(body, core.settings.stall_limit_ms)
         .limited_to(max_bytes)
-        .ending_after(request);
+        .ending_after(answer.sending)
+        .of_answer(answer.wait);
     let mut body = CallBody::Http(body);
     if body.known_len().is_some_and(|bytes| bytes > max_bytes) {
         let refusal = CallRefusal::may_have_run(RefusalReason::BackendFailed);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -16,6 +16,7 @@
 mod announcement_appender;
 mod answer_body;
 mod answer_check;
+mod answer_deadline;
 mod answer_limits;
 mod answer_replay;
 mod answer_stream;
--- a/crates/node/src/link_call.rs
+++ b/crates/node/src/link_call.rs
@@ -7,6 +7,7 @@
 use wire::{CallHead, LinkError, PeerLink};
 
 use crate::answer_body::AnswerBody;
+use crate::answer_deadline::AnswerDeadline;
 use crate::attempt_query::{fresh_mark, record_mark, resolve_attempt};
 use crate::call_answer::{CallAnswer, CallRefusal};
 use crate::call_body::CallBody;
@@ -51,7 +52,7 @@
 /// A small answer is read whole before this returns, so that no incomplete answer is forwarded if
 /// the link breaks.
 async fn call_over_link(
-    core: &NodeCore,
+    core: &Rc<NodeCore>,
     vm: &VmName,
     head: &mut CallHead,
     body: CallBody,
@@ -69,6 +70,7 @@
         _ => CallBody::Link(body),
     };
     let body = AnswerBody::new(body, body_bytes);
+    let body = body.ending_at(AnswerDeadline::new(core, head, deadline));
     Ok(CallAnswer { head: answer, body })
 }
 
--- a/crates/node/tests/begun_answers.rs
+++ b/crates/node/tests/begun_answers.rs
@@ -1,9 +1,8 @@
-//! Answers that have begun and whose callers leave.
+//! Answers that have begun and never end, or whose callers leave.
 
 mod fleet;
 #[allow(dead_code, reason = "not every test file needs all of it")]
 mod pipeline;
-#[allow(dead_code, reason = "not every test file needs all of it")]
 mod raw;
 #[allow(dead_code, reason = "not every test file needs all of it")]
 mod scripted;
@@ -11,12 +10,16 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use compio::BufResult;
+use compio::io::AsyncRead;
 use compio::time::{sleep, timeout};
 use fleet::Fleet;
-use pipeline::{WAIT_TIMEOUT, request};
-use raw::send_raw;
+use fleet::link_proxy::LinkProxy;
+use lentilshift_node::NodeSettings;
+use pipeline::{WAIT_TIMEOUT, request, two_nodes};
+use raw::{read_to_end, send_raw};
 use rstest::rstest;
-use scripted::{REQUEST_ID, ScriptedAnswer, ScriptedBackend};
+use scripted::{REQUEST_ID, ScriptedAnswer, ScriptedBackend, answer_text};
 use standin::BackendSettings;
 
 /// The body of an answer, of which only a part is sent.
@@ -115,3 +118,132 @@
     wait_until_busy(&backend, 0).await;
     assert!(left.elapsed() < END_LIMIT, "{:?}", left.elapsed());
 }
+
+/// Guards against answers that never end, because the deadline of a request holds only up to the head
+/// of its answer.
+#[rstest]
+#[compio::test]
+async fn an_answer_that_has_begun_ends_at_its_deadline(
+    #[values(
+        AnswerFraming::Length,
+        AnswerFraming::LongLength,
+        AnswerFraming::Chunks,
+        AnswerFraming::Connection
+    )]
+    framing: AnswerFraming,
+    #[values(false, true)] is_remote: bool,
+) {
+    const DEADLINE: Duration = Duration::from_millis(1_500);
+    let (backend, fleet, path) = start(framing, is_remote).await;
+    let headers = format!(
+        "request-id: a1\r\nlentilshift-deadline-ms: {}\r\nconnection: close\r\n",
+        DEADLINE.as_millis()
+    );
+    let text = request("GET", &path, "", &headers);
+    let sent = Instant::now();
+    let mut client = send_raw(fleet.vms[0].node.caller_address(), &text).await;
+    let answer = read_to_end(&mut client).await;
+    let elapsed = sent.elapsed();
+    assert!(elapsed >= DEADLINE, "{elapsed:?}: {answer}");
+    assert!(elapsed < DEADLINE + END_LIMIT, "{elapsed:?}: {answer}");
+    // A short answer from another node isn't passed on before it is whole.
+    let is_whole_or_none = is_remote && framing == AnswerFraming::Length;
+    let (head, body) = answer.split_once("\r\n\r\n").unwrap();
+    if is_whole_or_none {
+        assert!(head.starts_with("HTTP/1.1 504"), "{answer}");
+    } else {
+        assert!(head.starts_with("HTTP/1.1 200"), "{answer}");
+        assert!(
+            body.contains(PART) && !body.ends_with("0\r\n\r\n"),
+            "{answer}"
+        );
+    }
+    wait_until_busy(&backend, 0).await;
+}
+
+/// Guards against an answer that is cut at its deadline though the backend server has sent all of it
+/// and only its caller is slow.
+#[rstest]
+#[case::local("/filings/filings/1")]
+#[case::over_a_link("/registry/records/1")]
+#[compio::test]
+async fn an_answer_that_is_read_slowly_is_whole(#[case] path: &str) {
+    const ANSWER_BYTES: usize = 12_000_000;
+    let fleet = two_nodes().await;
+    let path = format!("{path}?bytes={ANSWER_BYTES}");
+    let headers = "lentilshift-deadline-ms: 1000\r\nconnection: close\r\n";
+    let text = request("GET", &path, "", headers);
+    let mut client = send_raw(fleet.vms[0].node.caller_address(), &text).await;
+    sleep(Duration::from_millis(500)).await;
+    let mut count = 0;
+    loop {
+        let BufResult(read, _) = client.read(vec![0; 256 * 1024]).await;
+        let bytes = read.unwrap();
+        if bytes == 0 {
+            break;
+        }
+        count += bytes;
+        sleep(Duration::from_millis(20)).await;
+    }
+    assert!(count > ANSWER_BYTES, "{count} bytes");
+}
+
+/// Guards against requests that fail on idle connections to the backend server after an answer on
+/// another connection has shown that the open ones are silent.
+#[compio::test]
+async fn connections_beside_a_silent_answer_are_not_used_again() {
+    const NEIGHBOURS: usize = 6;
+    let backend = ScriptedBackend::start(|request| {
+        let whole = answer_text("200 OK", &request.id, "");
+        if request.id == "half" {
+            return ScriptedAnswer {
+                runs: true,
+                bytes: AnswerFraming::LongLength.first_part(&request.id),
+                ..ScriptedAnswer::default()
+            };
+        }
+        ScriptedAnswer {
+            runs: true,
+            later: whole,
+            pause: Some(Duration::from_millis(300)),
+            ..ScriptedAnswer::default()
+        }
+    })
+    .await;
+    let proxy = LinkProxy::start().await;
+    proxy.set_target(backend.address);
+    let mut fleet = Fleet::start().await;
+    fleet
+        .add_with_settings(
+            "filings-1",
+            "filings",
+            BackendSettings::default(),
+            |settings| NodeSettings {
+                backend_address: proxy.address(),
+                ..backend.settings(settings)
+            },
+        )
+        .await;
+    fleet.wait_until_warm().await;
+    let address = fleet.vms[0].node.caller_address();
+    let send = async |id: &str| {
+        let headers =
+            format!("request-id: {id}\r\nlentilshift-deadline-ms: 1000\r\nconnection: close\r\n");
+        let text = request("GET", "/filings/filings/1", "", &headers);
+        let mut client = send_raw(address, &text).await;
+        read_to_end(&mut client).await
+    };
+    let ids: Vec<String> = (0..NEIGHBOURS).map(|id| format!("n{id}")).collect();
+    let answers = futures_util::future::join_all(ids.iter().map(|id| send(id))).await;
+    assert!(answers.iter().all(|answer| answer.contains(" 200 ")));
+    let silencing = async {
+        sleep(Duration::from_millis(300)).await;
+        proxy.silence();
+    };
+    let (half, ()) = futures_util::join!(send("half"), silencing);
+    assert!(half.contains(PART), "{half}");
+    for number in 0..NEIGHBOURS {
+        let answer = send(&format!("later{number}")).await;
+        assert!(answer.contains(" 200 "), "{number}: {answer}");
+    }
+}
--- a/crates/node/tests/early_answers.rs
+++ b/crates/node/tests/early_answers.rs
@@ -94,6 +94,7 @@
         ),
         later: later.to_owned(),
         closes: true,
+        ..ScriptedAnswer::default()
     })
     .await;
     let fleet = start_fleet(&backend).await;
--- a/crates/node/tests/faulty_answers.rs
+++ b/crates/node/tests/faulty_answers.rs
@@ -87,6 +87,7 @@
             },
             later: answer_text("200 OK", &request.id, ""),
             closes: false,
+            ..ScriptedAnswer::default()
         }
     })
     .await;
--- a/crates/node/tests/scripted/mod.rs
+++ b/crates/node/tests/scripted/mod.rs
@@ -37,6 +37,8 @@
     pub bytes: String,
     /// Written some time later.
     pub later: String,
+    /// The time until then, if it isn't the usual one.
+    pub pause: Option<Duration>,
     /// Whether the connection closes after that.
     pub closes: bool,
 }
@@ -131,7 +133,7 @@
                 return;
             }
             if !answer.later.is_empty() {
-                sleep(LATER).await;
+                sleep(answer.pause.unwrap_or(LATER)).await;
                 let _ = stream.write_all(answer.later).await;
             }
             if answer.closes {
