fix(node): decide requests after a pause by a configuration that is current

Requests that may not be repeated were run by the service that their route had before a move, sent more than config-ms after the confirmation (CONFIG).

Reproduced at nodes that are stopped while a route moves: when they run again, they find the requests and the newest configuration in their sockets at the same moment, and decided the requests that they saw first by the old one. Not shown: that the users' machine paused; and no late run while the store forgets its history (24 moves at three nodes).

Change: ResumeHold tells by the node's own clock that the process didn't run. If the last update is older than three quarters of config-ms then, requests wait for an update, for up to 500 ms. A process that runs never waits, also while the log is away. event=config-awaited tells of the wait and of the version that decided.

--- a/crates/lentilshift/tests/platform_path/main.rs
+++ b/crates/lentilshift/tests/platform_path/main.rs
@@ -5,6 +5,7 @@
 mod evacuation;
 mod late_requests;
 mod log_return;
+mod moved_routes;
 mod platform_fleet;
 mod signals;
 mod soak;
--- a/crates/lentilshift/tests/platform_path/platform_fleet.rs
+++ b/crates/lentilshift/tests/platform_path/platform_fleet.rs
@@ -162,7 +162,13 @@
     /// Does the same with a rate per second, which is also the burst.
     pub fn publish_rate(&self, version: u64, key: &str, path: &str, rate: u32) {
         let services = json!([{"name": "archive"}, {"name": "registry"}]);
-        self.publish_services(version, key, path, rate, &services);
+        self.publish_services(version, (key, path, "archive"), rate, &services);
+    }
+
+    /// Publishes a configuration that sends the requests that may not be repeated to a service.
+    pub fn publish_moved(&self, version: u64, service: &str) {
+        let services = json!([{"name": "archive"}, {"name": "registry"}]);
+        self.publish_services(version, (KEY, "/records/", service), 5_000, &services);
     }
 
     /// Publishes a configuration by which cold instances bear 16 requests per second.
@@ -173,14 +179,15 @@
                    "warmup-per-s": 16.0})
         };
         let services = json!([service("archive"), service("registry")]);
-        self.publish_services(version, KEY, "/records/", 5_000, &services);
+        self.publish_services(version, (KEY, "/records/", "archive"), 5_000, &services);
     }
 
+    /// Publishes a configuration with a key, a route for it, the service that gets the requests that
+    /// may not be repeated, and the rate of the key's team.
     fn publish_services(
         &self,
         version: u64,
-        key: &str,
-        path: &str,
+        (key, path, slow_service): (&str, &str, &str),
         rate: u32,
         services: &serde_json::Value,
     ) {
@@ -191,7 +198,7 @@
         };
         let slow = json!({"name": "r-slow", "path-prefix": "/slow/", "kind": "unsafe",
                           "timeout-ms": 6_000, "target-latency-ms": 500, "priority": 1,
-                          "service": "archive", "max-attempts": 2, "allow-anonymous": true});
+                          "service": slow_service, "max-attempts": 2, "allow-anonymous": true});
         let upload = json!({"name": "r-upload", "path-prefix": "/uploads/", "kind": "upload",
                             "timeout-ms": 6_000, "target-latency-ms": 500, "priority": 1,
                             "service": "archive", "max-attempts": 1, "allow-anonymous": true});
--- a/crates/node/src/config_state.rs
+++ b/crates/node/src/config_state.rs
@@ -47,6 +47,7 @@
         let feed_settings = FeedSettings {
             follow: settings.follow,
             trust: settings.trust,
+            resume: settings.resume,
             ..FeedSettings::default()
         };
         let (vm, centre) = (settings.vm.clone(), settings.centre.clone());
--- a/crates/node/src/egress.rs
+++ b/crates/node/src/egress.rs
@@ -16,6 +16,7 @@
 use crate::call_headers::{CALL_ID, find_deadline_ms};
 use crate::caller_body::CallerBody;
 use crate::chain_admission::check_chain;
+use crate::config_hold::await_current_config;
 use crate::dispatch::dispatch_call;
 use crate::entry::{EntryCall, call_headers, find_entry, not_ready};
 use crate::http_answer::{build_response, refusal_response};
@@ -35,6 +36,7 @@
     core: Rc<NodeCore>,
     request: Request<CallerBody>,
 ) -> Response<AnswerBody> {
+    await_current_config(&core).await;
     let parent = find_parent(&core, request.headers());
     let request_id = match &parent {
         Ok(Some(parent)) => parent.request,
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -18,6 +18,7 @@
 };
 use crate::caller_body::CallerBody;
 use crate::chain_admission::{EntryRequest, check_chain};
+use crate::config_hold::await_current_config;
 use crate::dispatch::dispatch_call;
 use crate::egress::answer_with_inferred_parent;
 use crate::entry_permit::EntryPermit;
@@ -52,6 +53,7 @@
     let caller_id = find_request_id(request.headers(), &core.settings.edge);
     let request_id = caller_id.unwrap_or_else(|| core.new_request_id());
     let (parts, body) = request.into_parts();
+    await_current_config(&core).await;
     if let Some(entry) = find_backend_call(&core, &parts) {
         return answer_with_inferred_parent(core, request_id, entry, parts, body).await;
     }
--- a/crates/node/src/fleet_bounds.rs
+++ b/crates/node/src/fleet_bounds.rs
@@ -2,7 +2,7 @@
 use member::MemberSettings;
 use rate::RateSettings;
 use retry::BudgetSettings;
-use streams::{FollowSettings, PlanSettings, TrustSettings};
+use streams::{FollowSettings, PlanSettings, ResumeSettings, TrustSettings};
 
 use wire::LinkSettings;
 
@@ -161,6 +161,10 @@
                 },
                 ..trust
             },
+            resume: ResumeSettings {
+                max_age_ms: max_config_age_ms(bounds),
+                ..ResumeSettings::default()
+            },
             queue: QueueSettings {
                 shed: ShedSettings {
                     target_wait_ms: TARGET_QUEUE_WAIT_MS,
@@ -198,13 +202,18 @@
     }
 }
 
+/// Returns the age of the last update from which on a node turns to other sources, in milliseconds.
+const fn max_config_age_ms(bounds: &FleetBounds) -> u64 {
+    bounds.config_ms - bounds.config_ms / FALLBACK_DIVISOR
+}
+
 /// Returns the settings for following the configuration, chosen so that a change is in force in
 /// time even on a node whose source of updates stops responding just before it.
 ///
 /// The last update of a reader is at most as old as two read waits, as each read starts when the
 /// previous one ends.
 fn config_follow(bounds: &FleetBounds) -> FollowSettings {
-    let max_age_ms = bounds.config_ms - bounds.config_ms / FALLBACK_DIVISOR;
+    let max_age_ms = max_config_age_ms(bounds);
     let wait_ms = (max_age_ms / 2)
         .saturating_sub(RELAY_DELAY_MS)
         .max(RELAY_DELAY_MS);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -39,6 +39,7 @@
 mod client_settings;
 mod client_watch;
 mod close_watch;
+mod config_hold;
 mod config_state;
 mod config_watch;
 mod count_guard;
--- a/crates/node/src/node_process.rs
+++ b/crates/node/src/node_process.rs
@@ -354,6 +354,7 @@
     loop {
         sleep(Duration::from_millis(TICK_MS)).await;
         let now = core.now();
+        core.config.with(|state| state.feed.record_run(now));
         core.held.abort_unread(now, core.settings.stall_limit_ms);
         if core.gate.next_tick().is_some_and(|due| due <= now) {
             core.gate.tick(now);
--- a/crates/node/src/node_settings.rs
+++ b/crates/node/src/node_settings.rs
@@ -5,7 +5,7 @@
 use model::{CentreName, ServiceName, VmName};
 use rate::RateSettings;
 use retry::BudgetSettings;
-use streams::{FollowSettings, PlanSettings, TrustSettings};
+use streams::{FollowSettings, PlanSettings, ResumeSettings, TrustSettings};
 use wire::{FleetSecret, LinkSettings};
 
 use crate::ahead_settings::AheadSettings;
@@ -101,6 +101,8 @@
     pub plan_others: PlanSettings,
     /// For how long keys are trusted without updates.
     pub trust: TrustSettings,
+    /// How long requests wait for a current configuration after a pause of the process.
+    pub resume: ResumeSettings,
     /// The maximum time that a starting node waits to discover other nodes to pull from before it
     /// reads the configuration and the rates from the log itself, in milliseconds.
     pub start_wait_ms: u64,
@@ -152,6 +154,7 @@
             plan: PlanSettings::default(),
             plan_others: PlanSettings::default(),
             trust: TrustSettings::default(),
+            resume: ResumeSettings::default(),
             start_wait_ms: 0,
             members: MemberSettings::default(),
             rates: RateSettings::default(),
--- a/crates/node/src/stream_host.rs
+++ b/crates/node/src/stream_host.rs
@@ -71,6 +71,11 @@
         went_back
     }
 
+    /// Waits until the stream has brought an update or a later time of the last one.
+    pub(crate) async fn updated(&self) {
+        self.updates.wait().await;
+    }
+
     /// Follows the stream, from the log and from other nodes, for as long as the node runs.
     pub(crate) async fn follow(&self, log: &impl PlatformLog, watch: &impl StreamWatch) {
         futures_util::join!(self.read_log(log, watch), self.pull_peers(watch));
--- a/crates/streams/src/config_feed.rs
+++ b/crates/streams/src/config_feed.rs
@@ -7,8 +7,9 @@
 use crate::{
     ConfigFold, ConfigRecord, FollowAction, FollowSettings, FollowUpdate, KeyDigest, KeyTrust,
     LogEra, LogRecord, LogStream, ReadBatch, ReadError, RecordBody, RecordOutcome, RecordRelay,
-    RelayBatch, RelayPlan, RelayPull, RelaySettings, RelaySnapshot, SnapshotSettings,
-    SnapshotTimer, StreamFollower, TextCheck, TrustSettings, TrustState, UpdateTime,
+    RelayBatch, RelayPlan, RelayPull, RelaySettings, RelaySnapshot, ResumeHold, ResumeSettings,
+    SnapshotSettings, SnapshotTimer, StreamFollower, TextCheck, TrustSettings, TrustState,
+    UpdateTime,
 };
 
 /// Settings of a [`ConfigFeed`].
@@ -22,6 +23,8 @@
     pub snapshot: SnapshotSettings,
     /// How long keys are trusted without updates.
     pub trust: TrustSettings,
+    /// How long requests wait for an update after a pause of the process.
+    pub resume: ResumeSettings,
 }
 
 /// The result of looking up a caller's key.
@@ -56,6 +59,7 @@
     fold: ConfigFold<C>,
     timer: SnapshotTimer,
     trust: KeyTrust,
+    resume: ResumeHold,
 }
 
 impl<C: TextCheck> ConfigFeed<C> {
@@ -68,6 +72,7 @@
             fold: ConfigFold::new(check),
             timer: SnapshotTimer::new(settings.snapshot),
             trust: KeyTrust::new(vm, centre, settings.trust),
+            resume: ResumeHold::new(settings.resume),
         }
     }
 
@@ -206,6 +211,24 @@
         self.fold.is_complete() && self.follower.fresh_at().is_some()
     }
 
+    /// Records that the process runs.
+    pub fn record_run(&mut self, now: ClockTime) {
+        self.resume.record_run(now);
+    }
+
+    /// Records that the process runs, and returns how much longer requests wait for an update because
+    /// the process was paused, in milliseconds.
+    pub fn hold_left_ms(&mut self, now: ClockTime) -> u64 {
+        let fresh_at = self.follower.fresh_at().filter(|_| self.fold.is_complete());
+        self.resume.left_ms(now, fresh_at)
+    }
+
+    /// Returns the age of the last update, in milliseconds, or `None` if there was none.
+    #[must_use]
+    pub fn age_ms(&self, now: ClockTime) -> Option<u64> {
+        self.follower.fresh_at().map(|time| time.age_ms(now))
+    }
+
     /// Returns whether keys are trusted.
     #[must_use]
     pub fn trust_state(&self, now: ClockTime) -> TrustState {
--- a/crates/streams/src/lib.rs
+++ b/crates/streams/src/lib.rs
@@ -26,6 +26,7 @@
 mod record_relay;
 mod relay_message;
 mod relay_plan;
+mod resume_hold;
 mod snapshot_timer;
 mod stream_feed;
 mod stream_follower;
@@ -51,6 +52,7 @@
 pub use record_relay::{RecordRelay, RelaySettings};
 pub use relay_message::{CentreOutage, RelayBatch, RelayPull, RelaySnapshot};
 pub use relay_plan::{PlanSettings, RelayPlan};
+pub use resume_hold::{ResumeHold, ResumeSettings};
 pub use snapshot_timer::{SnapshotSettings, SnapshotTimer};
 pub use stream_feed::StreamFeed;
 pub use stream_follower::{
