--- a/crates/node/src/answer_deadline.rs
+++ b/crates/node/src/answer_deadline.rs
@@ -28,7 +28,8 @@
     at: ClockTime,
     /// When the current wait for the source began.
     waits_since: Option<ClockTime>,
-    /// When the reader got what it hasn't asked on from yet.
+    /// When the reader got the last part, if it hasn't asked for the next one and the source has kept
+    /// it waiting after the deadline.
     read_since: Option<ClockTime>,
     /// How long the answer may still wait after the deadline, in milliseconds.
     spare_ms: u64,
@@ -64,7 +65,9 @@
             let waited_ms = self.late_ms(since);
             self.spare_ms = self.spare_ms.saturating_sub(waited_ms);
         }
-        self.read_since = Some(self.core.now());
+        if self.spare_ms < LATE_WAIT_MS {
+            self.read_since = Some(self.core.now());
+        }
     }
 
     /// Returns how much of the time since `since` was after the deadline, in milliseconds.
