fix(node): keep one timer and less memory for the rest of an answer

A crowd that sends 500 requests ahead on each connection and reads nothing (crowd_leaves_a_node_within_its_limits::case_29_ahead_safe) used 51.5 MB, where 50.3 MB are allowed and 49.8 MB were used before the deadline of answers.

The limit on silence and the deadline share one timer. Heads of requests at work keep nothing from being read only while another request could be started. The wait for a configuration comes before the request is taken apart.

--- a/crates/node/src/answer_body.rs
+++ b/crates/node/src/answer_body.rs
@@ -15,7 +15,7 @@
     source: AnswerSource,
     body_bytes: Option<u64>,
     arrival: Option<CountGuard>,
-    deadline: Option<AnswerDeadline>,
+    deadline: Option<Box<AnswerDeadline>>,
 }
 
 /// The source of the bytes of an answer.
@@ -47,10 +47,10 @@
         }
     }
 
-    /// Makes the body fail if its source is silent after a deadline.
+    /// Makes the body fail if its source is silent for too long or after a deadline.
     #[must_use]
     pub(crate) fn ending_at(mut self, deadline: AnswerDeadline) -> Self {
-        self.deadline = Some(deadline);
+        self.deadline = Some(Box::new(deadline));
         self
     }
 
@@ -94,8 +94,8 @@
             deadline.record_progress();
             return poll;
         }
-        ready!(deadline.poll_passed(context));
-        Poll::Ready(Some(Err(CallBodyError::Late)))
+        let error = ready!(deadline.poll_passed(context));
+        Poll::Ready(Some(Err(error)))
     }
 
     fn size_hint(&self) -> SizeHint {
--- a/crates/node/src/answer_deadline.rs
+++ b/crates/node/src/answer_deadline.rs
@@ -9,13 +9,15 @@
 use model::{AttemptId, RequestId};
 use wire::CallHead;
 
+use crate::call_body::CallBodyError;
 use crate::node_core::NodeCore;
 
 /// How long an answer waits for its source after its deadline, in milliseconds. A slow reader asks for
 /// the rest after the deadline, and what was sent may take a round trip to another node.
 const LATE_WAIT_MS: u64 = 200;
 
-/// The time after which an answer that has begun no longer waits for its source.
+/// The times after which an answer that has begun no longer waits for its source: the deadline of its
+/// call, and the limit on silence.
 ///
 /// Only waiting for the source counts: what the source has sent is passed on after the deadline too,
 /// however slowly it is read. Each wait after the deadline uses up a part of [`LATE_WAIT_MS`], which
@@ -76,14 +78,28 @@
     }
 
     /// Records that the answer waits for its source; ready once it has waited for too long.
-    pub(crate) fn poll_passed(&mut self, context: &mut Context<'_>) -> Poll<()> {
+    pub(crate) fn poll_passed(&mut self, context: &mut Context<'_>) -> Poll<CallBodyError> {
         loop {
             let now = self.core.now();
             let since = *self.waits_since.get_or_insert(now);
-            let end = since.max(self.at).plus_ms(self.spare_ms);
+            let late_at = since.max(self.at).plus_ms(self.spare_ms);
+            let stalled_at = since.plus_ms(self.core.settings.stall_limit_ms);
+            let end = late_at.min(stalled_at);
             if now >= end {
-                self.log(now);
-                return Poll::Ready(());
+                let is_late = late_at <= stalled_at;
+                self.log(
+                    now,
+                    if is_late {
+                        "deadline-passed"
+                    } else {
+                        "stalled"
+                    },
+                );
+                return Poll::Ready(if is_late {
+                    CallBodyError::Late
+                } else {
+                    CallBodyError::Stalled
+                });
             }
             let wait = Duration::from_millis(now.until_ms(end));
             let timer = self.timer.get_or_insert_with(|| spawn(sleep(wait)));
@@ -92,10 +108,10 @@
         }
     }
 
-    fn log(&self, now: ClockTime) {
+    fn log(&self, now: ClockTime, reason: &str) {
         if self.core.may_log() {
             log::info!(
-                "event=answer-cut request={} attempt={} reason=deadline-passed silent_ms={} late_ms={}",
+                "event=answer-cut request={} attempt={} reason={reason} silent_ms={} late_ms={}",
                 self.request,
                 self.attempt,
                 self.waits_since.map_or(0, |since| now.since_ms(since)),
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -50,10 +50,10 @@
     core: Rc<NodeCore>,
     request: Request<CallerBody>,
 ) -> Response<AnswerBody> {
+    await_current_config(&core).await;
     let caller_id = find_request_id(request.headers(), &core.settings.edge);
     let request_id = caller_id.unwrap_or_else(|| core.new_request_id());
     let (parts, body) = request.into_parts();
-    await_current_config(&core).await;
     if let Some(entry) = find_backend_call(&core, &parts) {
         return answer_with_inferred_parent(core, request_id, entry, parts, body).await;
     }
--- a/crates/node/src/http_body.rs
+++ b/crates/node/src/http_body.rs
@@ -13,13 +13,17 @@
 use crate::stall_timer::StallTimer;
 
 /// A body that arrives over HTTP and fails if its sender stalls or if it is too long.
+///
+/// That of an answer leaves the limit on stalls to the [`AnswerDeadline`] of its reader.
+///
+/// [`AnswerDeadline`]: crate::answer_deadline::AnswerDeadline
 pub(crate) struct HttpBody {
     body: Incoming,
     /// The number of bytes that may still arrive.
     left_bytes: u64,
     /// The request that has to be sent before the body may end.
     sending: Option<SendProgress>,
-    timer: StallTimer,
+    timer: Option<StallTimer>,
     /// The request of a client to which the body belongs.
     request: Option<(Rc<ClientBudget>, ClientRequest)>,
     /// The wait for an answer of the backend server to which the body belongs.
@@ -33,16 +37,22 @@
             body,
             left_bytes: u64::MAX,
             sending: None,
-            timer: StallTimer::new(stall_limit_ms),
+            timer: Some(StallTimer::new(stall_limit_ms)),
             request: None,
             wait: None,
         }
     }
 
-    /// Makes the body record when the backend server is silent.
-    pub(crate) fn of_answer(mut self, wait: AnswerWait) -> Self {
-        self.wait = Some(wait);
-        self
+    /// Creates the body of an answer, which records when the backend server is silent.
+    pub(crate) const fn of_answer(body: Incoming, wait: AnswerWait) -> Self {
+        Self {
+            body,
+            left_bytes: u64::MAX,
+            sending: None,
+            timer: None,
+            request: None,
+            wait: Some(wait),
+        }
     }
 
     /// Makes the body tell the budget of the clients when it is complete.
@@ -90,7 +100,9 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, CallBodyError>>> {
         if let Poll::Ready(frame) = Pin::new(&mut self.body).poll_frame(context) {
-            self.timer.record_progress();
+            if let Some(timer) = &mut self.timer {
+                timer.record_progress();
+            }
             if let Some(wait) = &mut self.wait {
                 wait.finish();
             }
@@ -107,7 +119,10 @@
         if let Some(wait) = &mut self.wait {
             wait.resume();
         }
-        let stalled = self.timer.poll_stalled(context);
+        let Some(timer) = &mut self.timer else {
+            return Poll::Pending;
+        };
+        let stalled = timer.poll_stalled(context);
         stalled.map(|()| Some(Err(CallBodyError::Stalled)))
     }
 
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -169,12 +169,7 @@
         Ok(Ok(BackendOutcome::NotRun(kind))) => refuse_not_run(core, head, kind, guards),
         Ok(Ok(BackendOutcome::Ran(answer))) => {
             guards.suspect.mark_answered();
-            let answer = wrap_answer(core, head, answer, guards).await;
-            let deadline = AnswerDeadline::new(core, head, deadline);
-            CallAnswer {
-                body: answer.body.ending_at(deadline),
-                ..answer
-            }
+            wrap_answer(core, head, answer, deadline, guards).await
         }
         Ok(Err(error)) => answer_failed(core, head, &error, guards).await,
         Err(_) if !is_sent.get() => {
@@ -325,9 +320,10 @@
 ///
 /// A small answer of a claimed call is read whole and stored for duplicates of the call.
 async fn wrap_answer(
-    core: &NodeCore,
+    core: &Rc<NodeCore>,
     head: &CallHead,
     answer: RunAnswer,
+    deadline: ClockTime,
     guards: RunGuards,
 ) -> CallAnswer {
     let (parts, body) = answer.response.into_parts();
@@ -336,10 +332,9 @@
         record_downstream_calls(core, head, &run.call.downstream_calls.borrow());
     }
     let max_bytes = core.settings.answers.body_bytes;
-    let body = HttpBody::new(body, core.settings.stall_limit_ms)
+    let body = HttpBody::of_answer(body, answer.wait)
         .limited_to(max_bytes)
-        .ending_after(answer.sending)
-        .of_answer(answer.wait);
+        .ending_after(answer.sending);
     let mut body = CallBody::Http(body);
     if body.known_len().is_some_and(|bytes| bytes > max_bytes) {
         let refusal = CallRefusal::may_have_run(RefusalReason::BackendFailed);
@@ -369,7 +364,10 @@
         is_overload_failure: parts.status.is_server_error() && run.call.has_overload_failure.get(),
     };
     if let Some(claim) = claim {
-        match store_answer(&mut answer, body).await {
+        let left = Duration::from_millis(core.now().until_ms(deadline));
+        let storing = timeout(left, store_answer(&mut answer, body)).await;
+        let late = CallRefusal::may_have_run(RefusalReason::DeadlinePassed);
+        match storing.unwrap_or(Err(late)) {
             Ok((whole, stored)) => {
                 claim.finish(stored.map_or(ClaimOutcome::MayHaveRun, ClaimOutcome::Answered));
                 body = whole;
@@ -384,7 +382,8 @@
     core.held.add(&held_answer);
     CallAnswer {
         head: answer,
-        body: AnswerBody::held(held_answer, body_bytes),
+        body: AnswerBody::held(held_answer, body_bytes)
+            .ending_at(AnswerDeadline::new(core, head, deadline)),
     }
 }
 
--- a/crates/node/src/request_ahead.rs
+++ b/crates/node/src/request_ahead.rs
@@ -198,7 +198,7 @@
             if state.is_closed {
                 return READ;
             }
-            let has_room = state.buffer.behind_started().len() < settings.read_bytes
+            let has_room = state.may_read_ahead(settings.read_bytes)
                 && self.core.ahead_bytes.get() < settings.node_bytes;
             let read = if has_room {
                 state.read_chunk(context, socket, CHUNK_BYTES)
@@ -317,6 +317,14 @@
 }
 
 impl AheadState {
+    /// Returns whether more may be buffered. The heads of the requests at work don't keep the next
+    /// head from being read while its request could be started.
+    fn may_read_ahead(&self, read_bytes: usize) -> bool {
+        let may_start = self.plan.has_room() && !self.is_next_barred;
+        self.buffer.len() < read_bytes
+            || (may_start && self.buffer.behind_started().len() < read_bytes)
+    }
+
     /// Passes on what is there of the next head, or reads more of it.
     fn pass_head(
         &mut self,
