perf(node): hold the parts of a call in boxes of their own

An attempt, the run of a call and a call over a link are boxed; the future of an attempt has 3,248 bytes now, and less is copied when it is boxed.

--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -350,9 +350,9 @@
 ) -> CallAnswer {
     let mut route = RouteGuard::begin(core, head, vm);
     let answer = if *vm == core.settings.vm {
-        run_call(core, head.clone(), body).await
+        Box::pin(run_call(core, head.clone(), body)).await
     } else {
-        send_over_link(core, vm, head, body, deadline).await
+        Box::pin(send_over_link(core, vm, head, body, deadline)).await
     };
     route.finish(&answer.head);
     answer
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -145,7 +145,7 @@
         let refusal = CallRefusal::not_run(RefusalReason::NotReady);
         return CallAnswer::refused(head, &refusal, head.allowance);
     }
-    run_now(core, head, body, deadline, guards).await
+    Box::pin(run_now(core, head, body, deadline, guards)).await
 }
 
 /// The guards held by a running call.
