--- a/crates/node/src/ahead_settings.rs
+++ b/crates/node/src/ahead_settings.rs
@@ -5,7 +5,7 @@
     /// for the answer of the one before.
     pub max_requests: usize,
     /// The number of bytes of a connection that are read while a request is being answered, beside
-    /// the heads of the requests that run.
+    /// the heads of the requests that run if another one could be started.
     pub read_bytes: usize,
     /// The number of bytes from which an answer that waits for earlier ones isn't read on.
     pub answer_bytes: usize,
