fix(node): count each wait for an answer after its deadline for itself

Cause: the waits after the deadline were added up, and a wait lasts to the next poll of the body. A part may lie ready meanwhile, while the reader is not.

Change: each wait may last 200 ms after the deadline. A silent source ends as before; one that trickles on ends by the bound on an answer's size.

--- a/crates/node/src/answer_body.rs
+++ b/crates/node/src/answer_body.rs
@@ -80,9 +80,6 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, CallBodyError>>> {
-        if let Some(deadline) = &mut self.deadline {
-            deadline.record_demand();
-        }
         let poll = match &mut self.source {
             AnswerSource::Body(body) => Pin::new(body).poll_frame(context),
             AnswerSource::Held(answer) => answer.poll_frame(context),
--- a/crates/node/src/answer_deadline.rs
+++ b/crates/node/src/answer_deadline.rs
@@ -12,7 +12,7 @@
 use crate::call_body::CallBodyError;
 use crate::node_core::NodeCore;
 
-/// How long an answer waits for its source after its deadline, in milliseconds. A slow reader asks for
+/// How long an answer waits for each part after its deadline, in milliseconds. A slow reader asks for
 /// the rest after the deadline, and what was sent may take a round trip to another node.
 const LATE_WAIT_MS: u64 = 200;
 
@@ -20,9 +20,7 @@
 /// call, and the limit on silence.
 ///
 /// Only waiting for the source counts: what the source has sent is passed on after the deadline too,
-/// however slowly it is read. Each wait after the deadline uses up a part of [`LATE_WAIT_MS`], which
-/// comes back while the reader keeps the source waiting. So a source that sends little by little ends
-/// too, unless its reader is slower.
+/// however slowly it is read.
 pub(crate) struct AnswerDeadline {
     core: Rc<NodeCore>,
     request: RequestId,
@@ -30,11 +28,6 @@
     at: ClockTime,
     /// When the current wait for the source began.
     waits_since: Option<ClockTime>,
-    /// When the reader got the last part, if it hasn't asked for the next one and the source has kept
-    /// it waiting after the deadline.
-    read_since: Option<ClockTime>,
-    /// How long the answer may still wait after the deadline, in milliseconds.
-    spare_ms: u64,
     timer: Option<JoinHandle<()>>,
 }
 
@@ -47,34 +40,13 @@
             attempt: head.attempt,
             at,
             waits_since: None,
-            read_since: None,
-            spare_ms: LATE_WAIT_MS,
             timer: None,
         }
     }
 
-    /// Records that the reader asks for more.
-    pub(crate) fn record_demand(&mut self) {
-        if let Some(since) = self.read_since.take() {
-            let read_ms = self.late_ms(since);
-            self.spare_ms = LATE_WAIT_MS.min(self.spare_ms + read_ms);
-        }
-    }
-
     /// Records that the source has sent something.
-    pub(crate) fn record_progress(&mut self) {
-        if let Some(since) = self.waits_since.take() {
-            let waited_ms = self.late_ms(since);
-            self.spare_ms = self.spare_ms.saturating_sub(waited_ms);
-        }
-        if self.spare_ms < LATE_WAIT_MS {
-            self.read_since = Some(self.core.now());
-        }
-    }
-
-    /// Returns how much of the time since `since` was after the deadline, in milliseconds.
-    fn late_ms(&self, since: ClockTime) -> u64 {
-        self.core.now().since_ms(since.max(self.at))
+    pub(crate) const fn record_progress(&mut self) {
+        self.waits_since = None;
     }
 
     /// Records that the answer waits for its source; ready once it has waited for too long.
@@ -82,7 +54,7 @@
         loop {
             let now = self.core.now();
             let since = *self.waits_since.get_or_insert(now);
-            let late_at = since.max(self.at).plus_ms(self.spare_ms);
+            let late_at = since.max(self.at).plus_ms(LATE_WAIT_MS);
             let stalled_at = since.plus_ms(self.core.settings.stall_limit_ms);
             let end = late_at.min(stalled_at);
             if now >= end {
